--- /dev/null
+++ b/packages/box/src/create-box.ts
@@ -0,0 +1,181 @@
+/** Registers the services of one box in the order in which they need each other. */
+import { auditName, createAudit } from "@linkfall/audit";
+import {
+  type CallerService,
+  callerServiceName,
+  createCallerService,
+  createInFlight,
+  inFlightName,
+  ticketOfficeName,
+} from "@linkfall/caller-service";
+import { completionsName, createCompletions } from "@linkfall/completion";
+import { type Settings, settingsName } from "@linkfall/config";
+import { createBoxDemandMeter, demandMeterName } from "@linkfall/demand-meter";
+import { clockName, createKernel, type Kernel, randomName, sleep } from "@linkfall/kernel";
+import { createLeaseHolder, leaseHolderName } from "@linkfall/lease-holder";
+import { createLogFollower, logFollowerName } from "@linkfall/log-follower";
+import { createLogWriter, incarnationName, logWriterName } from "@linkfall/log-writer";
+import { loggerName } from "@linkfall/logger";
+import { createMembership, membershipName } from "@linkfall/membership";
+import { createMetrics, metricsName } from "@linkfall/metrics";
+import { createTicketOffice } from "@linkfall/once";
+import {
+  createOperatorService,
+  type DrainStatus,
+  drainStatusName,
+  type OperatorService,
+  operatorServiceName,
+} from "@linkfall/operator-service";
+import { createPlainCalls, plainCallsName } from "@linkfall/plain-call";
+import { createPoolControl, poolControlName } from "@linkfall/pool-control";
+import {
+  boxListPortName,
+  enginePortName,
+  logPortName,
+  type PeerHandler,
+  peerPortName,
+  targetPortName,
+} from "@linkfall/ports";
+import { createReplicas, replicasName } from "@linkfall/replicas";
+import { createSnapshotWriter } from "@linkfall/snapshot-writer";
+import { createStateStore, stateStoreName } from "@linkfall/state-store";
+import { createTargetLoad, targetLoadName } from "@linkfall/target-load";
+import { createTargetWatch, targetWatchName } from "@linkfall/target-watch";
+import type { Incarnation, Milliseconds } from "@linkfall/types";
+import type { BoxPorts } from "./ports.js";
+
+const drainStepMs: Milliseconds = 100;
+
+/** A box that runs. */
+export interface Box {
+  readonly incarnation: Incarnation;
+  readonly kernel: Kernel;
+  readonly callers: CallerService;
+  readonly operators: OperatorService;
+  readonly peerHandler: PeerHandler;
+  start(): Promise<void>;
+  /** Planned stop: resolves when nothing depends on this box any more and it has stopped. */
+  drain(): Promise<void>;
+  /** Stops at once; for tests and for a second signal. */
+  stop(): Promise<void>;
+}
+
+function providePorts(kernel: Kernel, settings: Settings, ports: BoxPorts): Incarnation {
+  const incarnation = `${settings.box.name}@${ports.random.identifier()}`;
+  kernel.provide(clockName, ports.clock);
+  kernel.provide(randomName, ports.random);
+  kernel.provide(loggerName, ports.logger);
+  kernel.provide(settingsName, settings);
+  kernel.provide(metricsName, createMetrics());
+  kernel.provide(incarnationName, incarnation);
+  kernel.provide(logPortName, ports.log);
+  kernel.provide(boxListPortName, ports.boxList);
+  kernel.provide(peerPortName, ports.peers);
+  kernel.provide(enginePortName, ports.engines);
+  kernel.provide(targetPortName, ports.targets);
+  return incarnation;
+}
+
+/** Services that agree with the other boxes and give orders. */
+function provideControl(kernel: Kernel): void {
+  kernel.provide(stateStoreName, createStateStore());
+  const follower = createLogFollower(kernel);
+  kernel.provide(logFollowerName, follower, follower);
+  kernel.provide(logWriterName, createLogWriter(kernel));
+  const membership = createMembership(kernel);
+  kernel.provide(membershipName, membership, membership);
+  const leases = createLeaseHolder(kernel);
+  kernel.provide(leaseHolderName, leases, leases);
+  const watch = createTargetWatch(kernel);
+  kernel.provide(targetWatchName, watch, watch);
+  const audit = createAudit(kernel);
+  kernel.provide(auditName, audit, audit);
+  kernel.provide(demandMeterName, createBoxDemandMeter(kernel));
+  const control = createPoolControl(kernel);
+  kernel.provide(poolControlName, control, control);
+  kernel.provide({ name: "snapshot-writer" }, undefined, createSnapshotWriter(kernel));
+}
+
+/** Services that answer callers. */
+function provideServing(kernel: Kernel, settings: Settings, ports: BoxPorts): void {
+  const { callers } = settings;
+  const self = kernel.find(incarnationName);
+  const secret = ports.random.identifier() + ports.random.identifier();
+  const office = createTicketOffice(ports.clock, self, secret, callers.ticket_lifetime_ms);
+  kernel.provide(ticketOfficeName, office);
+  kernel.provide(inFlightName, createInFlight(callers.max_in_flight));
+  kernel.provide(targetLoadName, createTargetLoad(kernel));
+  kernel.provide(replicasName, createReplicas(kernel));
+  kernel.provide(completionsName, createCompletions(kernel));
+  kernel.provide(plainCallsName, createPlainCalls(kernel));
+  kernel.provide(callerServiceName, createCallerService(kernel));
+}
+
+function createPeerHandler(kernel: Kernel): PeerHandler {
+  const membership = kernel.find(membershipName);
+  const callers = kernel.find(callerServiceName);
+  return {
+    heartbeat: membership.receive,
+    fetchState: membership.stateForPeer,
+    forward: (request) => callers.handle(request, true),
+  };
+}
+
+/** Creates a box; it does nothing before it is started. */
+export function createBox(settings: Settings, ports: BoxPorts): Box {
+  const kernel = createKernel();
+  const incarnation = providePorts(kernel, settings, ports);
+  provideControl(kernel);
+  provideServing(kernel, settings, ports);
+
+  const { clock, logger } = ports;
+  const membership = kernel.find(membershipName);
+  const inFlight = kernel.find(inFlightName);
+  const office = kernel.find(ticketOfficeName);
+  let phase: DrainStatus["phase"] = "serving";
+  let leftAt = 0;
+
+  /** Time until no caller can hold an address or a ticket of this box any more. */
+  const answersEndInMs = () => {
+    if (phase === "serving") return settings.callers.entries_lifetime_ms;
+    const entriesEnd = leftAt + settings.callers.entries_lifetime_ms;
+    return Math.max(0, entriesEnd - clock.now(), office.longestLeft());
+  };
+  kernel.provide(drainStatusName, () => ({
+    phase,
+    requestsInFlight: inFlight.total(),
+    answersEndInMs: answersEndInMs(),
+  }));
+  const operators = createOperatorService(kernel);
+  kernel.provide(operatorServiceName, operators, operators);
+
+  const drain = async () => {
+    logger.event("boxDraining", { inFlight: inFlight.total() });
+    membership.leave();
+    phase = "leaving_answers";
+    leftAt = clock.now();
+    const released = kernel.find(leaseHolderName).releaseAll();
+    while (answersEndInMs() > 0) await sleep(clock, drainStepMs);
+    phase = "finishing_requests";
+    while (inFlight.total() > 0) await sleep(clock, drainStepMs);
+    await released;
+    await kernel.find(auditName).flush();
+    await kernel.stop();
+    phase = "stopped";
+    logger.event("boxStopped");
+  };
+
+  return {
+    incarnation,
+    kernel,
+    callers: kernel.find(callerServiceName),
+    operators,
+    peerHandler: createPeerHandler(kernel),
+    async start() {
+      logger.event("boxStarted", { incarnation });
+      await kernel.start();
+    },
+    drain,
+    stop: kernel.stop,
+  };
+}
--- /dev/null
+++ b/packages/box/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./create-box.js";
+export * from "./ports.js";
--- /dev/null
+++ b/packages/caller-service/src/index.ts
@@ -0,0 +1,3 @@
+export { callerServiceName, createCallerService, type CallerService } from "./caller-service.js";
+export { createInFlight, type InFlight, inFlightName } from "./in-flight.js";
+export { ticketOfficeName } from "./entries.js";
--- /dev/null
+++ b/packages/caller-service/src/owner-route.ts
@@ -0,0 +1,74 @@
+/** Takes a not repeatable request to the box start that owns its ticket. */
+import { settingsName } from "@linkfall/config";
+import { clockName, type Kernel } from "@linkfall/kernel";
+import { incarnationName } from "@linkfall/log-writer";
+import { membershipName } from "@linkfall/membership";
+import { createOnceMemory, type OnceId, parseOnceId } from "@linkfall/once";
+import { type CallerRequest, type CallerResponse, peerPortName } from "@linkfall/ports";
+import { notRun, outcomeUnknown, refusalResponse } from "@linkfall/refusals";
+import type { Account } from "@linkfall/types";
+import { ticketOfficeName } from "./entries.js";
+import { termHeaders } from "./request-terms.js";
+
+const howToGetATicket =
+  "a not repeatable request needs a ticket: ask /v1/entries, and send " +
+  `${termHeaders.requestId}: <ticket id>/<your own part>`;
+
+export interface OwnerRoute {
+  /**
+   * Runs a not repeatable request here when this box owns it, else passes it to the owner.
+   *
+   * @param execute runs the request; called at most once for an identifier
+   */
+  handle(
+    request: CallerRequest,
+    account: Account,
+    requestId: string | undefined,
+    forwarded: boolean,
+    execute: () => Promise<CallerResponse>,
+  ): Promise<CallerResponse>;
+  /** Requests that are remembered. */
+  remembered(): number;
+}
+
+/** Creates the routing to owners of one box. */
+export function createOwnerRoute(kernel: Kernel): OwnerRoute {
+  const membership = kernel.find(membershipName);
+  const incarnation = kernel.find(incarnationName);
+  const peers = kernel.find(peerPortName);
+  const settings = kernel.find(settingsName).callers;
+  const memory = createOnceMemory(kernel.find(clockName), kernel.find(ticketOfficeName), {
+    retentionMs: settings.once_retention_ms,
+    entries: settings.once_entries,
+    answerBytes: settings.once_answer_bytes,
+  });
+
+  const ownerGone = (reason: string) =>
+    refusalResponse(outcomeUnknown("owner_gone", `the box that owns this request ${reason}`));
+
+  const passToOwner = async (request: CallerRequest, id: OnceId): Promise<CallerResponse> => {
+    const owner = membership.find(id.owner);
+    if (!owner) return ownerGone("is gone");
+    const answer = await peers.forward(owner.peerAddress, request);
+    return answer.caseOf({
+      Right: (response) => response,
+      // An earlier request with this identifier may have run there, so this is never "not run".
+      Left: (failure) => ownerGone(`cannot be reached: ${failure.reason}`),
+    });
+  };
+
+  return {
+    async handle(request, account, requestId, forwarded, execute) {
+      if (requestId === undefined) {
+        return refusalResponse(notRun("ticket_required", howToGetATicket));
+      }
+      const id = parseOnceId(requestId);
+      if (!id) return refusalResponse(notRun("ticket_invalid", howToGetATicket));
+      if (id.owner === incarnation) return memory.run(id, account.name, execute);
+      // The owner's address has been taken over by another start of the box.
+      if (forwarded) return ownerGone("is gone");
+      return passToOwner(request, id);
+    },
+    remembered: memory.size,
+  };
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env node
+/** The process of the command-line tool. */
+import { runLinkfall } from "./run.js";
+
+process.exitCode = await runLinkfall(process.argv.slice(2), {
+  stdin: process.stdin,
+  stdout: process.stdout,
+  stderr: process.stderr,
+});
--- /dev/null
+++ b/packages/completion/src/completion.ts
@@ -0,0 +1,116 @@
+/**
+ * Runs one completion to its end. A failure that provably came before the start is tried elsewhere;
+ * a broken stream is resumed on the same engine; only a repeatable request goes on elsewhere.
+ */
+import { settingsName } from "@linkfall/config";
+import { clockName, type Kernel, serviceName } from "@linkfall/kernel";
+import { metricsName } from "@linkfall/metrics";
+import { failed, notRun, outcomeUnknown } from "@linkfall/refusals";
+import type { Replica } from "@linkfall/replicas";
+import { targetLoadName } from "@linkfall/target-load";
+import type { Milliseconds, Refusal } from "@linkfall/types";
+import { createAdmission } from "./admission.js";
+import { type AttemptEnd, createRunAttempt } from "./attempt.js";
+import type { CompletionEnd, CompletionJob, CompletionToken } from "./job.js";
+import { noProgress, type Progress } from "./progress.js";
+import { createRetryBudget } from "./retry-budget.js";
+
+const afterFailureRetryMs: Milliseconds = 1_000;
+
+export interface Completions {
+  /** Yields the tokens of the answer and returns how it ended. Stop reading it to cancel it. */
+  run(job: CompletionJob): AsyncGenerator<CompletionToken, CompletionEnd>;
+}
+
+export const completionsName = serviceName<Completions>("completions");
+
+/** Creates the completions of one box. */
+export function createCompletions(kernel: Kernel): Completions {
+  const clock = kernel.find(clockName);
+  const metrics = kernel.find(metricsName);
+  const load = kernel.find(targetLoadName);
+  const admission = createAdmission(kernel);
+  const runAttempt = createRunAttempt(kernel);
+  const budget = createRetryBudget(clock, kernel.find(settingsName).targets.retry_share);
+  let attempts = 0;
+
+  const noteFailure = (
+    progress: Progress,
+    replica: Replica,
+    end: Exclude<AttemptEnd, { kind: "complete" }>,
+  ) => {
+    progress.failedTargets.add(replica.target);
+    if (end.kind === "lost") progress.mayHaveRun = true;
+    if (end.kind === "lost" || end.targetFault) load.failed(replica.target);
+  };
+
+  /** Why there is no further attempt; undefined when there may be one. */
+  const whyStop = (job: CompletionJob, progress: Progress, reason: string): Refusal | undefined => {
+    const refusal = refusalAfter(job, progress, reason);
+    if (job.gone.aborted || clock.now() >= job.deadlineAt) return refusal;
+    if (progress.mayHaveRun && !job.repeatable) return refusal;
+    if (!budget.retry(job.account)) return { ...refusal, code: "retry_budget" };
+    metrics.count("linkfall_retries_total", "Attempts after the first");
+    return undefined;
+  };
+
+  async function* runAttempts(
+    job: CompletionJob,
+    progress: Progress,
+    signal: AbortSignal,
+  ): AsyncGenerator<CompletionToken, CompletionEnd> {
+    for (;;) {
+      const admitted = await admission.admit(job, progress);
+      if (admitted.isLeft()) {
+        const refusal = admitted.extract() as Refusal;
+        return refused(progress.mayHaveRun ? { ...refusal, outcome: "failed" } : refusal);
+      }
+      const replica = admitted.unsafeCoerce();
+      const attempt = `${job.id}~${++attempts}`;
+      const end = yield* runAttempt({ job, progress, replica, attempt, signal });
+      if (end.kind === "complete") {
+        admission.learn(job, progress.next);
+        return { kind: "answered" };
+      }
+      noteFailure(progress, replica, end);
+      const refusal = whyStop(job, progress, end.reason);
+      if (refusal) return refused(refusal);
+    }
+  }
+
+  return {
+    async *run(job) {
+      budget.request(job.account);
+      const progress = noProgress();
+      const giveUp = new AbortController();
+      const onGone = () => giveUp.abort();
+      job.gone.addEventListener("abort", onGone, { once: true });
+      const cancelDeadline = clock.after(job.deadlineAt - clock.now(), () => giveUp.abort());
+      try {
+        const end = yield* runAttempts(job, progress, giveUp.signal);
+        return clock.now() >= job.deadlineAt ? pastDeadline(end) : end;
+      } finally {
+        cancelDeadline();
+        job.gone.removeEventListener("abort", onGone);
+      }
+    },
+  };
+}
+
+function refused(refusal: Refusal): CompletionEnd {
+  return { kind: "refused", refusal };
+}
+
+/** What the caller is told when no further attempt is made. */
+function refusalAfter(job: CompletionJob, progress: Progress, reason: string): Refusal {
+  if (!progress.mayHaveRun) return notRun("target_refused", reason, afterFailureRetryMs);
+  if (!job.repeatable) return outcomeUnknown("target_lost", reason);
+  return failed("target_lost", reason, afterFailureRetryMs);
+}
+
+/** Names the deadline as the cause of an end that it brought about. */
+function pastDeadline(end: CompletionEnd): CompletionEnd {
+  if (end.kind === "answered") return end;
+  const { outcome } = end.refusal;
+  return refused({ outcome, code: "deadline_passed", reason: "the deadline has passed" });
+}
--- /dev/null
+++ b/packages/config/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./keys.js";
+export * from "./read-settings.js";
+export * from "./describe-settings.js";
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./run-daemon.js";
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./desired-state.js";
--- /dev/null
+++ b/packages/errors/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./failures.js";
+export * from "./invariant.js";
--- /dev/null
+++ b/packages/lease-holder/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./lease-clock.js";
+export * from "./lease-holder.js";
--- /dev/null
+++ b/packages/log-follower/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./log-follower.js";
+export * from "./restore.js";
--- /dev/null
+++ b/packages/logger/src/events.ts
@@ -0,0 +1,119 @@
+/** The catalogue of log events. docs/EVENTS.md is written from it and a test compares the two. */
+
+export type EventLevel = "error" | "warn" | "info" | "debug";
+
+/** One kind of log event. Numbers are never used again for something else. */
+export interface EventKind {
+  readonly number: number;
+  readonly level: EventLevel;
+  readonly text: string;
+  /** What an operator does about it. */
+  readonly advice: string;
+}
+
+function event(number: number, level: EventLevel, text: string, advice = "None."): EventKind {
+  return { number, level, text, advice };
+}
+
+/** 1xxx box, 2xxx log and desired state, 3xxx members, 4xxx leases and orders, 5xxx requests. */
+export const events = {
+  boxStarted: event(1001, "info", "Box has started; it does not serve yet."),
+  boxReady: event(1002, "info", "Box has folded the desired state and serves."),
+  boxDraining: event(
+    1003,
+    "info",
+    "Planned stop: box has left the answers and lets requests finish.",
+  ),
+  boxStopped: event(1004, "info", "Box has stopped."),
+  boxIsolated: event(
+    1005,
+    "warn",
+    "Box has reached neither the log nor a majority that confirms an outage; it refuses requests.",
+    "Check this box's network.",
+  ),
+  boxRejoined: event(1006, "info", "Box is no longer cut off and serves again."),
+  invariantBroken: event(
+    1007,
+    "error",
+    "A broken invariant stops the process.",
+    "Report it with the last log lines; the box may be started again.",
+  ),
+  logUnreachable: event(
+    2001,
+    "warn",
+    "The log does not answer.",
+    "See operators/when-the-log-is-down.md.",
+  ),
+  logReachable: event(2002, "info", "The log answers again."),
+  badRecord: event(
+    2003,
+    "warn",
+    "A record of the log could not be understood and was passed over.",
+    "Find who appended it; desired state is not affected.",
+  ),
+  restoredFromSnapshot: event(2004, "info", "State was restored from a snapshot in the log."),
+  restoredFromPeer: event(2005, "info", "State was taken from a peer."),
+  snapshotWritten: event(2006, "info", "A snapshot was appended."),
+  changeInForce: event(2007, "info", "A change of desired state is in force on this box."),
+  changeRejected: event(2008, "info", "A change of desired state lost against a newer revision."),
+  memberJoined: event(3001, "info", "A box has been seen for the first time."),
+  memberSuspected: event(3002, "warn", "A box's heartbeat stands still.", "Check that box."),
+  memberGone: event(3003, "info", "A box was forgotten, or replaced by a later start."),
+  leaseTaken: event(4001, "info", "This box holds the lease of a pool."),
+  leaseLost: event(4002, "warn", "This box no longer holds the lease of a pool."),
+  leaseReleased: event(4003, "info", "This box gave up the lease of a pool."),
+  fenceStands: event(4004, "info", "The fence stands on every fenced engine of the pool."),
+  fenceRefused: event(4005, "warn", "An engine refused an order of a lapsed epoch."),
+  orderSent: event(4006, "info", "An order was sent to an engine."),
+  orderSettled: event(4007, "debug", "An order is settled."),
+  orderRefused: event(
+    4008,
+    "warn",
+    "An engine refused an order.",
+    "Look at the reason; desired memory sizes may be wrong.",
+  ),
+  unplaceable: event(
+    4009,
+    "warn",
+    "Not every declared model fits into the pool.",
+    "Add accelerators or remove models.",
+  ),
+  targetLeaving: event(4010, "info", "A target is leaving; it receives no new work."),
+  engineRestarted: event(4011, "warn", "An engine has restarted with empty memory."),
+  targetEjected: event(5001, "warn", "A target that fails is left out for a while."),
+  requestRefused: event(5002, "debug", "A request was refused."),
+  requestEnded: event(5003, "debug", "A request has ended."),
+  outcomeUnknown: event(
+    5004,
+    "warn",
+    "The outcome of a not repeatable request is unknown.",
+    "The caller was told so; look at the target's own records.",
+  ),
+  badPeerMessage: event(
+    5005,
+    "warn",
+    "A message of a peer could not be understood.",
+    "Check that all boxes run versions that fit.",
+  ),
+} as const satisfies Record<string, EventKind>;
+
+/** Name of an event in the catalogue. */
+export type EventName = keyof typeof events;
+
+/** The catalogue as the Markdown page docs/EVENTS.md. */
+export function describeEvents(): string {
+  const lines = [
+    "# Log events",
+    "",
+    "Written by `npm run docs` from the catalogue in `packages/logger`.",
+    "",
+  ];
+  lines.push(
+    "| number | level | event | meaning | what to do |",
+    "| --- | --- | --- | --- | --- |",
+  );
+  for (const [name, kind] of Object.entries(events)) {
+    lines.push(`| ${kind.number} | ${kind.level} | ${name} | ${kind.text} | ${kind.advice} |`);
+  }
+  return `${lines.join("\n")}\n`;
+}
--- /dev/null
+++ b/packages/logger/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./events.js";
+export * from "./logger.js";
--- /dev/null
+++ b/packages/logger/src/logger.ts
@@ -0,0 +1,36 @@
+/** Writes numbered events. */
+import { serviceName } from "@linkfall/kernel";
+import winston from "winston";
+import { type EventLevel, type EventName, events } from "./events.js";
+
+/** Facts that go with an event; never a token, a prompt or an answer. */
+export type EventDetail = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Takes numbered events. */
+export interface Logger {
+  event(name: EventName, detail?: EventDetail): void;
+}
+
+export const loggerName = serviceName<Logger>("logger");
+
+/** A logger that writes JSON lines to standard error. */
+export function createLogger(box: string, level: EventLevel): Logger {
+  const sink = winston.createLogger({
+    level,
+    format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
+    transports: [
+      new winston.transports.Console({ stderrLevels: Object.keys(winston.config.npm.levels) }),
+    ],
+  });
+  return {
+    event(name, detail = {}) {
+      const kind = events[name];
+      sink.log(kind.level, kind.text, { box, event: kind.number, name, ...detail });
+    },
+  };
+}
+
+/** A logger that hands events to a function, for tests. */
+export function recordingLogger(record: (name: EventName, detail: EventDetail) => void): Logger {
+  return { event: (name, detail = {}) => record(name, detail) };
+}
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./member-table.js";
+export * from "./membership.js";
+export * from "./isolation.js";
--- /dev/null
+++ b/packages/membership/src/member-table.ts
@@ -0,0 +1,93 @@
+/**
+ * What is known of other boxes. A member is one start of a box; its heartbeat counter is passed on
+ * by everyone, so a cut between two boxes alone makes neither suspect the other.
+ */
+import type { Incarnation, MemberEntry, Milliseconds } from "@linkfall/types";
+
+/** A member and the local time at which its counter last moved. */
+export interface Member {
+  readonly entry: MemberEntry;
+  readonly movedAt: Milliseconds;
+}
+
+/** Limits in milliseconds of the local clock. */
+export interface MemberLimits {
+  readonly suspectMs: Milliseconds;
+  readonly forgetMs: Milliseconds;
+}
+
+export interface MemberTable {
+  /** Takes entries as passed on by a peer. */
+  merge(entries: readonly MemberEntry[], now: Milliseconds): void;
+  /** Takes the word of a box about itself; earlier starts of the same box are over. */
+  hearDirectly(entry: MemberEntry, now: Milliseconds): void;
+  /** Drops members that have been silent too long. */
+  sweep(now: Milliseconds): void;
+  /** Members whose heartbeat moves, leaving ones included, sorted by name. */
+  alive(now: Milliseconds): readonly MemberEntry[];
+  /** All that are not forgotten. */
+  known(): readonly Member[];
+  find(incarnation: Incarnation): Member | undefined;
+}
+
+/** What the table tells when something changes. */
+export interface MemberChanges {
+  joined(entry: MemberEntry): void;
+  gone(entry: MemberEntry): void;
+}
+
+/** Creates the table of the box `self`, which never stands in it. */
+export function createMemberTable(
+  self: Incarnation,
+  limits: MemberLimits,
+  changes: MemberChanges,
+): MemberTable {
+  const members = new Map<Incarnation, Member>();
+  /** Starts that are over, with the time until which old word of them may still come. */
+  const ended = new Map<Incarnation, Milliseconds>();
+
+  const end = (incarnation: Incarnation, now: Milliseconds) => {
+    const member = members.get(incarnation);
+    if (!member) return;
+    members.delete(incarnation);
+    ended.set(incarnation, now + 2 * limits.forgetMs);
+    changes.gone(member.entry);
+  };
+
+  const take = (entry: MemberEntry, now: Milliseconds) => {
+    if (entry.incarnation === self || ended.has(entry.incarnation)) return;
+    const held = members.get(entry.incarnation);
+    if (held && entry.heartbeat <= held.entry.heartbeat) return;
+    const leaving = entry.leaving || (held?.entry.leaving ?? false);
+    members.set(entry.incarnation, { entry: { ...entry, leaving }, movedAt: now });
+    if (!held) changes.joined(entry);
+  };
+
+  return {
+    merge(entries, now) {
+      for (const entry of entries) take(entry, now);
+    },
+    hearDirectly(entry, now) {
+      for (const { entry: other } of [...members.values()]) {
+        const earlierStart = other.box === entry.box && other.incarnation !== entry.incarnation;
+        if (earlierStart) end(other.incarnation, now);
+      }
+      take(entry, now);
+    },
+    sweep(now) {
+      for (const [incarnation, member] of [...members]) {
+        if (now - member.movedAt > limits.forgetMs) end(incarnation, now);
+      }
+      for (const [incarnation, until] of [...ended]) {
+        if (now > until) ended.delete(incarnation);
+      }
+    },
+    alive: (now) =>
+      [...members.values()]
+        .filter((member) => now - member.movedAt <= limits.suspectMs)
+        .map((member) => member.entry)
+        .sort((a, b) => (a.incarnation < b.incarnation ? -1 : 1)),
+    known: () => [...members.values()],
+    find: (incarnation) => members.get(incarnation),
+  };
+}
--- /dev/null
+++ b/packages/membership/src/membership.ts
@@ -0,0 +1,257 @@
+/** Heartbeats to peers, and what they carry: members, log records and demand. */
+import { settingsName } from "@linkfall/config";
+import {
+  clockName,
+  type Kernel,
+  randomName,
+  repeatEvery,
+  type Service,
+  serviceName,
+} from "@linkfall/kernel";
+import { logFollowerName } from "@linkfall/log-follower";
+import { loggerName } from "@linkfall/logger";
+import { incarnationName } from "@linkfall/log-writer";
+import {
+  boxListPortName,
+  type Heartbeat,
+  type HeartbeatReply,
+  peerPortName,
+  type PeerState,
+} from "@linkfall/ports";
+import { parseState, serialiseState } from "@linkfall/state-fold";
+import { stateStoreName } from "@linkfall/state-store";
+import type {
+  AccountRate,
+  DemandSample,
+  Incarnation,
+  ListedBox,
+  MemberEntry,
+  MemberSummary,
+  Milliseconds,
+} from "@linkfall/types";
+import { isIsolated } from "./isolation.js";
+import { createMemberTable, type Member } from "./member-table.js";
+
+/** Most records of the log passed on in one answer. */
+const recordsPerReply = 64;
+/** Rounds without word after which a peer no longer counts as heard. */
+const heardRounds = 5;
+
+/** What a box last said about itself, and when. */
+interface HeardSummary {
+  readonly summary: MemberSummary;
+  readonly at: Milliseconds;
+}
+
+/** Demand that a box reports of itself. */
+export type OwnDemand = Pick<MemberSummary, "demand" | "accounts">;
+
+export interface Membership {
+  self(): MemberEntry;
+  /** Members whose heartbeat moves, this box first, leaving ones included. */
+  alive(): readonly MemberEntry[];
+  /** Boxes that may be named to callers: alive, not leaving, not shown as leaving by the list. */
+  serving(): readonly MemberEntry[];
+  known(): readonly Member[];
+  find(incarnation: Incarnation): MemberEntry | undefined;
+  /** Names of targets that the platform's list shows as leaving. */
+  leavingTargets(): ReadonlySet<string>;
+  /** Marks this box as leaving; there is no way back. */
+  leave(): void;
+  /** Whether this box is cut off and must not serve. */
+  isolated(): boolean;
+  /** Demand as the other boxes last reported it. */
+  peerDemand(): readonly (readonly DemandSample[])[];
+  /** Rates of client accounts as the other boxes last reported them. */
+  peerAccountRates(): readonly (readonly AccountRate[])[];
+  /** Sets what is sent as this box's own demand. */
+  reportDemand(read: () => OwnDemand): void;
+  /** Answers the peers' messages. */
+  receive(message: Heartbeat): HeartbeatReply;
+  stateForPeer(): PeerState;
+}
+
+export const membershipName = serviceName<Membership>("membership");
+
+/** Creates the membership of one box; its life cycle is the rounds of heartbeats. */
+export function createMembership(kernel: Kernel): Membership & Service {
+  const clock = kernel.find(clockName);
+  const random = kernel.find(randomName);
+  const logger = kernel.find(loggerName);
+  const store = kernel.find(stateStoreName);
+  const follower = kernel.find(logFollowerName);
+  const peers = kernel.find(peerPortName);
+  const list = kernel.find(boxListPortName);
+  const incarnation = kernel.find(incarnationName);
+  const settings = kernel.find(settingsName);
+  const limits = {
+    suspectMs: settings.membership.suspect_ms,
+    forgetMs: settings.membership.forget_ms,
+  };
+  const heardMs = heardRounds * settings.membership.heartbeat_ms;
+
+  let listed: readonly ListedBox[] = [];
+  let leavingTargets: ReadonlySet<string> = new Set();
+  let heartbeat = 0;
+  let leaving = false;
+  let demandOf: () => OwnDemand = () => ({ demand: [], accounts: [] });
+  let entryCursor = 0;
+  let wasIsolated = false;
+  const heard = new Map<Incarnation, HeardSummary>();
+  const table = createMemberTable(incarnation, limits, {
+    joined: (entry) => logger.event("memberJoined", { member: entry.incarnation }),
+    gone(entry) {
+      heard.delete(entry.incarnation);
+      logger.event("memberGone", { member: entry.incarnation });
+    },
+  });
+
+  const self = (): MemberEntry => ({
+    box: settings.box.name,
+    incarnation,
+    peerAddress: settings.box.peer_address,
+    callerAddress: settings.box.caller_address,
+    domain: settings.box.domain,
+    heartbeat,
+    leaving,
+  });
+
+  /** Time since anyone that this box hears read the log. */
+  const freshMs = () => {
+    const now = clock.now();
+    const ages = [...heard.values()]
+      .filter((word) => now - word.at <= heardMs)
+      .map((word) => word.summary.logSilentMs + now - word.at);
+    return Math.min(follower.silentFor(), ...ages);
+  };
+
+  const summary = (): MemberSummary => ({
+    offset: store.state().offset,
+    logSilentMs: Math.min(Number.MAX_SAFE_INTEGER, Math.round(freshMs())),
+    ...demandOf(),
+  });
+
+  /** A bounded, rotating part of the table, so that a message stays small in a large fleet. */
+  const someEntries = (): readonly MemberEntry[] => {
+    const entries = table.alive(clock.now());
+    const most = settings.membership.entries_per_message;
+    if (entries.length <= most) return entries;
+    entryCursor = (entryCursor + most) % entries.length;
+    return [...entries, ...entries].slice(entryCursor, entryCursor + most);
+  };
+
+  const hear = (from: MemberEntry, members: readonly MemberEntry[], word: MemberSummary) => {
+    const now = clock.now();
+    table.hearDirectly(from, now);
+    table.merge(members, now);
+    heard.set(from.incarnation, { summary: word, at: now });
+  };
+
+  const takeStateFrom = async (address: string) => {
+    const fetched = await peers.fetchState(address);
+    fetched
+      .chain((answer) => parseState(answer.data))
+      .ifRight((state) => {
+        if (store.replace(state)) logger.event("restoredFromPeer", { offset: state.offset });
+      });
+  };
+
+  const beat = async (address: string) => {
+    const message = { from: self(), members: someEntries(), summary: summary() };
+    const sent = await peers.heartbeat(address, message);
+    if (sent.isLeft()) return;
+    const reply = sent.unsafeCoerce();
+    hear(reply.from, reply.members, reply.summary);
+    store.ingest(reply.records);
+    const tooFarBehind = reply.records.length === 0 && reply.summary.offset > store.state().offset;
+    const hasNothing = !store.ready() && reply.summary.offset >= store.state().offset;
+    if (tooFarBehind || hasNothing) await takeStateFrom(address);
+  };
+
+  /** Peers of one round: some members, and listed boxes that are not known yet. */
+  const addressesOfRound = (): readonly string[] => {
+    const known = table.known().map((member) => member.entry.peerAddress);
+    const fromList = listed.map((line) => line.peerAddress);
+    const all = [...new Set([...known, ...fromList])];
+    const others = all.filter((address) => address !== settings.box.peer_address);
+    const start = random.below(Math.max(1, others.length));
+    return [...others.slice(start), ...others.slice(0, start)].slice(0, settings.membership.fanout);
+  };
+
+  const noteIsolation = () => {
+    const isolated = membership.isolated();
+    if (isolated !== wasIsolated) logger.event(isolated ? "boxIsolated" : "boxRejoined");
+    wasIsolated = isolated;
+  };
+
+  const round = async () => {
+    heartbeat += 1;
+    table.sweep(clock.now());
+    noteIsolation();
+    await Promise.all(addressesOfRound().map(beat));
+  };
+
+  const readList = async () => {
+    const read = await list.read();
+    read.ifRight((shown) => {
+      listed = shown.boxes;
+      leavingTargets = new Set(shown.leavingTargets);
+    });
+  };
+
+  const rounds = repeatEvery(clock, random, settings.membership.heartbeat_ms, round);
+  const listReads = repeatEvery(clock, random, settings.platform.list_poll_ms, readList);
+
+  const membership: Membership & Service = {
+    self,
+    alive: () => [self(), ...table.alive(clock.now())],
+    serving() {
+      const shownLeaving = new Set(
+        listed.filter((line) => line.state === "leaving").map((line) => line.peerAddress),
+      );
+      return membership
+        .alive()
+        .filter((entry) => !entry.leaving && !shownLeaving.has(entry.peerAddress));
+    },
+    known: table.known,
+    find: (wanted) => (wanted === incarnation ? self() : table.find(wanted)?.entry),
+    leavingTargets: () => leavingTargets,
+    leave() {
+      leaving = true;
+    },
+    isolated() {
+      const now = clock.now();
+      const heardBoxes = [...heard.values()].filter((word) => now - word.at <= heardMs).length;
+      return isIsolated(
+        { freshMs: freshMs(), heardBoxes: heardBoxes + 1, knownBoxes: table.known().length + 1 },
+        settings.membership.stale_serving_ms,
+      );
+    },
+    peerDemand: () => [...heard.values()].map((word) => word.summary.demand),
+    peerAccountRates: () => [...heard.values()].map((word) => word.summary.accounts),
+    reportDemand(read) {
+      demandOf = read;
+    },
+    receive(message) {
+      hear(message.from, message.members, message.summary);
+      return {
+        from: self(),
+        members: someEntries(),
+        summary: summary(),
+        records: store.recentAfter(message.summary.offset, recordsPerReply),
+      };
+    },
+    stateForPeer: () => ({ offset: store.state().offset, data: serialiseState(store.state()) }),
+    async start() {
+      await readList();
+      void round();
+      await rounds.start();
+      await listReads.start();
+    },
+    async stop() {
+      await rounds.stop();
+      await listReads.stop();
+    },
+  };
+  return membership;
+}
--- /dev/null
+++ b/packages/once/src/once-memory.ts
@@ -0,0 +1,135 @@
+/** The owner's memory of not repeatable requests. */
+import { invariant } from "@linkfall/errors";
+import type { Clock } from "@linkfall/kernel";
+import type { CallerResponse } from "@linkfall/ports";
+import { notRun, outcomeOf, outcomeUnknown, refusalResponse } from "@linkfall/refusals";
+import type { Milliseconds } from "@linkfall/types";
+import { type SharedAnswer, shareAnswer } from "./shared-answer.js";
+import type { OnceId, TicketOffice } from "./tickets.js";
+
+/** Limits of the memory. */
+export interface OnceLimits {
+  readonly retentionMs: Milliseconds;
+  readonly entries: number;
+  readonly answerBytes: number;
+}
+
+interface OnceEntry {
+  readonly forgetAt: Milliseconds;
+  /** Set as soon as the answer has begun. */
+  readonly answer: Promise<SharedAnswer>;
+  /** The answer while it is held; dropped to save memory, never the entry itself. */
+  held?: SharedAnswer;
+  dropped: boolean;
+}
+
+export interface OnceMemory {
+  /**
+   * Runs `execute` for the first request with this identifier; every other one gets the same answer.
+   * A request that was not run is forgotten, so it may be tried again.
+   */
+  run(id: OnceId, account: string, execute: () => Promise<CallerResponse>): Promise<CallerResponse>;
+  /** Requests that are remembered. */
+  size(): number;
+}
+
+/** Creates an empty memory. */
+export function createOnceMemory(
+  clock: Clock,
+  office: TicketOffice,
+  limits: OnceLimits,
+): OnceMemory {
+  const entries = new Map<string, OnceEntry>();
+  let heldBytes = 0;
+
+  const keyOf = (id: OnceId) => `${id.ticketNumber}.${id.expiresAt}/${id.suffix}`;
+
+  const forgetOld = () => {
+    const now = clock.now();
+    for (const [key, entry] of entries) {
+      if (entry.forgetAt > now) continue;
+      entries.delete(key);
+      heldBytes -= entry.held?.size() ?? 0;
+    }
+  };
+
+  /** Gives up the oldest answers; that their requests ran stays remembered. */
+  const trimAnswers = () => {
+    for (const entry of entries.values()) {
+      if (heldBytes <= limits.answerBytes) return;
+      if (!entry.held) continue;
+      heldBytes -= entry.held.size();
+      entry.held = undefined;
+      entry.dropped = true;
+    }
+  };
+
+  const keepWhenFinished = async (key: string, entry: OnceEntry) => {
+    const answer = await entry.answer;
+    await answer.finished;
+    if (entries.get(key) !== entry) return;
+    entry.held = answer;
+    heldBytes += answer.size();
+    trimAnswers();
+  };
+
+  const begin = async (
+    key: string,
+    id: OnceId,
+    execute: () => Promise<CallerResponse>,
+  ): Promise<CallerResponse> => {
+    const answer = execute().then(shareAnswer);
+    const entry: OnceEntry = {
+      forgetAt: id.expiresAt + limits.retentionMs,
+      answer,
+      dropped: false,
+    };
+    invariant(!entries.has(key), "runs-at-most-once", () => key);
+    entries.set(key, entry);
+    const first = (await answer).reader();
+    if (outcomeOf(first) === "not_run") entries.delete(key);
+    else void keepWhenFinished(key, entry);
+    return first;
+  };
+
+  const repeat = async (entry: OnceEntry): Promise<CallerResponse> => {
+    if (entry.dropped) {
+      return refusalResponse(
+        outcomeUnknown("answer_not_kept", "it ran; its answer is no longer held"),
+      );
+    }
+    const answer = await entry.answer;
+    const response = answer.reader();
+    return { ...response, headers: { ...response.headers, "linkfall-repeated": "true" } };
+  };
+
+  return {
+    async run(id, account, execute) {
+      forgetOld();
+      if (!office.isGenuine(id, account)) {
+        return refusalResponse(notRun("ticket_invalid", "the ticket is not one of this account"));
+      }
+      const key = keyOf(id);
+      const known = entries.get(key);
+      if (known) return repeat(known);
+      const now = clock.now();
+      if (now >= id.expiresAt + limits.retentionMs) {
+        return refusalResponse(
+          outcomeUnknown("ticket_expired", "too long ago to know whether it ran"),
+        );
+      }
+      // Within the retention an identifier that is not remembered has not run.
+      if (now >= id.expiresAt) {
+        return refusalResponse(notRun("ticket_expired", "ask /v1/entries for a new ticket", 0));
+      }
+      if (entries.size >= limits.entries) {
+        const wait = Math.max(0, ([...entries.values()][0]?.forgetAt ?? now) - now);
+        return refusalResponse(
+          notRun("once_memory_full", "too many requests are remembered", wait),
+        );
+      }
+      return begin(key, id, execute);
+    },
+    size: () => entries.size,
+  };
+}
--- /dev/null
+++ b/packages/operator-client/src/index.ts
@@ -0,0 +1,127 @@
+/** Asks a box's operator interface. */
+import { request as plainRequest } from "node:http";
+import { request as tlsRequest } from "node:https";
+import type {
+  AuditAnswer,
+  BoxLine,
+  ResourcesAnswer,
+  StatusAnswer,
+  WatchEvent,
+  WriteAnswer,
+} from "@linkfall/operator-service";
+import type { Change, Revision } from "@linkfall/types";
+import { createParser, type EventSourceMessage } from "eventsource-parser";
+import { type Either, Left, Right } from "purify-ts";
+
+/** Where the box is, and who asks. */
+export interface OperatorTarget {
+  /** `http://ip:port` or `https://ip:port`. */
+  readonly url: string;
+  readonly token: string;
+  /** Authority of the box's certificate, PEM. */
+  readonly ca?: string;
+}
+
+/** The box could not be asked, or did not accept the operator. */
+export interface AskFailure {
+  readonly kind: "unreachable" | "unauthenticated" | "unexpected";
+  readonly reason: string;
+}
+
+type Asked<T> = Promise<Either<AskFailure, T>>;
+
+export interface OperatorClient {
+  resources(): Asked<ResourcesAnswer>;
+  write(changes: readonly Change[]): Asked<WriteAnswer>;
+  status(): Asked<StatusAnswer>;
+  boxes(): Asked<readonly BoxLine[]>;
+  audit(): Asked<AuditAnswer>;
+  /** Calls `take` for each event until the connection ends or `signal` is aborted. */
+  watch(
+    after: Revision | undefined,
+    take: (event: WatchEvent) => void,
+    signal: AbortSignal,
+  ): Asked<void>;
+}
+
+interface RawAnswer {
+  readonly status: number;
+  readonly text: string;
+}
+
+const unauthenticated = 401;
+/** Statuses by which a write is answered. */
+const writeStatuses = [200, 409, 422, 504];
+
+/** Creates a client for one box. */
+export function createOperatorClient(target: OperatorTarget): OperatorClient {
+  const send = (
+    method: string,
+    path: string,
+    body: string,
+    onText: (text: string) => void,
+    signal?: AbortSignal,
+  ) =>
+    new Promise<Either<AskFailure, RawAnswer>>((resolve) => {
+      const start = target.url.startsWith("https:") ? tlsRequest : plainRequest;
+      const fail = (problem: Error) =>
+        resolve(Left({ kind: "unreachable", reason: `${target.url}: ${problem.message}` }));
+      const headers = {
+        authorization: `Bearer ${target.token}`,
+        "content-type": "application/json",
+      };
+      const options = { method, headers, signal, ca: target.ca, agent: false as const };
+      const sent = start(new URL(path, target.url), options, (message) => {
+        let text = "";
+        message.setEncoding("utf8");
+        message.on("data", (chunk: string) => {
+          text += chunk;
+          onText(chunk);
+        });
+        message.on("end", () => resolve(Right({ status: message.statusCode ?? 0, text })));
+        message.on("error", fail);
+      });
+      sent.on("error", fail);
+      sent.end(body);
+    });
+
+  const ask = async <T>(
+    method: string,
+    path: string,
+    body: unknown,
+    statuses: readonly number[],
+  ): Asked<T> => {
+    const text = body === undefined ? "" : JSON.stringify(body);
+    const answer = await send(method, path, text, () => undefined);
+    return answer.chain((raw): Either<AskFailure, T> => {
+      if (raw.status === unauthenticated) {
+        return Left({ kind: "unauthenticated", reason: "the box does not know this token" });
+      }
+      if (statuses.includes(raw.status)) return Right(JSON.parse(raw.text) as T);
+      return Left({ kind: "unexpected", reason: `status ${raw.status}: ${raw.text.trim()}` });
+    });
+  };
+  const get = <T>(path: string) => ask<T>("GET", path, undefined, [200]);
+
+  return {
+    resources: () => get<ResourcesAnswer>("/v1/resources"),
+    write: (changes) => ask<WriteAnswer>("POST", "/v1/writes", { changes }, writeStatuses),
+    status: () => get<StatusAnswer>("/v1/status"),
+    async boxes() {
+      const answer = await get<{ boxes: readonly BoxLine[] }>("/v1/boxes");
+      return answer.map(({ boxes }) => boxes);
+    },
+    audit: () => get<AuditAnswer>("/v1/audit"),
+    async watch(after, take, signal) {
+      const onEvent = (message: EventSourceMessage) => take(JSON.parse(message.data) as WatchEvent);
+      const parser = createParser({ onEvent });
+      const query = after === undefined ? "" : `?after=${after}`;
+      const ended = await send("GET", `/v1/watch${query}`, "", (text) => parser.feed(text), signal);
+      return ended.chain((raw): Either<AskFailure, void> =>
+        raw.status === 200
+          ? Right(undefined)
+          : Left({ kind: "unexpected", reason: `status ${raw.status}` }),
+      );
+    },
+  };
+}
--- /dev/null
+++ b/packages/operator-service/src/index.ts
@@ -0,0 +1,7 @@
+export {
+  createOperatorService,
+  type OperatorService,
+  operatorServiceName,
+} from "./operator-service.js";
+export * from "./answers.js";
+export * from "./drain-status.js";
--- /dev/null
+++ b/packages/operator-service/src/writes.ts
@@ -0,0 +1,81 @@
+/** Takes operators' writes: checked here first, decided by the fold. */
+import type { FieldProblem } from "@linkfall/errors";
+import { clockName, type Kernel } from "@linkfall/kernel";
+import { logWriterName } from "@linkfall/log-writer";
+import { loggerName } from "@linkfall/logger";
+import { changeSchema, judgeWrite } from "@linkfall/state-fold";
+import { stateStoreName } from "@linkfall/state-store";
+import type { Change, Milliseconds } from "@linkfall/types";
+import { type Either, Left, Right } from "purify-ts";
+import { match, P } from "ts-pattern";
+import { z } from "zod";
+import type { WriteAnswer } from "./answers.js";
+
+/** How long an operator waits for the log before the outcome is called unknown. */
+const writeLimitMs: Milliseconds = 10_000;
+
+const requestSchema = z.strictObject({ changes: z.array(changeSchema).min(1).max(10_000) });
+
+export type TakeWrite = (who: string, body: Uint8Array) => Promise<WriteAnswer>;
+
+function parseChanges(body: Uint8Array): Either<readonly FieldProblem[], readonly Change[]> {
+  let value: unknown;
+  try {
+    value = JSON.parse(Buffer.from(body).toString("utf8"));
+  } catch {
+    return Left([{ field: "body", reason: "not JSON" }]);
+  }
+  const checked = requestSchema.safeParse(value);
+  if (checked.success) return Right(checked.data.changes);
+  return Left(
+    checked.error.issues.map((issue) => ({
+      field: issue.path.map(String).join("."),
+      reason: issue.message,
+    })),
+  );
+}
+
+/** Creates the taking of writes of one box. */
+export function createTakeWrite(kernel: Kernel): TakeWrite {
+  const clock = kernel.find(clockName);
+  const store = kernel.find(stateStoreName);
+  const writer = kernel.find(logWriterName);
+  const logger = kernel.find(loggerName);
+
+  const appendWrite = async (who: string, changes: readonly Change[]): Promise<WriteAnswer> => {
+    const at = clock.wallTime();
+    const written = await writer.append(
+      (id) => ({ type: "write", id, who, at, changes }),
+      writeLimitMs,
+    );
+    const unknown: WriteAnswer = {
+      kind: "unknown",
+      reason: "the log did not answer in time; read the resources again before another try",
+    };
+    return written.caseOf<WriteAnswer>({
+      Left: () => unknown,
+      Right: (folded) =>
+        match(folded[0])
+          .with({ type: "write_accepted" }, ({ revision }): WriteAnswer => {
+            logger.event("changeInForce", { revision, who });
+            return { kind: "accepted", revision };
+          })
+          .with({ type: "write_rejected" }, ({ why }): WriteAnswer => {
+            logger.event("changeRejected", { who });
+            return why;
+          })
+          .with(P._, () => unknown)
+          .exhaustive(),
+    });
+  };
+
+  return async (who, body) => {
+    const parsed = parseChanges(body);
+    if (parsed.isLeft()) {
+      return { kind: "invalid_input", problems: parsed.extract() as readonly FieldProblem[] };
+    }
+    const changes = parsed.unsafeCoerce();
+    // What is wrong already does not burden the log; the fold judges again.
+    return judgeWrite(store.state(), changes) ?? appendWrite(who, changes);
+  };
+}
--- /dev/null
+++ b/packages/peer-grpc/src/peer-server.ts
@@ -0,0 +1,98 @@
+/** Answers other boxes. */
+import { once } from "node:events";
+import { Server, type ServerWritableStream, status } from "@grpc/grpc-js";
+import type { CallerResponse, PeerHandler } from "@linkfall/ports";
+import { fromBeatRequest, IncompleteMessage, toBeatReply } from "./convert.js";
+import {
+  type ForwardPart,
+  type ForwardRequest,
+  type PeerServer,
+  PeerService,
+} from "./generated/peer.js";
+import { type PeerTls, serverCredentials } from "./peer-tls.js";
+
+const statePartLength = 1_000_000;
+
+export interface PeerGrpcServer {
+  /** Starts to listen; resolves with the port. */
+  listen(address: string): Promise<number>;
+  close(): void;
+}
+
+type ForwardCall = ServerWritableStream<ForwardRequest, ForwardPart>;
+
+async function writePart(call: ForwardCall, part: ForwardPart["part"], gone: AbortSignal) {
+  if (call.write({ part })) return;
+  try {
+    await once(call, "drain", { signal: gone });
+  } catch {
+    // The asking box has gone; the caller of this function sees it.
+  }
+}
+
+async function writeForwarded(call: ForwardCall, response: CallerResponse, gone: AbortSignal) {
+  const head = { status: response.status, headers: { ...response.headers } };
+  await writePart(call, { $case: "head", value: head }, gone);
+  if (response.body instanceof Uint8Array) {
+    await writePart(call, { $case: "chunk", value: Buffer.from(response.body) }, gone);
+  } else {
+    for await (const part of response.body) {
+      if (gone.aborted) return;
+      // Ended without the marker of a whole answer, so that the other side sees the cut.
+      if (part.isLeft()) return void call.end();
+      const chunk = part.extract() as Uint8Array;
+      await writePart(call, { $case: "chunk", value: Buffer.from(chunk) }, gone);
+    }
+  }
+  await writePart(call, { $case: "whole", value: true }, gone);
+  call.end();
+}
+
+/**
+ * Creates the server of one box.
+ *
+ * @param defect takes an error that no value stands for
+ */
+export function createPeerServer(
+  handler: PeerHandler,
+  defect: (problem: unknown) => void,
+  tls?: PeerTls,
+): PeerGrpcServer {
+  const implementation: PeerServer = {
+    beat(call, reply) {
+      try {
+        reply(null, toBeatReply(handler.heartbeat(fromBeatRequest(call.request))));
+      } catch (problem) {
+        if (!(problem instanceof IncompleteMessage)) return defect(problem);
+        reply({ code: status.INVALID_ARGUMENT, message: problem.message });
+      }
+    },
+    fetchState(call) {
+      const { offset, data } = handler.fetchState();
+      for (let start = 0; start < data.length; start += statePartLength) {
+        call.write({ offset, data: data.slice(start, start + statePartLength) });
+      }
+      call.end();
+    },
+    forward(call) {
+      const gone = new AbortController();
+      call.on("cancelled", () => gone.abort());
+      const { method, path, headers, body } = call.request;
+      handler
+        .forward({ method, path, headers, body, gone: gone.signal })
+        .then((response) => writeForwarded(call, response, gone.signal))
+        .catch(defect);
+    },
+  };
+  const server = new Server({ "grpc.max_receive_message_length": 64_000_000 });
+  server.addService(PeerService, implementation);
+  return {
+    listen: (address) =>
+      new Promise((resolve, reject) => {
+        server.bindAsync(address, serverCredentials(tls), (problem, port) =>
+          problem ? reject(problem) : resolve(port),
+        );
+      }),
+    close: () => server.forceShutdown(),
+  };
+}
--- /dev/null
+++ b/packages/placement/src/demand.ts
@@ -0,0 +1,103 @@
+/** Spare replicas by demand: a move must earn more than it costs. */
+import { modelArtifact } from "@linkfall/types";
+import { isSpare } from "./make-room.js";
+import type { ModelView, PoolView } from "./pool-view.js";
+import type { Copy, Slot, WorkingPool } from "./working-pool.js";
+
+/** A model's least busy engine must be at least this busy before it gets another replica. */
+const busyUtilisation = 0.7;
+/** An engine takes another replica only while it is at most this busy. */
+const idleUtilisation = 0.5;
+/** Queues longer than this add nothing to the worth of a move. */
+const fullUtilisation = 2;
+/** What one move must earn at equal weights, in share of demand times utilisation relieved. */
+const moveCost = 0.01;
+/** A spare replica is displaced only for a model with at least this many times its demand. */
+const displacementRatio = 4;
+
+/** A replica that might be added: at once, or after `displaced` has gone. */
+interface DemandMove {
+  readonly view: ModelView;
+  readonly slot: Slot;
+  readonly displaced?: Copy;
+  readonly gain: number;
+}
+
+function artifactOf(view: ModelView): string {
+  return modelArtifact(view.model.name, view.model.version);
+}
+
+/** Utilisation of the least busy engine that serves the model. */
+function easiestUtilisation(pool: WorkingPool, view: ModelView): number {
+  const busy = pool.standingCopies(artifactOf(view)).map((copy) => copy.slot.view.utilisation);
+  return busy.length === 0 ? 0 : Math.min(...busy);
+}
+
+function isIdle(slot: Slot): boolean {
+  const { counted, orderable, utilisation } = slot.view;
+  return counted && orderable && utilisation <= idleUtilisation;
+}
+
+function holds(slot: Slot, artifact: string): boolean {
+  return slot.copies.some((copy) => copy.artifact === artifact);
+}
+
+/** A spare replica of a model in far less demand, whose memory would do for `view`. */
+function displaceable(
+  pool: WorkingPool,
+  input: PoolView,
+  view: ModelView,
+): { readonly slot: Slot; readonly copy: Copy } | undefined {
+  const shares = new Map(input.models.map((other) => [artifactOf(other), other.demandShare]));
+  const isCold = (copy: Copy) => {
+    const share = shares.get(copy.artifact);
+    return share !== undefined && share * displacementRatio <= view.demandShare;
+  };
+  const idle = pool.slots.filter((slot) => isIdle(slot) && !holds(slot, artifactOf(view)));
+  for (const slot of idle) {
+    const copy = slot.copies.find(
+      (other) =>
+        isCold(other) && slot.freeMb + other.sizeMb >= view.model.sizeMb && isSpare(pool, other),
+    );
+    if (copy) return { slot, copy };
+  }
+  return undefined;
+}
+
+/** Where one more replica of the model would go. */
+function moveFor(pool: WorkingPool, input: PoolView, view: ModelView): DemandMove | undefined {
+  const { attainmentWeight, movesWeight, mayUnload } = input.limits;
+  const busy = easiestUtilisation(pool, view);
+  if (view.coolingDown || busy < busyUtilisation) return undefined;
+  const standing = pool.standingCopies(artifactOf(view));
+  if (standing.some((copy) => copy.state === "coming")) return undefined;
+
+  const gainAt = (slot: Slot, moves: number) => {
+    const relieved = Math.min(busy, fullUtilisation) - slot.view.utilisation;
+    return attainmentWeight * view.demandShare * relieved - movesWeight * moveCost * moves;
+  };
+  const wish = { sizeMb: view.model.sizeMb, notBeside: [artifactOf(view)] };
+  const open = pool.placesFor(wish).find(isIdle);
+  if (open) return { view, slot: open, gain: gainAt(open, 1) };
+  const found = mayUnload ? displaceable(pool, input, view) : undefined;
+  if (!found) return undefined;
+  return { view, slot: found.slot, displaced: found.copy, gain: gainAt(found.slot, 2) };
+}
+
+/** Adds replicas where that pays, best first, within the limit on moves. */
+export function planDemand(pool: WorkingPool, input: PoolView): void {
+  for (let left = input.limits.spareMoves; left > 0; left--) {
+    const worthwhile = input.models
+      .map((view) => moveFor(pool, input, view))
+      .filter((move) => move !== undefined && move.gain > 0) as DemandMove[];
+    worthwhile.sort((a, b) => b.gain - a.gain);
+    const best = worthwhile[0];
+    if (!best) return;
+    if (best.displaced) {
+      pool.unload(best.displaced, "demand");
+      pool.reserve(best.slot, best.view.model.sizeMb);
+      return;
+    }
+    pool.load(best.slot, artifactOf(best.view), best.view.model.sizeMb, "demand");
+  }
+}
--- /dev/null
+++ b/packages/platform-http/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./box-list-http.js";
+export * from "./log-http.js";
--- /dev/null
+++ b/packages/pool-control/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./pool-control.js";
+export * from "./pool-session.js";
--- /dev/null
+++ b/packages/ports/src/index.ts
@@ -0,0 +1,6 @@
+export * from "./log-port.js";
+export * from "./box-list-port.js";
+export * from "./target-port.js";
+export * from "./engine-port.js";
+export * from "./exchange.js";
+export * from "./peer-port.js";
--- /dev/null
+++ b/packages/ports/src/log-port.ts
@@ -0,0 +1,25 @@
+/** The platform's append-only log. */
+import type { LogFailure } from "@linkfall/errors";
+import { serviceName } from "@linkfall/kernel";
+import type { LogEntry, Offset } from "@linkfall/types";
+import type { Either } from "purify-ts";
+
+/** The streams that linkfall keeps. */
+export const streams = { state: "linkfall-state", audit: "linkfall-audit" } as const;
+export type StreamName = (typeof streams)[keyof typeof streams];
+
+/** A run of records in the order of offset. */
+export interface ReadBatch {
+  readonly entries: readonly LogEntry[];
+  /** Offset of the newest record that the log holds; 0 for an empty stream. */
+  readonly newest: Offset;
+}
+
+export interface LogPort {
+  /** Appends one record. On a failure the record may be in the log all the same. */
+  append(stream: StreamName, data: string): Promise<Either<LogFailure, Offset>>;
+  /** Reads up to `limit` records from offset `from` on. */
+  read(stream: StreamName, from: Offset, limit: number): Promise<Either<LogFailure, ReadBatch>>;
+}
+
+export const logPortName = serviceName<LogPort>("log-port");
--- /dev/null
+++ b/packages/replicas/src/index.ts
@@ -0,0 +1,139 @@
+/** Finds the engines that can serve a model now. */
+import { clockName, type Kernel, serviceName } from "@linkfall/kernel";
+import { settingsName } from "@linkfall/config";
+import { type Candidate, type EngineLoad, estimateWait, loadOf } from "@linkfall/routing";
+import { stateStoreName } from "@linkfall/state-store";
+import { targetLoadName } from "@linkfall/target-load";
+import { targetWatchName, type WatchedReport } from "@linkfall/target-watch";
+import {
+  type Adapter,
+  adapterArtifact,
+  type Engine,
+  type EngineReport,
+  type Model,
+  modelArtifact,
+  type Resident,
+} from "@linkfall/types";
+
+/** An engine that can serve, and what it must be asked for. */
+export interface Replica extends Candidate {
+  readonly artifact: string;
+  readonly adapterArtifact?: string;
+}
+
+export interface Replicas {
+  /**
+   * Engines that can serve the model, the adapter with it. Those with the current version come
+   * alone; while none has it the older versions serve.
+   */
+  serving(model: Model, adapter?: Adapter): readonly Replica[];
+  /** Whether a copy is being loaded, so that a wait may be worth it. */
+  isComing(model: Model, adapter?: Adapter): boolean;
+}
+
+export const replicasName = serviceName<Replicas>("replicas");
+
+/** What one engine offers for a request. */
+interface Offer {
+  readonly engine: Engine;
+  readonly watched: WatchedReport;
+  readonly artifact: string;
+  readonly adapterArtifact?: string;
+  readonly isCurrent: boolean;
+}
+
+const isReady = (resident: Resident) => resident.state === "ready";
+
+/** The ready copy to use on an engine: of the current version, else of any other. */
+function bestCopy(residents: readonly Resident[], current: string): Resident | undefined {
+  const anyVersion = current.slice(0, current.lastIndexOf("@") + 1);
+  const copies = residents.filter(
+    (resident) => isReady(resident) && resident.artifact.startsWith(anyVersion),
+  );
+  return copies.find((copy) => copy.artifact === current) ?? copies[0];
+}
+
+/** An adapter copy beside the model copy, on the same accelerator. */
+function adapterBeside(report: EngineReport, base: Resident, adapter: Adapter) {
+  const beside = report.residents.filter((resident) => resident.accelerator === base.accelerator);
+  return bestCopy(beside, adapterArtifact(adapter.name, adapter.version));
+}
+
+/** Creates the finder of one box. */
+export function createReplicas(kernel: Kernel): Replicas {
+  const clock = kernel.find(clockName);
+  const store = kernel.find(stateStoreName);
+  const watch = kernel.find(targetWatchName);
+  const load = kernel.find(targetLoadName);
+  const staleMs = kernel.find(settingsName).targets.report_stale_ms;
+
+  const offerOf = (engine: Engine, model: Model, adapter?: Adapter): Offer | undefined => {
+    const watched = watch.reportOf(engine.name);
+    if (!watched || watch.isLeaving(engine)) return undefined;
+    const current = modelArtifact(model.name, model.version);
+    const base = bestCopy(watched.report.residents, current);
+    if (!base) return undefined;
+    const beside = adapter && adapterBeside(watched.report, base, adapter);
+    if (adapter && !beside) return undefined;
+    const isCurrent = base.artifact === current;
+    return {
+      engine,
+      watched,
+      artifact: base.artifact,
+      adapterArtifact: beside?.artifact,
+      isCurrent,
+    };
+  };
+
+  const toReplica = (offer: Offer): Replica => {
+    const { engine, watched } = offer;
+    const engineLoad: EngineLoad = {
+      running: watched.report.running,
+      queued: watched.report.queued,
+      concurrency: engine.concurrency,
+      sentSince: load.sentSince(engine.name, watched.requestedAt),
+      serviceMs: load.serviceMs(engine.name),
+    };
+    return {
+      target: engine.name,
+      address: engine.address,
+      load: loadOf(engineLoad),
+      waitMs: estimateWait(engineLoad),
+      artifact: offer.artifact,
+      adapterArtifact: offer.adapterArtifact,
+    };
+  };
+
+  const poolEngines = (model: Model) =>
+    [...store.desired().engines.values()].filter((engine) => engine.pool === model.pool);
+
+  /** Those that fulfil the test, or all where none does. */
+  const prefer = (offers: readonly Offer[], test: (offer: Offer) => boolean) => {
+    const preferred = offers.filter(test);
+    return preferred.length > 0 ? preferred : offers;
+  };
+
+  return {
+    serving(model, adapter) {
+      const now = clock.now();
+      const offers = poolEngines(model)
+        .map((engine) => offerOf(engine, model, adapter))
+        .filter((offer) => offer !== undefined);
+      const current = prefer(offers, (offer) => offer.isCurrent);
+      const fresh = prefer(current, (offer) => now - offer.watched.receivedAt <= staleMs);
+      const kept = load.ejection().keep(fresh, (offer) => offer.engine.name, now);
+      return kept.map(toReplica);
+    },
+    isComing(model, adapter) {
+      const wanted = [modelArtifact(model.name, model.version)];
+      if (adapter) wanted.push(adapterArtifact(adapter.name, adapter.version));
+      return poolEngines(model).some((engine) =>
+        watch
+          .reportOf(engine.name)
+          ?.report.residents.some(
+            (resident) => wanted.includes(resident.artifact) && resident.state === "loading",
+          ),
+      );
+    },
+  };
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./choose.js";
+export * from "./estimate.js";
--- /dev/null
+++ b/packages/stand-ins/src/engine-memory.ts
@@ -0,0 +1,125 @@
+/** The memory of an engine stand-in and the orders that change it. It asserts what only it can see. */
+import type { Engine, EngineRole, Order, OrderReply, Resident } from "@linkfall/types";
+import type { WeightStoreCore } from "./weight-store-core.js";
+
+const rememberedOrders = 1_000;
+
+/** What the memory asks of the rest of the engine. */
+export interface MemoryHooks {
+  /** Whether requests still run on an artifact. */
+  busy(artifact: string, accelerator: number): boolean;
+  changed(): void;
+  /** A promise of the system was broken. */
+  violation(text: string): void;
+}
+
+export interface EngineMemory {
+  readonly residents: readonly Resident[];
+  readonly role: EngineRole;
+  readonly settledOrders: readonly string[];
+  order(order: Order): OrderReply;
+  /** Removes what was waiting for requests that have now ended. */
+  releaseIdle(): void;
+  /** Stops everything under way; the memory is given up with the engine's start. */
+  destroy(): void;
+}
+
+/** Creates the empty memory of one engine start. */
+export function createEngineMemory(
+  engine: Engine,
+  store: Pick<WeightStoreCore, "load">,
+  hooks: MemoryHooks,
+): EngineMemory {
+  let residents: Resident[] = [];
+  let role: EngineRole = "mixed";
+  let settled: string[] = [];
+  let destroyed = false;
+
+  const capacity = (accelerator: number, inRole: EngineRole) =>
+    engine.acceleratorsMb[accelerator] - (inRole === "batch" ? engine.batchReserveMb : 0);
+  const used = (accelerator: number) =>
+    residents
+      .filter((resident) => resident.accelerator === accelerator)
+      .reduce((sum, resident) => sum + resident.sizeMb, 0);
+  const find = (artifact: string, accelerator: number) =>
+    residents.find(
+      (resident) => resident.artifact === artifact && resident.accelerator === accelerator,
+    );
+  const replace = (before: Resident, after?: Resident) => {
+    residents = residents.flatMap((entry) => (entry === before ? (after ? [after] : []) : [entry]));
+    hooks.changed();
+  };
+  const refuse = (reason: string): OrderReply => ({ kind: "refused", reason });
+
+  const load = (order: Extract<Order, { kind: "load" }>): OrderReply => {
+    const { artifact, accelerator, sizeMb } = order;
+    const there = find(artifact, accelerator);
+    if (there && there.state !== "unloading") return { kind: "accepted" };
+    if (used(accelerator) + sizeMb > capacity(accelerator, role)) {
+      hooks.violation(`memory overcommitted on ${engine.name}/${accelerator} by ${artifact}`);
+      return refuse("no memory");
+    }
+    const resident: Resident = { artifact, accelerator, sizeMb, state: "loading" };
+    residents = [...residents, resident];
+    store.load(sizeMb, () => {
+      if (!destroyed && residents.includes(resident))
+        replace(resident, { ...resident, state: "ready" });
+    });
+    return { kind: "accepted" };
+  };
+
+  const unload = (order: Extract<Order, { kind: "unload" }>): OrderReply => {
+    const there = find(order.artifact, order.accelerator);
+    if (!there || there.state === "unloading") return { kind: "accepted" };
+    if (there.state === "ready" && hooks.busy(there.artifact, there.accelerator)) {
+      replace(there, { ...there, state: "unloading" });
+    } else {
+      replace(there);
+    }
+    return { kind: "accepted" };
+  };
+
+  const changeRole = (wanted: EngineRole): OrderReply => {
+    const full = engine.acceleratorsMb.some((_, index) => used(index) > capacity(index, wanted));
+    if (full) {
+      hooks.violation(`memory overcommitted on ${engine.name} by role ${wanted}`);
+      return refuse("no memory");
+    }
+    role = wanted;
+    return { kind: "accepted" };
+  };
+
+  const carryOut = (order: Order): OrderReply => {
+    if (order.kind === "load") return load(order);
+    if (order.kind === "unload") return unload(order);
+    return changeRole(order.role);
+  };
+
+  return {
+    get residents() {
+      return residents;
+    },
+    get role() {
+      return role;
+    },
+    get settledOrders() {
+      return settled;
+    },
+    order(order) {
+      if (settled.includes(order.id)) return { kind: "accepted" };
+      const reply = carryOut(order);
+      settled = [...settled, order.id].slice(-rememberedOrders);
+      hooks.changed();
+      return reply;
+    },
+    releaseIdle() {
+      const going = residents.filter((resident) => resident.state === "unloading");
+      for (const resident of going) {
+        if (!hooks.busy(resident.artifact, resident.accelerator)) replace(resident);
+      }
+    },
+    destroy() {
+      destroyed = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/src/service-core.ts
@@ -0,0 +1,40 @@
+/** A stand-in for one target of a plain service. It echoes, and counts what it ran. */
+import { type Clock, sleep } from "@linkfall/kernel";
+import type { BodyPart, TargetRequest, TargetResponse } from "@linkfall/ports";
+import type { Milliseconds } from "@linkfall/types";
+import { Right } from "purify-ts";
+
+export interface ServiceCore {
+  readonly address: string;
+  leaving: boolean;
+  call(
+    request: Pick<TargetRequest, "method" | "path" | "headers" | "body">,
+  ): Promise<TargetResponse>;
+}
+
+/** Creates a target that takes `workMs` for each call. */
+export function createServiceCore(
+  address: string,
+  clock: Clock,
+  workMs: Milliseconds,
+  ran: (path: string, body: string) => void,
+): ServiceCore {
+  async function* bodyOf(text: string): AsyncGenerator<BodyPart> {
+    yield Right(Buffer.from(text));
+  }
+  return {
+    address,
+    leaving: false,
+    async call(request) {
+      const text = Buffer.from(request.body).toString("utf8");
+      ran(request.path, text);
+      await sleep(clock, workMs);
+      const answer = JSON.stringify({ path: request.path, echo: text });
+      const headers = {
+        "content-type": "application/json",
+        "content-length": String(Buffer.byteLength(answer)),
+      };
+      return { status: 200, headers, body: bodyOf(answer) };
+    },
+  };
+}
--- /dev/null
+++ b/packages/target-load/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./ejection.js";
+export * from "./target-load.js";
--- /dev/null
+++ b/scripts/sync-packages.mjs
@@ -0,0 +1,64 @@
+/**
+ * Keeps each package's package.json and tsconfig.json in step with what its sources import.
+ * Run `npm run sync` after an import of another package is added or removed.
+ */
+import { existsSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+
+const packagesFolder = "packages";
+const rootManifest = JSON.parse(readFileSync("package.json", "utf8"));
+const libraryVersions = { ...rootManifest.devDependencies, ...rootManifest.dependencies };
+
+function sourceFiles(folder) {
+  return readdirSync(folder, { withFileTypes: true, recursive: true })
+    .filter((entry) => entry.isFile() && entry.name.endsWith(".ts"))
+    .map((entry) => join(entry.parentPath ?? entry.path, entry.name));
+}
+
+function importedNames(folder) {
+  const names = new Set();
+  for (const file of sourceFiles(join(folder, "src"))) {
+    const text = readFileSync(file, "utf8");
+    for (const found of text.matchAll(/from\s+["']([^."'][^"']*)["']/g)) {
+      const parts = found[1].split("/");
+      names.add(found[1].startsWith("@") ? parts.slice(0, 2).join("/") : parts[0]);
+    }
+  }
+  return [...names].filter((name) => !name.startsWith("node:")).sort();
+}
+
+function writeJson(path, value) {
+  writeFileSync(path, `${JSON.stringify(value, null, 2)}\n`);
+}
+
+for (const name of readdirSync(packagesFolder)) {
+  const folder = join(packagesFolder, name);
+  if (!existsSync(join(folder, "src"))) continue;
+  const path = join(folder, "package.json");
+  const known = existsSync(path) ? JSON.parse(readFileSync(path, "utf8")) : {};
+  const dependencies = {};
+  const references = [];
+  for (const imported of importedNames(folder)) {
+    const own = imported.startsWith("@linkfall/");
+    dependencies[imported] = own ? "0.1.0" : libraryVersions[imported];
+    if (own) references.push({ path: `../${imported.slice("@linkfall/".length)}` });
+  }
+  writeJson(path, {
+    name: `@linkfall/${name}`,
+    version: "0.1.0",
+    ...(known.private ? { private: true } : {}),
+    description: known.description ?? "",
+    license: "MIT",
+    type: "module",
+    exports: { ".": { types: "./dist/index.d.ts", default: "./dist/index.js" } },
+    ...(known.bin ? { bin: known.bin } : {}),
+    files: ["dist", "src"],
+    dependencies,
+  });
+  writeJson(join(folder, "tsconfig.json"), {
+    extends: "../../tsconfig.base.json",
+    compilerOptions: { rootDir: "src", outDir: "dist" },
+    include: ["src"],
+    references,
+  });
+}
