Randomised runs of whole boxes under a virtual clock

Change: packages/soak: real boxes over stand-ins, faults drawn from a seed alone and in pairs, callers and operators that check what they are told. Found by it and mended: a planned stop cut requests that were being passed to their owner (they were not counted); a draining box stopped reading reports and lost its replicas; a stream cut after its last token was continued elsewhere and gained a token; forwarding to a paused owner had no time limit; the stand-in engine left refused orders unsettled; a stale report was still a ground to send work on. Conclusion: the harness finds what it should; planted faults still have to show that each guard is needed.

--- a/packages/box/src/create-box.ts
+++ b/packages/box/src/create-box.ts
@@ -130,7 +130,7 @@
 
   const { clock, logger } = ports;
   const membership = kernel.find(membershipName);
-  const inFlight = kernel.find(inFlightName);
+  const callers = kernel.find(callerServiceName);
   const office = kernel.find(ticketOfficeName);
   let phase: DrainStatus["phase"] = "serving";
   let leftAt = 0;
@@ -143,21 +143,21 @@
   };
   kernel.provide(drainStatusName, () => ({
     phase,
-    requestsInFlight: inFlight.total(),
+    requestsInFlight: callers.open(),
     answersEndInMs: answersEndInMs(),
   }));
   const operators = createOperatorService(kernel);
   kernel.provide(operatorServiceName, operators, operators);
 
   const drain = async () => {
-    logger.event("boxDraining", { inFlight: inFlight.total() });
+    logger.event("boxDraining", { inFlight: callers.open() });
     membership.leave();
     phase = "leaving_answers";
     leftAt = clock.now();
     const released = kernel.find(leaseHolderName).releaseAll();
     while (answersEndInMs() > 0) await sleep(clock, drainStepMs);
     phase = "finishing_requests";
-    while (inFlight.total() > 0) await sleep(clock, drainStepMs);
+    while (callers.open() > 0) await sleep(clock, drainStepMs);
     await released;
     await kernel.find(auditName).flush();
     await kernel.stop();
@@ -168,7 +168,7 @@
   return {
     incarnation,
     kernel,
-    callers: kernel.find(callerServiceName),
+    callers,
     operators,
     peerHandler: createPeerHandler(kernel),
     async start() {
--- a/packages/caller-service/src/caller-service.ts
+++ b/packages/caller-service/src/caller-service.ts
@@ -21,7 +21,6 @@
 
 const bearer = /^Bearer (\S+)$/i;
 const comeBackSoonMs: Milliseconds = 1_000;
-const neverGone = new AbortController().signal;
 
 export interface CallerService {
   /**
@@ -32,6 +31,8 @@
   handle(request: CallerRequest, forwarded?: boolean): Promise<CallerResponse>;
   /** Not repeatable requests that this box remembers. */
   remembered(): number;
+  /** Requests whose answers have not been passed on whole, those at their owners included. */
+  open(): number;
 }
 
 export const callerServiceName = serviceName<CallerService>("caller-service");
@@ -129,8 +130,10 @@
       return admitted() ?? counted(account, () => prepared.run(request.gone));
     }
     // It runs to its end even when its caller goes, so that a repeat finds its answer.
-    return owners.handle(request, account, terms.requestId, forwarded, async () => {
-      return (await admitted()) ?? counted(account, () => prepared.run(neverGone));
+    return owners.handle(request, account, terms, forwarded, async () => {
+      return (
+        (await admitted()) ?? counted(account, () => prepared.run(new AbortController().signal))
+      );
     });
   };
 
@@ -164,6 +167,22 @@
     return jsonResponse({ object: "list", data });
   };
 
+  let open = 0;
+
+  /** Counts a request as open until its answer has been read to its end, or dropped. */
+  const whileOpen = async (run: () => Promise<CallerResponse>): Promise<CallerResponse> => {
+    open += 1;
+    const response = await run();
+    const close = () => {
+      open -= 1;
+    };
+    if (!(response.body instanceof Uint8Array)) {
+      return { ...response, body: withEnd(response.body, close) };
+    }
+    close();
+    return response;
+  };
+
   const note = (response: CallerResponse, startedAt: Milliseconds) => {
     const outcome = outcomeOf(response);
     metrics.count("linkfall_requests_total", "Requests of callers", { outcome });
@@ -172,20 +191,23 @@
     else if (outcome !== "answered") logger.event("requestRefused", { status: response.status });
   };
 
+  const handle = async (request: CallerRequest, forwarded: boolean): Promise<CallerResponse> => {
+    const startedAt = clock.now();
+    const unable = mayServe();
+    const response = unable
+      ? refusalResponse(unable)
+      : await authenticate(request).caseOf({
+          Left: (refusal) => Promise.resolve(refusalResponse(refusal)),
+          Right: (account) => answer(request, account, forwarded),
+        });
+    note(response, startedAt);
+    return response;
+  };
+
   return {
-    async handle(request, forwarded = false) {
-      const startedAt = clock.now();
-      const unable = mayServe();
-      const response = unable
-        ? refusalResponse(unable)
-        : await authenticate(request).caseOf({
-            Left: (refusal) => Promise.resolve(refusalResponse(refusal)),
-            Right: (account) => answer(request, account, forwarded),
-          });
-      note(response, startedAt);
-      return response;
-    },
+    handle: (request, forwarded = false) => whileOpen(() => handle(request, forwarded)),
     remembered: owners.remembered,
+    open: () => open,
   };
 }
 
--- a/packages/caller-service/src/owner-route.ts
+++ b/packages/caller-service/src/owner-route.ts
@@ -1,14 +1,14 @@
 /** Takes a not repeatable request to the box start that owns its ticket. */
 import { settingsName } from "@linkfall/config";
-import { clockName, type Kernel } from "@linkfall/kernel";
+import { clockName, type Kernel, withTimeout } from "@linkfall/kernel";
 import { incarnationName } from "@linkfall/log-writer";
 import { membershipName } from "@linkfall/membership";
 import { createOnceMemory, type OnceId, parseOnceId } from "@linkfall/once";
 import { type CallerRequest, type CallerResponse, peerPortName } from "@linkfall/ports";
 import { notRun, outcomeUnknown, refusalResponse } from "@linkfall/refusals";
-import type { Account } from "@linkfall/types";
+import type { Account, Milliseconds } from "@linkfall/types";
 import { ticketOfficeName } from "./entries.js";
-import { termHeaders } from "./request-terms.js";
+import { type RequestTerms, termHeaders } from "./request-terms.js";
 
 const howToGetATicket =
   "a not repeatable request needs a ticket: ask /v1/entries, and send " +
@@ -18,12 +18,13 @@
   /**
    * Runs a not repeatable request here when this box owns it, else passes it to the owner.
    *
+   * @param forwarded whether another box has passed it on already
    * @param execute runs the request; called at most once for an identifier
    */
   handle(
     request: CallerRequest,
     account: Account,
-    requestId: string | undefined,
+    terms: RequestTerms,
     forwarded: boolean,
     execute: () => Promise<CallerResponse>,
   ): Promise<CallerResponse>;
@@ -33,11 +34,12 @@
 
 /** Creates the routing to owners of one box. */
 export function createOwnerRoute(kernel: Kernel): OwnerRoute {
+  const clock = kernel.find(clockName);
   const membership = kernel.find(membershipName);
   const incarnation = kernel.find(incarnationName);
   const peers = kernel.find(peerPortName);
   const settings = kernel.find(settingsName).callers;
-  const memory = createOnceMemory(kernel.find(clockName), kernel.find(ticketOfficeName), {
+  const memory = createOnceMemory(clock, kernel.find(ticketOfficeName), {
     retentionMs: settings.once_retention_ms,
     entries: settings.once_entries,
     answerBytes: settings.once_answer_bytes,
@@ -46,10 +48,15 @@
   const ownerGone = (reason: string) =>
     refusalResponse(outcomeUnknown("owner_gone", `the box that owns this request ${reason}`));
 
-  const passToOwner = async (request: CallerRequest, id: OnceId): Promise<CallerResponse> => {
+  const passToOwner = async (
+    request: CallerRequest,
+    id: OnceId,
+    limit: Milliseconds,
+  ): Promise<CallerResponse> => {
     const owner = membership.find(id.owner);
     if (!owner) return ownerGone("is gone");
-    const answer = await peers.forward(owner.peerAddress, request);
+    const answer = await withTimeout(clock, limit, peers.forward(owner.peerAddress, request));
+    if (!answer) return ownerGone("does not answer");
     return answer.caseOf({
       Right: (response) => response,
       // An earlier request with this identifier may have run there, so this is never "not run".
@@ -58,7 +65,8 @@
   };
 
   return {
-    async handle(request, account, requestId, forwarded, execute) {
+    async handle(request, account, terms, forwarded, execute) {
+      const { requestId, deadlineMs } = terms;
       if (requestId === undefined) {
         return refusalResponse(notRun("ticket_required", howToGetATicket));
       }
@@ -67,7 +75,7 @@
       if (id.owner === incarnation) return memory.run(id, account.name, execute);
       // The owner's address has been taken over by another start of the box.
       if (forwarded) return ownerGone("is gone");
-      return passToOwner(request, id);
+      return passToOwner(request, id, deadlineMs);
     },
     remembered: memory.size,
   };
--- a/packages/completion/src/engine-stream.ts
+++ b/packages/completion/src/engine-stream.ts
@@ -78,6 +78,11 @@
       if (token.position > next) return { kind: "cut", reason: "tokens are missing" };
       next += 1;
       yield token;
+      // The last token says that it is the last; a cut after it takes nothing away.
+      if (token.finishReason !== undefined) {
+        void parts.next();
+        return { kind: "complete" };
+      }
     }
   }
 }
--- a/packages/config/src/keys.ts
+++ b/packages/config/src/keys.ts
@@ -183,9 +183,9 @@
       "Time between reads of a target's report.",
     ),
     report_stale_ms: key(
-      wholeNumber(100, 600_000, 4_000),
+      wholeNumber(100, 600_000, 2_500),
       "ms",
-      "A target silent this long is routed to only where nothing else is left.",
+      "A report that was asked for longer ago is no ground to send work on: the target may be leaving.",
     ),
     call_timeout_ms: key(
       wholeNumber(50, 60_000, 2_000),
--- a/packages/http-front/src/http-front.ts
+++ b/packages/http-front/src/http-front.ts
@@ -32,6 +32,8 @@
   close(): Promise<void>;
 }
 
+/** How long answers that are done may take to leave at a stop. */
+const closeGraceMs = 5_000;
 const overflowCode = "HPE_HEADER_OVERFLOW";
 
 /** Answers what the parser could not take: the same JSON shape as every other refusal. */
@@ -98,8 +100,12 @@
       }),
     close: () =>
       new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
+        const cancel = input.clock.after(closeGraceMs, () => server.closeAllConnections());
+        server.close(() => {
+          cancel();
+          resolve();
+        });
+        server.closeIdleConnections();
       }),
   };
 }
--- a/packages/lease-holder/src/lease-holder.ts
+++ b/packages/lease-holder/src/lease-holder.ts
@@ -83,8 +83,9 @@
     );
 
   const servedPools = () => {
-    const boxes = membership.serving().map((entry) => entry.box);
+    // A box that is leaving goes on serving what it still gets, until its planned stop is done.
     const box = membership.self().box;
+    const boxes = [...new Set([box, ...membership.serving().map((entry) => entry.box)])];
     const pools = [...store.desired().pools.keys()];
     return pools.filter((pool) => topNodes(pool, boxes, settings.boxes_per_pool).includes(box));
   };
@@ -140,6 +141,7 @@
   const poolToClaim = (): string | undefined => {
     const now = clock.now();
     const boxes = membership.serving().map((entry) => entry.box);
+    if (membership.self().leaving) return undefined;
     for (const pool of servedPools()) {
       if (!isFree(pool)) {
         freeSince.delete(pool);
--- a/packages/replicas/src/index.ts
+++ b/packages/replicas/src/index.ts
@@ -70,6 +70,8 @@
   const offerOf = (engine: Engine, model: Model, adapter?: Adapter): Offer | undefined => {
     const watched = watch.reportOf(engine.name);
     if (!watched || watch.isLeaving(engine)) return undefined;
+    // A box that was paused does not know yet which targets have begun to leave meanwhile.
+    if (clock.now() - watched.requestedAt > staleMs) return undefined;
     const current = modelArtifact(model.name, model.version);
     const base = bestCopy(watched.report.residents, current);
     if (!base) return undefined;
@@ -120,8 +122,7 @@
         .map((engine) => offerOf(engine, model, adapter))
         .filter((offer) => offer !== undefined);
       const current = prefer(offers, (offer) => offer.isCurrent);
-      const fresh = prefer(current, (offer) => now - offer.watched.receivedAt <= staleMs);
-      const kept = load.ejection().keep(fresh, (offer) => offer.engine.name, now);
+      const kept = load.ejection().keep(current, (offer) => offer.engine.name, now);
       return kept.map(toReplica);
     },
     isComing(model, adapter) {
--- /dev/null
+++ b/packages/soak/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./scenarios/run-seed.js";
+export * from "./scenarios/world.js";
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,63 @@
+/** `npm run soak -- --seeds A..B [--faults x,y]`: runs seeds and prints what they showed. */
+import { parseArgs } from "node:util";
+import { type FaultName, faultsByName } from "./scenarios/faults.js";
+import { runSeed, type SeedResult } from "./scenarios/run-seed.js";
+
+const { values } = parseArgs({
+  options: {
+    seeds: { type: "string", default: "1..20" },
+    faults: { type: "string" },
+    quiet: { type: "boolean", default: false },
+  },
+});
+const [first, last] = values.seeds.split("..").map(Number);
+const faults = values.faults?.split(",").filter((name): name is FaultName => name in faultsByName);
+
+function add<K>(totals: Map<K, number>, key: K, count = 1): void {
+  totals.set(key, (totals.get(key) ?? 0) + count);
+}
+
+function show(title: string, totals: Map<string, number>): void {
+  const parts = [...totals]
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([key, count]) => `${key} ${count}`);
+  process.stdout.write(`${title}: ${parts.join(", ")}\n`);
+}
+
+function quantile(sorted: readonly number[], share: number): number {
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+}
+
+const results: SeedResult[] = [];
+for (let seed = first; seed <= (last ?? first); seed++) {
+  const result = await runSeed(seed, { faults });
+  results.push(result);
+  if (result.violations.length > 0) {
+    process.stdout.write(
+      `seed ${seed} FAILED; repeat with: npm run soak -- --seeds ${seed}..${seed}\n`,
+    );
+    for (const violation of result.violations.slice(0, 10))
+      process.stdout.write(`  ${violation}\n`);
+  } else if (!values.quiet) {
+    process.stdout.write(`seed ${seed} passed\n`);
+  }
+}
+
+const told = new Map<string, number>();
+const injected = new Map<string, number>();
+for (const result of results) {
+  for (const [word, count] of result.told) add(told, word, count);
+  for (const fault of result.faults) add(injected, fault);
+}
+const times = results.flatMap((result) => [...result.inForceTimes]).sort((a, b) => a - b);
+const failed = results.filter((result) => result.violations.length > 0).length;
+const writes = results.reduce((sum, result) => sum + result.acceptedWrites, 0);
+const conflicts = results.reduce((sum, result) => sum + result.conflicts, 0);
+show("requests by outcome", told);
+show("faults injected", injected);
+process.stdout.write(`writes accepted ${writes}, conflicts ${conflicts}\n`);
+process.stdout.write(
+  `in force after ms: p50 ${quantile(times, 0.5)}, p99 ${quantile(times, 0.99)}, most ${times.at(-1) ?? 0}, of ${times.length}\n`,
+);
+process.stdout.write(`${results.length - failed} passed, ${failed} failed\n`);
+process.exitCode = failed > 0 ? 1 : 0;
--- /dev/null
+++ b/packages/soak/src/scenarios/callers.ts
@@ -0,0 +1,248 @@
+/** Callers of a run. Each checks what it is told against what the targets really did. */
+import { pick, sleep } from "@linkfall/kernel";
+import type { BodyPart, CallerRequest, CallerResponse, HeaderMap } from "@linkfall/ports";
+import { answerLength, tokenAt } from "@linkfall/stand-ins";
+import type { Milliseconds } from "@linkfall/types";
+import { type AccountName, accounts, tokenOf } from "./resources.js";
+import type { World, WorldBox } from "./world.js";
+
+const meanGapMs: Milliseconds = 60;
+const repeatGapMs: Milliseconds = 300;
+const sendings = 4;
+const maxTokens = 10;
+const modelsCalled = 10;
+
+/** What one sending of a request came to, in the eyes of its caller. */
+export type Told = "answered" | "not_run" | "failed" | "outcome_unknown" | "cut" | "no_connection";
+
+interface Conversation {
+  readonly key: string;
+  readonly repeatable: boolean;
+  readonly told: Told[];
+}
+
+interface Directory {
+  entries: readonly string[];
+  ticket: string;
+  until: Milliseconds;
+}
+
+export interface Callers {
+  /** Sends requests until the given time; resolves when all have ended. */
+  run(until: Milliseconds): Promise<void>;
+  /** Sends one request to a model through a box and says what came of it. */
+  probe(box: WorldBox, account: AccountName, model: string): Promise<Told>;
+  /** Compares what callers were told with the runs at the targets. */
+  check(): void;
+  counts(): ReadonlyMap<Told, number>;
+  /** Requests that have had no answer of any kind. */
+  unanswered(): readonly string[];
+}
+
+async function readBody(response: CallerResponse): Promise<{ text: string; cut: boolean }> {
+  if (response.body instanceof Uint8Array) {
+    return { text: Buffer.from(response.body).toString("utf8"), cut: false };
+  }
+  let text = "";
+  let cut = false;
+  for await (const part of response.body as AsyncIterable<BodyPart>) {
+    part.ifRight((bytes) => (text += Buffer.from(bytes).toString("utf8")));
+    cut ||= part.isLeft();
+  }
+  return { text, cut };
+}
+
+/** The text of a streamed answer; undefined when its end marker is missing. */
+function streamedText(text: string): string | undefined {
+  const events = text.split("\n\n").filter((event) => event !== "");
+  if (events.at(-1) !== "data: [DONE]") return undefined;
+  return events
+    .slice(0, -1)
+    .map((event) => JSON.parse(event.slice(event.indexOf("data: ") + 6)).choices[0].text)
+    .join("");
+}
+
+/** Creates the callers of a world. */
+export function createCallers(world: World): Callers {
+  const { clock, random } = world;
+  const conversations: Conversation[] = [];
+  const directories = new Map<AccountName, Directory>();
+  let sent = 0;
+
+  const request = (
+    account: AccountName,
+    path: string,
+    body: unknown,
+    headers: HeaderMap = {},
+  ): CallerRequest => ({
+    method: body === undefined ? "GET" : "POST",
+    path,
+    headers: { authorization: `Bearer ${tokenOf(account)}`, ...headers },
+    body: Buffer.from(body === undefined ? "" : JSON.stringify(body)),
+    gone: new AbortController().signal,
+  });
+
+  const directoryOf = async (account: AccountName): Promise<Directory | undefined> => {
+    const known = directories.get(account);
+    if (known && clock.now() < known.until) return known;
+    const live = world.liveBoxes();
+    if (live.length === 0) return undefined;
+    const response = await world.call(
+      pick(random, live),
+      request(account, "/v1/entries", undefined),
+    );
+    if (!response || response.status !== 200) return undefined;
+    const answer = JSON.parse((await readBody(response)).text);
+    if (!answer.ticket) return undefined;
+    const directory = {
+      entries: answer.entries.map((entry: { box: string }) => entry.box),
+      ticket: answer.ticket.id,
+      until: clock.now() + answer.lifetime_ms,
+    };
+    directories.set(account, directory);
+    return directory;
+  };
+
+  /** The start of the named box that an address leads to now. */
+  const boxNamed = (name: string) =>
+    world.boxes.find((box) => box.name === name && box.process.state() !== "dead");
+
+  const toldBy = async (
+    response: CallerResponse | undefined,
+    expected: string | undefined,
+    streamed: boolean,
+    key: string,
+  ): Promise<Told> => {
+    if (!response) return "no_connection";
+    const { text, cut } = await readBody(response);
+    if (cut) return "cut";
+    if (response.status !== 200) return JSON.parse(text).error.outcome as Told;
+    const answer = streamed ? streamedText(text) : undefined;
+    if (streamed && answer === undefined) {
+      world.violation(`a fragment looked like a whole answer: ${key}`);
+    }
+    const got = streamed
+      ? answer
+      : expected === undefined
+        ? text
+        : JSON.parse(text).choices?.[0]?.text;
+    if (expected !== undefined && got !== expected) {
+      world.violation(`wrong answer to ${key}: ${got} instead of ${expected}`);
+    }
+    if (expected === undefined && !text.includes(key)) {
+      world.violation(`someone else's answer to ${key}: ${text}`);
+    }
+    return "answered";
+  };
+
+  const sendCompletion = async (
+    conversation: Conversation,
+    account: AccountName,
+    boxName: string,
+    model: string,
+    streamed: boolean,
+    headers: HeaderMap,
+  ) => {
+    const box = boxNamed(boxName);
+    const prompt = conversation.key;
+    const body = { model, prompt, max_tokens: maxTokens, stream: streamed };
+    const response =
+      box && (await world.call(box, request(account, "/v1/completions", body, headers)));
+    const asked = { model: `model:${model.replace("a", "m")}@`, prompt, max_tokens: maxTokens };
+    const length = answerLength(asked);
+    const expected = Array.from({ length }, (_, position) => tokenAt(asked, position)).join("");
+    conversation.told.push(await toldBy(response, expected, streamed, prompt));
+  };
+
+  const sendService = async (
+    conversation: Conversation,
+    account: AccountName,
+    boxName: string,
+    headers: HeaderMap,
+  ) => {
+    const box = boxNamed(boxName);
+    const path = conversation.repeatable ? "/services/feed/snippets" : "/services/feed/alerts";
+    const body = { id: conversation.key };
+    const response = box && (await world.call(box, request(account, path, body, headers)));
+    conversation.told.push(await toldBy(response, undefined, false, conversation.key));
+  };
+
+  type Send = (box: string, headers: HeaderMap) => Promise<void>;
+
+  /** A not repeatable request is sent again under its identifier after a broken connection. */
+  const converseOnce = async (directory: Directory, conversation: Conversation, send: Send) => {
+    const id = `${directory.ticket}/${conversation.key.replaceAll(" ", ".")}`;
+    const headers = { "linkfall-repeatable": "false", "linkfall-request-id": id };
+    const twiceAtOnce = random.fraction() < 0.2;
+    if (twiceAtOnce) void send(pick(random, directory.entries), headers);
+    for (let sending = 0; sending < sendings; sending++) {
+      await send(pick(random, directory.entries), headers);
+      const last = conversation.told.at(-1);
+      if (last !== "no_connection" && last !== "cut") return;
+      await sleep(clock, repeatGapMs);
+    }
+  };
+
+  const converse = async () => {
+    const account = pick(random, accounts);
+    const number = ++sent;
+    const directory = await directoryOf(account);
+    if (!directory || directory.entries.length === 0) return;
+    const kind = random.fraction();
+    const index = accounts.indexOf(account) + 2 * random.below(modelsCalled / 2);
+    const withAdapter = index < 3 && random.fraction() < 0.3;
+    const model = withAdapter ? `a${index}` : `m${index}`;
+    const streamed = random.fraction() < 0.5;
+    const isService = kind > 0.75;
+    const repeatable = isService ? kind > 0.9 : kind > 0.35;
+    const key = `request ${number}`;
+    const conversation: Conversation = { key, repeatable, told: [] };
+    conversations.push(conversation);
+    const send: Send = (box, headers) =>
+      isService
+        ? sendService(conversation, account, box, headers)
+        : sendCompletion(conversation, account, box, model, streamed, headers);
+    if (repeatable) await send(pick(random, directory.entries), {});
+    else await converseOnce(directory, conversation, send);
+  };
+
+  const runsOf = (key: string) => {
+    const ofService = [...world.runs].filter(([run]) => run.includes(`"${key}"`));
+    return (world.runs.get(key) ?? 0) + ofService.reduce((sum, [, count]) => sum + count, 0);
+  };
+
+  return {
+    async run(until) {
+      const open = new Set<Promise<void>>();
+      while (clock.now() < until) {
+        const one: Promise<void> = converse().finally(() => open.delete(one));
+        open.add(one);
+        await sleep(clock, 2 * meanGapMs * random.fraction());
+      }
+      await Promise.all(open);
+    },
+    async probe(box, account, model) {
+      const conversation: Conversation = { key: `probe ${++sent}`, repeatable: true, told: [] };
+      conversations.push(conversation);
+      await sendCompletion(conversation, account, box.name, model, false, {});
+      return conversation.told[0];
+    },
+    check() {
+      for (const { key, repeatable, told } of conversations) {
+        const runs = runsOf(key);
+        if (!repeatable && runs > 1) world.violation(`${key} ran ${runs} times`);
+        const refused = told.length > 0 && told.every((word) => word === "not_run");
+        if (refused && runs > 0) world.violation(`${key} was refused as not run, yet it ran`);
+      }
+    },
+    unanswered: () => conversations.filter(({ told }) => told.length === 0).map(({ key }) => key),
+    counts() {
+      const counts = new Map<Told, number>();
+      for (const { told } of conversations) {
+        const last = told.includes("answered") ? "answered" : told.at(-1);
+        if (last) counts.set(last, (counts.get(last) ?? 0) + 1);
+      }
+      return counts;
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/scenarios/faults.ts
@@ -0,0 +1,251 @@
+/** The faults of a run, drawn from its seed, alone and in pairs. */
+import { pick, sleep } from "@linkfall/kernel";
+import { streams } from "@linkfall/ports";
+import type { Milliseconds } from "@linkfall/types";
+import { domains } from "./resources.js";
+import type { World, WorldBox } from "./world.js";
+
+const shortest: Milliseconds = 1_500;
+const longest: Milliseconds = 12_000;
+const fewestBoxes = 2;
+
+/** Ends a fault. */
+type End = () => void;
+type Fault = (world: World) => End;
+
+const nothing: End = () => undefined;
+
+/** A box that may be disturbed; the last ones are left alone. */
+function someBox(world: World): WorldBox | undefined {
+  const steady = world.boxes.filter((box) => box.process.state() === "running" && !box.draining);
+  return steady.length > fewestBoxes ? pick(world.random, steady) : undefined;
+}
+
+/** Marks boxes as disturbed until the answered function is called. */
+function disturb(world: World, ...boxes: readonly WorldBox[]): End {
+  const mark = (change: number) => {
+    for (const box of boxes) {
+      box.disturbances += change;
+      box.disturbedAt = world.clock.now();
+    }
+  };
+  mark(1);
+  return () => mark(-1);
+}
+
+function killBox(world: World): End {
+  const box = someBox(world);
+  if (!box) return nothing;
+  world.removeBox(box);
+  return () => void world.startBox(box.name);
+}
+
+function pauseBox(world: World): End {
+  const box = someBox(world);
+  if (!box) return nothing;
+  const settled = disturb(world, box);
+  box.process.pause();
+  return () => {
+    settled();
+    box.process.resume();
+  };
+}
+
+function drainBox(world: World): End {
+  const box = someBox(world);
+  if (!box) return nothing;
+  disturb(world, box);
+  box.draining = true;
+  world.list.set({ box: box.name, peerAddress: box.peerAddress, state: "leaving" });
+  const drained = box.box.drain().then(() => {
+    if (box.process.state() === "running") world.removeBox(box);
+  });
+  return () => void drained.then(() => world.startBox(box.name));
+}
+
+function cutFrom(place: string): Fault {
+  return (world) => {
+    const box = someBox(world);
+    if (!box) return nothing;
+    const settled = disturb(world, box);
+    world.network.cut(box.name, place);
+    return () => {
+      settled();
+      world.network.heal(box.name, place);
+    };
+  };
+}
+
+/** Messages from one box to another are lost, but not those the other way. */
+function cutOneWay(world: World): End {
+  const [one, two] = [someBox(world), someBox(world)];
+  if (!one || !two) return nothing;
+  world.network.cut(one.name, two.name);
+  return () => world.network.heal(one.name, two.name);
+}
+
+function isolateBox(world: World): End {
+  const box = someBox(world);
+  if (!box) return nothing;
+  const settled = disturb(world, box);
+  const places = ["log", "list", ...world.boxes.map((other) => other.name)];
+  for (const place of places) {
+    world.network.cut(box.name, place);
+    world.network.cut(place, box.name);
+  }
+  return () => {
+    settled();
+    for (const place of places) {
+      world.network.heal(box.name, place);
+      world.network.heal(place, box.name);
+    }
+  };
+}
+
+function restartEngine(world: World): End {
+  const engine = pick(world.random, world.engines);
+  engine.core.restart();
+  return nothing;
+}
+
+function stopEngine(world: World): End {
+  const engine = pick(world.random, world.engines);
+  engine.down = true;
+  engine.core.restart();
+  return () => {
+    engine.down = false;
+  };
+}
+
+function loseDomain(world: World): End {
+  const domain = pick(world.random, domains);
+  const lost = world.engines.filter((engine) => engine.core.engine.domain === domain);
+  for (const engine of lost) {
+    engine.down = true;
+    engine.core.restart();
+  }
+  return () => {
+    for (const engine of lost) engine.down = false;
+  };
+}
+
+function engineLeaves(world: World): End {
+  const engine = pick(world.random, world.engines);
+  if (engine.leavingSince !== undefined) return nothing;
+  engine.core.leaving = true;
+  engine.leavingSince = world.clock.now();
+  return () => {
+    engine.core.leaving = false;
+    engine.leavingSince = undefined;
+  };
+}
+
+function logDown(world: World): End {
+  world.log.faults.down = true;
+  return () => {
+    world.log.faults.down = false;
+  };
+}
+
+function logSlow(world: World): End {
+  world.log.faults.slowMs = 800;
+  return () => {
+    world.log.faults.slowMs = 0;
+  };
+}
+
+function logLosesReplies(world: World): End {
+  world.log.faults.loseReplies = 0.4;
+  return () => {
+    world.log.faults.loseReplies = 0;
+  };
+}
+
+function logForgets(world: World): End {
+  world.log.truncate(streams.state, 80);
+  return nothing;
+}
+
+function badRecords(world: World): End {
+  for (const data of ["", "{}", '{"type":"write"}', '{"type":"claim","id":"x#1","pool":3}']) {
+    world.log.inject(streams.state, data);
+  }
+  return nothing;
+}
+
+function listDown(world: World): End {
+  world.list.down = true;
+  return () => {
+    world.list.down = false;
+  };
+}
+
+function poorLinks(world: World): End {
+  Object.assign(world.network.faults, { loss: 0.08, cutStreams: 0.15 });
+  const settled = disturb(world, ...world.boxes);
+  return () => {
+    Object.assign(world.network.faults, { loss: 0, cutStreams: 0 });
+    settled();
+  };
+}
+
+function lateOrders(world: World): End {
+  Object.assign(world.network.faults, { lateOrders: 0.3, repeatedOrders: 0.3 });
+  return () => {
+    Object.assign(world.network.faults, { lateOrders: 0, repeatedOrders: 0 });
+  };
+}
+
+/** All faults by name. */
+export const faultsByName = {
+  killBox,
+  pauseBox,
+  drainBox,
+  cutFromLog: cutFrom("log"),
+  cutFromList: cutFrom("list"),
+  cutFromEngine: cutFrom("e1"),
+  cutOneWay,
+  isolateBox,
+  restartEngine,
+  stopEngine,
+  loseDomain,
+  engineLeaves,
+  logDown,
+  logSlow,
+  logLosesReplies,
+  logForgets,
+  badRecords,
+  listDown,
+  poorLinks,
+  lateOrders,
+} satisfies Record<string, Fault>;
+export type FaultName = keyof typeof faultsByName;
+
+/** Injects faults until the given time, then ends those that go on; answers with their names. */
+export async function injectFaults(
+  world: World,
+  names: readonly FaultName[],
+  until: Milliseconds,
+): Promise<readonly FaultName[]> {
+  const { clock, random } = world;
+  const injected: FaultName[] = [];
+  const ends = new Set<End>();
+  const inject = () => {
+    const name = pick(random, names);
+    injected.push(name);
+    const end = faultsByName[name](world);
+    const once: End = () => {
+      if (ends.delete(once)) end();
+    };
+    ends.add(once);
+    clock.after(shortest + random.fraction() * (longest - shortest), once);
+  };
+  while (clock.now() < until) {
+    inject();
+    if (random.fraction() < 0.5) inject();
+    await sleep(clock, 1_000 + random.fraction() * 6_000);
+  }
+  for (const end of [...ends]) end();
+  world.network.healAll();
+  return injected;
+}
--- /dev/null
+++ b/packages/soak/src/scenarios/operators.ts
@@ -0,0 +1,134 @@
+/** Operators who race one another. They check that an accepted change comes into force and stays. */
+import { pick, sleep } from "@linkfall/kernel";
+import { stateStoreName } from "@linkfall/state-store";
+import {
+  type Change,
+  type Milliseconds,
+  type Resource,
+  resourceKey,
+  type Revision,
+} from "@linkfall/types";
+import { soakAdapter, soakModel, soakResources } from "./resources.js";
+import { operatorToken } from "./settings.js";
+import type { World, WorldBox } from "./world.js";
+
+const gapMs: Milliseconds = 1_800;
+const inForceLimitMs: Milliseconds = 5_000;
+const sampleMs: Milliseconds = 100;
+
+export interface Operators {
+  /** Writes the first desired state; resolves when it is accepted. */
+  begin(): Promise<void>;
+  run(until: Milliseconds): Promise<void>;
+  /** Times from acceptance until a change was in force on a box, in milliseconds. */
+  inForceTimes(): readonly Milliseconds[];
+  accepted(): number;
+  conflicts(): number;
+}
+
+interface WriteResult {
+  readonly kind: string;
+  readonly revision?: Revision;
+}
+
+/** Creates the operators of a world. */
+export function createOperators(world: World): Operators {
+  const { clock, random } = world;
+  const times: Milliseconds[] = [];
+  const wonBases = new Map<string, Revision>();
+  let accepted = 0;
+  let conflicts = 0;
+  let version = 1;
+
+  const write = async (box: WorldBox, changes: readonly Change[]): Promise<WriteResult> => {
+    const request = {
+      method: "POST",
+      path: "/v1/writes",
+      headers: { authorization: `Bearer ${operatorToken}` },
+      body: Buffer.from(JSON.stringify({ changes })),
+      gone: new AbortController().signal,
+    };
+    const response = await box.process.gate(box.box.operators.handle(request));
+    const result = JSON.parse(Buffer.from(response.body as Uint8Array).toString("utf8"));
+    if (result.kind === "accepted") noteAccepted(changes, result.revision);
+    if (result.kind === "revision_conflict") conflicts += 1;
+    return result;
+  };
+
+  const noteAccepted = (changes: readonly Change[], revision: Revision) => {
+    accepted += 1;
+    for (const change of changes) {
+      const key = resourceKey(change.action === "put" ? change.resource : change.name);
+      const won = `${key} based on ${change.base}`;
+      if (wonBases.has(won) && wonBases.get(won) !== revision) {
+        world.violation(`two writes of ${won} were accepted`);
+      }
+      wonBases.set(won, revision);
+    }
+    for (const box of world.liveBoxes()) void awaitInForce(box, revision);
+  };
+
+  /** A box that no fault touches meanwhile must have the change in force in time. */
+  const awaitInForce = async (box: WorldBox, revision: Revision) => {
+    const start = clock.now();
+    const store = box.box.kernel.find(stateStoreName);
+    while (store.state().offset < revision) {
+      await sleep(clock, sampleMs);
+      const touched = box.disturbances > 0 || box.disturbedAt > start - inForceLimitMs;
+      if (touched || box.process.state() !== "running") return;
+      if (clock.now() - start > inForceLimitMs) {
+        world.violation(`revision ${revision} is not in force on ${box.name} after 5 s`);
+        return;
+      }
+    }
+    times.push(clock.now() - start);
+  };
+
+  const storedRevision = (box: WorldBox, resource: Resource): Revision =>
+    box.box.kernel.find(stateStoreName).state().resources.get(resourceKey(resource))?.revision ?? 0;
+
+  const wished = (): Resource => {
+    const index = random.below(10);
+    const kind = random.fraction();
+    if (kind < 0.2 && index < 3) return soakAdapter(index, String(++version));
+    if (kind < 0.8) return soakModel(index, String(++version));
+    const engine = soakResources().filter((resource) => resource.kind === "engine")[index % 6];
+    const role = random.fraction() < 0.5 ? "batch" : "mixed";
+    return { ...engine, role } as Resource;
+  };
+
+  /** Two operators change the same resource from the same revision through two boxes. */
+  const race = async () => {
+    const live = world.liveBoxes();
+    if (live.length === 0) return;
+    const [one, two] = [pick(random, live), pick(random, live)];
+    const resource = wished();
+    const base = storedRevision(one, resource);
+    const rivals = random.fraction() < 0.4 ? [one, two] : [one];
+    await Promise.all(rivals.map((box) => write(box, [{ action: "put", resource, base }])));
+  };
+
+  return {
+    async begin() {
+      const changes = soakResources().map((resource): Change => ({
+        action: "put",
+        resource,
+        base: 0,
+      }));
+      for (;;) {
+        const result = await write(world.boxes[0], changes);
+        if (result.kind === "accepted") return;
+        await sleep(clock, gapMs);
+      }
+    },
+    async run(until) {
+      while (clock.now() < until) {
+        void race();
+        await sleep(clock, 2 * gapMs * random.fraction());
+      }
+    },
+    inForceTimes: () => times,
+    accepted: () => accepted,
+    conflicts: () => conflicts,
+  };
+}
--- /dev/null
+++ b/packages/soak/src/scenarios/run-seed.ts
@@ -0,0 +1,115 @@
+/** One randomised run: a world, callers, operators and faults from one seed, and the checks at its end. */
+import { serialiseState } from "@linkfall/state-fold";
+import { stateStoreName } from "@linkfall/state-store";
+import type { Milliseconds } from "@linkfall/types";
+import { createCallers, type Told } from "./callers.js";
+import { type FaultName, faultsByName, injectFaults } from "./faults.js";
+import { createOperators } from "./operators.js";
+import { accounts, soakModel } from "./resources.js";
+import { createWorld, type World, type WorldOptions } from "./world.js";
+
+const startMs: Milliseconds = 12_000;
+const faultsUntilMs: Milliseconds = 60_000;
+const quietUntilMs: Milliseconds = 95_000;
+const endMs: Milliseconds = 112_000;
+const boxNames = ["b1", "b2", "b3", "b4"];
+const modelCount = 10;
+
+/** What a run showed. */
+export interface SeedResult {
+  readonly seed: number;
+  readonly violations: readonly string[];
+  readonly faults: readonly FaultName[];
+  readonly told: ReadonlyMap<Told, number>;
+  readonly inForceTimes: readonly Milliseconds[];
+  readonly acceptedWrites: number;
+  readonly conflicts: number;
+  readonly appends: number;
+}
+
+export interface SeedOptions extends WorldOptions {
+  /** Faults to draw from; all where none are named. */
+  readonly faults?: readonly FaultName[];
+  /** Called with the world before the run, to look into it afterwards. */
+  readonly onWorld?: (world: World) => void;
+}
+
+/** Boxes that have read as far hold the same state. */
+function checkAgreement(world: World): void {
+  const byOffset = new Map<number, string>();
+  for (const box of world.liveBoxes()) {
+    const state = box.box.kernel.find(stateStoreName).state();
+    const text = serialiseState(state);
+    const known = byOffset.get(state.offset);
+    if (known !== undefined && known !== text) {
+      world.violation(`boxes disagree at offset ${state.offset}`);
+    }
+    byOffset.set(state.offset, text);
+  }
+}
+
+async function checkReachability(
+  world: World,
+  callers: ReturnType<typeof createCallers>,
+): Promise<void> {
+  for (const box of world.liveBoxes()) {
+    for (let index = 0; index < modelCount; index++) {
+      const account = accounts[index % accounts.length];
+      const told = await callers.probe(box, account, soakModel(index).name);
+      if (told !== "answered") {
+        world.violation(`model m${index} is not reachable through ${box.name}: ${told}`);
+      }
+    }
+  }
+}
+
+/** Runs one seed to its end. */
+export async function runSeed(seed: number, options: SeedOptions = {}): Promise<SeedResult> {
+  const world = createWorld(seed, options);
+  options.onWorld?.(world);
+  const callers = createCallers(world);
+  const operators = createOperators(world);
+  const names = options.faults ?? (Object.keys(faultsByName) as FaultName[]);
+  let injected: readonly FaultName[] = [];
+
+  const scenario = async () => {
+    await operators.begin();
+    const untilStart = new Promise<void>((resolve) => world.clock.after(startMs, resolve));
+    await untilStart;
+    const faults = injectFaults(world, names, faultsUntilMs).then((list) => (injected = list));
+    await Promise.all([faults, callers.run(faultsUntilMs + 5_000), operators.run(faultsUntilMs)]);
+  };
+  const defect = (problem: unknown) => world.violation(`defect: ${describe(problem)}`);
+  process.on("unhandledRejection", defect);
+  try {
+    for (const name of boxNames) await world.startBox(name);
+    const finished = scenario().catch(defect);
+    await world.clock.runUntil(quietUntilMs);
+    const probed = checkReachability(world, callers).catch(defect);
+    await world.clock.runUntil(endMs);
+    let ended = false;
+    void Promise.all([finished, probed]).then(() => (ended = true));
+    await new Promise((resolve) => setImmediate(resolve));
+    if (!ended) world.violation(`never ended: ${callers.unanswered().join(", ")}`);
+  } catch (problem) {
+    defect(problem);
+  } finally {
+    process.off("unhandledRejection", defect);
+  }
+  checkAgreement(world);
+  callers.check();
+  return {
+    seed,
+    violations: world.violations,
+    faults: injected,
+    told: callers.counts(),
+    inForceTimes: operators.inForceTimes(),
+    acceptedWrites: operators.accepted(),
+    conflicts: operators.conflicts(),
+    appends: world.log.appended(),
+  };
+}
+
+function describe(problem: unknown): string {
+  return problem instanceof Error ? (problem.stack ?? problem.message) : String(problem);
+}
--- a/packages/stand-ins/src/engine-core.ts
+++ b/packages/stand-ins/src/engine-core.ts
@@ -130,7 +130,7 @@
         return { kind: "stale_epoch", fence: life.fence() };
       }
       if (order.engineIncarnation !== life.incarnation) {
-        return { kind: "refused", reason: "for another start of this engine" };
+        return life.memory.refuse(order, "for another start of this engine");
       }
       if (engine.fenced) life.raise(order.epoch);
       return life.memory.order(order);
--- a/packages/stand-ins/src/engine-memory.ts
+++ b/packages/stand-ins/src/engine-memory.ts
@@ -18,6 +18,8 @@
   readonly role: EngineRole;
   readonly settledOrders: readonly string[];
   order(order: Order): OrderReply;
+  /** Refuses an order for good: it is settled without an effect. */
+  refuse(order: Order, reason: string): OrderReply;
   /** Removes what was waiting for requests that have now ended. */
   releaseIdle(): void;
   /** Stops everything under way; the memory is given up with the engine's start. */
@@ -49,7 +51,11 @@
     residents = residents.flatMap((entry) => (entry === before ? (after ? [after] : []) : [entry]));
     hooks.changed();
   };
-  const refuse = (reason: string): OrderReply => ({ kind: "refused", reason });
+  const refused = (reason: string): OrderReply => ({ kind: "refused", reason });
+  const settle = (order: Order) => {
+    settled = [...settled, order.id].slice(-rememberedOrders);
+    hooks.changed();
+  };
 
   const load = (order: Extract<Order, { kind: "load" }>): OrderReply => {
     const { artifact, accelerator, sizeMb } = order;
@@ -57,7 +63,7 @@
     if (there && there.state !== "unloading") return { kind: "accepted" };
     if (used(accelerator) + sizeMb > capacity(accelerator, role)) {
       hooks.violation(`memory overcommitted on ${engine.name}/${accelerator} by ${artifact}`);
-      return refuse("no memory");
+      return refused("no memory");
     }
     const resident: Resident = { artifact, accelerator, sizeMb, state: "loading" };
     residents = [...residents, resident];
@@ -83,7 +89,7 @@
     const full = engine.acceleratorsMb.some((_, index) => used(index) > capacity(index, wanted));
     if (full) {
       hooks.violation(`memory overcommitted on ${engine.name} by role ${wanted}`);
-      return refuse("no memory");
+      return refused("no memory");
     }
     role = wanted;
     return { kind: "accepted" };
@@ -108,10 +114,13 @@
     order(order) {
       if (settled.includes(order.id)) return { kind: "accepted" };
       const reply = carryOut(order);
-      settled = [...settled, order.id].slice(-rememberedOrders);
-      hooks.changed();
+      settle(order);
       return reply;
     },
+    refuse(order, reason) {
+      if (!settled.includes(order.id)) settle(order);
+      return refused(reason);
+    },
     releaseIdle() {
       const going = residents.filter((resident) => resident.state === "unloading");
       for (const resident of going) {
