Membership holds up under a paused box and a box alone

Cause: the soak's new checks (cut-off boxes must refuse, changes reach a box that only its peers can reach, the last copy stays) failed. A round of heartbeats waited for every peer, so one paused box stopped all rounds and every box suspected every other; and a box alone forgot the others and took itself for the majority that confirms an outage of the log. Ruled out: slow relaying of records (they are in the first answer after a heartbeat); a fault of isIsolated (it is right for the counts that it gets). Change: one message under way for each peer, rounds wait for nobody; the number of boxes is frozen while the log is out of reach. An unload that would take the last serving copy now breaks an invariant. Harness: links count their cuts, isolation cuts all names, peers' calls have limits, the weight store's peak and unloads are checked.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -97,7 +97,13 @@
   let demandOf: () => OwnDemand = () => ({ demand: [], accounts: [] });
   let entryCursor = 0;
   let wasIsolated = false;
+  /**
+   * Boxes that were known when the log was last in reach. Those that fall silent after that still
+   * count: a box that forgets all others would otherwise take itself for the majority.
+   */
+  let electorate = 1;
   const heard = new Map<Incarnation, HeardSummary>();
+  const beating = new Set<string>();
   const table = createMemberTable(incarnation, limits, {
     joined: (entry) => logger.event("memberJoined", { member: entry.incarnation }),
     gone(entry) {
@@ -156,7 +162,15 @@
       });
   };
 
+  /** One message to a peer at a time; a peer that does not answer holds up nobody else's. */
   const beat = async (address: string) => {
+    if (beating.has(address)) return;
+    beating.add(address);
+    await exchangeWith(address);
+    beating.delete(address);
+  };
+
+  const exchangeWith = async (address: string) => {
     const message = { from: self(), members: someEntries(), summary: summary() };
     const sent = await peers.heartbeat(address, message);
     if (sent.isLeft()) return;
@@ -184,11 +198,12 @@
     wasIsolated = isolated;
   };
 
-  const round = async () => {
+  const round = () => {
     heartbeat += 1;
     table.sweep(clock.now());
+    if (freshMs() <= heardMs) electorate = table.known().length + 1;
     noteIsolation();
-    await Promise.all(addressesOfRound().map(beat));
+    for (const address of addressesOfRound()) void beat(address);
   };
 
   const readList = async () => {
@@ -222,10 +237,8 @@
     isolated() {
       const now = clock.now();
       const heardBoxes = [...heard.values()].filter((word) => now - word.at <= heardMs).length;
-      return isIsolated(
-        { freshMs: freshMs(), heardBoxes: heardBoxes + 1, knownBoxes: table.known().length + 1 },
-        settings.membership.stale_serving_ms,
-      );
+      const contact = { freshMs: freshMs(), heardBoxes: heardBoxes + 1, knownBoxes: electorate };
+      return isIsolated(contact, settings.membership.stale_serving_ms);
     },
     peerDemand: () => [...heard.values()].map((word) => word.summary.demand),
     peerAccountRates: () => [...heard.values()].map((word) => word.summary.accounts),
@@ -244,7 +257,7 @@
     stateForPeer: () => ({ offset: store.state().offset, data: serialiseState(store.state()) }),
     async start() {
       await readList();
-      void round();
+      round();
       await rounds.start();
       await listReads.start();
     },
--- a/packages/pool-control/src/pool-session.ts
+++ b/packages/pool-control/src/pool-session.ts
@@ -6,6 +6,7 @@
 import { auditName } from "@linkfall/audit";
 import { settingsName } from "@linkfall/config";
 import { demandMeterName, demandShares } from "@linkfall/demand-meter";
+import { invariant } from "@linkfall/errors";
 import { clockName, type Kernel, randomName } from "@linkfall/kernel";
 import { type HeldLease, leaseHolderName } from "@linkfall/lease-holder";
 import { assertRoomFor, ledgersOf } from "@linkfall/ledger";
@@ -369,10 +370,30 @@
       const report = reportOf(order.engine)?.report;
       if (!engine || !report) continue;
       assertRoomFor(order, engine, report, openOrdersOf(order.engine));
+      assertStaysServed(order);
       book.add(order, clock.now());
     }
   };
 
+  /** Asserts, right before it is given, that an unload does not take the last serving copy. */
+  const assertStaysServed = (order: Order) => {
+    if (order.kind !== "unload" || order.cause === "undeclared") return;
+    const anyVersion = order.artifact.slice(0, order.artifact.lastIndexOf("@") + 1);
+    const going = new Set(
+      book.all().flatMap((entry) => (entry.order.kind === "unload" ? [slotOf(entry.order)] : [])),
+    );
+    const others = engines().flatMap((engine) =>
+      (reportOf(engine.name)?.report.residents ?? []).filter(
+        (copy) =>
+          copy.state === "ready" &&
+          copy.artifact.startsWith(anyVersion) &&
+          slotOf({ ...copy, engine: engine.name }) !== slotOf(order) &&
+          !going.has(slotOf({ ...copy, engine: engine.name })),
+      ),
+    );
+    invariant(others.length > 0, "last-replica-stays", () => order.artifact);
+  };
+
   const issue = async (order: Order) => {
     const engine = store.desired().engines.get(order.engine);
     if (!engine || !book.has(order.id)) return;
@@ -463,6 +484,15 @@
   };
 }
 
+/** One key for a copy on an accelerator. */
+function slotOf(copy: {
+  readonly engine: string;
+  readonly accelerator: number;
+  readonly artifact: string;
+}): string {
+  return `${copy.engine}/${copy.accelerator}/${copy.artifact}`;
+}
+
 function describeOrder(order: Order): string {
   if (order.kind === "role") return `${order.engine}: role ${order.role} (${order.cause})`;
   return `${order.engine}/${order.accelerator}: ${order.kind} ${order.artifact} (${order.cause})`;
--- a/packages/soak/src/scenarios/callers.ts
+++ b/packages/soak/src/scenarios/callers.ts
@@ -11,6 +11,8 @@
 const sendings = 4;
 const maxTokens = 10;
 const modelsCalled = 10;
+/** The setting of 6 s, and a margin for word of peers that was under way. */
+const longestStaleMs: Milliseconds = 7_000;
 
 /** What one sending of a request came to, in the eyes of its caller. */
 export type Told = "answered" | "not_run" | "failed" | "outcome_unknown" | "cut" | "no_connection";
@@ -144,6 +146,7 @@
     headers: HeaderMap,
   ) => {
     const box = boxNamed(boxName);
+    const sentAt = clock.now();
     const prompt = conversation.key;
     const body = { model, prompt, max_tokens: maxTokens, stream: streamed };
     const response =
@@ -151,7 +154,9 @@
     const asked = { model: `model:${model.replace("a", "m")}@`, prompt, max_tokens: maxTokens };
     const length = answerLength(asked);
     const expected = Array.from({ length }, (_, position) => tokenAt(asked, position)).join("");
-    conversation.told.push(await toldBy(response, expected, streamed, prompt));
+    const told = await toldBy(response, expected, streamed, prompt);
+    checkIsolation(box, sentAt, told);
+    conversation.told.push(told);
   };
 
   const sendService = async (
@@ -167,6 +172,16 @@
     conversation.told.push(await toldBy(response, undefined, false, conversation.key));
   };
 
+  /** A box that has been cut off for long must not answer from what it last knew. */
+  const checkIsolation = (box: WorldBox | undefined, sentAt: Milliseconds, told: Told) => {
+    const since = box?.isolatedSince;
+    if (told !== "answered" || since === undefined) return;
+    const isolatedMs = sentAt - since;
+    if (isolatedMs > longestStaleMs) {
+      world.violation(`${box?.name} answered although cut off for ${isolatedMs} ms`);
+    }
+  };
+
   type Send = (box: string, headers: HeaderMap) => Promise<void>;
 
   /** A not repeatable request is sent again under its identifier after a broken connection. */
--- a/packages/soak/src/scenarios/faults.ts
+++ b/packages/soak/src/scenarios/faults.ts
@@ -2,8 +2,8 @@
 import { pick, sleep } from "@linkfall/kernel";
 import { streams } from "@linkfall/ports";
 import type { Milliseconds } from "@linkfall/types";
-import { domains } from "./resources.js";
-import type { World, WorldBox } from "./world.js";
+import { boxNames, domains } from "./resources.js";
+import type { World, WorldBox, WorldEngine } from "./world.js";
 
 const shortest: Milliseconds = 1_500;
 const longest: Milliseconds = 12_000;
@@ -67,12 +67,9 @@
   return (world) => {
     const box = someBox(world);
     if (!box) return nothing;
-    const settled = disturb(world, box);
+    // Not a disturbance: what such a box needs comes to it through the others.
     world.network.cut(box.name, place);
-    return () => {
-      settled();
-      world.network.heal(box.name, place);
-    };
+    return () => world.network.heal(box.name, place);
   };
 }
 
@@ -88,13 +85,15 @@
   const box = someBox(world);
   if (!box) return nothing;
   const settled = disturb(world, box);
-  const places = ["log", "list", ...world.boxes.map((other) => other.name)];
+  box.isolatedSince = world.clock.now();
+  const places = ["log", "list", ...boxNames];
   for (const place of places) {
     world.network.cut(box.name, place);
     world.network.cut(place, box.name);
   }
   return () => {
     settled();
+    box.isolatedSince = undefined;
     for (const place of places) {
       world.network.heal(box.name, place);
       world.network.heal(place, box.name);
@@ -102,16 +101,21 @@
   };
 }
 
-function restartEngine(world: World): End {
-  const engine = pick(world.random, world.engines);
+/** The engine's process ends; what it held is gone. */
+function stopNow(world: World, engine: WorldEngine): void {
   engine.core.restart();
+  world.engineLostAt = world.clock.now();
+}
+
+function restartEngine(world: World): End {
+  stopNow(world, pick(world.random, world.engines));
   return nothing;
 }
 
 function stopEngine(world: World): End {
   const engine = pick(world.random, world.engines);
   engine.down = true;
-  engine.core.restart();
+  stopNow(world, engine);
   return () => {
     engine.down = false;
   };
@@ -122,7 +126,7 @@
   const lost = world.engines.filter((engine) => engine.core.engine.domain === domain);
   for (const engine of lost) {
     engine.down = true;
-    engine.core.restart();
+    stopNow(world, engine);
   }
   return () => {
     for (const engine of lost) engine.down = false;
@@ -134,6 +138,7 @@
   if (engine.leavingSince !== undefined) return nothing;
   engine.core.leaving = true;
   engine.leavingSince = world.clock.now();
+  world.engineLostAt = world.clock.now();
   return () => {
     engine.core.leaving = false;
     engine.leavingSince = undefined;
--- a/packages/soak/src/scenarios/network.ts
+++ b/packages/soak/src/scenarios/network.ts
@@ -51,7 +51,8 @@
 
 /** Creates a network without faults. */
 export function createNetwork(clock: Clock, random: Random): Network {
-  const cuts = new Set<string>();
+  /** How many faults cut a link; it is whole again when the last of them ends. */
+  const cuts = new Map<string, number>();
   const faults: LinkFaults = { loss: 0, lateOrders: 0, repeatedOrders: 0, cutStreams: 0 };
   const key = (from: string, to: string) => `${from}>${to}`;
   const isCut = (from: string, to: string) => cuts.has(key(from, to));
@@ -59,8 +60,12 @@
   const isLost = () => random.fraction() < faults.loss;
   return {
     faults,
-    cut: (from, to) => void cuts.add(key(from, to)),
-    heal: (from, to) => void cuts.delete(key(from, to)),
+    cut: (from, to) => void cuts.set(key(from, to), (cuts.get(key(from, to)) ?? 0) + 1),
+    heal(from, to) {
+      const left = (cuts.get(key(from, to)) ?? 0) - 1;
+      if (left > 0) cuts.set(key(from, to), left);
+      else cuts.delete(key(from, to));
+    },
     healAll: () => cuts.clear(),
     isCut,
     async exchange(from, to, lost, act) {
--- a/packages/soak/src/scenarios/resources.ts
+++ b/packages/soak/src/scenarios/resources.ts
@@ -3,6 +3,8 @@
 import type { Engine, Resource } from "@linkfall/types";
 
 export const poolName = "bulletins";
+/** Names of the boxes; each keeps its name over restarts. */
+export const boxNames = ["b1", "b2", "b3", "b4"] as const;
 export const domains = ["north", "south", "east"] as const;
 const engineCount = 6;
 const modelCount = 10;
--- a/packages/soak/src/scenarios/run-seed.ts
+++ b/packages/soak/src/scenarios/run-seed.ts
@@ -5,14 +5,13 @@
 import { createCallers, type Told } from "./callers.js";
 import { type FaultName, faultsByName, injectFaults } from "./faults.js";
 import { createOperators } from "./operators.js";
-import { accounts, soakModel } from "./resources.js";
+import { accounts, boxNames, soakModel } from "./resources.js";
 import { createWorld, type World, type WorldOptions } from "./world.js";
 
 const startMs: Milliseconds = 12_000;
 const faultsUntilMs: Milliseconds = 60_000;
 const quietUntilMs: Milliseconds = 95_000;
 const endMs: Milliseconds = 112_000;
-const boxNames = ["b1", "b2", "b3", "b4"];
 const modelCount = 10;
 
 /** What a run showed. */
@@ -97,6 +96,7 @@
     process.off("unhandledRejection", defect);
   }
   checkAgreement(world);
+  world.checkWeights();
   callers.check();
   return {
     seed,
--- a/packages/soak/src/scenarios/world.ts
+++ b/packages/soak/src/scenarios/world.ts
@@ -1,7 +1,13 @@
 /** A whole deployment in one process: real boxes over stand-ins, a virtual clock and faulty links. */
 import { type Box, type BoxPorts, createBox } from "@linkfall/box";
-import type { LogFailure } from "@linkfall/errors";
-import { createVirtualClock, type Random, seededRandom, type VirtualClock } from "@linkfall/kernel";
+import type { LogFailure, PeerUnreachable } from "@linkfall/errors";
+import {
+  createVirtualClock,
+  type Random,
+  seededRandom,
+  type VirtualClock,
+  withTimeout,
+} from "@linkfall/kernel";
 import { type EventName, recordingLogger } from "@linkfall/logger";
 import type {
   BodyPart,
@@ -27,7 +33,7 @@
   type WeightStoreCore,
 } from "@linkfall/stand-ins";
 import type { Milliseconds } from "@linkfall/types";
-import { Left, Right } from "purify-ts";
+import { type Either, Left, Right } from "purify-ts";
 import { createGatedProcess, type GatedProcess } from "./gated-process.js";
 import { createNetwork, type Network, peerLost, targetLost } from "./network.js";
 import { domains, hashOf, serviceAddresses, soakEngines } from "./resources.js";
@@ -35,11 +41,16 @@
 
 const listLagMs: Milliseconds = 700;
 const reportLagMs: Milliseconds = 300;
-const weightMbPerSecond = 4_000;
+const weightMbPerSecond = 1_500;
+const peerLimitMs: Milliseconds = 1_500;
+const weightLoadsAtOnce = 8;
 const serviceWorkMs: Milliseconds = 30;
 /** A leaving target must get no new work after this time. */
 const leavingGraceMs: Milliseconds = 3_000;
 
+/** After the loss of an engine an unload that was right when it was ordered may still arrive. */
+const unloadGraceMs: Milliseconds = 10_000;
+
 /** A box with the process that it runs in. */
 export interface WorldBox {
   readonly name: string;
@@ -52,6 +63,8 @@
   disturbances: number;
   /** Last time at which such a fault began or ended. */
   disturbedAt: Milliseconds;
+  /** Since when it has reached neither the log nor any other box. */
+  isolatedSince?: Milliseconds;
 }
 
 /** An engine that can be out of reach. */
@@ -72,6 +85,8 @@
   readonly list: BoxListCore;
   readonly weights: WeightStoreCore;
   readonly engines: readonly WorldEngine[];
+  /** Last time at which an engine restarted, stopped or began to leave. */
+  engineLostAt: Milliseconds;
   readonly services: readonly ServiceCore[];
   readonly boxes: WorldBox[];
   /** Starts of a prompt at engines, and of a body at services. */
@@ -85,6 +100,8 @@
   liveBoxes(): readonly WorldBox[];
   /** Sends a caller's request to a box; undefined when the connection breaks. */
   call(box: WorldBox, request: CallerRequest): Promise<CallerResponse | undefined>;
+  /** Checks that the weight store's limit was kept. */
+  checkWeights(): void;
 }
 
 export interface WorldOptions {
@@ -121,6 +138,23 @@
     }
   };
 
+  /** An unload must not take the last copy that serves a model. */
+  const noteUnload = (from: string, artifact: string) => {
+    const anyVersion = artifact.slice(0, artifact.lastIndexOf("@") + 1);
+    const serves = engines.some(({ core, down }) => {
+      const copies = core.residents().filter((copy) => copy.state === "ready");
+      const sameModel = copies.filter((copy) => copy.artifact.startsWith(anyVersion));
+      const others = sameModel.filter(
+        (copy) => core.engine.name !== from || copy.artifact !== artifact,
+      );
+      return !down && others.length > 0;
+    });
+    const recentLoss = clock.now() - world.engineLostAt < unloadGraceMs;
+    if (!serves && !recentLoss && artifact.startsWith("model:")) {
+      violation(`the last ready copy of ${artifact} was unloaded from ${from}`);
+    }
+  };
+
   const engines: WorldEngine[] = soakEngines.map((declared) => {
     const engine: WorldEngine = {
       down: false,
@@ -133,6 +167,7 @@
         reportLagMs,
         violation,
         ran: (request) => noteStart(engine, request),
+        unloads: (artifact) => noteUnload(declared.name, artifact),
       }),
     };
     return engine;
@@ -243,21 +278,24 @@
         ),
       );
     };
+    const limited = async <T>(asked: Promise<Either<PeerUnreachable, T>>) =>
+      (await withTimeout(process.clock, peerLimitMs, asked)) ?? Left(peerLost(true));
     return {
       heartbeat: (address, message) =>
-        ask(address, async (peer) => peer.box.peerHandler.heartbeat(message)),
-      fetchState: (address) => ask(address, async (peer) => peer.box.peerHandler.fetchState()),
+        limited(ask(address, async (peer) => peer.box.peerHandler.heartbeat(message))),
+      fetchState: (address) =>
+        limited(ask(address, async (peer) => peer.box.peerHandler.fetchState())),
       async forward(address, request) {
-        const answer = await ask(address, (peer) => peer.box.peerHandler.forward(request));
-        const peer = boxAt(address);
-        return answer.map((response) => bodyOver(peer, response));
+        return ask(address, async (peer) => {
+          return bodyOver(peer, await peer.box.peerHandler.forward(request));
+        });
       },
     };
   };
 
   /** A body that breaks off when the box that gives it dies. */
-  const bodyOver = (box: WorldBox | undefined, response: CallerResponse): CallerResponse => {
-    if (response.body instanceof Uint8Array || !box) return response;
+  const bodyOver = (box: WorldBox, response: CallerResponse): CallerResponse => {
+    if (response.body instanceof Uint8Array) return response;
     return { ...response, body: untilDead(clock, box.process, response.body) };
   };
 
@@ -303,7 +341,7 @@
     return worldBox;
   };
 
-  return {
+  const world: World = {
     clock,
     random,
     network,
@@ -311,6 +349,7 @@
     list,
     weights,
     engines,
+    engineLostAt: -Infinity,
     services,
     boxes,
     runs,
@@ -331,7 +370,11 @@
         violation(`the planned stop of ${target.name} cut a request`);
       return response && bodyOver(target, response);
     },
+    checkWeights() {
+      if (weights.peak() > weightLoadsAtOnce) violation(`${weights.peak()} loads ran at once`);
+    },
   };
+  return world;
 }
 
 const deathCheckMs: Milliseconds = 50;
--- a/packages/stand-ins/src/engine-core.ts
+++ b/packages/stand-ins/src/engine-core.ts
@@ -1,7 +1,15 @@
 /** A stand-in for a model engine: memory, batch, fence and a report that lags. */
 import type { Clock, Random } from "@linkfall/kernel";
 import type { BodyPart, CacheEventBatch, TargetResponse } from "@linkfall/ports";
-import type { Engine, EngineReport, Epoch, Milliseconds, Order, OrderReply } from "@linkfall/types";
+import type {
+  Engine,
+  EngineReport,
+  Epoch,
+  Milliseconds,
+  Order,
+  OrderReply,
+  Resident,
+} from "@linkfall/types";
 import { type BatchSpeeds, createEngineBatch, type EngineRequest } from "./engine-batch.js";
 import { createEngineMemory } from "./engine-memory.js";
 import type { WeightStoreCore } from "./weight-store-core.js";
@@ -17,6 +25,8 @@
   violation(text: string): void;
   /** Called when a request is started, for counting runs. */
   ran(request: EngineRequest): void;
+  /** Called when an artifact is about to go by order. */
+  unloads?(artifact: string): void;
 }
 
 export interface EngineCore {
@@ -24,6 +34,8 @@
   /** Whether new requests may come; set when the target is leaving. */
   leaving: boolean;
   report(): EngineReport;
+  /** What is in memory now, without the report's lag. */
+  residents(): readonly Resident[];
   raiseFence(epoch: Epoch): EngineReport;
   order(order: Order): OrderReply;
   complete(attempt: string, request: EngineRequest): TargetResponse;
@@ -67,6 +79,7 @@
       busy: batch.busy,
       changed: () => note(),
       violation: input.violation,
+      unloads: (artifact) => input.unloads?.(artifact),
     });
     const now = (): EngineReport => ({
       engine: engine.name,
@@ -122,6 +135,7 @@
     engine,
     leaving: false,
     report: () => life.lagged(),
+    residents: () => life.memory.residents,
     raiseFence(epoch) {
       return life.raise(engine.fenced ? epoch : 0);
     },
--- a/packages/stand-ins/src/engine-memory.ts
+++ b/packages/stand-ins/src/engine-memory.ts
@@ -11,6 +11,8 @@
   changed(): void;
   /** A promise of the system was broken. */
   violation(text: string): void;
+  /** An artifact is about to go by order. */
+  unloads(artifact: string): void;
 }
 
 export interface EngineMemory {
@@ -35,7 +37,8 @@
   let residents: Resident[] = [];
   let role: EngineRole = "mixed";
   let settled: string[] = [];
-  let destroyed = false;
+  /** How to end the loads that are under way. */
+  const loading = new Map<Resident, () => void>();
 
   const capacity = (accelerator: number, inRole: EngineRole) =>
     engine.acceleratorsMb[accelerator] - (inRole === "batch" ? engine.batchReserveMb : 0);
@@ -67,19 +70,23 @@
     }
     const resident: Resident = { artifact, accelerator, sizeMb, state: "loading" };
     residents = [...residents, resident];
-    store.load(sizeMb, () => {
-      if (!destroyed && residents.includes(resident))
-        replace(resident, { ...resident, state: "ready" });
+    const cancel = store.load(sizeMb, () => {
+      loading.delete(resident);
+      replace(resident, { ...resident, state: "ready" });
     });
+    loading.set(resident, cancel);
     return { kind: "accepted" };
   };
 
   const unload = (order: Extract<Order, { kind: "unload" }>): OrderReply => {
     const there = find(order.artifact, order.accelerator);
     if (!there || there.state === "unloading") return { kind: "accepted" };
+    if (there.state === "ready") hooks.unloads(there.artifact);
     if (there.state === "ready" && hooks.busy(there.artifact, there.accelerator)) {
       replace(there, { ...there, state: "unloading" });
     } else {
+      loading.get(there)?.();
+      loading.delete(there);
       replace(there);
     }
     return { kind: "accepted" };
@@ -128,7 +135,8 @@
       }
     },
     destroy() {
-      destroyed = true;
+      for (const cancel of loading.values()) cancel();
+      loading.clear();
     },
   };
 }
--- a/packages/stand-ins/src/weight-store-core.ts
+++ b/packages/stand-ins/src/weight-store-core.ts
@@ -7,9 +7,12 @@
 const fullSpeedLoads = 8;
 const millisecondsPerSecond = 1000;
 
+/** Ends a load whose engine no longer wants it. */
+export type CancelLoad = () => void;
+
 export interface WeightStoreCore {
-  /** Begins a load; `done` is called when the weights are there. */
-  load(sizeMb: Mebibytes, done: () => void): void;
+  /** Begins a load; `done` is called when the weights are there. The answer ends it early. */
+  load(sizeMb: Mebibytes, done: () => void): CancelLoad;
   /** Most loads that ran at once. */
   peak(): number;
   /** Loads that had to wait for their turn. */
@@ -23,24 +26,33 @@
   let peak = 0;
   let waited = 0;
 
-  const run = (sizeMb: Mebibytes, done: () => void) => {
+  const run = (sizeMb: Mebibytes, done: () => void): CancelLoad => {
     active += 1;
     peak = Math.max(peak, active);
     const slowing = Math.max(1, active / fullSpeedLoads);
     const time: Milliseconds = (sizeMb / mbPerSecond) * millisecondsPerSecond * slowing;
-    clock.after(time, () => {
+    let ended = false;
+    const end = () => {
+      if (ended) return false;
+      ended = true;
       active -= 1;
-      done();
+      return true;
+    };
+    clock.after(time, () => {
+      if (end()) done();
     });
-  };
-  const begin = (sizeMb: Mebibytes, done: () => void) => {
-    if (bucket.take()) return run(sizeMb, done);
-    clock.after(bucket.waitFor(), () => begin(sizeMb, done));
+    return () => void end();
   };
   return {
     load(sizeMb, done) {
+      let cancel: CancelLoad = () => undefined;
+      const begin = () => {
+        if (bucket.take()) cancel = run(sizeMb, done);
+        else cancel = clock.after(bucket.waitFor(), begin);
+      };
       if (bucket.waitFor() > 0) waited += 1;
-      begin(sizeMb, done);
+      begin();
+      return () => cancel();
     },
     peak: () => peak,
     waited: () => waited,
--- a/packages/stand-ins/src/weight-store-http.ts
+++ b/packages/stand-ins/src/weight-store-http.ts
@@ -6,6 +6,8 @@
 
 const limits = { maxBodyBytes: 10_000, maxHeaderBytes: 16_384, bodyTimeoutMs: 30_000 };
 
+const retryMs = 500;
+
 /** Serves a store. */
 export function serveWeightStore(clock: Clock, address: string, core: WeightStoreCore): HttpFront {
   return createHttpFront({
@@ -15,7 +17,10 @@
     handle: (request) =>
       new Promise((resolve) => {
         const { sizeMb } = JSON.parse(Buffer.from(request.body).toString("utf8"));
-        core.load(sizeMb, () => resolve({ status: 200, headers: {}, body: Buffer.from("{}") }));
+        const cancel = core.load(sizeMb, () =>
+          resolve({ status: 200, headers: {}, body: Buffer.from("{}") }),
+        );
+        request.gone.addEventListener("abort", cancel, { once: true });
       }),
     defect(problem) {
       throw problem;
@@ -26,7 +31,7 @@
 /** A store in another process; a load that fails is asked for again. */
 export function remoteWeightStore(clock: Clock, address: string): Pick<WeightStoreCore, "load"> {
   const client = createHttpClient();
-  const load = async (sizeMb: number, done: () => void) => {
+  const load = async (sizeMb: number, done: () => void, giveUp: AbortController) => {
     const sent = await client.send(
       {
         address,
@@ -36,11 +41,17 @@
         body: Buffer.from(JSON.stringify({ sizeMb })),
         freshConnection: true,
       },
-      new AbortController().signal,
+      giveUp.signal,
     );
     const whole = sent.isRight() && (await readText(sent.unsafeCoerce().body)).isRight();
-    if (whole) done();
-    else clock.after(500, () => void load(sizeMb, done));
+    if (whole) return done();
+    if (!giveUp.signal.aborted) clock.after(retryMs, () => void load(sizeMb, done, giveUp));
+  };
+  return {
+    load(sizeMb, done) {
+      const giveUp = new AbortController();
+      void load(sizeMb, done, giveUp);
+      return () => giveUp.abort();
+    },
   };
-  return { load: (sizeMb, done) => void load(sizeMb, done) };
 }
