--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -98,7 +98,7 @@
   let entryCursor = 0;
   let wasIsolated = false;
   /**
-   * Boxes that were known when the log was last in reach. Those that fall silent after that still
+   * Boxes that were known, or listed, when the log was last in reach. Those that fall silent after that still
    * count: a box that forgets all others would otherwise take itself for the majority.
    */
   let electorate = 1;
@@ -201,7 +201,7 @@
   const round = () => {
     heartbeat += 1;
     table.sweep(clock.now());
-    if (freshMs() <= heardMs) electorate = table.known().length + 1;
+    if (freshMs() <= heardMs) electorate = Math.max(table.known().length + 1, listed.length);
     noteIsolation();
     for (const address of addressesOfRound()) void beat(address);
   };
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -8,6 +8,7 @@
     seeds: { type: "string", default: "1..20" },
     faults: { type: "string" },
     quiet: { type: "boolean", default: false },
+    "first-failure": { type: "boolean", default: false },
   },
 });
 const [first, last] = values.seeds.split("..").map(Number);
@@ -38,6 +39,7 @@
     );
     for (const violation of result.violations.slice(0, 10))
       process.stdout.write(`  ${violation}\n`);
+    if (values["first-failure"]) break;
   } else if (!values.quiet) {
     process.stdout.write(`seed ${seed} passed\n`);
   }
