--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,9 @@
       ],
     },
   },
-  { files: ["scripts/**", "*.js"], languageOptions: { globals: { process: "readonly" } } },
+  {
+    files: ["scripts/**", "*.js"],
+    languageOptions: { globals: { process: "readonly", console: "readonly" } },
+  },
   prettier,
 );
--- a/packages/cli/src/operator-command.ts
+++ b/packages/cli/src/operator-command.ts
@@ -70,8 +70,9 @@
   protected showWrite(written: WriteAnswer): ExitCode {
     if (this.output === "json") this.line(JSON.stringify(written));
     return match(written)
-      .with({ kind: "accepted" }, ({ revision }): ExitCode => {
-        if (this.output !== "json") this.line(`accepted at revision ${revision}`);
+      .with({ kind: "accepted" }, ({ revision, boxes, inForceOn }): ExitCode => {
+        const where = `in force on ${inForceOn} of ${boxes} boxes`;
+        if (this.output !== "json") this.line(`accepted at revision ${revision}, ${where}`);
         return exitCodes.done;
       })
       .with({ kind: "revision_conflict" }, ({ subject, base, current, who }): ExitCode => {
--- /dev/null
+++ b/packages/http-front/src/http-front.steps.ts
@@ -0,0 +1,118 @@
+import assert from "node:assert/strict";
+import { connect, type Socket } from "node:net";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { createVirtualClock, type VirtualClock } from "@linkfall/kernel";
+import type { BodyPart, CallerResponse } from "@linkfall/ports";
+import { notes } from "@linkfall/test-support";
+import { Left, Right } from "purify-ts";
+import { createHttpFront, type HttpFront } from "./http-front.js";
+
+interface RunningFront {
+  readonly clock: VirtualClock;
+  readonly front: HttpFront;
+  readonly address: string;
+}
+
+const bodyTimeoutMs = 5_000;
+const frontOf = (world: object) => notes(world).get<RunningFront>("front");
+
+async function* cutBody(): AsyncGenerator<BodyPart> {
+  yield Right(Buffer.from("first part"));
+  yield Left({ kind: "target_unreachable", reason: "cut", mayHaveArrived: true });
+}
+
+Given(
+  "a front that takes bodies of 100 bytes, heads of 1000 bytes, within 5 s",
+  async function (this: object) {
+    const clock = createVirtualClock();
+    const whole: CallerResponse = { status: 200, headers: {}, body: Buffer.from("fine") };
+    const front = createHttpFront({
+      clock,
+      address: "127.0.0.1:0",
+      limits: { maxBodyBytes: 100, maxHeaderBytes: 1_000, bodyTimeoutMs },
+      handle: async (request) => (request.path === "/cut" ? { ...whole, body: cutBody() } : whole),
+      defect(problem) {
+        throw problem;
+      },
+    });
+    notes(this).set("front", { clock, front, address: await front.listen() });
+  },
+);
+
+After(async function (this: object) {
+  try {
+    await frontOf(this).front.close();
+  } catch {
+    // The scenario has no front.
+  }
+});
+
+/** Sends raw bytes and reads until the other side closes, or the answer is whole. */
+function exchange(address: string, text: string, sent: (socket: Socket) => void = () => undefined) {
+  const [host, port] = address.split(":");
+  return new Promise<string>((resolve, reject) => {
+    const socket = connect(Number(port), host, () => {
+      socket.write(text);
+      sent(socket);
+    });
+    let answer = "";
+    socket.on("data", (chunk) => {
+      answer += chunk.toString("utf8");
+      if (answer.endsWith("fine")) socket.end();
+    });
+    socket.on("close", () => resolve(answer));
+    socket.on("error", (problem) => (answer === "" ? reject(problem) : resolve(answer)));
+  });
+}
+
+const head = "POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n";
+const inputs: Readonly<Record<string, string>> = {
+  "a body of 101 bytes": `${head}content-length: 101\r\n\r\n${"x".repeat(101)}`,
+  "a head of 2000 bytes": `${head}long: ${"x".repeat(2_000)}\r\n\r\n`,
+  "no HTTP": "what is this\r\n\r\n",
+  "half a body for 5 s": `${head}content-length: 10\r\n\r\nhalf`,
+};
+
+When("a caller sends {string}", async function (this: object, input: string) {
+  const { address, clock } = frontOf(this);
+  const answered = exchange(address, inputs[input]);
+  if (input.startsWith("half")) {
+    let done = false;
+    void answered.then(() => (done = true));
+    // The request's bytes cross a real socket, so time is moved on until they have been taken.
+    while (!done) {
+      await clock.runUntil(clock.now() + bodyTimeoutMs);
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+  notes(this).set("answer", await answered);
+});
+
+Then(
+  "the answer is {int} with outcome {string} and code {string}",
+  function (this: object, status: number, outcome: string, code: string) {
+    const answer = notes(this).get<string>("answer");
+    assert.match(answer, new RegExp(`^HTTP/1.1 ${status} `));
+    const { error } = JSON.parse(answer.slice(answer.indexOf("\r\n\r\n")));
+    assert.deepEqual([error.outcome, error.code], [outcome, code]);
+  },
+);
+
+Then("the front still answers others", async function (this: object) {
+  const answer = await exchange(
+    frontOf(this).address,
+    "GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
+  );
+  assert.match(answer, /^HTTP\/1.1 200 .*fine$/s);
+});
+
+When("the answer to a caller is cut after its first part", async function (this: object) {
+  const text = "GET /cut HTTP/1.1\r\nhost: x\r\n\r\n";
+  notes(this).set("answer", await exchange(frontOf(this).address, text));
+});
+
+Then("the caller's connection breaks before the end marker of the answer", function (this: object) {
+  const answer = notes(this).get<string>("answer");
+  assert.match(answer, /first part/);
+  assert.doesNotMatch(answer, /\r\n0\r\n\r\n$/);
+});
--- /dev/null
+++ b/packages/lease-holder/src/lease-clock.steps.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { Given, Then } from "@cucumber/cucumber";
+import type { Lease } from "@linkfall/state-fold";
+import { notes } from "@linkfall/test-support";
+import fc from "fast-check";
+import { createLeaseClock, type LeaseClock } from "./lease-clock.js";
+
+const lease: Lease = {
+  pool: "p",
+  epoch: 1,
+  holder: "b@1",
+  leaseMs: 1_000,
+  touched: 1,
+  released: false,
+};
+const delay = fc.integer({ min: 0, max: 5_000 });
+
+Then(
+  "for any delays of sending and reading, no rival finds the lease lapsed while the holder may act",
+  () => {
+    fc.assert(
+      fc.property(delay, delay, delay, delay, (sentAt, inLog, read, wait) => {
+        const holder = createLeaseClock();
+        const rival = createLeaseClock();
+        holder.sent(lease.epoch, sentAt);
+        const readAt = sentAt + inLog + read;
+        rival.read(lease, readAt);
+        const now = readAt + wait;
+        assert.ok(!(holder.heldNow(lease, now) && rival.lapsed(lease, 0, now)));
+      }),
+      { seed: 3, numRuns: 1_000 },
+    );
+  },
+);
+
+Given("a lease of 1000 ms that a rival has read at 500 ms", function (this: object) {
+  const rival = createLeaseClock();
+  rival.read(lease, 500);
+  notes(this).set("rival", rival);
+});
+
+Then(
+  "it has not lapsed for the rival at 1500 ms and has at 1701 ms with a margin of 200 ms",
+  function (this: object) {
+    const rival = notes(this).get<LeaseClock>("rival");
+    assert.equal(rival.lapsed(lease, 200, 1_500), false);
+    assert.equal(rival.lapsed(lease, 200, 1_701), true);
+  },
+);
--- /dev/null
+++ b/packages/logger/src/events.feature
@@ -0,0 +1,7 @@
+Feature: Log events are numbered and catalogued
+
+  Scenario: The catalogue in the docs agrees with the code
+    Then docs/EVENTS.md is what the code describes
+
+  Scenario: No number stands for two events
+    Then each event has a number of its own
--- /dev/null
+++ b/packages/membership/src/membership.steps.ts
@@ -0,0 +1,57 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { notes } from "@linkfall/test-support";
+import type { MemberEntry } from "@linkfall/types";
+import { isIsolated } from "./isolation.js";
+import { createMemberTable, type MemberTable } from "./member-table.js";
+
+const staleServingMs = 1_000;
+const entry = (incarnation: string, heartbeat: number): MemberEntry => ({
+  box: "c",
+  incarnation,
+  peerAddress: "10.0.0.2:7071",
+  callerAddress: "10.0.0.2:7070",
+  domain: "north",
+  heartbeat,
+  leaving: false,
+});
+const tableOf = (world: object) => notes(world).get<MemberTable>("table");
+
+Given("a member that was heard at 0 ms with heartbeat 1", function (this: object) {
+  const changes = { joined: () => undefined, gone: () => undefined };
+  const table = createMemberTable("b@1", { suspectMs: 1_000, forgetMs: 5_000 }, changes);
+  table.hearDirectly(entry("c@1", 1), 0);
+  notes(this).set("table", table);
+});
+
+When("another box passes on its heartbeat 2 at 900 ms", function (this: object) {
+  tableOf(this).merge([entry("c@1", 2)], 900);
+});
+
+Then("it is alive at 1800 ms and not at 1901 ms", function (this: object) {
+  assert.equal(tableOf(this).alive(1_800).length, 1);
+  assert.equal(tableOf(this).alive(1_901).length, 0);
+});
+
+When("a later start of the same box is heard at 100 ms", function (this: object) {
+  tableOf(this).hearDirectly(entry("c@2", 1), 100);
+});
+
+When("another box still passes on the earlier start", function (this: object) {
+  tableOf(this).merge([entry("c@1", 7)], 200);
+});
+
+Then("only the later start is known", function (this: object) {
+  const known = tableOf(this)
+    .known()
+    .map((member) => member.entry.incarnation);
+  assert.deepEqual(known, ["c@2"]);
+});
+
+Then(
+  "with the log silent for {int} ms, {int} of {int} boxes heard, a box is {string}",
+  (freshMs: number, heardBoxes: number, knownBoxes: number, verdict: string) => {
+    const isolated = isIsolated({ freshMs, heardBoxes, knownBoxes }, staleServingMs);
+    assert.equal(isolated ? "cut off" : "serving", verdict);
+  },
+);
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -28,6 +28,7 @@
   MemberEntry,
   MemberSummary,
   Milliseconds,
+  Offset,
 } from "@linkfall/types";
 import { isIsolated } from "./isolation.js";
 import { createMemberTable, type Member } from "./member-table.js";
@@ -43,6 +44,12 @@
   readonly at: Milliseconds;
 }
 
+/** How many of the boxes that are heard have read to an offset. */
+export interface ReadProgress {
+  readonly boxes: number;
+  readonly reached: number;
+}
+
 /** Demand that a box reports of itself. */
 export type OwnDemand = Pick<MemberSummary, "demand" | "accounts">;
 
@@ -60,6 +67,8 @@
   leave(): void;
   /** Whether this box is cut off and must not serve. */
   isolated(): boolean;
+  /** Boxes heard in the last moments, this one included, and how many of them have read so far. */
+  readTo(offset: Offset): ReadProgress;
   /** Demand as the other boxes last reported it. */
   peerDemand(): readonly (readonly DemandSample[])[];
   /** Rates of client accounts as the other boxes last reported them. */
@@ -122,17 +131,18 @@
     leaving,
   });
 
+  const heardLately = () => [...heard.values()].filter((word) => clock.now() - word.at <= heardMs);
+
   /** Time since anyone that this box hears read the log. */
   const freshMs = () => {
     const now = clock.now();
-    const ages = [...heard.values()]
-      .filter((word) => now - word.at <= heardMs)
-      .map((word) => word.summary.logSilentMs + now - word.at);
+    const ages = heardLately().map((word) => word.summary.logSilentMs + now - word.at);
     return Math.min(follower.silentFor(), ...ages);
   };
 
   const summary = (): MemberSummary => ({
     offset: store.state().offset,
+    ready: store.ready(),
     logSilentMs: Math.min(Number.MAX_SAFE_INTEGER, Math.round(freshMs())),
     ...demandOf(),
   });
@@ -177,9 +187,14 @@
     const reply = sent.unsafeCoerce();
     hear(reply.from, reply.members, reply.summary);
     store.ingest(reply.records);
-    const tooFarBehind = reply.records.length === 0 && reply.summary.offset > store.state().offset;
-    const hasNothing = !store.ready() && reply.summary.offset >= store.state().offset;
-    if (tooFarBehind || hasNothing) await takeStateFrom(address);
+    const { offset, ready } = reply.summary;
+    const isBehind = offset > store.state().offset;
+    if (isBehind && reply.records.length === 0) await takeStateFrom(address);
+    // As far as a peer that serves: this is the state, whether or not the log can be read.
+    if (ready && !isBehind && !store.ready()) {
+      store.markReady();
+      logger.event("restoredFromPeer", { offset: store.state().offset });
+    }
   };
 
   /** Peers of one round: some members, and listed boxes that are not known yet. */
@@ -235,11 +250,18 @@
       leaving = true;
     },
     isolated() {
-      const now = clock.now();
-      const heardBoxes = [...heard.values()].filter((word) => now - word.at <= heardMs).length;
-      const contact = { freshMs: freshMs(), heardBoxes: heardBoxes + 1, knownBoxes: electorate };
+      const heardBoxes = heardLately().length + 1;
+      const contact = { freshMs: freshMs(), heardBoxes, knownBoxes: electorate };
       return isIsolated(contact, settings.membership.stale_serving_ms);
     },
+    readTo(offset) {
+      const words = heardLately().map((word) => word.summary.offset);
+      const offsets = [store.state().offset, ...words];
+      return {
+        boxes: offsets.length,
+        reached: offsets.filter((reached) => reached >= offset).length,
+      };
+    },
     peerDemand: () => [...heard.values()].map((word) => word.summary.demand),
     peerAccountRates: () => [...heard.values()].map((word) => word.summary.accounts),
     reportDemand(read) {
--- a/packages/operator-service/src/answers.ts
+++ b/packages/operator-service/src/answers.ts
@@ -20,7 +20,13 @@
 
 /** What became of a write. */
 export type WriteAnswer =
-  | { readonly kind: "accepted"; readonly revision: Revision }
+  | {
+      readonly kind: "accepted";
+      readonly revision: Revision;
+      /** Boxes that are heard, and those of them on which the change is in force already. */
+      readonly boxes: number;
+      readonly inForceOn: number;
+    }
   | RevisionConflict
   | InvalidInput
   | { readonly kind: "unknown"; readonly reason: string };
--- a/packages/operator-service/src/writes.ts
+++ b/packages/operator-service/src/writes.ts
@@ -1,11 +1,12 @@
 /** Takes operators' writes: checked here first, decided by the fold. */
 import type { FieldProblem } from "@linkfall/errors";
-import { clockName, type Kernel } from "@linkfall/kernel";
+import { clockName, type Kernel, sleep } from "@linkfall/kernel";
 import { logWriterName } from "@linkfall/log-writer";
 import { loggerName } from "@linkfall/logger";
+import { membershipName } from "@linkfall/membership";
 import { changeSchema, judgeWrite } from "@linkfall/state-fold";
 import { stateStoreName } from "@linkfall/state-store";
-import type { Change, Milliseconds } from "@linkfall/types";
+import type { Change, Milliseconds, Revision } from "@linkfall/types";
 import { type Either, Left, Right } from "purify-ts";
 import { match, P } from "ts-pattern";
 import { z } from "zod";
@@ -14,6 +15,10 @@
 /** How long an operator waits for the log before the outcome is called unknown. */
 const writeLimitMs: Milliseconds = 10_000;
 
+/** How long the answer waits for the change to be in force on every box that is heard. */
+const inForceLimitMs: Milliseconds = 2_000;
+const inForceStepMs: Milliseconds = 50;
+
 const requestSchema = z.strictObject({ changes: z.array(changeSchema).min(1).max(10_000) });
 
 export type TakeWrite = (who: string, body: Uint8Array) => Promise<WriteAnswer>;
@@ -41,6 +46,22 @@
   const store = kernel.find(stateStoreName);
   const writer = kernel.find(logWriterName);
   const logger = kernel.find(loggerName);
+  const membership = kernel.find(membershipName);
+
+  /**
+   * Answers once every box that is heard has the change. Were it answered before, the only box that
+   * has read it could be lost together with the log, and nobody would know of an accepted change.
+   */
+  const awaitInForce = async (revision: Revision): Promise<WriteAnswer> => {
+    const end = clock.now() + inForceLimitMs;
+    for (;;) {
+      const { boxes, reached } = membership.readTo(revision);
+      if (reached === boxes || clock.now() >= end) {
+        return { kind: "accepted", revision, boxes, inForceOn: reached };
+      }
+      await sleep(clock, inForceStepMs);
+    }
+  };
 
   const appendWrite = async (who: string, changes: readonly Change[]): Promise<WriteAnswer> => {
     const at = clock.wallTime();
@@ -52,13 +73,13 @@
       kind: "unknown",
       reason: "the log did not answer in time; read the resources again before another try",
     };
-    return written.caseOf<WriteAnswer>({
-      Left: () => unknown,
-      Right: (folded) =>
+    return written.caseOf<Promise<WriteAnswer>>({
+      Left: async () => unknown,
+      Right: async (folded) =>
         match(folded[0])
-          .with({ type: "write_accepted" }, ({ revision }): WriteAnswer => {
+          .with({ type: "write_accepted" }, ({ revision }): Promise<WriteAnswer> | WriteAnswer => {
             logger.event("changeInForce", { revision, who });
-            return { kind: "accepted", revision };
+            return awaitInForce(revision);
           })
           .with({ type: "write_rejected" }, ({ why }): WriteAnswer => {
             logger.event("changeRejected", { who });
--- a/packages/peer-grpc/src/convert.ts
+++ b/packages/peer-grpc/src/convert.ts
@@ -14,6 +14,7 @@
 function toSummary(summary: Summary): MemberSummary {
   return {
     offset: summary.offset,
+    ready: summary.ready,
     logSilentMs: summary.logSilentMs,
     demand: summary.demand,
     accounts: summary.accounts,
--- a/packages/soak/src/scenarios/operators.ts
+++ b/packages/soak/src/scenarios/operators.ts
@@ -20,7 +20,7 @@
   /** Writes the first desired state; resolves when it is accepted. */
   begin(): Promise<void>;
   run(until: Milliseconds): Promise<void>;
-  /** Times from acceptance until a change was in force on a box, in milliseconds. */
+  /** Times from the sending of an accepted write until it was seen in force on a box. */
   inForceTimes(): readonly Milliseconds[];
   accepted(): number;
   conflicts(): number;
@@ -41,6 +41,7 @@
   let version = 1;
 
   const write = async (box: WorldBox, changes: readonly Change[]): Promise<WriteResult> => {
+    const sentAt = clock.now();
     const request = {
       method: "POST",
       path: "/v1/writes",
@@ -50,12 +51,12 @@
     };
     const response = await box.process.gate(box.box.operators.handle(request));
     const result = JSON.parse(Buffer.from(response.body as Uint8Array).toString("utf8"));
-    if (result.kind === "accepted") noteAccepted(changes, result.revision);
+    if (result.kind === "accepted") noteAccepted(changes, result.revision, sentAt);
     if (result.kind === "revision_conflict") conflicts += 1;
     return result;
   };
 
-  const noteAccepted = (changes: readonly Change[], revision: Revision) => {
+  const noteAccepted = (changes: readonly Change[], revision: Revision, sentAt: Milliseconds) => {
     accepted += 1;
     for (const change of changes) {
       const key = resourceKey(change.action === "put" ? change.resource : change.name);
@@ -65,11 +66,11 @@
       }
       wonBases.set(won, revision);
     }
-    for (const box of world.liveBoxes()) void awaitInForce(box, revision);
+    for (const box of world.liveBoxes()) void awaitInForce(box, revision, sentAt);
   };
 
   /** A box that no fault touches meanwhile must have the change in force in time. */
-  const awaitInForce = async (box: WorldBox, revision: Revision) => {
+  const awaitInForce = async (box: WorldBox, revision: Revision, sentAt: Milliseconds) => {
     const start = clock.now();
     const store = box.box.kernel.find(stateStoreName);
     while (store.state().offset < revision) {
@@ -81,7 +82,7 @@
         return;
       }
     }
-    times.push(clock.now() - start);
+    times.push(clock.now() - sentAt);
   };
 
   const storedRevision = (box: WorldBox, resource: Resource): Revision =>
--- /dev/null
+++ b/packages/soak/src/scenarios/soak.feature
@@ -0,0 +1,50 @@
+Feature: The promises hold under faults drawn from a seed
+
+  Scenario Outline: All faults, alone and in pairs: seed <seed>
+    Then a run with seed <seed> and all faults breaks no promise
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 9    |
+      | 39   |
+      | 124  |
+
+  Scenario Outline: One fault again and again: <fault>
+    Then a run with seed 7 and the fault "<fault>" breaks no promise
+
+    Examples:
+      | fault           |
+      | killBox         |
+      | pauseBox        |
+      | drainBox        |
+      | isolateBox      |
+      | cutFromLog      |
+      | loseDomain      |
+      | engineLeaves    |
+      | logDown         |
+      | logSlow         |
+      | logLosesReplies |
+      | logForgets      |
+      | poorLinks       |
+      | lateOrders      |
+
+  Scenario: A new box starts while the log is down
+    Given a deployment at rest
+    When the log goes down and a box joins
+    Then the new box serves every model within 5 s
+
+  Scenario: A log that has lost what no snapshot holds is not taken for an empty one
+    Given a deployment at rest that writes no snapshots
+    When every box is gone, the log has dropped its oldest records, and a new box starts
+    Then the new box refuses with "not_ready" and does not take itself for ready
+
+  Scenario: The loss of a failure domain is made good within the weight store's limits
+    Given a deployment at rest
+    When the engines of one failure domain are lost
+    Then every model is ready again within 30 s and no more than 8 loads ran at once
+
+  Scenario: The external exchange of one session is as recorded
+    Then the session's trace agrees with session.golden.txt
--- /dev/null
+++ b/packages/soak/src/scenarios/soak.steps.ts
@@ -0,0 +1,131 @@
+import assert from "node:assert/strict";
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
+import { Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
+import { streams } from "@linkfall/ports";
+import { stateStoreName } from "@linkfall/state-store";
+import { notes } from "@linkfall/test-support";
+import { createCallers, type Told } from "./callers.js";
+import type { FaultName } from "./faults.js";
+import { createOperators } from "./operators.js";
+import { accounts, domains, soakModel } from "./resources.js";
+import { runSeed } from "./run-seed.js";
+import { playSession } from "./session.js";
+import { createWorld, type World, type WorldBox } from "./world.js";
+
+const goldenFile = "packages/soak/src/scenarios/session.golden.txt";
+const modelCount = 10;
+const settledMs = 20_000;
+setDefaultTimeout(180_000);
+
+const repeatWith = (seed: number) => `repeat with: npm run soak -- --seeds ${seed}..${seed}`;
+
+Then("a run with seed {int} and all faults breaks no promise", async (seed: number) => {
+  const result = await runSeed(seed);
+  assert.deepEqual(result.violations, [], repeatWith(seed));
+});
+
+Then(
+  "a run with seed {int} and the fault {string} breaks no promise",
+  async (seed: number, fault: string) => {
+    const result = await runSeed(seed, { faults: [fault as FaultName] });
+    assert.deepEqual(result.violations, [], `${repeatWith(seed)} --faults ${fault}`);
+  },
+);
+
+async function deploymentAtRest(world: object, settings = {}): Promise<void> {
+  const created = createWorld(5, { settings });
+  for (const name of ["b1", "b2", "b3"]) await created.startBox(name);
+  void createOperators(created).begin();
+  await created.clock.runUntil(settledMs);
+  notes(world).set("world", created);
+}
+const worldOf = (world: object) => notes(world).get<World>("world");
+
+Given("a deployment at rest", async function (this: object) {
+  await deploymentAtRest(this);
+});
+
+Given("a deployment at rest that writes no snapshots", async function (this: object) {
+  const platform = { snapshot_every_records: 1_000_000, snapshot_every_ms: 86_400_000 };
+  await deploymentAtRest(this, { platform });
+});
+
+When("the log goes down and a box joins", async function (this: object) {
+  const world = worldOf(this);
+  world.log.faults.down = true;
+  notes(this).set("box", await world.startBox("b4"));
+});
+
+/** Asks a box for every model and answers with what came of it. */
+async function probeAll(world: World, box: WorldBox): Promise<readonly Told[]> {
+  const callers = createCallers(world);
+  const told: Told[] = [];
+  for (let index = 0; index < modelCount; index++) {
+    const account = accounts[index % accounts.length];
+    void callers.probe(box, account, soakModel(index).name).then((word) => told.push(word));
+  }
+  await world.clock.runUntil(world.clock.now() + 8_000);
+  return told;
+}
+
+Then("the new box serves every model within 5 s", async function (this: object) {
+  const world = worldOf(this);
+  await world.clock.runUntil(world.clock.now() + 5_000);
+  const told = await probeAll(world, notes(this).get<WorldBox>("box"));
+  assert.deepEqual(told, Array(modelCount).fill("answered"));
+});
+
+When(
+  "every box is gone, the log has dropped its oldest records, and a new box starts",
+  async function (this: object) {
+    const world = worldOf(this);
+    for (const box of [...world.boxes]) world.removeBox(box);
+    world.log.truncate(streams.state, 3);
+    notes(this).set("box", await world.startBox("b4"));
+    await world.clock.runUntil(world.clock.now() + 10_000);
+  },
+);
+
+Then(
+  "the new box refuses with {string} and does not take itself for ready",
+  async function (this: object, code: string) {
+    const box = notes(this).get<WorldBox>("box");
+    assert.equal(box.box.kernel.find(stateStoreName).ready(), false);
+    const response = await box.box.callers.handle({
+      method: "GET",
+      path: "/v1/entries",
+      headers: {},
+      body: new Uint8Array(),
+      gone: new AbortController().signal,
+    });
+    const { error } = JSON.parse(Buffer.from(response.body as Uint8Array).toString("utf8"));
+    assert.equal(error.code, code);
+  },
+);
+
+When("the engines of one failure domain are lost", function (this: object) {
+  for (const engine of worldOf(this).engines) {
+    if (engine.core.engine.domain !== domains[0]) continue;
+    engine.down = true;
+    engine.core.restart();
+  }
+});
+
+Then(
+  "every model is ready again within 30 s and no more than 8 loads ran at once",
+  async function (this: object) {
+    const world = worldOf(this);
+    await world.clock.runUntil(world.clock.now() + 30_000);
+    const told = await probeAll(world, world.boxes[0]);
+    assert.deepEqual(told, Array(modelCount).fill("answered"));
+    assert.ok(world.weights.peak() <= 8);
+    assert.deepEqual(world.violations, []);
+  },
+);
+
+Then("the session's trace agrees with session.golden.txt", async () => {
+  const trace = await playSession();
+  if (process.env.UPDATE_GOLDEN === "1" || !existsSync(goldenFile))
+    writeFileSync(goldenFile, trace);
+  assert.equal(trace, readFileSync(goldenFile, "utf8"));
+});
--- /dev/null
+++ b/packages/test-support/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./tests/resources.js";
+export * from "./tests/notes.js";
--- a/packages/types/src/members.ts
+++ b/packages/types/src/members.ts
@@ -25,6 +25,8 @@
 /** A short summary that travels with each heartbeat. */
 export interface MemberSummary {
   readonly offset: Offset;
+  /** Whether the box has a state to serve from. */
+  readonly ready: boolean;
   /** Time since the box last read the log, in its own clock. */
   readonly logSilentMs: Milliseconds;
   readonly demand: readonly DemandSample[];
--- a/scripts/sync-packages.mjs
+++ b/scripts/sync-packages.mjs
@@ -6,6 +6,8 @@
 import { join } from "node:path";
 
 const packagesFolder = "packages";
+const ownScope = "@linkfall/";
+const ownVersion = "0.1.0";
 const rootManifest = JSON.parse(readFileSync("package.json", "utf8"));
 const libraryVersions = { ...rootManifest.devDependencies, ...rootManifest.dependencies };
 
@@ -15,9 +17,11 @@
     .map((entry) => join(entry.parentPath ?? entry.path, entry.name));
 }
 
-function importedNames(folder) {
+const isTest = (file) => file.endsWith(".steps.ts");
+
+function importedNames(folder, tests) {
   const names = new Set();
-  for (const file of sourceFiles(join(folder, "src"))) {
+  for (const file of sourceFiles(join(folder, "src")).filter((file) => isTest(file) === tests)) {
     const text = readFileSync(file, "utf8");
     for (const found of text.matchAll(/from\s+["']([^."'][^"']*)["']/g)) {
       const parts = found[1].split("/");
@@ -31,18 +35,25 @@
   writeFileSync(path, `${JSON.stringify(value, null, 2)}\n`);
 }
 
+function versionsOf(names) {
+  const versions = names.map((name) => [
+    name,
+    name.startsWith(ownScope) ? ownVersion : libraryVersions[name],
+  ]);
+  return Object.fromEntries(versions);
+}
+
 for (const name of readdirSync(packagesFolder)) {
   const folder = join(packagesFolder, name);
   if (!existsSync(join(folder, "src"))) continue;
   const path = join(folder, "package.json");
   const known = existsSync(path) ? JSON.parse(readFileSync(path, "utf8")) : {};
-  const dependencies = {};
-  const references = [];
-  for (const imported of importedNames(folder)) {
-    const own = imported.startsWith("@linkfall/");
-    dependencies[imported] = own ? "0.1.0" : libraryVersions[imported];
-    if (own) references.push({ path: `../${imported.slice("@linkfall/".length)}` });
-  }
+  const code = importedNames(folder, false);
+  const tests = importedNames(folder, true).filter((imported) => !code.includes(imported));
+  const others = [...code, ...tests].filter((imported) => imported !== `@linkfall/${name}`);
+  const references = others
+    .filter((imported) => imported.startsWith(ownScope))
+    .map((imported) => ({ path: `../${imported.slice(ownScope.length)}` }));
   writeJson(path, {
     name: `@linkfall/${name}`,
     version: "0.1.0",
@@ -53,7 +64,8 @@
     exports: { ".": { types: "./dist/index.d.ts", default: "./dist/index.js" } },
     ...(known.bin ? { bin: known.bin } : {}),
     files: ["dist", "src"],
-    dependencies,
+    dependencies: versionsOf(code),
+    ...(tests.length > 0 ? { devDependencies: versionsOf(tests) } : {}),
   });
   writeJson(join(folder, "tsconfig.json"), {
     extends: "../../tsconfig.base.json",
