Bench of whole deployments; spare replicas come in one go

Change: packages/bench runs whole boxes over stand-ins under a virtual clock at both deployments' sizes; the planner loads as many replicas as the measured utilisation asks for in one go and then waits 15 s, not 60 s, for their effect.

--- /dev/null
+++ b/packages/bench/src/experiments.ts
@@ -0,0 +1,41 @@
+/** The variants that each experiment compares. */
+import type { Variant } from "./policy-run.js";
+
+/** Times as in production, not as in the short runs of the soak. */
+const production = {
+  membership: { heartbeat_ms: 500, suspect_ms: 2_500, forget_ms: 30_000, stale_serving_ms: 60_000 },
+  lease: { lease_ms: 10_000, renew_ms: 3_000, margin_ms: 1_500 },
+  targets: { report_poll_ms: 500, silent_lost_ms: 8_000, load_timeout_ms: 60_000, eject_ms: 5_000 },
+  placement: { plan_ms: 1_000, cooldown_ms: 15_000 },
+  callers: { max_in_flight: 2_000 },
+};
+
+function routing(name: string, keys: Readonly<Record<string, string | number>>): Variant {
+  return { name, settings: { ...production, routing: keys } };
+}
+
+function placement(name: string, keys: Readonly<Record<string, string | number>>): Variant {
+  return { name, settings: { ...production, placement: { ...production.placement, ...keys } } };
+}
+
+export const experiments: Readonly<Record<string, readonly Variant[]>> = {
+  routing: [
+    routing("random", { policy: "random" }),
+    routing("round robin", { policy: "round_robin" }),
+    routing("least load", { policy: "least_load" }),
+    routing("two choices", { policy: "two_choices" }),
+    routing("affinity, bound 1.25", { policy: "affinity", affinity_bound: 1.25 }),
+    routing("affinity, bound 1.5", { policy: "affinity", affinity_bound: 1.5 }),
+    routing("affinity, bound 2", { policy: "affinity", affinity_bound: 2 }),
+    routing("affinity, bound 4", { policy: "affinity", affinity_bound: 4 }),
+  ],
+  placement: [
+    placement("no spare replicas", { moves_per_minute: 1, cooldown_ms: 3_600_000 }),
+    placement("6 a minute, cool-down 60 s", { cooldown_ms: 60_000 }),
+    placement("6 a minute, cool-down 30 s", { cooldown_ms: 30_000 }),
+    placement("6 a minute, cool-down 15 s", {}),
+    placement("6 a minute, cool-down 5 s", { cooldown_ms: 5_000 }),
+    placement("12 a minute, cool-down 15 s", { moves_per_minute: 12 }),
+    placement("20 a minute, cool-down 15 s", { moves_per_minute: 20 }),
+  ],
+};
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./deployments.js";
+export * from "./policy-run.js";
--- /dev/null
+++ b/packages/bench/src/policy-run.ts
@@ -0,0 +1,164 @@
+/** One run of a deployment under a policy, with whole boxes, and what came of it. */
+import { pick, seededRandom, sleep } from "@linkfall/kernel";
+import { metricsName } from "@linkfall/metrics";
+import type { BodyPart, CallerResponse } from "@linkfall/ports";
+import { createWorld, type ExtraSettings, operatorToken, type World } from "@linkfall/soak";
+import type { Change, Milliseconds } from "@linkfall/types";
+import { accountToken, type Deployment } from "./deployments.js";
+import { type Arrival, createWorkload, phases } from "./workload.js";
+
+/** A way of deciding that is compared with others. */
+export interface Variant {
+  readonly name: string;
+  readonly settings: ExtraSettings;
+  /** Changes the resources that are declared. */
+  readonly resources?: (deployment: Deployment) => Deployment["resources"];
+}
+
+export interface RunResult {
+  /** Share of requests answered whole before their deadline. */
+  readonly attainment: number;
+  /** Share of requests that were refused as not run. */
+  readonly notRun: number;
+  readonly moves: number;
+  /** Times to the last byte of answers, sorted. */
+  readonly latencies: readonly Milliseconds[];
+  readonly requests: number;
+  /** Requests that missed, by refusal code and part of the run. */
+  readonly missed: ReadonlyMap<string, number>;
+}
+
+interface Tally {
+  requests: number;
+  met: number;
+  notRun: number;
+  readonly missed: Map<string, number>;
+  readonly latencies: Milliseconds[];
+}
+
+async function readWhole(response: CallerResponse): Promise<boolean> {
+  if (response.body instanceof Uint8Array) return response.status === 200;
+  for await (const part of response.body as AsyncIterable<BodyPart>)
+    if (part.isLeft()) return false;
+  return response.status === 200;
+}
+
+async function send(world: World, arrival: Arrival, tally: Tally): Promise<void> {
+  const { clock, random } = world;
+  const measured = clock.now() >= phases.measureFrom;
+  const startedAt = clock.now();
+  const body = { model: arrival.model, prompt: arrival.prompt, max_tokens: arrival.maxTokens };
+  const response = await world.call(pick(random, world.liveBoxes()), {
+    method: "POST",
+    path: "/v1/completions",
+    headers: {
+      authorization: `Bearer ${accountToken}`,
+      "linkfall-deadline-ms": String(arrival.deadlineMs),
+    },
+    body: Buffer.from(JSON.stringify(body)),
+    gone: new AbortController().signal,
+  });
+  const whole = response !== undefined && (await readWhole(response));
+  if (!measured) return;
+  noteMiss(tally, arrival, response, whole, startedAt, clock.now());
+  const took = clock.now() - startedAt;
+  tally.requests += 1;
+  if (whole) tally.latencies.push(took);
+  if (whole && took <= arrival.deadlineMs) tally.met += 1;
+  if (response?.headers["linkfall-outcome"] === "not_run") tally.notRun += 1;
+}
+
+function partOfRun(at: Milliseconds): string {
+  if (at >= phases.lossFrom) return "loss";
+  if (at >= phases.shiftUntil) return "after";
+  return at >= phases.shiftFrom ? "shift" : "steady";
+}
+
+function noteMiss(
+  tally: Tally,
+  arrival: Arrival,
+  response: CallerResponse | undefined,
+  whole: boolean,
+  startedAt: Milliseconds,
+  now: Milliseconds,
+): void {
+  if (whole && now - startedAt <= arrival.deadlineMs) return;
+  const body =
+    response?.body instanceof Uint8Array ? Buffer.from(response.body).toString("utf8") : "";
+  const code = /"code":"(\w+)"/.exec(body)?.[1] ?? (whole ? "late" : "cut");
+  const key = `${partOfRun(startedAt)} ${code}`;
+  tally.missed.set(key, (tally.missed.get(key) ?? 0) + 1);
+}
+
+async function declare(world: World, resources: Deployment["resources"]): Promise<void> {
+  const changes = resources.map((resource): Change => ({ action: "put", resource, base: 0 }));
+  await world.boxes[0].box.operators.handle({
+    method: "POST",
+    path: "/v1/writes",
+    headers: { authorization: `Bearer ${operatorToken}` },
+    body: Buffer.from(JSON.stringify({ changes })),
+    gone: new AbortController().signal,
+  });
+}
+
+function movesSoFar(world: World): number {
+  const kinds = ["load", "unload", "role"];
+  const causes = ["reachability", "min_replicas", "adapter", "make_room", "demand", "role"];
+  return world.boxes.reduce((sum, { box }) => {
+    const metrics = box.kernel.find(metricsName);
+    const counts = kinds.flatMap((kind) =>
+      causes.map((cause) => metrics.counterValue("linkfall_moves_total", { kind, cause })),
+    );
+    return sum + counts.reduce((all, count) => all + count, 0);
+  }, 0);
+}
+
+function loseDomain(world: World, deployment: Deployment): void {
+  const [domain] = deployment.targets.domains;
+  const lost = world.engines.filter((engine) => engine.core.engine.domain === domain);
+  world.clock.after(phases.lossFrom, () => {
+    for (const engine of lost) {
+      engine.down = true;
+      engine.core.restart();
+    }
+  });
+  world.clock.after(phases.lossUntil, () => {
+    for (const engine of lost) engine.down = false;
+  });
+}
+
+/** Runs a deployment once. */
+export async function runPolicy(
+  deployment: Deployment,
+  variant: Variant,
+  seed: number,
+  faults: boolean,
+): Promise<RunResult> {
+  const world = createWorld(seed, { targets: deployment.targets, settings: variant.settings });
+  // Its own random numbers, so that every variant gets the same requests.
+  const workload = createWorkload(deployment, seededRandom(seed));
+  const tally: Tally = { requests: 0, met: 0, notRun: 0, missed: new Map(), latencies: [] };
+  for (let index = 1; index <= deployment.boxes; index++) await world.startBox(`b${index}`);
+  if (faults) loseDomain(world, deployment);
+
+  const arrivals = async () => {
+    while (world.clock.now() < phases.end) {
+      await sleep(world.clock, workload.nextGap(world.clock.now()));
+      void send(world, workload.next(world.clock.now()), tally);
+    }
+  };
+  await world.clock.runUntil(1_000);
+  void declare(world, variant.resources?.(deployment) ?? deployment.resources);
+  world.clock.after(phases.requestsFrom, () => void arrivals());
+  await world.clock.runUntil(phases.measureFrom);
+  const movesBefore = movesSoFar(world);
+  await world.clock.runUntil(phases.end + 20_000);
+  return {
+    attainment: tally.met / tally.requests,
+    notRun: tally.notRun / tally.requests,
+    moves: movesSoFar(world) - movesBefore,
+    latencies: tally.latencies.sort((a, b) => a - b),
+    requests: tally.requests,
+    missed: tally.missed,
+  };
+}
--- a/packages/config/src/keys.ts
+++ b/packages/config/src/keys.ts
@@ -250,9 +250,9 @@
   placement: {
     plan_ms: key(wholeNumber(50, 600_000, 1_000), "ms", "Time between plans of a pool's holder."),
     cooldown_ms: key(
-      wholeNumber(0, 3_600_000, 60_000),
+      wholeNumber(0, 3_600_000, 15_000),
       "ms",
-      "Shortest time between two moves of spare replicas of one model.",
+      "Wait after spare replicas of a model were added, before more are.",
     ),
     moves_per_minute: key(
       wholeNumber(1, 10_000, 6),
--- a/packages/placement/src/demand.ts
+++ b/packages/placement/src/demand.ts
@@ -33,6 +33,18 @@
   return busy.length === 0 ? 0 : Math.min(...busy);
 }
 
+/**
+ * Whether the copies that are there and coming should do. All that are wanted are loaded in one go;
+ * then the cool-down lets their effect show before there is more.
+ */
+function hasEnough(pool: WorkingPool, view: ModelView, busy: number): boolean {
+  const standing = pool.standingCopies(artifactOf(view));
+  const coming = standing.filter((copy) => copy.state === "coming").length;
+  const wanted = Math.ceil(((standing.length - coming) * busy) / busyUtilisation);
+  if (coming === 0) return view.coolingDown;
+  return standing.length >= wanted;
+}
+
 function isIdle(slot: Slot): boolean {
   const { counted, orderable, utilisation } = slot.view;
   return counted && orderable && utilisation <= idleUtilisation;
@@ -68,9 +80,7 @@
 function moveFor(pool: WorkingPool, input: PoolView, view: ModelView): DemandMove | undefined {
   const { attainmentWeight, movesWeight, mayUnload } = input.limits;
   const busy = easiestUtilisation(pool, view);
-  if (view.coolingDown || busy < busyUtilisation) return undefined;
-  const standing = pool.standingCopies(artifactOf(view));
-  if (standing.some((copy) => copy.state === "coming")) return undefined;
+  if (busy < busyUtilisation || hasEnough(pool, view, busy)) return undefined;
 
   const gainAt = (slot: Slot, moves: number) => {
     const relieved = Math.min(busy, fullUtilisation) - slot.view.utilisation;
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,2 +1,3 @@
 export * from "./scenarios/run-seed.js";
+export { type ExtraSettings, operatorToken } from "./scenarios/settings.js";
 export * from "./scenarios/world.js";
--- a/packages/soak/src/scenarios/world.ts
+++ b/packages/soak/src/scenarios/world.ts
@@ -20,6 +20,7 @@
   TargetResponse,
 } from "@linkfall/ports";
 import {
+  type BatchSpeeds,
   type BoxListCore,
   createBoxListCore,
   createEngineCore,
@@ -32,7 +33,7 @@
   type ServiceCore,
   type WeightStoreCore,
 } from "@linkfall/stand-ins";
-import type { Milliseconds } from "@linkfall/types";
+import type { Engine, Milliseconds } from "@linkfall/types";
 import { type Either, Left, Right } from "purify-ts";
 import { createGatedProcess, type GatedProcess } from "./gated-process.js";
 import { createNetwork, type Network, peerLost, targetLost } from "./network.js";
@@ -41,7 +42,6 @@
 
 const listLagMs: Milliseconds = 700;
 const reportLagMs: Milliseconds = 300;
-const weightMbPerSecond = 1_500;
 const peerLimitMs: Milliseconds = 1_500;
 const weightLoadsAtOnce = 8;
 const serviceWorkMs: Milliseconds = 30;
@@ -104,7 +104,27 @@
   checkWeights(): void;
 }
 
+/** The targets of a world. */
+export interface WorldTargets {
+  readonly engines: readonly Engine[];
+  readonly serviceAddresses: readonly string[];
+  readonly domains: readonly string[];
+  readonly speeds: Omit<BatchSpeeds, "concurrency">;
+  /** What the weight store gives each load, in megabytes a second. */
+  readonly weightMbPerSecond: number;
+}
+
+/** The targets of the randomised runs. */
+const soakTargets: WorldTargets = {
+  engines: soakEngines,
+  serviceAddresses,
+  domains,
+  speeds: soakSpeeds,
+  weightMbPerSecond: 1_500,
+};
+
 export interface WorldOptions {
+  readonly targets?: WorldTargets;
   readonly settings?: ExtraSettings;
   readonly trace?: Trace;
 }
@@ -116,7 +136,8 @@
   const network = createNetwork(clock, random);
   const log = createLogCore(clock, random);
   const list = createBoxListCore(clock, listLagMs);
-  const weights = createWeightStoreCore(clock, weightMbPerSecond);
+  const targets = options.targets ?? soakTargets;
+  const weights = createWeightStoreCore(clock, targets.weightMbPerSecond);
   const runs = new Map<string, number>();
   const violations: string[] = [];
   const eventCounts = new Map<EventName, number>();
@@ -155,7 +176,7 @@
     }
   };
 
-  const engines: WorldEngine[] = soakEngines.map((declared) => {
+  const engines: WorldEngine[] = targets.engines.map((declared) => {
     const engine: WorldEngine = {
       down: false,
       core: createEngineCore({
@@ -163,7 +184,7 @@
         clock,
         random,
         store: weights,
-        speeds: { ...soakSpeeds, concurrency: declared.concurrency },
+        speeds: { ...targets.speeds, concurrency: declared.concurrency },
         reportLagMs,
         violation,
         ran: (request) => noteStart(engine, request),
@@ -172,7 +193,7 @@
     };
     return engine;
   });
-  const services = serviceAddresses.map((address) =>
+  const services = targets.serviceAddresses.map((address) =>
     createServiceCore(address, clock, serviceWorkMs, (path, body) => countRun(`${path} ${body}`)),
   );
 
@@ -301,7 +322,7 @@
 
   const startBox = async (name: string): Promise<WorldBox> => {
     const process = createGatedProcess(clock);
-    const domain = domains[Number(name.slice(1)) % domains.length];
+    const domain = targets.domains[Number(name.slice(1)) % targets.domains.length];
     const settings = soakSettings(name, domain, hashOf(operatorToken), options.settings);
     const ports: BoxPorts = {
       clock: process.clock,
