Usage goes to the boxes that need it; capacity measurements; quotas tested over boxes

Cause: heartbeats carried every model's demand and every account's rate to every peer: bytes grew with models times boxes, which cannot fit 17 KB/s at 430 nodes. Reports of engines listed up to 1,000 settled orders. Ruled out: sending less often (the product remains), sending the largest only (quotas would be wrong for the rest). Change: demand goes to the holder of the model's pool, an account's rate to one box by rendezvous hashing, which answers with the sum; heartbeats keep members and log records only. Reports show the 64 newest settled orders; a repeated order is shown anew. bench:capacity measures slopes, bench:box whole processes.

--- /dev/null
+++ b/packages/bench/src/box-cost.ts
@@ -0,0 +1,150 @@
+/**
+ * `npm run bench:box`: what whole boxes cost as processes: at rest, and for each token that they pass
+ * on. Processor time and memory are read from the system's own accounts of the process.
+ */
+import { readFileSync } from "node:fs";
+import { createOperatorClient } from "@linkfall/operator-client";
+import {
+  DeploymentProcesses,
+  type EngineShape,
+  hashToken,
+  operatorToken,
+  type RunningBox,
+  until,
+} from "@linkfall/stand-ins";
+import type { Resource } from "@linkfall/types";
+
+const ticksPerSecond = 100;
+const restSeconds = 20;
+const loadSeconds = 15;
+const token = "token";
+const boxCount = 8;
+const engineCount = 13;
+const modelCount = 40;
+
+/** Processor seconds of a process so far. */
+function processorSeconds(pid: number): number {
+  const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1].split(" ");
+  return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond;
+}
+
+function residentMb(pid: number): number {
+  const line = /VmRSS:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, "utf8"));
+  return Number(line?.[1] ?? 0) / 1_024;
+}
+
+const seconds = (count: number) => new Promise((resolve) => setTimeout(resolve, count * 1_000));
+const pidOf = (box: RunningBox) => box.child.pid ?? 0;
+const mean = (list: readonly number[]) => list.reduce((sum, each) => sum + each, 0) / list.length;
+
+function say(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function shape(index: number): EngineShape {
+  return {
+    name: `e${index}`,
+    pool: "p",
+    domain: `d${index % 4}`,
+    acceleratorsMb: [100, 100],
+    batchReserveMb: 0,
+    role: "mixed",
+    fenced: true,
+    concurrency: 64,
+    leaving: false,
+  };
+}
+
+function resources(engines: readonly Resource[]): readonly Resource[] {
+  const account: Resource = {
+    kind: "account",
+    name: "one",
+    tokenHash: hashToken(token),
+    share: 1,
+    requestsPerSecond: 100_000,
+    maxPriority: 9,
+  };
+  const models = Array.from({ length: modelCount }, (_, index): Resource => ({
+    kind: "model",
+    name: `m${index}`,
+    pool: "p",
+    version: "1",
+    sizeMb: 10,
+    accounts: ["one"],
+    priority: 5,
+    minReplicas: 1,
+  }));
+  const pool: Resource = { kind: "pool", name: "p", loadsPerSecond: 2, loadsAtOnce: 8 };
+  return [account, pool, ...engines, ...models];
+}
+
+async function startDeployment(deployment: DeploymentProcesses): Promise<void> {
+  await deployment.startPlatform();
+  const engines: Resource[] = [];
+  for (let index = 0; index < engineCount; index++)
+    engines.push(await deployment.startEngine(shape(index)));
+  for (let index = 0; index < boxCount; index++) {
+    const extra = { callers: { max_in_flight: 5_000 }, log: { level: "warn" } };
+    await deployment.startBox(`box-${index}`, `d${index % 4}`, extra);
+  }
+  await Promise.all(deployment.boxes.map((box) => deployment.untilReady(box)));
+  const url = `http://${deployment.boxes[0].operatorAddress}`;
+  const operator = createOperatorClient({ url, token: operatorToken });
+  const changes = resources(engines).map(
+    (resource) => ({ action: "put", resource, base: 0 }) as const,
+  );
+  await operator.write(changes);
+  const placed = async () => {
+    const status = await operator.status();
+    return status.map(({ models }) => models.every((model) => model.ready > 0)).orDefault(false);
+  };
+  await until(placed, () => "models were not placed", 120_000);
+}
+
+/** Sends streams through one box until the time is up; answers with the tokens that came. */
+async function load(box: RunningBox, atOnce: number): Promise<number> {
+  const end = performance.now() + loadSeconds * 1_000;
+  let tokens = 0;
+  const caller = async (number: number) => {
+    for (let turn = 0; performance.now() < end; turn++) {
+      const answer = await fetch(`http://${box.callerAddress}/v1/completions`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${token}` },
+        body: JSON.stringify({
+          model: `m${number % modelCount}`,
+          prompt: `${number} ${turn}`,
+          max_tokens: 200,
+          stream: true,
+        }),
+      });
+      tokens += (await answer.text()).split("\n\n").length - 2;
+    }
+  };
+  await Promise.all(Array.from({ length: atOnce }, (_, number) => caller(number)));
+  return tokens;
+}
+
+const deployment = new DeploymentProcesses();
+try {
+  await startDeployment(deployment);
+  const pids = deployment.boxes.map(pidOf);
+  const before = pids.map(processorSeconds);
+  await seconds(restSeconds);
+  const rest = pids.map(
+    (pid, index) => ((processorSeconds(pid) - before[index]) * 100) / restSeconds,
+  );
+  say(
+    `at rest, ${boxCount} boxes, ${engineCount} engines, ${modelCount} models: ${mean(rest).toFixed(2)} % of a core (most ${Math.max(...rest).toFixed(2)}), ${mean(pids.map(residentMb)).toFixed(0)} MB resident`,
+  );
+  const [box] = deployment.boxes;
+  for (const atOnce of [20, 80]) {
+    const start = processorSeconds(pidOf(box));
+    const tokens = await load(box, atOnce);
+    const used = processorSeconds(pidOf(box)) - start;
+    say(
+      `${atOnce} streams at once: ${(tokens / loadSeconds).toFixed(0)} tokens/s, ${((used * 100) / loadSeconds).toFixed(1)} % of a core, ${((used * 1e6) / tokens).toFixed(1)} us a token, ${residentMb(pidOf(box)).toFixed(0)} MB resident`,
+    );
+  }
+} finally {
+  await deployment.stop();
+}
--- /dev/null
+++ b/packages/bench/src/capacity.ts
@@ -0,0 +1,382 @@
+/**
+ * `npm run bench:capacity`: the slopes from which docs/CAPACITY.md is worked out. Times are processor
+ * time of this process, not of the clock on the wall.
+ */
+import { createHash } from "node:crypto";
+import { createEngineHttp } from "@linkfall/engine-http";
+import { createHttpClient } from "@linkfall/http-client";
+import { createJsonCaller } from "@linkfall/json-call";
+import { createVirtualClock, seededRandom, systemClock } from "@linkfall/kernel";
+import { ledgersOf } from "@linkfall/ledger";
+import { createMemberTable } from "@linkfall/membership";
+import { createOnceMemory, createTicketOffice, parseOnceId } from "@linkfall/once";
+import { createPeerClient, createPeerServer } from "@linkfall/peer-grpc";
+import { type PoolView, planPool } from "@linkfall/placement";
+import { createLogHttp } from "@linkfall/platform-http";
+import { type PeerHandler, streams } from "@linkfall/ports";
+import { jsonResponse } from "@linkfall/refusals";
+import { chooseTarget } from "@linkfall/routing";
+import { DeploymentProcesses, freeAddresses } from "@linkfall/stand-ins";
+import {
+  applyEntry,
+  desiredStateOf,
+  emptyState,
+  type FoldedState,
+  parseState,
+  serialiseState,
+} from "@linkfall/state-fold";
+import {
+  type Change,
+  type Engine,
+  type EngineReport,
+  type MemberEntry,
+  modelArtifact,
+  type Resource,
+} from "@linkfall/types";
+
+const microsecondsPerMillisecond = 1_000;
+
+function say(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function heapUsed(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+/** Processor time of one call, in microseconds, over `count` calls. */
+async function processorTime(count: number, act: (index: number) => unknown): Promise<number> {
+  const start = process.cpuUsage();
+  for (let index = 0; index < count; index++) await act(index);
+  const used = process.cpuUsage(start);
+  return (used.user + used.system) / count;
+}
+
+function row(what: string, size: string, value: string): void {
+  say(`| ${what} | ${size} | ${value} |`);
+}
+
+const us = (value: number) => `${value.toFixed(1)} us`;
+const kb = (value: number) => `${(value / 1_024).toFixed(2)} KB`;
+
+// --- State ---------------------------------------------------------------------------------
+
+function engineResource(index: number, accelerators = 8): Engine {
+  return {
+    kind: "engine",
+    name: `engine-${index}`,
+    pool: `pool-${index % 63}`,
+    address: `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}:8000`,
+    domain: `domain-${index % 9}`,
+    acceleratorsMb: Array(accelerators).fill(80_000),
+    batchReserveMb: 0,
+    role: "mixed",
+    fenced: true,
+    concurrency: 32,
+    leaving: false,
+  };
+}
+
+function modelResource(index: number): Resource {
+  return {
+    kind: "model",
+    name: `model-${index}`,
+    pool: `pool-${index % 63}`,
+    version: "1",
+    sizeMb: 20_000,
+    accounts: [`account-${index % 300}`],
+    priority: 5,
+    minReplicas: 2,
+  };
+}
+
+/** A deployment of about `scale` times the two-year size: pools, accounts, engines, models, adapters. */
+function resourcesAt(scale: number): readonly Resource[] {
+  const list = <T>(count: number, make: (index: number) => T) =>
+    Array.from({ length: Math.ceil(count * scale) }, (_, index) => make(index));
+  return [
+    ...Array.from({ length: 63 }, (_, index): Resource => ({
+      kind: "pool",
+      name: `pool-${index}`,
+      loadsPerSecond: 2,
+      loadsAtOnce: 8,
+    })),
+    ...Array.from({ length: 300 }, (_, index): Resource => ({
+      kind: "account",
+      name: `account-${index}`,
+      tokenHash: createHash("sha256").update(String(index)).digest("hex"),
+      share: 1,
+      requestsPerSecond: 100,
+      maxPriority: 5,
+    })),
+    ...list(3_800, (index) => engineResource(index)),
+    ...list(440, modelResource),
+    ...list(1_000, (index): Resource => ({
+      kind: "adapter",
+      name: `adapter-${index}`,
+      model: `model-${index % Math.ceil(440 * scale)}`,
+      version: "1",
+      sizeMb: 300,
+      accounts: [`account-${index % 300}`],
+    })),
+  ];
+}
+
+function write(state: FoldedState, id: string, changes: readonly Change[]): void {
+  const record = { type: "write", id, who: "operator", at: "", changes };
+  applyEntry(state, { offset: state.offset + 1, data: JSON.stringify(record) });
+}
+
+async function measureState(scale: number): Promise<void> {
+  const resources = resourcesAt(scale);
+  const before = heapUsed();
+  const state = emptyState();
+  write(
+    state,
+    "b@1#1",
+    resources.map((resource) => ({ action: "put", resource, base: 0 })),
+  );
+  const desired = desiredStateOf(state);
+  const held = heapUsed() - before;
+  const size = `${state.resources.size} resources`;
+  row("memory of the folded state", size, `${kb(held)}, ${kb(held / state.resources.size)} each`);
+  const one = modelResource(0);
+  const foldTime = await processorTime(20, (index) => {
+    const base = state.resources.get("model/model-0")?.revision ?? 0;
+    write(state, `b@1#${index + 2}`, [{ action: "put", resource: one, base }]);
+    return desiredStateOf(state);
+  });
+  row("one change: fold and new view", size, us(foldTime));
+  const renew = { type: "renew", holder: "b@1", epochs: [1] };
+  const renewTime = await processorTime(2_000, (index) => {
+    const data = JSON.stringify({ ...renew, id: `b@1#${index + 100}` });
+    applyEntry(state, { offset: state.offset + 1, data });
+  });
+  row("one renewal folded", size, us(renewTime));
+  const text = serialiseState(state);
+  row("snapshot", size, `${kb(text.length)}, ${kb(text.length / state.resources.size)} each`);
+  const snapshotTime = await processorTime(3, () => parseState(serialiseState(state)));
+  row("snapshot written and read", size, us(snapshotTime));
+  if (desired.models.size === 0) throw new Error("no models");
+}
+
+// --- Members -------------------------------------------------------------------------------
+
+function member(index: number, heartbeat: number): MemberEntry {
+  return {
+    box: `box-${index}`,
+    incarnation: `box-${index}@0123456789ab`,
+    peerAddress: `10.0.${index >> 8}.${index & 255}:7071`,
+    callerAddress: `10.0.${index >> 8}.${index & 255}:7070`,
+    domain: `domain-${index % 9}`,
+    heartbeat,
+    leaving: false,
+  };
+}
+
+async function measureHeartbeats(members: number, entries: number): Promise<void> {
+  const changes = { joined: () => undefined, gone: () => undefined };
+  const limits = { suspectMs: 15_000, forgetMs: 60_000 };
+  const before = heapUsed();
+  const table = createMemberTable("box-x@1", limits, changes);
+  let beat = 1;
+  const some = () =>
+    Array.from({ length: entries }, (_, at) => member((beat * entries + at) % members, beat));
+  table.merge(
+    Array.from({ length: members }, (_, index) => member(index, 0)),
+    0,
+  );
+  const held = heapUsed() - before;
+  const summary = { offset: 1, ready: true, logSilentMs: 100 };
+  const message = () => ({ from: member(0, ++beat), members: some(), summary });
+  const handler: PeerHandler = {
+    heartbeat(received) {
+      table.merge(received.members, beat);
+      return { ...message(), records: [] };
+    },
+    fetchState: () => ({ offset: 0, data: "" }),
+    reportUsage: () => [],
+    forward: async () => jsonResponse({}),
+  };
+  const server = createPeerServer(handler, (problem) => {
+    throw problem;
+  });
+  const port = await server.listen("127.0.0.1:0");
+  const client = createPeerClient(systemClock(), 5_000);
+  const address = `127.0.0.1:${port}`;
+  await client.heartbeat(address, message());
+  const time = await processorTime(1_500, async () => {
+    const reply = await client.heartbeat(address, message());
+    table.merge(reply.unsafeCoerce().members, beat);
+  });
+  client.close();
+  server.close();
+  const size = `${members} members, ${entries} entries`;
+  const bytes = JSON.stringify(message()).length;
+  row("heartbeat sent, answered and merged (both sides)", size, us(time));
+  row("its message as JSON text (upper bound of the wire)", size, kb(bytes));
+  row("memory of the member table", size, kb(held));
+}
+
+// --- Targets and log over HTTP ---------------------------------------------------------------
+
+function reportWith(engine: Engine, residents: number): EngineReport {
+  return {
+    engine: engine.name,
+    engineIncarnation: `${engine.name}-1-0123456789ab`,
+    sequence: 1,
+    fence: 7,
+    role: "mixed",
+    residents: Array.from({ length: residents }, (_, index) => ({
+      artifact: modelArtifact(`model-${index}`, "1"),
+      accelerator: index % engine.acceleratorsMb.length,
+      sizeMb: 20_000,
+      state: "ready",
+    })),
+    running: 3,
+    queued: 0,
+    pendingTokens: 100,
+    tokensPerSecond: 200,
+    leaving: false,
+    settledOrders: [],
+  };
+}
+
+async function measureHttp(): Promise<void> {
+  const deployment = new DeploymentProcesses();
+  await deployment.startPlatform();
+  const engine = await deployment.startEngine({ ...engineResource(0), name: "engine-0" });
+  const clock = systemClock();
+  const client = createHttpClient();
+  const caller = createJsonCaller(clock, client, 5_000);
+  const port = createEngineHttp(caller);
+  const log = createLogHttp(caller, deployment.logAddress);
+  await port.report(engine.address);
+  row(
+    "report polled over HTTP (asking side)",
+    "no residents",
+    us(await processorTime(2_000, () => port.report(engine.address))),
+  );
+  row(
+    "empty read of the log over HTTP (asking side)",
+    "",
+    us(await processorTime(2_000, () => log.read(streams.state, 1, 500))),
+  );
+  client.close();
+  await deployment.stop();
+}
+
+async function measureReports(residents: number): Promise<void> {
+  const report = reportWith(engineResource(0), residents);
+  const text = JSON.stringify(report);
+  const time = await processorTime(5_000, () => JSON.parse(text));
+  row("report", `${residents} residents`, `${kb(text.length)}, parsed in ${us(time)}`);
+}
+
+// --- Planning and choosing -------------------------------------------------------------------
+
+function planned(engines: number, accelerators: number, models: number): PoolView {
+  const list = Array.from({ length: engines }, (_, index) => engineResource(index, accelerators));
+  return {
+    engines: list.map((engine, index) => {
+      const residents = Array.from({ length: 3 * accelerators }, (_, at) => ({
+        artifact: modelArtifact(`model-${(index * 5 + at) % models}`, "1"),
+        accelerator: at % accelerators,
+        sizeMb: 20_000,
+        state: "ready" as const,
+      }));
+      return {
+        engine,
+        accelerators: ledgersOf(engine, { ...reportWith(engine, 0), residents }, []),
+        role: "mixed",
+        roleOrdered: false,
+        orderable: true,
+        counted: true,
+        utilisation: 0.4 + (index % 5) / 10,
+      };
+    }),
+    models: Array.from({ length: models }, (_, index) => {
+      const model = modelResource(index);
+      if (model.kind !== "model") throw new Error("not a model");
+      return { model, adapters: [], demandShare: 1 / models, coolingDown: false };
+    }),
+    limits: { attainmentWeight: 1, movesWeight: 1, mayUnload: true, spareMoves: 1 },
+  };
+}
+
+async function measurePlan(engines: number, accelerators: number, models: number): Promise<void> {
+  const view = planned(engines, accelerators, models);
+  const time = await processorTime(10, () => planPool(view));
+  const size = `${engines} engines of ${accelerators}, ${models} models`;
+  row("one plan", size, `${(time / microsecondsPerMillisecond).toFixed(2)} ms`);
+}
+
+async function measureChoice(count: number): Promise<void> {
+  const candidates = Array.from({ length: count }, (_, index) => ({
+    target: `engine-${index}`,
+    address: "",
+    load: ((index * 7) % 5) / 10,
+    waitMs: 0,
+  }));
+  const context = {
+    policy: "affinity",
+    random: seededRandom(1),
+    turn: 0,
+    affinityBound: 1.5,
+  } as const;
+  const time = await processorTime(20_000, (index) =>
+    chooseTarget(candidates, { ...context, affinityKey: `account/model/${index}` }),
+  );
+  row("one choice by affinity", `${count} replicas`, us(time));
+}
+
+async function measureOnce(): Promise<void> {
+  const clock = createVirtualClock();
+  const office = createTicketOffice(clock, "box-1@0123456789ab", "secret", 30_000);
+  const memory = createOnceMemory(clock, office, {
+    retentionMs: 300_000,
+    entries: 100_000,
+    answerBytes: 0,
+  });
+  const { id: ticket } = office.issue("account");
+  const count = 20_000;
+  const before = heapUsed();
+  const time = await processorTime(count, (index) => {
+    const id = parseOnceId(`${ticket}/${index}`);
+    return id && memory.run(id, "account", async () => jsonResponse({}));
+  });
+  row(
+    "one not repeatable request remembered",
+    `${count} requests`,
+    `${kb((heapUsed() - before) / count)}, ${us(time)}`,
+  );
+}
+
+/** Runs all measurements. */
+async function main(): Promise<void> {
+  say("| what | at | measured |\n| --- | --- | --- |");
+  for (const scale of [0.05, 0.25, 1]) await measureState(scale);
+  for (const [members, entries] of [
+    [8, 8],
+    [64, 32],
+    [430, 32],
+  ] as const) {
+    await measureHeartbeats(members, entries);
+  }
+  await measureHttp();
+  for (const residents of [8, 16, 32]) await measureReports(residents);
+  for (const [engines, accelerators, models] of [
+    [13, 2, 40],
+    [30, 8, 40],
+    [60, 8, 40],
+    [60, 8, 80],
+  ] as const) {
+    await measurePlan(engines, accelerators, models);
+  }
+  for (const count of [8, 30, 60]) await measureChoice(count);
+  await measureOnce();
+  await freeAddresses(1);
+}
+
+await main();
--- a/packages/box/src/create-box.ts
+++ b/packages/box/src/create-box.ts
@@ -10,7 +10,6 @@
 } from "@linkfall/caller-service";
 import { completionsName, createCompletions } from "@linkfall/completion";
 import { type Settings, settingsName } from "@linkfall/config";
-import { createBoxDemandMeter, demandMeterName } from "@linkfall/demand-meter";
 import { clockName, createKernel, type Kernel, randomName, sleep } from "@linkfall/kernel";
 import { createLeaseHolder, leaseHolderName } from "@linkfall/lease-holder";
 import { createLogFollower, logFollowerName } from "@linkfall/log-follower";
@@ -42,6 +41,7 @@
 import { createTargetLoad, targetLoadName } from "@linkfall/target-load";
 import { createTargetWatch, targetWatchName } from "@linkfall/target-watch";
 import type { Incarnation, Milliseconds } from "@linkfall/types";
+import { createUsageReports, usageReportsName } from "@linkfall/usage-report";
 import type { BoxPorts } from "./ports.js";
 
 const drainStepMs: Milliseconds = 100;
@@ -90,7 +90,8 @@
   kernel.provide(targetWatchName, watch, watch);
   const audit = createAudit(kernel);
   kernel.provide(auditName, audit, audit);
-  kernel.provide(demandMeterName, createBoxDemandMeter(kernel));
+  const usage = createUsageReports(kernel);
+  kernel.provide(usageReportsName, usage, usage);
   const control = createPoolControl(kernel);
   kernel.provide(poolControlName, control, control);
   kernel.provide({ name: "snapshot-writer" }, undefined, createSnapshotWriter(kernel));
@@ -117,6 +118,7 @@
   return {
     heartbeat: membership.receive,
     fetchState: membership.stateForPeer,
+    reportUsage: kernel.find(usageReportsName).receive,
     forward: (request) => callers.handle(request, true),
   };
 }
--- a/packages/caller-service/src/caller-service.ts
+++ b/packages/caller-service/src/caller-service.ts
@@ -1,7 +1,6 @@
 /** The way of every caller's request: who, what, within which limits, and then to its endpoint. */
 import { createHash } from "node:crypto";
 import { settingsName } from "@linkfall/config";
-import { demandMeterName } from "@linkfall/demand-meter";
 import { clockName, type Kernel, serviceName } from "@linkfall/kernel";
 import { loggerName } from "@linkfall/logger";
 import { membershipName } from "@linkfall/membership";
@@ -10,6 +9,7 @@
 import { jsonResponse, notRun, outcomeOf, refusalResponse } from "@linkfall/refusals";
 import { stateStoreName } from "@linkfall/state-store";
 import type { Account, Milliseconds, Refusal } from "@linkfall/types";
+import { usageReportsName } from "@linkfall/usage-report";
 import { type Either, Left, Right } from "purify-ts";
 import { createAccountLimits } from "./account-limits.js";
 import { createCompletionEndpoint } from "./completion-endpoint.js";
@@ -40,6 +40,9 @@
 /** A request whose endpoint is known and that may run. */
 interface PreparedRequest {
   readonly mayBeRepeated: boolean;
+  /** Model and output tokens that it asks for; a plain service has none. */
+  readonly model?: string;
+  readonly tokens?: number;
   run(gone: AbortSignal): Promise<CallerResponse>;
 }
 
@@ -57,8 +60,7 @@
   const owners = createOwnerRoute(kernel);
   const completions = createCompletionEndpoint(kernel);
   const services = createServiceEndpoint(kernel);
-  const meter = kernel.find(demandMeterName);
-  membership.reportDemand(() => ({ demand: meter.own(), accounts: limits.rates() }));
+  const usage = kernel.find(usageReportsName);
 
   const mayServe = (): Refusal | undefined => {
     if (!store.ready()) return notRun("not_ready", "this box has no state yet", comeBackSoonMs);
@@ -82,6 +84,8 @@
     if (request.path === "/v1/completions" && request.method === "POST") {
       return completions.check(account, request.body).map((call) => ({
         mayBeRepeated: terms.repeatable ?? true,
+        model: call.model.name,
+        tokens: call.body.max_tokens,
         run: (gone) => completions.run(account, call, terms, gone),
       }));
     }
@@ -123,6 +127,7 @@
     forwarded: boolean,
   ): Promise<CallerResponse> => {
     const admitted = () => {
+      usage.note(account.name, prepared.model, prepared.tokens);
       const overRate = limits.admit(account);
       return overRate ? Promise.resolve(refusalResponse(overRate)) : undefined;
     };
--- a/packages/caller-service/src/completion-endpoint.ts
+++ b/packages/caller-service/src/completion-endpoint.ts
@@ -5,7 +5,6 @@
   completionsName,
   type CompletionToken,
 } from "@linkfall/completion";
-import { demandMeterName } from "@linkfall/demand-meter";
 import type { TargetUnreachable } from "@linkfall/errors";
 import { clockName, type Kernel } from "@linkfall/kernel";
 import { incarnationName } from "@linkfall/log-writer";
@@ -69,7 +68,6 @@
 export function createCompletionEndpoint(kernel: Kernel): CompletionEndpoint {
   const clock = kernel.find(clockName);
   const store = kernel.find(stateStoreName);
-  const meter = kernel.find(demandMeterName);
   const completions = kernel.find(completionsName);
   const incarnation = kernel.find(incarnationName);
   let requests = 0;
@@ -155,7 +153,6 @@
       ),
     async run(account, call, terms, gone) {
       const { body, model, adapter } = call;
-      meter.note(model.name, body.max_tokens);
       const job: CompletionJob = {
         id: `${incarnation}-${++requests}`,
         account: account.name,
--- a/packages/demand-meter/src/index.ts
+++ b/packages/demand-meter/src/index.ts
@@ -1,5 +1,5 @@
 /** Measures demand by model, as an exponentially smoothed rate. */
-import { type Clock, clockName, type Kernel, serviceName } from "@linkfall/kernel";
+import type { Clock } from "@linkfall/kernel";
 import type { DemandSample, Milliseconds } from "@linkfall/types";
 
 const smoothingMs: Milliseconds = 20_000;
@@ -20,8 +20,6 @@
   own(): readonly DemandSample[];
 }
 
-export const demandMeterName = serviceName<DemandMeter>("demand-meter");
-
 function decay(entry: Decaying, now: Milliseconds): void {
   const factor = Math.exp(-(now - entry.at) / smoothingMs);
   entry.requests *= factor;
@@ -64,11 +62,6 @@
   };
 }
 
-/** The meter on the kernel's clock. */
-export function createBoxDemandMeter(kernel: Kernel): DemandMeter {
-  return createDemandMeter(kernel.find(clockName));
-}
-
 /** Each model's share of the tokens that are asked for, over all samples. */
 export function demandShares(
   reports: readonly (readonly DemandSample[])[],
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -21,8 +21,6 @@
 import { parseState, serialiseState } from "@linkfall/state-fold";
 import { stateStoreName } from "@linkfall/state-store";
 import type {
-  AccountRate,
-  DemandSample,
   Incarnation,
   ListedBox,
   MemberEntry,
@@ -50,9 +48,6 @@
   readonly reached: number;
 }
 
-/** Demand that a box reports of itself. */
-export type OwnDemand = Pick<MemberSummary, "demand" | "accounts">;
-
 export interface Membership {
   self(): MemberEntry;
   /** Members whose heartbeat moves, this box first, leaving ones included. */
@@ -69,12 +64,6 @@
   isolated(): boolean;
   /** Boxes heard in the last moments, this one included, and how many of them have read so far. */
   readTo(offset: Offset): ReadProgress;
-  /** Demand as the other boxes last reported it. */
-  peerDemand(): readonly (readonly DemandSample[])[];
-  /** Rates of client accounts as the other boxes last reported them. */
-  peerAccountRates(): readonly (readonly AccountRate[])[];
-  /** Sets what is sent as this box's own demand. */
-  reportDemand(read: () => OwnDemand): void;
   /** Answers the peers' messages. */
   receive(message: Heartbeat): HeartbeatReply;
   stateForPeer(): PeerState;
@@ -103,7 +92,6 @@
   let leavingTargets: ReadonlySet<string> = new Set();
   let heartbeat = 0;
   let leaving = false;
-  let demandOf: () => OwnDemand = () => ({ demand: [], accounts: [] });
   let entryCursor = 0;
   let wasIsolated = false;
   /**
@@ -144,7 +132,6 @@
     offset: store.state().offset,
     ready: store.ready(),
     logSilentMs: Math.min(Number.MAX_SAFE_INTEGER, Math.round(freshMs())),
-    ...demandOf(),
   });
 
   /** A bounded, rotating part of the table, so that a message stays small in a large fleet. */
@@ -262,11 +249,6 @@
         reached: offsets.filter((reached) => reached >= offset).length,
       };
     },
-    peerDemand: () => [...heard.values()].map((word) => word.summary.demand),
-    peerAccountRates: () => [...heard.values()].map((word) => word.summary.accounts),
-    reportDemand(read) {
-      demandOf = read;
-    },
     receive(message) {
       hear(message.from, message.members, message.summary);
       return {
--- a/packages/peer-grpc/src/convert.ts
+++ b/packages/peer-grpc/src/convert.ts
@@ -1,7 +1,13 @@
 /** Between the generated messages and the types of the ports. */
-import type { Heartbeat, HeartbeatReply } from "@linkfall/ports";
+import type { Heartbeat, HeartbeatReply, UsageReport } from "@linkfall/ports";
 import type { MemberEntry, MemberSummary } from "@linkfall/types";
-import type { BeatReply, BeatRequest, Member, Summary } from "./generated/peer.js";
+import type {
+  BeatReply,
+  BeatRequest,
+  Member,
+  Summary,
+  UsageReport as UsageMessage,
+} from "./generated/peer.js";
 
 /** A message that lacks a part which every sender sets. */
 export class IncompleteMessage extends Error {}
@@ -16,15 +22,9 @@
     offset: summary.offset,
     ready: summary.ready,
     logSilentMs: summary.logSilentMs,
-    demand: summary.demand,
-    accounts: summary.accounts,
   };
 }
 
-function fromSummary(summary: MemberSummary): Summary {
-  return { ...summary, demand: [...summary.demand], accounts: [...summary.accounts] };
-}
-
 function fromMembers(members: readonly MemberEntry[]): Member[] {
   return members.map((member) => ({ ...member }));
 }
@@ -33,10 +33,14 @@
   return {
     from: { ...message.from },
     members: fromMembers(message.members),
-    summary: fromSummary(message.summary),
+    summary: { ...message.summary },
   };
 }
 
+export function toUsageMessage(report: UsageReport): UsageMessage {
+  return { from: report.from, demand: [...report.demand], accounts: [...report.accounts] };
+}
+
 /** @throws IncompleteMessage */
 export function fromBeatRequest(message: BeatRequest): Heartbeat {
   return {
--- a/packages/peer-grpc/src/peer-client.ts
+++ b/packages/peer-grpc/src/peer-client.ts
@@ -9,10 +9,11 @@
   HeartbeatReply,
   PeerPort,
   PeerState,
+  UsageTotals,
 } from "@linkfall/ports";
 import type { Milliseconds } from "@linkfall/types";
 import { type Either, Left, Right } from "purify-ts";
-import { fromBeatReply, toBeatRequest } from "./convert.js";
+import { fromBeatReply, toBeatRequest, toUsageMessage } from "./convert.js";
 import { type ForwardPart, PeerClient, type StatePart } from "./generated/peer.js";
 import { clientCredentials, type PeerTls } from "./peer-tls.js";
 
@@ -144,6 +145,16 @@
           }),
         );
       }),
+    reportUsage: (address, report) =>
+      new Promise<Either<PeerUnreachable, UsageTotals>>((resolve) => {
+        const [, done] = bounded(
+          clientOf(address).reportUsage(toUsageMessage(report), (problem, totals) => {
+            done();
+            if (!problem) return resolve(Right(totals.accounts));
+            resolve(Left(unreachable(problem.message, mayHaveArrived(problem))));
+          }),
+        );
+      }),
     async fetchState(address) {
       const [stream, done] = bounded(clientOf(address).fetchState({}));
       const state = await readState(stream);
--- a/packages/peer-grpc/src/peer-server.ts
+++ b/packages/peer-grpc/src/peer-server.ts
@@ -67,6 +67,9 @@
         reply({ code: status.INVALID_ARGUMENT, message: problem.message });
       }
     },
+    reportUsage(call, reply) {
+      reply(null, { accounts: [...handler.reportUsage(call.request)] });
+    },
     fetchState(call) {
       const { offset, data } = handler.fetchState();
       for (let start = 0; start < data.length; start += statePartLength) {
--- a/packages/pool-control/src/pool-session.ts
+++ b/packages/pool-control/src/pool-session.ts
@@ -5,14 +5,13 @@
  */
 import { auditName } from "@linkfall/audit";
 import { settingsName } from "@linkfall/config";
-import { demandMeterName, demandShares } from "@linkfall/demand-meter";
+import { demandShares } from "@linkfall/demand-meter";
 import { invariant } from "@linkfall/errors";
 import { clockName, type Kernel, randomName } from "@linkfall/kernel";
 import { type HeldLease, leaseHolderName } from "@linkfall/lease-holder";
 import { assertRoomFor, ledgersOf } from "@linkfall/ledger";
 import { logWriterName } from "@linkfall/log-writer";
 import { loggerName } from "@linkfall/logger";
-import { membershipName } from "@linkfall/membership";
 import { metricsName } from "@linkfall/metrics";
 import {
   type EngineView,
@@ -27,6 +26,7 @@
 import { targetWatchName, type WatchedReport } from "@linkfall/target-watch";
 import { createTokenBucket } from "@linkfall/token-bucket";
 import type { Engine, Milliseconds, Order, Settlement } from "@linkfall/types";
+import { usageReportsName } from "@linkfall/usage-report";
 import { match } from "ts-pattern";
 import { createLoadSlots, loadsUnderWay, mayStillLoad } from "./load-slots.js";
 import { createOrderBook, type OpenOrder } from "./order-book.js";
@@ -65,8 +65,7 @@
   const audit = kernel.find(auditName);
   const logger = kernel.find(loggerName);
   const metrics = kernel.find(metricsName);
-  const membership = kernel.find(membershipName);
-  const meter = kernel.find(demandMeterName);
+  const usage = kernel.find(usageReportsName);
   const settings = kernel.find(settingsName);
 
   const takenAt = clock.now();
@@ -270,7 +269,7 @@
 
   const modelViews = (): readonly ModelView[] => {
     const desired = store.desired();
-    const shares = demandShares([meter.own(), ...membership.peerDemand()]);
+    const shares = demandShares(usage.demand());
     const adapters = [...desired.adapters.values()];
     const now = clock.now();
     return [...desired.models.values()]
--- a/packages/ports/src/peer-port.ts
+++ b/packages/ports/src/peer-port.ts
@@ -1,7 +1,15 @@
 /** Messages between boxes. */
 import type { PeerUnreachable } from "@linkfall/errors";
 import { serviceName } from "@linkfall/kernel";
-import type { LogEntry, MemberEntry, MemberSummary, Offset } from "@linkfall/types";
+import type {
+  AccountRate,
+  DemandSample,
+  Incarnation,
+  LogEntry,
+  MemberEntry,
+  MemberSummary,
+  Offset,
+} from "@linkfall/types";
 import type { Either } from "purify-ts";
 import type { CallerRequest, CallerResponse } from "./exchange.js";
 
@@ -27,9 +35,20 @@
   readonly data: string;
 }
 
+/** Usage that one box has seen, for the box that needs it. */
+export interface UsageReport {
+  readonly from: Incarnation;
+  readonly demand: readonly DemandSample[];
+  readonly accounts: readonly AccountRate[];
+}
+
+/** Rates of the accounts of a report, over all boxes that report them. */
+export type UsageTotals = readonly AccountRate[];
+
 export interface PeerPort {
   heartbeat(address: string, message: Heartbeat): Promise<Either<PeerUnreachable, HeartbeatReply>>;
   fetchState(address: string): Promise<Either<PeerUnreachable, PeerState>>;
+  reportUsage(address: string, report: UsageReport): Promise<Either<PeerUnreachable, UsageTotals>>;
   /** Passes a caller's request to the box that must decide on it. */
   forward(
     address: string,
@@ -41,6 +60,7 @@
 export interface PeerHandler {
   heartbeat(message: Heartbeat): HeartbeatReply;
   fetchState(): PeerState;
+  reportUsage(report: UsageReport): UsageTotals;
   forward(request: CallerRequest): Promise<CallerResponse>;
 }
 
--- a/packages/soak/src/scenarios/soak.feature
+++ b/packages/soak/src/scenarios/soak.feature
@@ -46,5 +46,15 @@
     When the engines of one failure domain are lost
     Then every model is ready again within 30 s and no more than 8 loads ran at once
 
+  Scenario Outline: An account's rate holds over all boxes, however its requests are spread
+    Given a deployment at rest
+    When an account of 20 requests a second sends 90 a second to <boxes> boxes for 30 s
+    Then between 15 and 30 a second were let through in the last 15 s
+
+    Examples:
+      | boxes |
+      | 1     |
+      | 3     |
+
   Scenario: The external exchange of one session is as recorded
     Then the session's trace agrees with session.golden.txt
--- a/packages/soak/src/scenarios/soak.steps.ts
+++ b/packages/soak/src/scenarios/soak.steps.ts
@@ -7,7 +7,16 @@
 import { createCallers, type Told } from "./callers.js";
 import type { FaultName } from "./faults.js";
 import { createOperators } from "./operators.js";
-import { accounts, domains, soakModel } from "./resources.js";
+import { type Account, type Resource, resourceKey } from "@linkfall/types";
+import {
+  type AccountName,
+  accounts,
+  domains,
+  soakModel,
+  soakResources,
+  tokenOf,
+} from "./resources.js";
+import { operatorToken } from "./settings.js";
 import { runSeed } from "./run-seed.js";
 import { playSession } from "./session.js";
 import { createWorld, type World, type WorldBox } from "./world.js";
@@ -123,6 +132,66 @@
   },
 );
 
+When(
+  "an account of {int} requests a second sends {int} a second to {int} boxes for {int} s",
+  async function (this: object, rate: number, sent: number, count: number, seconds: number) {
+    const world = worldOf(this);
+    const resource = { ...accountResource("dispatch"), requestsPerSecond: rate };
+    await declare(world, resource);
+    const start = world.clock.now();
+    const half = start + (seconds * 1_000) / 2;
+    let admitted = 0;
+    const sendOne = async (box: WorldBox) => {
+      const lateEnough = world.clock.now() >= half;
+      const response = await world.call(box, {
+        method: "GET",
+        path: "/services/feed/snippets",
+        headers: { authorization: `Bearer ${tokenOf("dispatch")}` },
+        body: new Uint8Array(),
+        gone: new AbortController().signal,
+      });
+      if (response && !(response.body instanceof Uint8Array)) {
+        for await (const part of response.body) assert.ok(part.isRight());
+      }
+      if (lateEnough && response?.status === 200) admitted += 1;
+    };
+    for (let index = 0; index < sent * seconds; index++) {
+      await world.clock.runUntil(start + (index * 1_000) / sent);
+      void sendOne(world.boxes[index % count]);
+    }
+    await world.clock.runUntil(world.clock.now() + 1_000);
+    notes(this).set("admittedRate", (admitted * 2) / seconds);
+  },
+);
+
+Then(
+  "between {int} and {int} a second were let through in the last 15 s",
+  function (this: object, least: number, most: number) {
+    const rate = notes(this).get<number>("admittedRate");
+    assert.ok(rate >= least && rate <= most, `${rate} a second`);
+  },
+);
+
+/** Declares one resource over what stands. */
+async function declare(world: World, resource: Resource): Promise<void> {
+  const stored = world.boxes[0].box.kernel.find(stateStoreName).state().resources;
+  const base = stored.get(resourceKey(resource))?.revision ?? 0;
+  void world.boxes[0].box.operators.handle({
+    method: "POST",
+    path: "/v1/writes",
+    headers: { authorization: `Bearer ${operatorToken}` },
+    body: Buffer.from(JSON.stringify({ changes: [{ action: "put", resource, base }] })),
+    gone: new AbortController().signal,
+  });
+  await world.clock.runUntil(world.clock.now() + 3_000);
+}
+
+function accountResource(name: AccountName): Account {
+  const found = soakResources().find((entry) => entry.kind === "account" && entry.name === name);
+  assert.ok(found?.kind === "account");
+  return found;
+}
+
 Then("the session's trace agrees with session.golden.txt", async () => {
   const trace = await playSession();
   if (process.env.UPDATE_GOLDEN === "1" || !existsSync(goldenFile))
--- a/packages/soak/src/scenarios/world.ts
+++ b/packages/soak/src/scenarios/world.ts
@@ -304,6 +304,8 @@
     return {
       heartbeat: (address, message) =>
         limited(ask(address, async (peer) => peer.box.peerHandler.heartbeat(message))),
+      reportUsage: (address, report) =>
+        limited(ask(address, async (peer) => peer.box.peerHandler.reportUsage(report))),
       fetchState: (address) =>
         limited(ask(address, async (peer) => peer.box.peerHandler.fetchState())),
       async forward(address, request) {
--- a/packages/stand-ins/src/engine-memory.ts
+++ b/packages/stand-ins/src/engine-memory.ts
@@ -3,6 +3,8 @@
 import type { WeightStoreCore } from "./weight-store-core.js";
 
 const rememberedOrders = 1_000;
+/** Settled orders that a report shows; a repeated order is shown anew. */
+const shownOrders = 64;
 
 /** What the memory asks of the rest of the engine. */
 export interface MemoryHooks {
@@ -56,7 +58,8 @@
   };
   const refused = (reason: string): OrderReply => ({ kind: "refused", reason });
   const settle = (order: Order) => {
-    settled = [...settled, order.id].slice(-rememberedOrders);
+    const others = settled.filter((id) => id !== order.id);
+    settled = [...others, order.id].slice(-rememberedOrders);
     hooks.changed();
   };
 
@@ -116,16 +119,19 @@
       return role;
     },
     get settledOrders() {
-      return settled;
+      return settled.slice(-shownOrders);
     },
     order(order) {
-      if (settled.includes(order.id)) return { kind: "accepted" };
+      if (settled.includes(order.id)) {
+        settle(order);
+        return { kind: "accepted" };
+      }
       const reply = carryOut(order);
       settle(order);
       return reply;
     },
     refuse(order, reason) {
-      if (!settled.includes(order.id)) settle(order);
+      settle(order);
       return refused(reason);
     },
     releaseIdle() {
--- a/packages/types/src/members.ts
+++ b/packages/types/src/members.ts
@@ -29,8 +29,6 @@
   readonly ready: boolean;
   /** Time since the box last read the log, in its own clock. */
   readonly logSilentMs: Milliseconds;
-  readonly demand: readonly DemandSample[];
-  readonly accounts: readonly AccountRate[];
 }
 
 /** Requests of one client account as one box saw them, smoothed. */
--- /dev/null
+++ b/packages/usage-report/src/index.ts
@@ -0,0 +1,141 @@
+/**
+ * Usage goes where it is needed and nowhere else: demand for a pool's models to the pool's holder,
+ * and the rate of a client account to the one box that rendezvous hashing names for it, which adds
+ * up what all boxes report and tells them the sum. A broadcast would grow with models times boxes.
+ */
+import { createDemandMeter, type DemandMeter } from "@linkfall/demand-meter";
+import {
+  clockName,
+  type Kernel,
+  randomName,
+  repeatEvery,
+  type Service,
+  serviceName,
+} from "@linkfall/kernel";
+import { incarnationName } from "@linkfall/log-writer";
+import { membershipName } from "@linkfall/membership";
+import { peerPortName, type UsageReport, type UsageTotals } from "@linkfall/ports";
+import { rankNodes } from "@linkfall/rendezvous";
+import { stateStoreName } from "@linkfall/state-store";
+import type { AccountRate, DemandSample, Incarnation, Milliseconds } from "@linkfall/types";
+
+const reportEveryMs: Milliseconds = 2_000;
+/** A report or a sum older than this no longer counts. */
+const reportLifeMs: Milliseconds = 10_000;
+
+export interface UsageReports {
+  /** Counts one request. */
+  note(account: string, model?: string, tokens?: number): void;
+  /** This box's own rate of an account, in requests a second. */
+  ownRate(account: string): number;
+  /** The account's rate over all boxes as its home last told it; undefined when it has not. */
+  totalRate(account: string): number | undefined;
+  /** Demand of every box that has reported to this one, its own first. */
+  demand(): readonly (readonly DemandSample[])[];
+  /** Takes the report of a peer. */
+  receive(report: UsageReport): UsageTotals;
+}
+
+export const usageReportsName = serviceName<UsageReports>("usage-reports");
+
+interface Held<T> {
+  readonly value: T;
+  readonly at: Milliseconds;
+}
+
+/** Drops what is too old. */
+function sweep<T>(entries: Map<string, Held<T>>, now: Milliseconds): void {
+  for (const [key, held] of entries) if (now - held.at > reportLifeMs) entries.delete(key);
+}
+
+function toRates(meter: DemandMeter): readonly AccountRate[] {
+  return meter.own().map(({ model, requestsPerSecond }) => ({ account: model, requestsPerSecond }));
+}
+
+/** Creates the reports of one box; its life cycle is the reporting. */
+export function createUsageReports(kernel: Kernel): UsageReports & Service {
+  const clock = kernel.find(clockName);
+  const store = kernel.find(stateStoreName);
+  const membership = kernel.find(membershipName);
+  const peers = kernel.find(peerPortName);
+  const self = kernel.find(incarnationName);
+  const models = createDemandMeter(clock);
+  const accounts = createDemandMeter(clock);
+  /** Reports of boxes, by incarnation: what this box is the home or the holder for. */
+  const reports = new Map<string, Held<UsageReport>>();
+  const totals = new Map<string, Held<number>>();
+
+  const holderOf = (model: string): Incarnation | undefined => {
+    const pool = store.desired().models.get(model)?.pool;
+    return pool === undefined ? undefined : store.state().leases.get(pool)?.holder;
+  };
+
+  const homeOf = (account: string): Incarnation =>
+    rankNodes(
+      account,
+      membership.serving().map((entry) => entry.incarnation),
+    )[0] ?? self;
+
+  /** What goes to each box. */
+  const reportsByBox = (): ReadonlyMap<Incarnation, UsageReport> => {
+    const byBox = new Map<Incarnation, { demand: DemandSample[]; accounts: AccountRate[] }>();
+    const of = (box: Incarnation) => {
+      const report = byBox.get(box) ?? { demand: [], accounts: [] };
+      byBox.set(box, report);
+      return report;
+    };
+    for (const sample of models.own()) of(holderOf(sample.model) ?? self).demand.push(sample);
+    for (const rate of toRates(accounts)) of(homeOf(rate.account)).accounts.push(rate);
+    return new Map([...byBox].map(([box, report]) => [box, { from: self, ...report }]));
+  };
+
+  const sumOf = (account: string) =>
+    [...reports.values()].reduce((sum, { value }) => {
+      const rate = value.accounts.find((entry) => entry.account === account);
+      return sum + (rate?.requestsPerSecond ?? 0);
+    }, 0);
+
+  const receive = (report: UsageReport): UsageTotals => {
+    const now = clock.now();
+    sweep(reports, now);
+    reports.set(report.from, { value: report, at: now });
+    return report.accounts.map(({ account }) => ({ account, requestsPerSecond: sumOf(account) }));
+  };
+
+  const takeTotals = (told: UsageTotals) => {
+    for (const { account, requestsPerSecond } of told) {
+      totals.set(account, { value: requestsPerSecond, at: clock.now() });
+    }
+  };
+
+  const sendTo = async (box: Incarnation, report: UsageReport) => {
+    if (box === self) return takeTotals(receive(report));
+    const entry = membership.find(box);
+    if (!entry) return;
+    const answer = await peers.reportUsage(entry.peerAddress, report);
+    answer.ifRight(takeTotals);
+  };
+
+  const round = () => {
+    sweep(totals, clock.now());
+    for (const [box, report] of reportsByBox()) void sendTo(box, report);
+  };
+
+  const loop = repeatEvery(clock, kernel.find(randomName), reportEveryMs, round);
+  return {
+    note(account, model, tokens = 0) {
+      accounts.note(account, 0);
+      if (model !== undefined) models.note(model, tokens);
+    },
+    ownRate: (account) =>
+      toRates(accounts).find((entry) => entry.account === account)?.requestsPerSecond ?? 0,
+    totalRate: (account) => totals.get(account)?.value,
+    demand() {
+      const others = [...reports].filter(([box]) => box !== self);
+      return [models.own(), ...others.map(([, held]) => held.value.demand)];
+    },
+    receive,
+    start: loop.start,
+    stop: loop.stop,
+  };
+}
