--- /dev/null
+++ b/packages/pool-control/src/pool-context.ts
@@ -0,0 +1,59 @@
+/** What the parts of a session share: the lease, the engines, their reports and the open orders. */
+import { clockName, type Kernel } from "@linkfall/kernel";
+import { type HeldLease, leaseHolderName } from "@linkfall/lease-holder";
+import { stateStoreName } from "@linkfall/state-store";
+import { targetWatchName, type WatchedReport } from "@linkfall/target-watch";
+import type { Engine, Milliseconds, Order, Pool } from "@linkfall/types";
+import { createOrderBook, type OrderBook } from "./order-book.js";
+
+export interface PoolContext {
+  readonly lease: HeldLease;
+  /** When this session began, by this box's clock. */
+  readonly takenAt: Milliseconds;
+  readonly book: OrderBook;
+  pool(): Pool;
+  engines(): readonly Engine[];
+  engineNamed(name: string): Engine | undefined;
+  /** The report of an engine, if it was asked for after this session began. */
+  reportOf(engine: string): WatchedReport | undefined;
+  /** Whether the lease is still this session's, as far as this box has read. */
+  isCurrent(): boolean;
+  /** Whether it has not run out by this box's clock either. */
+  isValid(): boolean;
+  /** Orders that may still take effect: this session's, and intents that the log holds. */
+  openOrdersOf(engine: string): readonly Order[];
+}
+
+/** Creates the context of a session under a lease that has just been read. */
+export function createPoolContext(kernel: Kernel, lease: HeldLease): PoolContext {
+  const store = kernel.find(stateStoreName);
+  const leases = kernel.find(leaseHolderName);
+  const watch = kernel.find(targetWatchName);
+  const takenAt = kernel.find(clockName).now();
+  const book = createOrderBook();
+  const isCurrent = () => leases.held(lease.pool)?.epoch === lease.epoch;
+  return {
+    lease,
+    takenAt,
+    book,
+    pool() {
+      const least = { kind: "pool", name: lease.pool, loadsPerSecond: 1, loadsAtOnce: 1 } as const;
+      return store.desired().pools.get(lease.pool) ?? least;
+    },
+    engines: () =>
+      [...store.desired().engines.values()].filter((engine) => engine.pool === lease.pool),
+    engineNamed: (name) => store.desired().engines.get(name),
+    reportOf(engine) {
+      const watched = watch.reportOf(engine);
+      return watched && watched.requestedAt >= takenAt ? watched : undefined;
+    },
+    isCurrent,
+    isValid: () => isCurrent() && leases.held(lease.pool)?.valid === true,
+    openOrdersOf(engine) {
+      const intents = [...store.state().intents.values()]
+        .map((intent) => intent.order)
+        .filter((order) => order.engine === engine && !book.has(order.id));
+      return [...book.openOf(engine), ...intents];
+    },
+  };
+}
--- a/packages/soak/src/scenarios/planted-faults.ts
+++ b/packages/soak/src/scenarios/planted-faults.ts
@@ -40,9 +40,9 @@
   {
     name: "fence-not-raised",
     promise: "memory",
-    file: "pool-control/dist/pool-session.js",
-    find: "const fenceStandsOn = (engine) => {",
-    replace: "const fenceStandsOn = (engine) => { return true;",
+    file: "pool-control/dist/fences.js",
+    find: "const standsOn = (engine) => {",
+    replace: "const standsOn = (engine) => { return true;",
     faults: ["lateOrders", "killBox", "pauseBox", "logSlow", "poorLinks"],
   },
   {
