--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -2,7 +2,6 @@
  * `npm run bench:capacity`: the slopes from which docs/CAPACITY.md is worked out. Times are processor
  * time of this process, not of the clock on the wall.
  */
-import { createHash } from "node:crypto";
 import { createEngineHttp } from "@linkfall/engine-http";
 import { createHttpClient } from "@linkfall/http-client";
 import { createJsonCaller } from "@linkfall/json-call";
@@ -16,151 +15,14 @@
 import { type PeerHandler, streams } from "@linkfall/ports";
 import { jsonResponse } from "@linkfall/refusals";
 import { chooseTarget } from "@linkfall/routing";
-import { DeploymentProcesses, freeAddresses } from "@linkfall/stand-ins";
-import {
-  applyEntry,
-  desiredStateOf,
-  emptyState,
-  type FoldedState,
-  parseState,
-  serialiseState,
-} from "@linkfall/state-fold";
-import {
-  type Change,
-  type Engine,
-  type EngineReport,
-  type MemberEntry,
-  modelArtifact,
-  type Resource,
-} from "@linkfall/types";
+import { DeploymentProcesses } from "@linkfall/stand-ins";
+import { type Engine, type EngineReport, type MemberEntry, modelArtifact } from "@linkfall/types";
+import { measureState } from "./capacity-state.js";
+import { engineResource, modelResource } from "./fleet-resources.js";
+import { heapUsed, kb, processorTime, row, say, us } from "./measure.js";
 
 const microsecondsPerMillisecond = 1_000;
 
-function say(text: string): void {
-  process.stdout.write(`${text}\n`);
-}
-
-function heapUsed(): number {
-  globalThis.gc?.();
-  return process.memoryUsage().heapUsed;
-}
-
-/** Processor time of one call, in microseconds, over `count` calls. */
-async function processorTime(count: number, act: (index: number) => unknown): Promise<number> {
-  const start = process.cpuUsage();
-  for (let index = 0; index < count; index++) await act(index);
-  const used = process.cpuUsage(start);
-  return (used.user + used.system) / count;
-}
-
-function row(what: string, size: string, value: string): void {
-  say(`| ${what} | ${size} | ${value} |`);
-}
-
-const us = (value: number) => `${value.toFixed(1)} us`;
-const kb = (value: number) => `${(value / 1_024).toFixed(2)} KB`;
-
-// --- State ---------------------------------------------------------------------------------
-
-function engineResource(index: number, accelerators = 8): Engine {
-  return {
-    kind: "engine",
-    name: `engine-${index}`,
-    pool: `pool-${index % 63}`,
-    address: `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}:8000`,
-    domain: `domain-${index % 9}`,
-    acceleratorsMb: Array(accelerators).fill(80_000),
-    batchReserveMb: 0,
-    role: "mixed",
-    fenced: true,
-    concurrency: 32,
-    leaving: false,
-  };
-}
-
-function modelResource(index: number): Resource {
-  return {
-    kind: "model",
-    name: `model-${index}`,
-    pool: `pool-${index % 63}`,
-    version: "1",
-    sizeMb: 20_000,
-    accounts: [`account-${index % 300}`],
-    priority: 5,
-    minReplicas: 2,
-  };
-}
-
-/** A deployment of about `scale` times the two-year size: pools, accounts, engines, models, adapters. */
-function resourcesAt(scale: number): readonly Resource[] {
-  const list = <T>(count: number, make: (index: number) => T) =>
-    Array.from({ length: Math.ceil(count * scale) }, (_, index) => make(index));
-  return [
-    ...Array.from({ length: 63 }, (_, index): Resource => ({
-      kind: "pool",
-      name: `pool-${index}`,
-      loadsPerSecond: 2,
-      loadsAtOnce: 8,
-    })),
-    ...Array.from({ length: 300 }, (_, index): Resource => ({
-      kind: "account",
-      name: `account-${index}`,
-      tokenHash: createHash("sha256").update(String(index)).digest("hex"),
-      share: 1,
-      requestsPerSecond: 100,
-      maxPriority: 5,
-    })),
-    ...list(3_800, (index) => engineResource(index)),
-    ...list(440, modelResource),
-    ...list(1_000, (index): Resource => ({
-      kind: "adapter",
-      name: `adapter-${index}`,
-      model: `model-${index % Math.ceil(440 * scale)}`,
-      version: "1",
-      sizeMb: 300,
-      accounts: [`account-${index % 300}`],
-    })),
-  ];
-}
-
-function write(state: FoldedState, id: string, changes: readonly Change[]): void {
-  const record = { type: "write", id, who: "operator", at: "", changes };
-  applyEntry(state, { offset: state.offset + 1, data: JSON.stringify(record) });
-}
-
-async function measureState(scale: number): Promise<void> {
-  const resources = resourcesAt(scale);
-  const before = heapUsed();
-  const state = emptyState();
-  write(
-    state,
-    "b@1#1",
-    resources.map((resource) => ({ action: "put", resource, base: 0 })),
-  );
-  const desired = desiredStateOf(state);
-  const held = heapUsed() - before;
-  const size = `${state.resources.size} resources`;
-  row("memory of the folded state", size, `${kb(held)}, ${kb(held / state.resources.size)} each`);
-  const one = modelResource(0);
-  const foldTime = await processorTime(20, (index) => {
-    const base = state.resources.get("model/model-0")?.revision ?? 0;
-    write(state, `b@1#${index + 2}`, [{ action: "put", resource: one, base }]);
-    return desiredStateOf(state);
-  });
-  row("one change: fold and new view", size, us(foldTime));
-  const renew = { type: "renew", holder: "b@1", epochs: [1] };
-  const renewTime = await processorTime(2_000, (index) => {
-    const data = JSON.stringify({ ...renew, id: `b@1#${index + 100}` });
-    applyEntry(state, { offset: state.offset + 1, data });
-  });
-  row("one renewal folded", size, us(renewTime));
-  const text = serialiseState(state);
-  row("snapshot", size, `${kb(text.length)}, ${kb(text.length / state.resources.size)} each`);
-  const snapshotTime = await processorTime(3, () => parseState(serialiseState(state)));
-  row("snapshot written and read", size, us(snapshotTime));
-  if (desired.models.size === 0) throw new Error("no models");
-}
-
 // --- Members -------------------------------------------------------------------------------
 
 function member(index: number, heartbeat: number): MemberEntry {
@@ -376,7 +238,6 @@
   }
   for (const count of [8, 30, 60]) await measureChoice(count);
   await measureOnce();
-  await freeAddresses(1);
 }
 
 await main();
--- a/packages/box/src/create-box.ts
+++ b/packages/box/src/create-box.ts
@@ -45,6 +45,7 @@
 import type { BoxPorts } from "./ports.js";
 
 const drainStepMs: Milliseconds = 100;
+const readyCheckMs: Milliseconds = 100;
 
 /** A box that runs. */
 export interface Box {
@@ -131,6 +132,7 @@
   provideServing(kernel, settings, ports);
 
   const { clock, logger } = ports;
+  const store = kernel.find(stateStoreName);
   const membership = kernel.find(membershipName);
   const callers = kernel.find(callerServiceName);
   const office = kernel.find(ticketOfficeName);
@@ -151,6 +153,11 @@
   const operators = createOperatorService(kernel);
   kernel.provide(operatorServiceName, operators, operators);
 
+  const announceReady = () => {
+    if (store.ready()) logger.event("boxReady", { offset: store.state().offset });
+    else clock.after(readyCheckMs, announceReady);
+  };
+
   const drain = async () => {
     logger.event("boxDraining", { inFlight: callers.open() });
     membership.leave();
@@ -176,6 +183,7 @@
     async start() {
       logger.event("boxStarted", { incarnation });
       await kernel.start();
+      announceReady();
     },
     drain,
     stop: kernel.stop,
--- a/packages/demo/src/callers.ts
+++ b/packages/demo/src/callers.ts
@@ -1,4 +1,4 @@
-/** The requests of the demo, sent as any caller would. */
+/** The requests of the demo, sent over HTTP as callers send them. */
 
 /** A ticket and the addresses to use. */
 export interface Entries {
--- a/packages/logger/src/events.steps.ts
+++ b/packages/logger/src/events.steps.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
-import { readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
 import { Then } from "@cucumber/cucumber";
 import { describeEvents, events } from "./events.js";
 
@@ -13,3 +14,18 @@
   const numbers = Object.values(events).map((kind) => kind.number);
   assert.equal(new Set(numbers).size, numbers.length);
 });
+
+/** The code of every package but this one. */
+function codeOfOthers(): string {
+  const files = readdirSync("packages", { recursive: true, withFileTypes: true }).filter(
+    (entry) => entry.isFile() && /\/src(\/|$)/.test(entry.parentPath) && entry.name.endsWith(".ts"),
+  );
+  const others = files.filter((entry) => !entry.parentPath.startsWith(join("packages", "logger")));
+  return others.map((entry) => readFileSync(join(entry.parentPath, entry.name), "utf8")).join("\n");
+}
+
+Then("each event's name stands in the code of another package", () => {
+  const code = codeOfOthers();
+  const unused = Object.keys(events).filter((name) => !code.includes(`"${name}"`));
+  assert.deepEqual(unused, []);
+});
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -82,19 +82,12 @@
   engineRestarted: event(4011, "warn", "An engine has restarted with empty memory."),
   targetEjected: event(5001, "warn", "A target that fails is left out for a while."),
   requestRefused: event(5002, "debug", "A request was refused."),
-  requestEnded: event(5003, "debug", "A request has ended."),
   outcomeUnknown: event(
     5004,
     "warn",
     "The outcome of a not repeatable request is unknown.",
     "The caller was told so; look at the target's own records.",
   ),
-  badPeerMessage: event(
-    5005,
-    "warn",
-    "A message of a peer could not be understood.",
-    "Check that all boxes run versions that fit.",
-  ),
 } as const satisfies Record<string, EventKind>;
 
 /** Name of an event in the catalogue. */
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -101,10 +101,12 @@
   let electorate = 1;
   const heard = new Map<Incarnation, HeardSummary>();
   const beating = new Set<string>();
+  const suspected = new Set<Incarnation>();
   const table = createMemberTable(incarnation, limits, {
     joined: (entry) => logger.event("memberJoined", { member: entry.incarnation }),
     gone(entry) {
       heard.delete(entry.incarnation);
+      suspected.delete(entry.incarnation);
       logger.event("memberGone", { member: entry.incarnation });
     },
   });
@@ -200,11 +202,24 @@
     wasIsolated = isolated;
   };
 
+  /** Tells of each member once when its heartbeat stands still. */
+  const noteSuspected = () => {
+    const alive = new Set(table.alive(clock.now()).map((entry) => entry.incarnation));
+    for (const { entry } of table.known()) {
+      if (alive.has(entry.incarnation)) suspected.delete(entry.incarnation);
+      else if (!suspected.has(entry.incarnation)) {
+        suspected.add(entry.incarnation);
+        logger.event("memberSuspected", { member: entry.incarnation });
+      }
+    }
+  };
+
   const round = () => {
     heartbeat += 1;
     table.sweep(clock.now());
     if (freshMs() <= heardMs) electorate = Math.max(table.known().length + 1, listed.length);
     noteIsolation();
+    noteSuspected();
     for (const address of addressesOfRound()) void beat(address);
   };
 
