--- a/scripts/sync-packages.mjs
+++ b/scripts/sync-packages.mjs
@@ -63,7 +63,7 @@
     type: "module",
     exports: { ".": { types: "./dist/index.d.ts", default: "./dist/index.js" } },
     ...(known.bin ? { bin: known.bin } : {}),
-    files: ["dist", "src"],
+    files: known.bin ? ["bin", "dist", "src"] : ["dist", "src"],
     dependencies: versionsOf(code),
     ...(tests.length > 0 ? { devDependencies: versionsOf(tests) } : {}),
   });
