Stand-ins: cache events late and with gaps, faults at the list, the weight store and services

Ruled out: nothing reads the events yet, so no decision changes. Change: POST /faults at each stand-in; the soak has a slow weight store among its faults; events come 400 ms late, every twentieth never.

--- a/packages/soak/src/scenarios/faults.ts
+++ b/packages/soak/src/scenarios/faults.ts
@@ -212,6 +212,11 @@
   return nothing;
 }
 
+function weightsSlow(world: World): End {
+  world.weights.slow(3);
+  return () => world.weights.slow(1);
+}
+
 function listDown(world: World): End {
   world.list.down = true;
   return () => {
@@ -257,6 +262,7 @@
   logForgets,
   badRecords,
   listDown,
+  weightsSlow,
   poorLinks,
   lateOrders,
 } satisfies Record<string, Fault>;
--- a/packages/stand-ins/src/engine-batch.ts
+++ b/packages/stand-ins/src/engine-batch.ts
@@ -46,6 +46,9 @@
 
 const keptDoneMs: Milliseconds = 30_000;
 const keptCacheEvents = 256;
+/** Cache events are shown this late, and every so many of them is never shown. */
+const cacheEventLagMs: Milliseconds = 400;
+const cacheEventGap = 20;
 const millisecondsPerSecond = 1000;
 const rateSmoothing = 0.05;
 
@@ -107,8 +110,11 @@
     for (const wake of stream.wake.splice(0)) wake();
   };
   const noteCache = (kind: CacheEvent["kind"], prefixKey: string) => {
-    cacheLog.push({ sequence: ++cacheSequence, kind, prefixKey });
-    cacheLog = cacheLog.slice(-keptCacheEvents);
+    const event = { sequence: ++cacheSequence, kind, prefixKey };
+    if (event.sequence % cacheEventGap === 0) return;
+    clock.after(cacheEventLagMs, () => {
+      cacheLog = [...cacheLog, event].slice(-keptCacheEvents);
+    });
   };
 
   /** Time to read the prompt; a cached prefix costs nothing. */
--- a/packages/stand-ins/src/http-stand-ins.ts
+++ b/packages/stand-ins/src/http-stand-ins.ts
@@ -81,6 +81,7 @@
         Right: (shown) => json(200, { boxes: shown.boxes, leaving_targets: shown.leavingTargets }),
       });
     }
+    if (path === "/faults") core.down = bodyOf<{ down: boolean }>(request).down;
     if (path === "/boxes") core.set(bodyOf<ListedBox>(request));
     if (path === "/leaving-targets") {
       const change = bodyOf<{ target: string; leaving: boolean }>(request);
@@ -138,5 +139,12 @@
 
 /** Serves one target of a plain service. */
 export function serveService(clock: Clock, address: string, core: ServiceCore): HttpFront {
-  return serve(clock, address, async (request) => passed(await core.call(request)));
+  let down = false;
+  return serve(clock, address, async (request, path) => {
+    if (path === "/faults") {
+      down = bodyOf<{ down: boolean }>(request).down;
+      return json(200, { down });
+    }
+    return down ? json(503, {}) : passed(await core.call(request));
+  });
 }
--- a/packages/stand-ins/src/weight-store-core.ts
+++ b/packages/stand-ins/src/weight-store-core.ts
@@ -13,6 +13,8 @@
 export interface WeightStoreCore {
   /** Begins a load; `done` is called when the weights are there. The answer ends it early. */
   load(sizeMb: Mebibytes, done: () => void): CancelLoad;
+  /** Makes loads that begin from now on take so many times as long. */
+  slow(factor: number): void;
   /** Most loads that ran at once. */
   peak(): number;
   /** Loads that had to wait for their turn. */
@@ -25,12 +27,13 @@
   let active = 0;
   let peak = 0;
   let waited = 0;
+  let slowness = 1;
 
   const run = (sizeMb: Mebibytes, done: () => void): CancelLoad => {
     active += 1;
     peak = Math.max(peak, active);
     const slowing = Math.max(1, active / fullSpeedLoads);
-    const time: Milliseconds = (sizeMb / mbPerSecond) * millisecondsPerSecond * slowing;
+    const time: Milliseconds = (sizeMb / mbPerSecond) * millisecondsPerSecond * slowing * slowness;
     let ended = false;
     const end = () => {
       if (ended) return false;
@@ -54,6 +57,9 @@
       begin();
       return () => cancel();
     },
+    slow(factor) {
+      slowness = factor;
+    },
     peak: () => peak,
     waited: () => waited,
   };
--- a/packages/stand-ins/src/weight-store-http.ts
+++ b/packages/stand-ins/src/weight-store-http.ts
@@ -16,6 +16,10 @@
     limits,
     handle: (request) =>
       new Promise((resolve) => {
+        if (request.path === "/faults") {
+          core.slow(JSON.parse(Buffer.from(request.body).toString("utf8")).factor);
+          return resolve({ status: 200, headers: {}, body: Buffer.from("{}") });
+        }
         const { sizeMb } = JSON.parse(Buffer.from(request.body).toString("utf8"));
         const cancel = core.load(sizeMb, () =>
           resolve({ status: 200, headers: {}, body: Buffer.from("{}") }),
