A caller that goes cancels its work: shown by a scenario and a planted fault

Ruled out: counting by the running figure of a report alone (a request is noted as queued when it starts; both are counted). Change: a scenario starts a long stream, lets its caller go after the first token, and looks at the engines a second later; the planted fault caller-gone-not-noticed fails it.

--- a/packages/soak/src/scenarios/planted-faults.ts
+++ b/packages/soak/src/scenarios/planted-faults.ts
@@ -88,6 +88,14 @@
     },
     faults: ["poorLinks"],
   },
+  {
+    name: "caller-gone-not-noticed",
+    promise: "whole answers",
+    file: "completion/dist/completion.js",
+    find: "const onGone = () => giveUp.abort();",
+    replace: "const onGone = () => undefined;",
+    scenario: "A caller that goes cancels its work",
+  },
   {
     name: "lost-request-called-not-run",
     promise: "not run is true",
--- a/packages/soak/src/scenarios/soak.feature
+++ b/packages/soak/src/scenarios/soak.feature
@@ -48,6 +48,11 @@
     When a box is paused, every engine but one begins to leave, and callers ask the box 4 s later
     Then no leaving engine got new work
 
+  Scenario: A caller that goes cancels its work at the engine
+    Given a deployment at rest
+    When a caller of a long stream goes after its first token
+    Then no engine works on anything 1 s later
+
   Scenario: The loss of a failure domain is made good within the weight store's limits
     Given a deployment at rest
     When the engines of one failure domain are lost
--- a/packages/soak/src/scenarios/soak.steps.ts
+++ b/packages/soak/src/scenarios/soak.steps.ts
@@ -133,6 +133,36 @@
   assert.deepEqual(worldOf(this).violations, []);
 });
 
+When("a caller of a long stream goes after its first token", async function (this: object) {
+  const world = worldOf(this);
+  const caller = new AbortController();
+  const asked = world.boxes[0].box.callers.handle({
+    method: "POST",
+    path: "/v1/completions",
+    headers: { authorization: `Bearer ${tokenOf("dispatch")}`, "linkfall-deadline-ms": "60000" },
+    body: Buffer.from(
+      JSON.stringify({ model: "m0", prompt: "long", max_tokens: 400, stream: true }),
+    ),
+    gone: caller.signal,
+  });
+  await world.clock.runUntil(world.clock.now() + 1_000);
+  assert.equal((await asked).status, 200);
+  assert.equal(requestsAtEngines(world), 1);
+  caller.abort();
+});
+
+Then("no engine works on anything 1 s later", async function (this: object) {
+  const world = worldOf(this);
+  await world.clock.runUntil(world.clock.now() + 1_000);
+  assert.equal(requestsAtEngines(world), 0);
+});
+
+/** Requests that run or wait at the engines. */
+function requestsAtEngines(world: World): number {
+  const reports = world.engines.map(({ core }) => core.report());
+  return reports.reduce((sum, { running, queued }) => sum + running + queued, 0);
+}
+
 When("the engines of one failure domain are lost", function (this: object) {
   for (const engine of worldOf(this).engines) {
     if (engine.core.engine.domain !== domains[0]) continue;
