Settings schema in a file of its own

Ruled out: splitting the table itself (one place to read all keys is its worth). Change: settings-schema.ts holds the schema, the type and the service name; nothing else changed. Conclusion: keys.ts is a table only.

--- a/packages/config/src/read-settings.ts
+++ b/packages/config/src/read-settings.ts
@@ -3,7 +3,7 @@
 import { parse } from "ini";
 import { type Either, Left, Right } from "purify-ts";
 import type { z } from "zod";
-import { type Settings, settingsSchema } from "./keys.js";
+import { type Settings, settingsSchema } from "./settings-schema.js";
 
 function toProblem(issue: z.core.$ZodIssue): FieldProblem {
   const path = issue.path.map(String);
--- a/packages/config/src/settings.steps.ts
+++ b/packages/config/src/settings.steps.ts
@@ -5,7 +5,7 @@
 import { notes } from "@linkfall/test-support";
 import type { Either } from "purify-ts";
 import { describeSettings } from "./describe-settings.js";
-import type { Settings } from "./keys.js";
+import type { Settings } from "./settings-schema.js";
 import { readSettings } from "./read-settings.js";
 
 const required = `
