Ports given to boxes cannot be taken by outgoing connections; a taken address is no broken invariant

The tests looked for a free port by listening on port 0 and closing again; that port lies in the range of outgoing connections, and one of the deployment's own polls took it before the box listened. Ruled out: a box left over from an earlier scenario (each deployment has its own ports, the scenario starts this box for the first time); a fault of the box (it was never up); load (the port was taken, not late). Change: free-addresses gives ports below the range of outgoing connections, each once. The daemon's listen answers with a value: event 1008, exit code 69, and the address in plain words; it was event 1007, a broken invariant.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -64,7 +64,7 @@
   const server = createPeerServer(handler, (problem) => {
     throw problem;
   });
-  const port = await server.listen("127.0.0.1:0");
+  const port = (await server.listen("127.0.0.1:0")).unsafeCoerce();
   const client = createPeerClient(systemClock(), 5_000);
   const address = `127.0.0.1:${port}`;
   await client.heartbeat(address, message());
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,7 +3,7 @@
 import { readFileSync } from "node:fs";
 import { parseArgs } from "node:util";
 import { readSettings, type Settings } from "@linkfall/config";
-import type { InvalidInput } from "@linkfall/errors";
+import type { AddressUnavailable, InvalidInput } from "@linkfall/errors";
 import type { Logger } from "@linkfall/logger";
 import { loggerFor, startDaemon } from "./run-daemon.js";
 
@@ -16,7 +16,7 @@
 `;
 
 /** Exit codes, as sysexits.h numbers them. */
-const exitCodes = { usage: 64, noInput: 66, defect: 70, settings: 78 } as const;
+const exitCodes = { usage: 64, noInput: 66, unavailable: 69, defect: 70, settings: 78 } as const;
 
 function leave(code: number, text: string): never {
   process.stderr.write(text);
@@ -59,13 +59,21 @@
   };
 }
 
+/** Another process has the address: a fault of the deployment, not of this program. */
+function leaveOverAddress(logger: Logger, { address, reason }: AddressUnavailable): never {
+  logger.event("addressUnavailable", { address, reason });
+  leave(exitCodes.unavailable, `linkfalld: cannot listen on ${address}: ${reason}\n`);
+}
+
 async function main(): Promise<void> {
   const settings = settingsFromArguments();
   const logger = loggerFor(settings);
   const defect = stopOnDefect(logger);
   process.on("uncaughtException", defect);
   process.on("unhandledRejection", defect);
-  const daemon = await startDaemon(settings, logger, defect);
+  const started = await startDaemon(settings, logger, defect);
+  started.ifLeft((unavailable) => leaveOverAddress(logger, unavailable));
+  const daemon = started.unsafeCoerce();
 
   let stopping = false;
   const stop = () => {
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -3,6 +3,7 @@
 import { type Box, createBox } from "@linkfall/box";
 import type { Settings } from "@linkfall/config";
 import { createEngineHttp } from "@linkfall/engine-http";
+import type { AddressUnavailable } from "@linkfall/errors";
 import { createHttpClient } from "@linkfall/http-client";
 import { createHttpFront } from "@linkfall/http-front";
 import { createJsonCaller } from "@linkfall/json-call";
@@ -10,6 +11,7 @@
 import { createLogger, type Logger } from "@linkfall/logger";
 import { createPeerClient, createPeerServer, type PeerTls } from "@linkfall/peer-grpc";
 import { createBoxListHttp, createLogHttp } from "@linkfall/platform-http";
+import { type Either, EitherAsync } from "purify-ts";
 
 export interface Daemon {
   readonly box: Box;
@@ -31,12 +33,16 @@
   return `${hostname}:${port || (protocol === "https:" ? "443" : "80")}`;
 }
 
-/** Starts a box. The caller addresses of the settings must be those under which others reach it. */
+/**
+ * Starts a box. The caller addresses of the settings must be those under which others reach it.
+ *
+ * @returns Left when it may not listen on one of its addresses; nothing of it serves then
+ */
 export async function startDaemon(
   settings: Settings,
   logger: Logger,
   defect: (problem: unknown) => void,
-): Promise<Daemon> {
+): Promise<Either<AddressUnavailable, Daemon>> {
   const clock = systemClock();
   const client = createHttpClient();
   const tls = readTls(settings);
@@ -73,11 +79,7 @@
   });
   const peerServer = createPeerServer(box.peerHandler, defect, tls);
 
-  await peerServer.listen(peer_address);
-  await operators.listen();
-  await box.start();
-  await callers.listen();
-  return {
+  const daemon: Daemon = {
     box,
     async drain() {
       await box.drain();
@@ -88,6 +90,11 @@
       client.close();
     },
   };
+  return EitherAsync.fromPromise(() => peerServer.listen(peer_address))
+    .chain(operators.listen)
+    .map(() => box.start())
+    .chain(callers.listen)
+    .map(() => daemon);
 }
 
 /** The logger that the settings ask for. */
--- a/packages/errors/src/failures.ts
+++ b/packages/errors/src/failures.ts
@@ -57,3 +57,10 @@
   /** Whether a byte of the request can have reached the target. */
   readonly mayHaveArrived: boolean;
 }
+
+/** The system did not let this process listen on an address. */
+export interface AddressUnavailable {
+  readonly kind: "address_unavailable";
+  readonly address: string;
+  readonly reason: string;
+}
--- a/packages/http-front/src/http-front.steps.ts
+++ b/packages/http-front/src/http-front.steps.ts
@@ -35,7 +35,7 @@
         throw problem;
       },
     });
-    notes(this).set("front", { clock, front, address: await front.listen() });
+    notes(this).set("front", { clock, front, address: (await front.listen()).unsafeCoerce() });
   },
 );
 
--- a/packages/http-front/src/http-front.ts
+++ b/packages/http-front/src/http-front.ts
@@ -2,9 +2,11 @@
 import { createServer as createPlain, type IncomingMessage, type ServerResponse } from "node:http";
 import { createServer as createTls } from "node:https";
 import type { AddressInfo, Socket } from "node:net";
+import type { AddressUnavailable } from "@linkfall/errors";
 import type { Clock } from "@linkfall/kernel";
 import type { CallerRequest, CallerResponse } from "@linkfall/ports";
 import { notRun, refusalResponse } from "@linkfall/refusals";
+import { type Either, Left, Right } from "purify-ts";
 import { readBody, requestHeaders, type RequestLimits } from "./read-request.js";
 import { writeResponse } from "./write-response.js";
 
@@ -27,7 +29,7 @@
 
 export interface HttpFront {
   /** Starts to listen; resolves with the address. */
-  listen(): Promise<string>;
+  listen(): Promise<Either<AddressUnavailable, string>>;
   /** Stops to listen and closes all connections. */
   close(): Promise<void>;
 }
@@ -92,10 +94,12 @@
   const host = input.address.slice(0, mark).replace(/^\[|\]$/g, "");
   return {
     listen: () =>
-      new Promise((resolve, reject) => {
-        server.once("error", reject);
+      new Promise((resolve) => {
+        server.once("error", ({ message }) => {
+          resolve(Left({ kind: "address_unavailable", address: input.address, reason: message }));
+        });
         server.listen(Number(input.address.slice(mark + 1)), host, () => {
-          resolve(`${host}:${(server.address() as AddressInfo).port}`);
+          resolve(Right(`${host}:${(server.address() as AddressInfo).port}`));
         });
       }),
     close: () =>
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -38,6 +38,12 @@
     "A broken invariant stops the process.",
     "Report it with the last log lines; the box may be started again.",
   ),
+  addressUnavailable: event(
+    1008,
+    "error",
+    "Box may not listen on one of its addresses; it ends with exit code 69.",
+    "Find the process that listens there, or change the address in the settings.",
+  ),
   logUnreachable: event(
     2001,
     "warn",
--- a/packages/peer-grpc/src/peer-server.ts
+++ b/packages/peer-grpc/src/peer-server.ts
@@ -1,7 +1,9 @@
 /** Answers other boxes. */
 import { once } from "node:events";
 import { Server, type ServerWritableStream, status } from "@grpc/grpc-js";
+import type { AddressUnavailable } from "@linkfall/errors";
 import type { CallerResponse, PeerHandler } from "@linkfall/ports";
+import { type Either, Left, Right } from "purify-ts";
 import { fromBeatRequest, IncompleteMessage, toBeatReply } from "./convert.js";
 import {
   type ForwardPart,
@@ -15,7 +17,7 @@
 
 export interface PeerGrpcServer {
   /** Starts to listen; resolves with the port. */
-  listen(address: string): Promise<number>;
+  listen(address: string): Promise<Either<AddressUnavailable, number>>;
   close(): void;
 }
 
@@ -91,10 +93,11 @@
   server.addService(PeerService, implementation);
   return {
     listen: (address) =>
-      new Promise((resolve, reject) => {
-        server.bindAsync(address, serverCredentials(tls), (problem, port) =>
-          problem ? reject(problem) : resolve(port),
-        );
+      new Promise((resolve) => {
+        server.bindAsync(address, serverCredentials(tls), (problem, port) => {
+          if (problem === null) return resolve(Right(port));
+          resolve(Left({ kind: "address_unavailable", address, reason: problem.message }));
+        });
       }),
     close: () => server.forceShutdown(),
   };
--- a/packages/stand-ins/src/deployment-processes.ts
+++ b/packages/stand-ins/src/deployment-processes.ts
@@ -1,13 +1,13 @@
 /** A whole small deployment as processes on loopback: stand-ins, then boxes. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { createHash } from "node:crypto";
 import type { Engine } from "@linkfall/types";
 import { stringify } from "ini";
+import { freeAddresses, loopback } from "./free-addresses.js";
 
 /** Kinds of line that a stand-in prints. */
 export interface StandInLine {
@@ -46,7 +46,6 @@
   /index\.js$/,
   "main.js",
 );
-const loopback = "127.0.0.1";
 
 /** Token of the operator that every box of such a deployment knows. */
 export const operatorToken = "operator-of-the-demo";
@@ -84,19 +83,6 @@
   }
 }
 
-/** Addresses on loopback that nobody listens on. */
-export async function freeAddresses(count: number): Promise<readonly string[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  await Promise.all(
-    servers.map((server) => new Promise<void>((resolve) => server.listen(0, loopback, resolve))),
-  );
-  const addresses = servers.map(
-    (server) => `${loopback}:${(server.address() as AddressInfo).port}`,
-  );
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return addresses;
-}
-
 /** A deployment whose processes end together. */
 export class DeploymentProcesses {
   readonly boxes: RunningBox[] = [];
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./engine-batch.js";
 export * from "./engine-core.js";
 export * from "./engine-memory.js";
+export * from "./free-addresses.js";
 export * from "./http-stand-ins.js";
 export * from "./log-core.js";
 export * from "./service-core.js";
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -67,4 +67,4 @@
     throw new Error(`unknown stand-in ${kind}`);
   });
 
-print({ address: await front.listen() });
+print({ address: (await front.listen()).unsafeCoerce() });
