Boxes find each other through the log while the list is out; all boxes replaced at once; appends counted

Only the list named peers to a box that knows nobody. Ruled out: the check being too strict (poor links had ended 3 s before and no cut lay between the two); a record of presence for each start (430 appends when a region comes back); addresses in renewals (nothing over the claim). Change: a claim carries the claimant's peer address, folded into the lease; heartbeats go to the holders that the log names too.

--- a/packages/lease-holder/src/lease-holder.ts
+++ b/packages/lease-holder/src/lease-holder.ts
@@ -116,6 +116,7 @@
         id,
         pool,
         holder: incarnation,
+        holderAddress: membership.self().peerAddress,
         supersedes,
         leaseMs: settings.lease_ms,
       }),
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -186,11 +186,15 @@
     }
   };
 
-  /** Peers of one round: some members, and listed boxes that are not known yet. */
+  /** Holders of leases, as the log names them: boxes find each other by it while the list is out. */
+  const holderAddresses = (): readonly string[] =>
+    [...store.state().leases.values()].flatMap((lease) => lease.holderAddress ?? []);
+
+  /** Peers of one round: some members, and boxes that the list or the log names. */
   const addressesOfRound = (): readonly string[] => {
     const known = table.known().map((member) => member.entry.peerAddress);
     const fromList = listed.map((line) => line.peerAddress);
-    const all = [...new Set([...known, ...fromList])];
+    const all = [...new Set([...known, ...fromList, ...holderAddresses()])];
     const others = all.filter((address) => address !== settings.box.peer_address);
     const start = random.below(Math.max(1, others.length));
     return [...others.slice(start), ...others.slice(0, start)].slice(0, settings.membership.fanout);
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,7 +1,7 @@
 /** `npm run soak -- --seeds A..B [--faults x,y]`: runs seeds and prints what they showed. */
 import { parseArgs } from "node:util";
 import { type FaultName, faultsByName } from "./scenarios/faults.js";
-import { runSeed, type SeedResult } from "./scenarios/run-seed.js";
+import { endMs, runSeed, type SeedResult } from "./scenarios/run-seed.js";
 
 const { values } = parseArgs({
   options: {
@@ -57,6 +57,16 @@
 const conflicts = results.reduce((sum, result) => sum + result.conflicts, 0);
 show("requests by outcome", told);
 show("faults injected", injected);
+const appends = new Map<string, number>();
+for (const result of results) {
+  for (const [stream, count] of result.appends.byStream) add(appends, stream, count);
+}
+const virtualSeconds = (results.length * endMs) / 1_000;
+const perSecond = [...appends].map(
+  ([stream, count]) => `${stream} ${(count / virtualSeconds).toFixed(2)}`,
+);
+const busiest = Math.max(...results.map((result) => result.appends.busiestSecond));
+process.stdout.write(`appends a second: ${perSecond.join(", ")}; most in a second ${busiest}\n`);
 process.stdout.write(`writes accepted ${writes}, conflicts ${conflicts}\n`);
 process.stdout.write(
   `in force after ms: p50 ${quantile(times, 0.5)}, p99 ${quantile(times, 0.99)}, most ${times.at(-1) ?? 0}, of ${times.length}\n`,
--- a/packages/soak/src/scenarios/faults.ts
+++ b/packages/soak/src/scenarios/faults.ts
@@ -43,6 +43,16 @@
   return () => void world.startBox(box.name);
 }
 
+/** Every box, or every box but one, is replaced at the same moment. */
+function replaceBoxes(world: World): End {
+  const running = world.boxes.filter((box) => box.process.state() === "running" && !box.draining);
+  const replaced = running.slice(world.random.below(2));
+  for (const box of replaced) world.removeBox(box);
+  return () => {
+    for (const box of replaced) void world.startBox(box.name);
+  };
+}
+
 function pauseBox(world: World): End {
   const box = someBox(world);
   if (!box) return nothing;
@@ -246,6 +256,7 @@
   pauseBox,
   killHolder,
   pauseHolder,
+  replaceBoxes,
   drainBox,
   cutFromLog: cutFrom("log"),
   cutFromList: cutFrom("list"),
--- a/packages/soak/src/scenarios/soak.feature
+++ b/packages/soak/src/scenarios/soak.feature
@@ -21,6 +21,7 @@
       | fault           |
       | killBox         |
       | pauseBox        |
+      | replaceBoxes    |
       | drainBox        |
       | isolateBox      |
       | cutFromLog      |
@@ -38,6 +39,11 @@
     When the log goes down and a box joins
     Then the new box serves every model within 5 s
 
+  Scenario: Boxes that start while the platform's list is out find each other through the log
+    Given a deployment at rest
+    When the list goes out and every box is replaced
+    Then within 12 s every box hears every other
+
   Scenario: A log that has lost what no snapshot holds is not taken for an empty one
     Given a deployment at rest that writes no snapshots
     When every box is gone, the log has dropped its oldest records, and a new box starts
--- a/packages/soak/src/scenarios/soak.steps.ts
+++ b/packages/soak/src/scenarios/soak.steps.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
+import { membershipName } from "@linkfall/membership";
 import { streams } from "@linkfall/ports";
 import { stateStoreName } from "@linkfall/state-store";
 import { notes } from "@linkfall/test-support";
@@ -65,6 +66,21 @@
   notes(this).set("box", await world.startBox("b4"));
 });
 
+When("the list goes out and every box is replaced", async function (this: object) {
+  const world = worldOf(this);
+  world.list.down = true;
+  const names = world.boxes.map((box) => box.name);
+  for (const box of [...world.boxes]) world.removeBox(box);
+  for (const name of names) await world.startBox(name);
+});
+
+Then("within {int} s every box hears every other", async function (this: object, seconds: number) {
+  const world = worldOf(this);
+  await world.clock.runUntil(world.clock.now() + seconds * 1_000);
+  const heard = world.boxes.map((box) => box.box.kernel.find(membershipName).alive().length);
+  assert.deepEqual(heard, Array(world.boxes.length).fill(world.boxes.length));
+});
+
 /** Asks a box for every model and answers with what came of it. */
 async function probeAll(world: World, box: WorldBox): Promise<readonly Told[]> {
   const callers = createCallers(world);
--- a/packages/stand-ins/src/log-core.ts
+++ b/packages/stand-ins/src/log-core.ts
@@ -7,6 +7,7 @@
 import { type Either, Left, Right } from "purify-ts";
 
 const appendsPerSecond = 100;
+const secondMs: Milliseconds = 1_000;
 
 /** Faults that can be switched on. */
 export interface LogFaults {
@@ -24,7 +25,25 @@
   inject(stream: StreamName, data: string): void;
   entries(stream: StreamName): readonly LogEntry[];
   /** Appends that took effect so far. */
-  appended(): number;
+  appended(stream: StreamName): number;
+  /** Most appends that took effect within any second. */
+  busiestSecond(): number;
+  /** Appends that were refused because the log takes no more. */
+  refusedBusy(): number;
+}
+
+/** Counts what happens within the last second, and remembers the most. */
+function createSecondCounter(clock: Clock) {
+  const recent: Milliseconds[] = [];
+  let most = 0;
+  return {
+    note() {
+      recent.push(clock.now());
+      while (clock.now() - recent[0] >= secondMs) recent.shift();
+      most = Math.max(most, recent.length);
+    },
+    most: () => most,
+  };
 }
 
 /** Creates an empty log. */
@@ -33,7 +52,9 @@
   const lastOffsets = new Map<StreamName, Offset>();
   const faults: LogFaults = { down: false, slowMs: 0, loseReplies: 0 };
   const bucket = createTokenBucket(clock, { rate: appendsPerSecond, burst: appendsPerSecond });
-  let count = 0;
+  const counts = new Map<StreamName, number>();
+  const load = createSecondCounter(clock);
+  let refused = 0;
 
   const listOf = (stream: StreamName) => {
     const list = streams.get(stream) ?? [];
@@ -44,7 +65,8 @@
     const offset = (lastOffsets.get(stream) ?? 0) + 1;
     lastOffsets.set(stream, offset);
     listOf(stream).push({ offset, data });
-    count += 1;
+    counts.set(stream, (counts.get(stream) ?? 0) + 1);
+    load.note();
     return offset;
   };
   const unavailable = <T>(reason: string): Either<LogFailure, T> =>
@@ -55,7 +77,10 @@
     async append(stream, data) {
       if (faults.down) return unavailable("down");
       if (faults.slowMs > 0) await sleep(clock, faults.slowMs * random.fraction());
-      if (!bucket.take()) return Left({ kind: "log_busy" });
+      if (!bucket.take()) {
+        refused += 1;
+        return Left({ kind: "log_busy" });
+      }
       const offset = add(stream, data);
       if (faults.slowMs > 0) await sleep(clock, faults.slowMs * random.fraction());
       if (random.fraction() < faults.loseReplies) return unavailable("no reply");
@@ -76,6 +101,8 @@
     },
     inject: (stream, data) => void add(stream, data),
     entries: listOf,
-    appended: () => count,
+    appended: (stream) => counts.get(stream) ?? 0,
+    busiestSecond: load.most,
+    refusedBusy: () => refused,
   };
 }
--- a/packages/state-fold/src/apply.ts
+++ b/packages/state-fold/src/apply.ts
@@ -183,6 +183,7 @@
     pool: claim.pool,
     epoch,
     holder: claim.holder,
+    holderAddress: claim.holderAddress,
     leaseMs: claim.leaseMs,
     touched: state.offset,
     released: false,
--- a/packages/state-fold/src/schemas.ts
+++ b/packages/state-fold/src/schemas.ts
@@ -133,6 +133,7 @@
     id,
     pool: name,
     holder: z.string(),
+    holderAddress: address.optional(),
     supersedes: offset,
     leaseMs: z.number().positive(),
   }),
--- a/packages/state-fold/src/state.ts
+++ b/packages/state-fold/src/state.ts
@@ -15,6 +15,8 @@
   readonly pool: string;
   readonly epoch: Epoch;
   readonly holder: Incarnation;
+  /** Where other boxes reach the holder. */
+  readonly holderAddress?: string;
   readonly leaseMs: Milliseconds;
   /** Offset of the newest claim or renewal; a rival's claim must name it. */
   readonly touched: Offset;
--- a/packages/types/src/records.ts
+++ b/packages/types/src/records.ts
@@ -27,6 +27,8 @@
   readonly type: "claim";
   readonly pool: string;
   readonly holder: Incarnation;
+  /** Where other boxes reach the claimant: they find each other by it while the platform's list is out. */
+  readonly holderAddress?: string;
   /** Offset of the newest claim or renewal that the claimant has read; 0 for the first. */
   readonly supersedes: Offset;
   readonly leaseMs: Milliseconds;
