Boxes divide the reading of reports; small messages share one stream between two boxes

Cause: docs/CAPACITY.md showed engine reports as the worst of what does not fit at the two-year size (86 KB a second for each node), and a box at rest spent 5.7 to 6.4 % of a core today against 3.8 %. Ruled out: fewer boxes for each pool (31 KB still); pushing by the reader (a held-up push looks new); reports inside heartbeats (ties two periods together). Change: report-relay: each engine is read by report_readers of its pool's boxes and the others ask those; ages travel, never clock readings; a box without fresh word reads for itself. Default 0, every box reads every engine. peer-grpc: heartbeats, usage and reports are numbered messages on one stream for each pair of boxes; a message without an answer gives the connection up. Planted faults relayed-reports-taken-for-new and only-the-reader-reads: caught by their scenarios.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -59,6 +59,7 @@
     },
     fetchState: () => ({ offset: 0, data: "" }),
     reportUsage: () => [],
+    readReports: () => ({ from: "", reports: [] }),
     forward: async () => jsonResponse({}),
   };
   const server = createPeerServer(handler, (problem) => {
--- a/packages/box/src/create-box.ts
+++ b/packages/box/src/create-box.ts
@@ -36,6 +36,7 @@
   targetPortName,
 } from "@linkfall/ports";
 import { createReplicas, replicasName } from "@linkfall/replicas";
+import { createReportRelay, reportRelayName } from "@linkfall/report-relay";
 import { createSnapshotWriter } from "@linkfall/snapshot-writer";
 import { createStateStore, stateStoreName } from "@linkfall/state-store";
 import { createTargetLoad, targetLoadName } from "@linkfall/target-load";
@@ -89,6 +90,8 @@
   kernel.provide(leaseHolderName, leases, leases);
   const watch = createTargetWatch(kernel);
   kernel.provide(targetWatchName, watch, watch);
+  const relay = createReportRelay(kernel);
+  kernel.provide(reportRelayName, relay, relay);
   const audit = createAudit(kernel);
   kernel.provide(auditName, audit, audit);
   const usage = createUsageReports(kernel);
@@ -120,6 +123,7 @@
     heartbeat: membership.receive,
     fetchState: membership.stateForPeer,
     reportUsage: kernel.find(usageReportsName).receive,
+    readReports: kernel.find(reportRelayName).receive,
     forward: (request) => callers.handle(request, true),
   };
 }
--- a/packages/config/src/keys.ts
+++ b/packages/config/src/keys.ts
@@ -181,6 +181,11 @@
       "ms",
       "Time between reads of a target's report.",
     ),
+    report_readers: key(
+      wholeNumber(0, 64, 0),
+      "boxes",
+      "Boxes of a pool that read one engine's report and pass it on; 0: every box reads every engine (docs/design/reports.md).",
+    ),
     report_stale_ms: key(
       wholeNumber(100, 600_000, 2_500),
       "ms",
--- a/packages/lease-holder/src/lease-holder.ts
+++ b/packages/lease-holder/src/lease-holder.ts
@@ -37,6 +37,8 @@
   heldPools(): readonly HeldLease[];
   /** Pools that this box serves. */
   servedPools(): readonly string[];
+  /** Names of the boxes that serve a pool, as this box sees the members. */
+  boxesOf(pool: string): readonly string[];
   /** Gives all leases up, at a planned stop. */
   releaseAll(): Promise<void>;
 }
@@ -82,12 +84,16 @@
       (lease) => lease.holder === incarnation && !lease.released,
     );
 
-  const servedPools = () => {
+  const boxesOf = (pool: string) => {
     // A box that is leaving goes on serving what it still gets, until its planned stop is done.
     const box = membership.self().box;
     const boxes = [...new Set([box, ...membership.serving().map((entry) => entry.box)])];
-    const pools = [...store.desired().pools.keys()];
-    return pools.filter((pool) => topNodes(pool, boxes, settings.boxes_per_pool).includes(box));
+    return topNodes(pool, boxes, settings.boxes_per_pool);
+  };
+
+  const servedPools = () => {
+    const box = membership.self().box;
+    return [...store.desired().pools.keys()].filter((pool) => boxesOf(pool).includes(box));
   };
 
   const renew = async () => {
@@ -180,6 +186,7 @@
     },
     heldPools: () => mine().map(toHeld),
     servedPools,
+    boxesOf,
     async releaseAll() {
       releasing = true;
       const held = mine();
--- a/packages/peer-grpc/src/convert.ts
+++ b/packages/peer-grpc/src/convert.ts
@@ -1,10 +1,27 @@
 /** Between the generated messages and the types of the ports. */
-import type { Heartbeat, HeartbeatReply, UsageReport } from "@linkfall/ports";
-import type { MemberEntry, MemberSummary } from "@linkfall/types";
+import type {
+  Heartbeat,
+  HeartbeatReply,
+  RelayedReport,
+  ReportsReply,
+  ReportsRequest,
+  UsageReport,
+} from "@linkfall/ports";
+import {
+  engineRoles,
+  type MemberEntry,
+  type MemberSummary,
+  type ReportPlacement,
+  residentStates,
+} from "@linkfall/types";
 import type {
   BeatReply,
   BeatRequest,
   Member,
+  Placement,
+  RelayedReport as RelayedMessage,
+  ReportsReply as ReportsReplyMessage,
+  ReportsRequest as ReportsRequestMessage,
   Summary,
   UsageReport as UsageMessage,
 } from "./generated/peer.js";
@@ -58,3 +75,52 @@
 export function fromBeatReply(message: BeatReply): HeartbeatReply {
   return { ...fromBeatRequest(message), records: message.records };
 }
+
+export function toReportsMessage(request: ReportsRequest): ReportsRequestMessage {
+  return { ...request, pools: [...request.pools], held: [...request.held] };
+}
+
+/** One of the words that a text may hold. */
+function oneOf<T extends string>(words: readonly T[], text: string): T {
+  return present(
+    words.find((word) => word === text),
+    text,
+  );
+}
+
+function fromPlacement({ role, residents, settledOrders }: ReportPlacement): Placement {
+  return { role, residents: [...residents], settledOrders: [...settledOrders] };
+}
+
+function toPlacement({ role, residents, settledOrders }: Placement): ReportPlacement {
+  return {
+    role: oneOf(engineRoles, role),
+    residents: residents.map((copy) => ({ ...copy, state: oneOf(residentStates, copy.state) })),
+    settledOrders,
+  };
+}
+
+export function toReportsReply(reply: ReportsReply): ReportsReplyMessage {
+  const reports = reply.reports.map(({ load, ageMs, placementVersion, placement }) => ({
+    load,
+    ageMs,
+    placementVersion,
+    placement: placement && fromPlacement(placement),
+  }));
+  return { from: reply.from, reports };
+}
+
+function toRelayed(message: RelayedMessage): RelayedReport {
+  const { ageMs, placementVersion, placement } = message;
+  return {
+    load: present(message.load, "load"),
+    ageMs,
+    placementVersion,
+    placement: placement && toPlacement(placement),
+  };
+}
+
+/** @throws IncompleteMessage */
+export function fromReportsReply(message: ReportsReplyMessage): ReportsReply {
+  return { from: message.from, reports: message.reports.map(toRelayed) };
+}
--- a/packages/peer-grpc/src/peer-client.ts
+++ b/packages/peer-grpc/src/peer-client.ts
@@ -2,23 +2,22 @@
 import { type ClientReadableStream, Metadata, type ServiceError, status } from "@grpc/grpc-js";
 import type { PeerUnreachable, TargetUnreachable } from "@linkfall/errors";
 import type { Clock } from "@linkfall/kernel";
-import type {
-  BodyPart,
-  CallerRequest,
-  CallerResponse,
-  HeartbeatReply,
-  PeerPort,
-  PeerState,
-  UsageTotals,
-} from "@linkfall/ports";
+import type { BodyPart, CallerRequest, CallerResponse, PeerPort, PeerState } from "@linkfall/ports";
 import type { Milliseconds } from "@linkfall/types";
-import { type Either, Left, Right } from "purify-ts";
-import { fromBeatReply, toBeatRequest, toUsageMessage } from "./convert.js";
+import { Either, Left, Right } from "purify-ts";
+import { type AnswerBody, type AskStream, createAskStream } from "./ask-stream.js";
+import {
+  fromBeatReply,
+  fromReportsReply,
+  toBeatRequest,
+  toReportsMessage,
+  toUsageMessage,
+} from "./convert.js";
 import { type ForwardPart, PeerClient, type StatePart } from "./generated/peer.js";
 import { clientCredentials, type PeerTls } from "./peer-tls.js";
 
-/** Clients not used for so long are closed: their boxes are gone. */
-const unusedClientMs: Milliseconds = 300_000;
+/** Connections not used for so long are closed: their boxes are gone. */
+const unusedMs: Milliseconds = 300_000;
 const channelOptions = {
   "grpc.initial_reconnect_backoff_ms": 100,
   "grpc.max_reconnect_backoff_ms": 1_000,
@@ -26,9 +25,14 @@
   // Boxes meet each other directly, whatever proxy the environment names.
   "grpc.enable_http_proxy": 0,
 };
+/** The stream of small messages gives its connection up alone, so it shares none. */
+const ownConnection = { "grpc.use_local_subchannel_pool": 1 };
 
-interface HeldClient {
+/** What is open to one other box. */
+interface HeldPeer {
+  /** For forwarded requests and the fetching of state. */
   readonly client: PeerClient;
+  readonly stream: AskStream;
   usedAt: Milliseconds;
 }
 
@@ -98,65 +102,75 @@
   }
 }
 
-/** Creates the client of one box; `limit` bounds heartbeats and the fetching of state. */
+type AnswerValue<K> = Extract<AnswerBody, { $case: K }>["value"];
+
+/** The answer of one kind; any other, or one that lacks a part, counts as none. */
+function answerOf<K extends AnswerBody["$case"], T>(
+  answer: Either<PeerUnreachable, AnswerBody>,
+  kind: K,
+  convert: (value: AnswerValue<K>) => T,
+): Either<PeerUnreachable, T> {
+  return answer.chain((body) => {
+    if (body.$case !== kind) return Left(unreachable(`answered with ${body.$case}`, true));
+    const value = body.value as AnswerValue<K>;
+    return Either.encase(() => convert(value)).mapLeft((problem) => unreachable(problem, true));
+  });
+}
+
+/** Creates the client of one box; `limit` bounds small messages and the fetching of state. */
 export function createPeerClient(clock: Clock, limit: Milliseconds, tls?: PeerTls): PeerGrpcClient {
-  const clients = new Map<string, HeldClient>();
+  const held = new Map<string, HeldPeer>();
   const credentials = clientCredentials(tls);
 
+  const closePeer = ({ client, stream }: HeldPeer) => {
+    client.close();
+    stream.close();
+  };
+
   const closeUnused = () => {
-    const oldest = clock.now() - unusedClientMs;
-    for (const [address, held] of clients) {
-      if (held.usedAt >= oldest) continue;
-      held.client.close();
-      clients.delete(address);
+    const oldest = clock.now() - unusedMs;
+    for (const [address, peer] of held) {
+      if (peer.usedAt >= oldest) continue;
+      closePeer(peer);
+      held.delete(address);
     }
   };
 
-  const clientOf = (address: string): PeerClient => {
-    const held = clients.get(address);
-    if (held) {
-      held.usedAt = clock.now();
-      return held.client;
+  const peerAt = (address: string): HeldPeer => {
+    const known = held.get(address);
+    if (known) {
+      known.usedAt = clock.now();
+      return known;
     }
     closeUnused();
-    const client = new PeerClient(address, credentials, channelOptions);
-    clients.set(address, { client, usedAt: clock.now() });
-    return client;
+    const dial = () =>
+      new PeerClient(address, credentials, { ...channelOptions, ...ownConnection });
+    const peer: HeldPeer = {
+      client: new PeerClient(address, credentials, channelOptions),
+      stream: createAskStream(clock, limit, dial),
+      usedAt: clock.now(),
+    };
+    held.set(address, peer);
+    return peer;
   };
 
-  const bounded = <T extends { cancel(): void }>(call: T): [T, () => void] => [
-    call,
-    clock.after(limit, () => call.cancel()),
-  ];
-
   return {
-    heartbeat: (address, message) =>
-      new Promise<Either<PeerUnreachable, HeartbeatReply>>((resolve) => {
-        const [, done] = bounded(
-          clientOf(address).beat(toBeatRequest(message), (problem, reply) => {
-            done();
-            if (problem)
-              return resolve(Left(unreachable(problem.message, mayHaveArrived(problem))));
-            try {
-              resolve(Right(fromBeatReply(reply)));
-            } catch (incomplete) {
-              resolve(Left(unreachable(incomplete, true)));
-            }
-          }),
-        );
-      }),
-    reportUsage: (address, report) =>
-      new Promise<Either<PeerUnreachable, UsageTotals>>((resolve) => {
-        const [, done] = bounded(
-          clientOf(address).reportUsage(toUsageMessage(report), (problem, totals) => {
-            done();
-            if (!problem) return resolve(Right(totals.accounts));
-            resolve(Left(unreachable(problem.message, mayHaveArrived(problem))));
-          }),
-        );
-      }),
+    async heartbeat(address, message) {
+      const body = { $case: "beat", value: toBeatRequest(message) } as const;
+      return answerOf(await peerAt(address).stream.ask(body), "beat", fromBeatReply);
+    },
+    async reportUsage(address, report) {
+      const body = { $case: "usage", value: toUsageMessage(report) } as const;
+      const answer = await peerAt(address).stream.ask(body);
+      return answerOf(answer, "usage", ({ accounts }) => accounts);
+    },
+    async readReports(address, request) {
+      const body = { $case: "reports", value: toReportsMessage(request) } as const;
+      return answerOf(await peerAt(address).stream.ask(body), "reports", fromReportsReply);
+    },
     async fetchState(address) {
-      const [stream, done] = bounded(clientOf(address).fetchState({}));
+      const stream = peerAt(address).client.fetchState({});
+      const done = clock.after(limit, () => stream.cancel());
       const state = await readState(stream);
       done();
       return state;
@@ -164,13 +178,13 @@
     forward(address, request: CallerRequest) {
       const { method, path, headers, body } = request;
       const message = { method, path, headers: { ...headers }, body: Buffer.from(body) };
-      const stream = clientOf(address).forward(message, new Metadata());
+      const stream = peerAt(address).client.forward(message, new Metadata());
       request.gone.addEventListener("abort", () => stream.cancel(), { once: true });
       return readForwarded(stream);
     },
     close() {
-      for (const { client } of clients.values()) client.close();
-      clients.clear();
+      for (const peer of held.values()) closePeer(peer);
+      held.clear();
     },
   };
 }
--- a/packages/peer-grpc/src/peer-server.ts
+++ b/packages/peer-grpc/src/peer-server.ts
@@ -4,8 +4,11 @@
 import type { AddressUnavailable } from "@linkfall/errors";
 import type { CallerResponse, PeerHandler } from "@linkfall/ports";
 import { type Either, Left, Right } from "purify-ts";
-import { fromBeatRequest, IncompleteMessage, toBeatReply } from "./convert.js";
+import { match } from "ts-pattern";
+import { fromBeatRequest, IncompleteMessage, toBeatReply, toReportsReply } from "./convert.js";
 import {
+  type Answer,
+  type Ask,
   type ForwardPart,
   type ForwardRequest,
   type PeerServer,
@@ -50,6 +53,32 @@
   call.end();
 }
 
+/**
+ * The answer to one small message.
+ *
+ * @throws IncompleteMessage
+ */
+function answerTo(handler: PeerHandler, body: Ask["body"]): Answer["body"] {
+  return match(body)
+    .returnType<Answer["body"]>()
+    .with({ $case: "beat" }, ({ $case, value }) => ({
+      $case,
+      value: toBeatReply(handler.heartbeat(fromBeatRequest(value))),
+    }))
+    .with({ $case: "usage" }, ({ $case, value }) => ({
+      $case,
+      value: { accounts: [...handler.reportUsage(value)] },
+    }))
+    .with({ $case: "reports" }, ({ $case, value }) => ({
+      $case,
+      value: toReportsReply(handler.readReports(value)),
+    }))
+    .with(undefined, () => {
+      throw new IncompleteMessage("body");
+    })
+    .exhaustive();
+}
+
 /**
  * Creates the server of one box.
  *
@@ -61,16 +90,16 @@
   tls?: PeerTls,
 ): PeerGrpcServer {
   const implementation: PeerServer = {
-    beat(call, reply) {
-      try {
-        reply(null, toBeatReply(handler.heartbeat(fromBeatRequest(call.request))));
-      } catch (problem) {
-        if (!(problem instanceof IncompleteMessage)) return defect(problem);
-        reply({ code: status.INVALID_ARGUMENT, message: problem.message });
-      }
-    },
-    reportUsage(call, reply) {
-      reply(null, { accounts: [...handler.reportUsage(call.request)] });
+    exchange(call) {
+      call.on("data", ({ number, body }: Ask) => {
+        try {
+          call.write({ number, body: answerTo(handler, body) });
+        } catch (problem) {
+          if (!(problem instanceof IncompleteMessage)) return defect(problem);
+          call.emit("error", { code: status.INVALID_ARGUMENT, message: problem.message });
+        }
+      });
+      call.on("end", () => call.end());
     },
     fetchState(call) {
       const { offset, data } = handler.fetchState();
--- a/packages/pool-control/src/fences.ts
+++ b/packages/pool-control/src/fences.ts
@@ -45,7 +45,7 @@
     raised.ifRight((report) => {
       if (report.engine !== engine.name || report.fence !== lease.epoch) return;
       raisedOn.set(engine.name, report.engineIncarnation);
-      watch.ingest(report, requestedAt);
+      watch.ingest(report, requestedAt, "read");
     });
   };
 
--- a/packages/ports/src/peer-port.ts
+++ b/packages/ports/src/peer-port.ts
@@ -8,7 +8,10 @@
   LogEntry,
   MemberEntry,
   MemberSummary,
+  Milliseconds,
   Offset,
+  ReportLoad,
+  ReportPlacement,
 } from "@linkfall/types";
 import type { Either } from "purify-ts";
 import type { CallerRequest, CallerResponse } from "./exchange.js";
@@ -45,10 +48,45 @@
 /** Rates of the accounts of a report, over all boxes that report them. */
 export type UsageTotals = readonly AccountRate[];
 
+/** The newest placement of an engine that a box has had from the box that it asks. */
+export interface HeldPlacement {
+  readonly engine: string;
+  readonly placementVersion: number;
+}
+
+/** Asks a box for the reports that it has read itself. */
+export interface ReportsRequest {
+  readonly from: Incarnation;
+  readonly pools: readonly string[];
+  /** The start of the asked box that `held` is about; empty when there is none. */
+  readonly heldFrom: Incarnation;
+  readonly held: readonly HeldPlacement[];
+}
+
+/** An engine's report that another box has read. */
+export interface RelayedReport {
+  readonly load: ReportLoad;
+  /** Time since the report was asked for, by the clock of the box that read it. */
+  readonly ageMs: Milliseconds;
+  /** Counts the changes of the placement, in the box that read it. */
+  readonly placementVersion: number;
+  /** Left out when the asking box holds this version. */
+  readonly placement?: ReportPlacement;
+}
+
+export interface ReportsReply {
+  readonly from: Incarnation;
+  readonly reports: readonly RelayedReport[];
+}
+
 export interface PeerPort {
   heartbeat(address: string, message: Heartbeat): Promise<Either<PeerUnreachable, HeartbeatReply>>;
   fetchState(address: string): Promise<Either<PeerUnreachable, PeerState>>;
   reportUsage(address: string, report: UsageReport): Promise<Either<PeerUnreachable, UsageTotals>>;
+  readReports(
+    address: string,
+    request: ReportsRequest,
+  ): Promise<Either<PeerUnreachable, ReportsReply>>;
   /** Passes a caller's request to the box that must decide on it. */
   forward(
     address: string,
@@ -61,6 +99,7 @@
   heartbeat(message: Heartbeat): HeartbeatReply;
   fetchState(): PeerState;
   reportUsage(report: UsageReport): UsageTotals;
+  readReports(request: ReportsRequest): ReportsReply;
   forward(request: CallerRequest): Promise<CallerResponse>;
 }
 
--- /dev/null
+++ b/packages/report-relay/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./report-relay.js";
--- /dev/null
+++ b/packages/report-relay/src/report-relay.steps.ts
@@ -0,0 +1,107 @@
+import assert from "node:assert/strict";
+import { Then, When } from "@cucumber/cucumber";
+import type { RelayedReport } from "@linkfall/ports";
+import type { WatchedReport } from "@linkfall/target-watch";
+import { notes } from "@linkfall/test-support";
+import type { EngineReport, Milliseconds } from "@linkfall/types";
+import fc from "fast-check";
+import { createIncomingReports, type IncomingReports } from "./incoming.js";
+import { createOutgoingReports, type OutgoingReports } from "./outgoing.js";
+
+const reportOf = (sequence: number, running: number, models: number): EngineReport => ({
+  engine: "e1",
+  engineIncarnation: "e1-1",
+  sequence,
+  fence: 0,
+  role: "mixed",
+  residents: Array.from({ length: models }, (_, index) => ({
+    artifact: `model:m${index}@1`,
+    accelerator: 0,
+    sizeMb: 10,
+    state: "ready",
+  })),
+  running,
+  queued: 0,
+  pendingTokens: 0,
+  tokensPerSecond: 0,
+  leaving: false,
+  settledOrders: [],
+});
+
+const watched = (report: EngineReport, requestedAt: Milliseconds): WatchedReport => ({
+  report,
+  requestedAt,
+  receivedAt: requestedAt,
+  way: "read",
+});
+
+/** One box asks another; with `lost` the answer does not come. */
+function exchange(
+  from: OutgoingReports,
+  start: string,
+  to: IncomingReports,
+  report: WatchedReport,
+  lost = false,
+): readonly EngineReport[] {
+  const held = to.heldFrom() === start ? to.held() : [];
+  const reports = from.answer([report], held, report.requestedAt);
+  if (lost) return [];
+  return to.take({ from: start, reports }, 0).map((received) => received.report);
+}
+
+Then(
+  "for any changes of an engine, lost answers and restarts of the reader, the asker gets the report or none",
+  () => {
+    const step = fc.record({
+      models: fc.nat(3),
+      running: fc.nat(9),
+      lost: fc.boolean(),
+      restart: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+        const incoming = createIncomingReports();
+        let outgoing = createOutgoingReports();
+        let start = 0;
+        for (const [index, { models, running, lost, restart }] of steps.entries()) {
+          if (restart) {
+            outgoing = createOutgoingReports();
+            start += 1;
+          }
+          const report = reportOf(index, running, models);
+          const got = exchange(outgoing, `b@${start}`, incoming, watched(report, index), lost);
+          assert.deepEqual(got, lost ? [] : [report]);
+        }
+      }),
+      { seed: 11, numRuns: 300 },
+    );
+  },
+);
+
+When(
+  "a report that was read {int} ms ago is asked for at {int} ms and the answer takes {int} ms",
+  function (this: object, age: number, askedAt: number, took: number) {
+    const answeredAt = askedAt + took / 2;
+    const read = watched(reportOf(1, 1, 1), answeredAt - age);
+    const reports = createOutgoingReports().answer([read], [], answeredAt);
+    const [received] = createIncomingReports().take({ from: "b@1", reports }, askedAt);
+    notes(this).set("requestedAt", received.requestedAt);
+  },
+);
+
+Then("it counts as asked for at {int} ms", function (this: object, expected: number) {
+  assert.equal(notes(this).get("requestedAt"), expected);
+});
+
+When("a box asks twice and only the load of the engine has changed", function (this: object) {
+  const outgoing = createOutgoingReports();
+  const incoming = createIncomingReports();
+  exchange(outgoing, "b@1", incoming, watched(reportOf(1, 1, 2), 0));
+  notes(this).set("second", outgoing.answer([watched(reportOf(2, 5, 2), 9)], incoming.held(), 9));
+});
+
+Then("the second answer carries no placement", function (this: object) {
+  const [second] = notes(this).get<readonly RelayedReport[]>("second");
+  assert.equal(second.placement, undefined);
+  assert.equal(second.load.running, 5);
+});
--- a/packages/soak/src/scenarios/network.ts
+++ b/packages/soak/src/scenarios/network.ts
@@ -23,6 +23,8 @@
   heal(from: string, to: string): void;
   healAll(): void;
   isCut(from: string, to: string): boolean;
+  /** Time for which a link has been whole; 0 while it is cut. */
+  wholeFor(from: string, to: string): Milliseconds;
   /** Sends a request and brings back its answer, as far as the links let it. */
   exchange<F, T>(
     from: string,
@@ -56,6 +58,11 @@
   const faults: LinkFaults = { loss: 0, lateOrders: 0, repeatedOrders: 0, cutStreams: 0 };
   const key = (from: string, to: string) => `${from}>${to}`;
   const isCut = (from: string, to: string) => cuts.has(key(from, to));
+  const healedAt = new Map<string, Milliseconds>();
+  const makeWhole = (link: string) => {
+    cuts.delete(link);
+    healedAt.set(link, clock.now());
+  };
   const delay = () => sleep(clock, shortestDelay + random.fraction() * delaySpread);
   const isLost = () => random.fraction() < faults.loss;
   return {
@@ -64,10 +71,14 @@
     heal(from, to) {
       const left = (cuts.get(key(from, to)) ?? 0) - 1;
       if (left > 0) cuts.set(key(from, to), left);
-      else cuts.delete(key(from, to));
+      else makeWhole(key(from, to));
+    },
+    healAll() {
+      for (const link of [...cuts.keys()]) makeWhole(link);
     },
-    healAll: () => cuts.clear(),
     isCut,
+    wholeFor: (from, to) =>
+      isCut(from, to) ? 0 : clock.now() - (healedAt.get(key(from, to)) ?? -Infinity),
     async exchange(from, to, lost, act) {
       await delay();
       if (isCut(from, to)) return Left(lost(false));
--- a/packages/soak/src/scenarios/operators.ts
+++ b/packages/soak/src/scenarios/operators.ts
@@ -20,8 +20,6 @@
   /** Writes the first desired state; resolves when it is accepted. */
   begin(): Promise<void>;
   run(until: Milliseconds): Promise<void>;
-  /** Times from the sending of an accepted write until it was seen in force on a box. */
-  inForceTimes(): readonly Milliseconds[];
   accepted(): number;
   conflicts(): number;
 }
@@ -34,14 +32,12 @@
 /** Creates the operators of a world. */
 export function createOperators(world: World): Operators {
   const { clock, random } = world;
-  const times: Milliseconds[] = [];
   const wonBases = new Map<string, Revision>();
   let accepted = 0;
   let conflicts = 0;
   let version = 1;
 
   const write = async (box: WorldBox, changes: readonly Change[]): Promise<WriteResult> => {
-    const sentAt = clock.now();
     const request = {
       method: "POST",
       path: "/v1/writes",
@@ -51,12 +47,12 @@
     };
     const response = await box.process.gate(box.box.operators.handle(request));
     const result = JSON.parse(Buffer.from(response.body as Uint8Array).toString("utf8"));
-    if (result.kind === "accepted") noteAccepted(changes, result.revision, sentAt);
+    if (result.kind === "accepted") noteAccepted(changes, result.revision);
     if (result.kind === "revision_conflict") conflicts += 1;
     return result;
   };
 
-  const noteAccepted = (changes: readonly Change[], revision: Revision, sentAt: Milliseconds) => {
+  const noteAccepted = (changes: readonly Change[], revision: Revision) => {
     accepted += 1;
     for (const change of changes) {
       const key = resourceKey(change.action === "put" ? change.resource : change.name);
@@ -66,11 +62,11 @@
       }
       wonBases.set(won, revision);
     }
-    for (const box of world.liveBoxes()) void awaitInForce(box, revision, sentAt);
+    for (const box of world.liveBoxes()) void awaitInForce(box, revision);
   };
 
   /** A box that no fault touches meanwhile must have the change in force in time. */
-  const awaitInForce = async (box: WorldBox, revision: Revision, sentAt: Milliseconds) => {
+  const awaitInForce = async (box: WorldBox, revision: Revision) => {
     const start = clock.now();
     const store = box.box.kernel.find(stateStoreName);
     while (store.state().offset < revision) {
@@ -82,7 +78,6 @@
         return;
       }
     }
-    times.push(clock.now() - sentAt);
   };
 
   const storedRevision = (box: WorldBox, resource: Resource): Revision =>
@@ -128,7 +123,6 @@
         await sleep(clock, 2 * gapMs * random.fraction());
       }
     },
-    inForceTimes: () => times,
     accepted: () => accepted,
     conflicts: () => conflicts,
   };
--- a/packages/soak/src/scenarios/planted-faults.ts
+++ b/packages/soak/src/scenarios/planted-faults.ts
@@ -23,6 +23,22 @@
 
 /** Guards taken out one at a time. */
 export const plantedFaults: readonly PlantedFault[] = [
+  {
+    name: "relayed-reports-taken-for-new",
+    promise: "leaving",
+    file: "report-relay/dist/incoming.js",
+    find: "requestedAt: askedAt - ageMs",
+    replace: "requestedAt: askedAt",
+    scenario: "A reader that cannot reach an engine does not pass old word of it on as new",
+  },
+  {
+    name: "only-the-reader-reads",
+    promise: "reachability",
+    file: "target-watch/dist/index.js",
+    find: "return !isFresh(reports.get(engine.name), settings.report_stale_ms * ownReadShare);",
+    replace: "return false;",
+    scenario: "Boxes go on serving an engine whose only reader cannot reach it any more",
+  },
   {
     name: "ledger-forgets-open-orders",
     promise: "memory",
--- a/packages/soak/src/scenarios/run-seed.ts
+++ b/packages/soak/src/scenarios/run-seed.ts
@@ -8,6 +8,7 @@
 import { type FaultName, faultsByName, injectFaults } from "./faults.js";
 import { createOperators } from "./operators.js";
 import { accounts, boxNames, soakModel } from "./resources.js";
+import type { ExtraSettings } from "./settings.js";
 import { createWorld, type World, type WorldBox, type WorldOptions } from "./world.js";
 
 const startMs: Milliseconds = 12_000;
@@ -46,6 +47,8 @@
 
 const memberCheckMs: Milliseconds = 1_000;
 const memberGraceMs: Milliseconds = 5_000;
+/** After the end of a cut the next rounds of heartbeats bring word again. */
+const heardAgainMs: Milliseconds = 1_000;
 /** While the list is out, boxes that start find each other by the next claim of a lease in the log. */
 const nextClaimMs: Milliseconds = 7_000;
 
@@ -60,8 +63,9 @@
 
 /** Whether word of a box can come to another, directly or through a third. */
 function canHear(world: World, box: WorldBox, other: WorldBox): boolean {
-  const { isCut } = world.network;
-  const joined = (a: WorldBox, b: WorldBox) => !isCut(a.name, b.name) && !isCut(b.name, a.name);
+  const { wholeFor } = world.network;
+  const joined = (a: WorldBox, b: WorldBox) =>
+    Math.min(wholeFor(a.name, b.name), wholeFor(b.name, a.name)) >= heardAgainMs;
   const thirds = steadyBoxes(world).filter((third) => third !== box && third !== other);
   return joined(box, other) || thirds.some((third) => joined(box, third) && joined(third, other));
 }
@@ -118,9 +122,14 @@
   if (log.refusedBusy() > 0) violation(`the log refused ${log.refusedBusy()} appends as too many`);
 }
 
+/** In every second seed the boxes divide the reading of reports among themselves. */
+function settingsOf(seed: number): ExtraSettings {
+  return { targets: { report_readers: seed % 2 } };
+}
+
 /** Runs one seed to its end. */
 export async function runSeed(seed: number, options: SeedOptions = {}): Promise<SeedResult> {
-  const world = createWorld(seed, options);
+  const world = createWorld(seed, { ...options, settings: options.settings ?? settingsOf(seed) });
   options.onWorld?.(world);
   const callers = createCallers(world);
   const operators = createOperators(world);
@@ -161,7 +170,7 @@
     violations: world.violations,
     faults: injected,
     told: callers.counts(),
-    inForceTimes: operators.inForceTimes(),
+    inForceTimes: world.inForceTimes,
     acceptedWrites: operators.accepted(),
     conflicts: operators.conflicts(),
     appends: appendsOf(world),
--- a/packages/soak/src/scenarios/soak.feature
+++ b/packages/soak/src/scenarios/soak.feature
@@ -54,6 +54,17 @@
     When a box is paused, every engine but one begins to leave, and callers ask the box 4 s later
     Then no leaving engine got new work
 
+  Scenario: Boxes go on serving an engine whose only reader cannot reach it any more
+    Given a deployment at rest in which one box reads each engine for all
+    When a box is cut from the engines that it reads for all
+    Then the other boxes serve every model 4 s later
+
+  Scenario: A reader that cannot reach an engine does not pass old word of it on as new
+    Given a deployment at rest in which one box reads each engine for all
+    When a box is cut from the engines that it reads for all
+    And all engines but one leave
+    Then no engine gets new work 3 s after it began to leave
+
   Scenario: A caller that goes cancels its work at the engine
     Given a deployment at rest
     When a caller of a long stream goes after its first token
--- a/packages/soak/src/scenarios/soak.steps.ts
+++ b/packages/soak/src/scenarios/soak.steps.ts
@@ -4,6 +4,7 @@
 import { membershipName } from "@linkfall/membership";
 import { streams } from "@linkfall/ports";
 import { stateStoreName } from "@linkfall/state-store";
+import { targetWatchName } from "@linkfall/target-watch";
 import { notes } from "@linkfall/test-support";
 import { createCallers, type Told } from "./callers.js";
 import type { FaultName } from "./faults.js";
@@ -60,6 +61,56 @@
   await deploymentAtRest(this, { platform });
 });
 
+Given(
+  "a deployment at rest in which one box reads each engine for all",
+  async function (this: object) {
+    await deploymentAtRest(this, { targets: { report_readers: 1 } });
+  },
+);
+
+When("a box is cut from the engines that it reads for all", function (this: object) {
+  const world = worldOf(this);
+  const [cut] = world.boxes;
+  const { readersOf } = cut.box.kernel.find(targetWatchName);
+  const read = world.engines.filter(({ core }) => readersOf(core.engine).includes(cut.name));
+  assert.ok(read.length > 0);
+  for (const { core } of read) world.network.cut(cut.name, core.engine.name);
+});
+
+Then("the other boxes serve every model {int} s later", async function (this: object, s: number) {
+  const world = worldOf(this);
+  await world.clock.runUntil(world.clock.now() + s * 1_000);
+  for (const box of world.boxes.slice(1)) {
+    const told = await probeAll(world, box);
+    assert.deepEqual(told, Array(modelCount).fill("answered"));
+  }
+});
+
+When("all engines but one leave", function (this: object) {
+  const world = worldOf(this);
+  for (const engine of world.engines.slice(1)) {
+    engine.core.leaving = true;
+    engine.leavingSince = world.clock.now();
+  }
+});
+
+Then(
+  "no engine gets new work {int} s after it began to leave",
+  async function (this: object, s: number) {
+    const world = worldOf(this);
+    const until = world.clock.now() + 2 * s * 1_000;
+    while (world.clock.now() < until) {
+      const callers = createCallers(world);
+      for (const box of world.boxes) {
+        for (const index of [0, 2, 4, 6, 8])
+          void callers.probe(box, "dispatch", soakModel(index).name);
+      }
+      await world.clock.runUntil(world.clock.now() + 200);
+    }
+    assert.deepEqual(world.violations, []);
+  },
+);
+
 When("the log goes down and a box joins", async function (this: object) {
   const world = worldOf(this);
   world.log.faults.down = true;
--- a/packages/soak/src/scenarios/world.ts
+++ b/packages/soak/src/scenarios/world.ts
@@ -9,15 +9,16 @@
   withTimeout,
 } from "@linkfall/kernel";
 import { type EventName, recordingLogger } from "@linkfall/logger";
-import type {
-  BodyPart,
-  CallerRequest,
-  CallerResponse,
-  EnginePort,
-  LogPort,
-  PeerPort,
-  TargetPort,
-  TargetResponse,
+import {
+  type BodyPart,
+  type CallerRequest,
+  type CallerResponse,
+  type EnginePort,
+  type LogPort,
+  type PeerPort,
+  streams,
+  type TargetPort,
+  type TargetResponse,
 } from "@linkfall/ports";
 import {
   type BatchSpeeds,
@@ -33,6 +34,7 @@
   type ServiceCore,
   type WeightStoreCore,
 } from "@linkfall/stand-ins";
+import { stateStoreName } from "@linkfall/state-store";
 import type { Engine, Milliseconds, Order } from "@linkfall/types";
 import { type Either, Left, Right } from "purify-ts";
 import { createGatedProcess, type GatedProcess } from "./gated-process.js";
@@ -94,6 +96,8 @@
   readonly violations: string[];
   violation(text: string): void;
   readonly eventCounts: Map<EventName, number>;
+  /** For each accepted write and box in good order: the time from the log to its being in force there. */
+  readonly inForceTimes: Milliseconds[];
   startBox(name: string): Promise<WorldBox>;
   removeBox(box: WorldBox): void;
   /** Boxes whose process runs. */
@@ -141,6 +145,7 @@
   const runs = new Map<string, number>();
   const violations: string[] = [];
   const eventCounts = new Map<EventName, number>();
+  const inForceTimes: Milliseconds[] = [];
   const boxes: WorldBox[] = [];
   const epochsTaken = new Map<string, number>();
   const trace = options.trace ?? (() => undefined);
@@ -317,6 +322,8 @@
         limited(ask(address, async (peer) => peer.box.peerHandler.heartbeat(message))),
       reportUsage: (address, report) =>
         limited(ask(address, async (peer) => peer.box.peerHandler.reportUsage(report))),
+      readReports: (address, request) =>
+        limited(ask(address, async (peer) => peer.box.peerHandler.readReports(request))),
       fetchState: (address) =>
         limited(ask(address, async (peer) => peer.box.peerHandler.fetchState())),
       async forward(address, request) {
@@ -333,6 +340,16 @@
     return { ...response, body: untilDead(clock, box.process, response.body) };
   };
 
+  const noteInForceTimes = (worldBox: WorldBox) => {
+    const store = worldBox.box.kernel.find(stateStoreName);
+    store.onFold((event) => {
+      if (event.type !== "write_accepted") return;
+      const appendedAt = log.appendedAt(streams.state, event.revision);
+      const touched = worldBox.disturbances > 0 || worldBox.disturbedAt > appendedAt;
+      if (!touched) inForceTimes.push(clock.now() - appendedAt);
+    });
+  };
+
   const startBox = async (name: string): Promise<WorldBox> => {
     const process = createGatedProcess(clock);
     const domain = targets.domains[Number(name.slice(1)) % targets.domains.length];
@@ -371,6 +388,7 @@
     };
     boxes.push(worldBox);
     list.set({ box: name, peerAddress, state: "live" });
+    noteInForceTimes(worldBox);
     void worldBox.box.start();
     return worldBox;
   };
@@ -390,6 +408,7 @@
     violations,
     violation,
     eventCounts,
+    inForceTimes,
     startBox,
     removeBox(box) {
       box.process.kill();
--- a/packages/stand-ins/src/log-core.ts
+++ b/packages/stand-ins/src/log-core.ts
@@ -24,6 +24,8 @@
   /** Appends something that no box wrote. */
   inject(stream: StreamName, data: string): void;
   entries(stream: StreamName): readonly LogEntry[];
+  /** When the record at an offset took effect. */
+  appendedAt(stream: StreamName, offset: Offset): Milliseconds;
   /** Appends that took effect so far. */
   appended(stream: StreamName): number;
   /** Most appends that took effect within any second. */
@@ -54,6 +56,7 @@
   const bucket = createTokenBucket(clock, { rate: appendsPerSecond, burst: appendsPerSecond });
   const counts = new Map<StreamName, number>();
   const load = createSecondCounter(clock);
+  const times = new Map<StreamName, Milliseconds[]>();
   let refused = 0;
 
   const listOf = (stream: StreamName) => {
@@ -67,6 +70,9 @@
     listOf(stream).push({ offset, data });
     counts.set(stream, (counts.get(stream) ?? 0) + 1);
     load.note();
+    const ofStream = times.get(stream) ?? [];
+    times.set(stream, ofStream);
+    ofStream[offset] = clock.now();
     return offset;
   };
   const unavailable = <T>(reason: string): Either<LogFailure, T> =>
@@ -101,6 +107,7 @@
     },
     inject: (stream, data) => void add(stream, data),
     entries: listOf,
+    appendedAt: (stream, offset) => times.get(stream)?.[offset] ?? 0,
     appended: (stream) => counts.get(stream) ?? 0,
     busiestSecond: load.most,
     refusedBusy: () => refused,
--- a/packages/target-watch/src/index.ts
+++ b/packages/target-watch/src/index.ts
@@ -1,4 +1,8 @@
-/** Follows the reports of engines: one poll at a time for each, so that answers cannot change places. */
+/**
+ * Follows the reports of engines. A box reads some engines itself, one poll at a time for each; reports
+ * of the others come from the boxes that read those (see report-relay), or by a poll of its own when
+ * none has come for a while.
+ */
 import { settingsName } from "@linkfall/config";
 import {
   clockName,
@@ -12,21 +16,43 @@
 import { loggerName } from "@linkfall/logger";
 import { membershipName } from "@linkfall/membership";
 import { enginePortName } from "@linkfall/ports";
+import { topNodes } from "@linkfall/rendezvous";
 import { stateStoreName } from "@linkfall/state-store";
 import type { Engine, EngineReport, Milliseconds } from "@linkfall/types";
 
+/** Share of the time for which a report may be used, after which a box looks for itself. */
+const ownReadShare = 0.5;
+
 /** The newest report of an engine. */
 export interface WatchedReport {
   readonly report: EngineReport;
   /** When it was asked for, by this box's clock. */
   readonly requestedAt: Milliseconds;
   readonly receivedAt: Milliseconds;
+  readonly way: ReportWay;
+}
+
+/** How a report came: read from the engine by this box, or passed on by the box that read it. */
+export type ReportWay = "read" | "relayed";
+
+/** A report that this box has read itself. */
+export interface OwnReport {
+  readonly pool: string;
+  readonly watched: WatchedReport;
 }
 
 export interface TargetWatch {
   reportOf(engine: string): WatchedReport | undefined;
-  /** Takes a report that came by another way, such as the answer to a raised fence. */
-  ingest(report: EngineReport, requestedAt: Milliseconds): void;
+  /**
+   * Takes a report that came by another way, such as the answer to a raised fence.
+   *
+   * @param requestedAt a time by this box's clock before which it was not asked for
+   */
+  ingest(report: EngineReport, requestedAt: Milliseconds, way: ReportWay): void;
+  /** Names of the boxes that read an engine for its pool; none where every box reads every engine. */
+  readersOf(engine: Engine): readonly string[];
+  /** What this box may pass on: fresh reports that it has read itself. */
+  ownReports(): readonly OwnReport[];
   /** Whether a target is leaving, whatever the way it was learnt by. */
   isLeaving(target: { readonly name?: string; readonly address: string }): boolean;
   /** Engines that this box watches. */
@@ -46,20 +72,30 @@
   const membership = kernel.find(membershipName);
   const port = kernel.find(enginePortName);
   const settings = kernel.find(settingsName).targets;
+  const self = kernel.find(settingsName).box.name;
   const reports = new Map<string, WatchedReport>();
   const polling = new Set<string>();
   const listeners: ((report: WatchedReport) => void)[] = [];
 
-  /** A report is of use unless a newer one of the same start is known, here or in the log. */
-  const isOutdated = (report: EngineReport) => {
-    const held = reports.get(report.engine)?.report;
+  /** Whether the log says that a later report of the same start has been acted upon. */
+  const isSettledOver = (report: EngineReport) => {
     const settled = store.state().settledThrough.get(report.engine);
-    return [held, settled].some(
-      (known) =>
-        known?.engineIncarnation === report.engineIncarnation && known.sequence > report.sequence,
+    return (
+      settled?.engineIncarnation === report.engineIncarnation && settled.sequence > report.sequence
     );
   };
 
+  /** Reports come by several ways and may overtake each other; only a later one takes the place. */
+  const isLater = (report: EngineReport, requestedAt: Milliseconds) => {
+    const held = reports.get(report.engine);
+    if (!held) return true;
+    // Of another start of the engine: later for certain only when it was asked for after this one came.
+    if (held.report.engineIncarnation !== report.engineIncarnation)
+      return requestedAt >= held.receivedAt;
+    if (held.report.sequence !== report.sequence) return held.report.sequence < report.sequence;
+    return requestedAt >= held.requestedAt;
+  };
+
   const noteChanges = (before: EngineReport | undefined, report: EngineReport) => {
     if (before && before.engineIncarnation !== report.engineIncarnation) {
       logger.event("engineRestarted", { engine: report.engine });
@@ -68,10 +104,10 @@
       logger.event("targetLeaving", { target: report.engine });
   };
 
-  const ingest = (report: EngineReport, requestedAt: Milliseconds) => {
-    if (isOutdated(report)) return;
+  const ingest = (report: EngineReport, requestedAt: Milliseconds, way: ReportWay) => {
+    if (isSettledOver(report) || !isLater(report, requestedAt)) return;
     noteChanges(reports.get(report.engine)?.report, report);
-    const taken = { report, requestedAt, receivedAt: clock.now() };
+    const taken = { report, requestedAt, receivedAt: clock.now(), way };
     reports.set(report.engine, taken);
     for (const listener of listeners) listener(taken);
   };
@@ -84,7 +120,7 @@
     polling.delete(engine.name);
     answer.ifRight((report) => {
       // Another engine at this address is not the one that was declared.
-      if (report.engine === engine.name) ingest(report, requestedAt);
+      if (report.engine === engine.name) ingest(report, requestedAt, "read");
     });
   };
 
@@ -94,6 +130,21 @@
     return [...store.desired().engines.values()].filter((engine) => pools.has(engine.pool));
   };
 
+  const readersOf = ({ name, pool }: Engine): readonly string[] => {
+    if (settings.report_readers === 0) return [];
+    return topNodes(name, leases.boxesOf(pool), settings.report_readers);
+  };
+
+  const isFresh = (watched: WatchedReport | undefined, limit: Milliseconds) =>
+    watched !== undefined && clock.now() - watched.requestedAt <= limit;
+
+  /** Whether this box must read the engine: as one of its readers, or because no word of it comes. */
+  const mustRead = (engine: Engine) => {
+    const readers = readersOf(engine);
+    if (readers.length === 0 || readers.includes(self)) return true;
+    return !isFresh(reports.get(engine.name), settings.report_stale_ms * ownReadShare);
+  };
+
   const forgetUndeclared = () => {
     for (const name of reports.keys()) {
       if (!store.desired().engines.has(name)) reports.delete(name);
@@ -102,7 +153,7 @@
 
   const loop = repeatEvery(clock, kernel.find(randomName), settings.report_poll_ms, () => {
     forgetUndeclared();
-    for (const engine of watched()) void poll(engine);
+    for (const engine of watched()) if (mustRead(engine)) void poll(engine);
   });
   return {
     reportOf: (engine) => reports.get(engine),
@@ -116,6 +167,13 @@
       return declared || reported || shown.has(target.name);
     },
     watched,
+    readersOf,
+    ownReports: () =>
+      watched().flatMap(({ name, pool }) => {
+        const known = reports.get(name);
+        const usable = known?.way === "read" && isFresh(known, settings.report_stale_ms);
+        return usable ? [{ pool, watched: known }] : [];
+      }),
     onReport: (listener) => void listeners.push(listener),
     start: loop.start,
     stop: loop.stop,
--- a/packages/types/src/targets.ts
+++ b/packages/types/src/targets.ts
@@ -39,6 +39,12 @@
   readonly settledOrders: readonly string[];
 }
 
+/** The part of a report that changes only with orders. */
+export type ReportPlacement = Pick<EngineReport, "role" | "residents" | "settledOrders">;
+
+/** The part of a report that changes with every request. */
+export type ReportLoad = Omit<EngineReport, keyof ReportPlacement>;
+
 /** An entry of an engine's prefix cache that came or went. */
 export interface CacheEvent {
   /** Grows by one with each event of the engine's incarnation; a jump is a gap. */
