An outage of the log is told from a cut by boxes of which word comes through others

Cause: working out the two-year size (fanout 1 of 430) showed that a box hears some ten boxes directly, while the rule against serving when cut off wants a majority of all boxes heard directly. In a general outage of the log nearly every box of a large fleet would have refused requests. Ruled out: a larger fanout (bytes grow with it, 17 KB a second are spent already); hearing for longer (word older than a few rounds proves nothing). Change: boxes that confirm an outage are those whose heartbeat moves, by whatever way word of it comes. Word of a read of the log spreads by the same exchanges, so a member that is heard of without it has not read the log either. Conclusion: found by arithmetic, shown by a scenario, mended; at 430 nodes it has not run.

--- a/packages/membership/src/isolation.ts
+++ b/packages/membership/src/isolation.ts
@@ -9,8 +9,8 @@
 export interface Contact {
   /** Time since this box, or a peer that it hears, last read the log. */
   readonly freshMs: Milliseconds;
-  /** Boxes heard directly in the last moments, this one included. */
-  readonly heardBoxes: number;
+  /** Boxes of which word comes, directly or through others, this one included. */
+  readonly aliveBoxes: number;
   /** All boxes that are known and not forgotten, this one included. */
   readonly knownBoxes: number;
 }
@@ -18,6 +18,6 @@
 /** Says whether the box is cut off and must refuse requests. */
 export function isIsolated(contact: Contact, staleServingMs: Milliseconds): boolean {
   if (contact.freshMs <= staleServingMs) return false;
-  const majorityConfirms = 2 * contact.heardBoxes > contact.knownBoxes;
+  const majorityConfirms = 2 * contact.aliveBoxes > contact.knownBoxes;
   return !majorityConfirms;
 }
--- a/packages/membership/src/membership.steps.ts
+++ b/packages/membership/src/membership.steps.ts
@@ -70,8 +70,8 @@
 
 Then(
   "with the log silent for {int} ms, {int} of {int} boxes heard, a box is {string}",
-  (freshMs: number, heardBoxes: number, knownBoxes: number, verdict: string) => {
-    const isolated = isIsolated({ freshMs, heardBoxes, knownBoxes }, staleServingMs);
+  (freshMs: number, aliveBoxes: number, knownBoxes: number, verdict: string) => {
+    const isolated = isIsolated({ freshMs, aliveBoxes, knownBoxes }, staleServingMs);
     assert.equal(isolated ? "cut off" : "serving", verdict);
   },
 );
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -256,8 +256,10 @@
       leaving = true;
     },
     isolated() {
-      const heardBoxes = heardLately().length + 1;
-      const contact = { freshMs: freshMs(), heardBoxes, knownBoxes: electorate };
+      // Word of them may come through others: in a large fleet a box hears few of them directly. Word of
+      // a read of the log comes the same way, so those that are heard have not read it either.
+      const aliveBoxes = membership.alive().length;
+      const contact = { freshMs: freshMs(), aliveBoxes, knownBoxes: electorate };
       return isIsolated(contact, settings.membership.stale_serving_ms);
     },
     readTo(offset) {
--- a/packages/soak/src/scenarios/soak.feature
+++ b/packages/soak/src/scenarios/soak.feature
@@ -39,6 +39,16 @@
     When the log goes down and a box joins
     Then the new box serves every model within 5 s
 
+  Scenario: In a fleet where each box hears few others directly, an outage of the log is not taken for a cut
+    Given 24 boxes that each send a heartbeat to one other a round
+    When the log goes down for 15 s, more than twice the time that a cut-off box may serve
+    Then every box still serves
+
+  Scenario: In such a fleet boxes that are cut off from the rest and the log stop serving
+    Given 24 boxes that each send a heartbeat to one other a round
+    When 4 boxes are cut off from the rest and from the log for 15 s
+    Then those 4 refuse and the others serve
+
   Scenario: Boxes that start while the platform's list is out find each other through the log
     Given a deployment at rest
     When the list goes out and every box is replaced
