--- /dev/null
+++ b/packages/bench/src/capacity-peers.ts
@@ -0,0 +1,151 @@
+/** What messages between boxes cost: processor time of both sides, and bytes on the wire. */
+import { systemClock } from "@linkfall/kernel";
+import { createMemberTable } from "@linkfall/membership";
+import { createPeerClient, createPeerServer, type PeerGrpcClient } from "@linkfall/peer-grpc";
+import type { PeerHandler, RelayedReport } from "@linkfall/ports";
+import { jsonResponse } from "@linkfall/refusals";
+import { type MemberEntry, modelArtifact } from "@linkfall/types";
+import { openCountingLink } from "./counting-link.js";
+import { heapUsed, kb, processorTime, row, us } from "./measure.js";
+
+const messages = 3_000;
+const suspectMs = 15_000;
+const forgetMs = 60_000;
+
+/** What one message to a box that answers by `handler` costs. */
+async function measureMessage(
+  what: string,
+  size: string,
+  handler: Partial<PeerHandler>,
+  send: (client: PeerGrpcClient, address: string) => Promise<unknown>,
+): Promise<void> {
+  const whole: PeerHandler = {
+    heartbeat: (message) => ({ ...message, records: [] }),
+    fetchState: () => ({ offset: 0, data: "" }),
+    reportUsage: () => [],
+    readReports: () => ({ from: "", reports: [] }),
+    forward: async () => jsonResponse({}),
+    ...handler,
+  };
+  const server = createPeerServer(whole, (problem) => {
+    throw problem;
+  });
+  const port = (await server.listen("127.0.0.1:0")).unsafeCoerce();
+  const link = await openCountingLink(port);
+  const client = createPeerClient(systemClock(), 5_000);
+  const direct = `127.0.0.1:${port}`;
+  await send(client, direct);
+  await send(client, link.address);
+  const before = link.bytes();
+  const counted = 100;
+  for (let index = 0; index < counted; index++) await send(client, link.address);
+  const bytes = (link.bytes() - before) / counted;
+  const time = await processorTime(messages, () => send(client, direct));
+  client.close();
+  server.close();
+  await link.close();
+  row(`${what}, sent and answered (both sides, one at a time)`, size, us(time));
+  row(`${what}, on the wire in both directions`, size, kb(bytes));
+}
+
+function member(index: number, heartbeat: number): MemberEntry {
+  return {
+    box: `box-${index}`,
+    incarnation: `box-${index}@0123456789ab`,
+    peerAddress: `10.0.${index >> 8}.${index & 255}:7071`,
+    callerAddress: `10.0.${index >> 8}.${index & 255}:7070`,
+    domain: `domain-${index % 9}`,
+    heartbeat,
+    leaving: false,
+  };
+}
+
+/** A heartbeat in a fleet of `members` that passes `entries` of them on, merged on both sides. */
+export async function measureHeartbeats(members: number, entries: number): Promise<void> {
+  const changes = { joined: () => undefined, gone: () => undefined };
+  const before = heapUsed();
+  const table = createMemberTable("box-x@1", { suspectMs, forgetMs }, changes);
+  const all = Array.from({ length: members }, (_, index) => member(index, 0));
+  table.merge(all, 0);
+  const held = heapUsed() - before;
+  let beat = 1;
+  const message = () => {
+    beat += 1;
+    const some = Array.from({ length: entries }, (_, at) =>
+      member((beat * entries + at) % members, beat),
+    );
+    const summary = { offset: 1, ready: true, logSilentMs: 100 };
+    return { from: member(0, beat), members: some, summary };
+  };
+  const handler: Partial<PeerHandler> = {
+    heartbeat(received) {
+      table.merge(received.members, beat);
+      return { ...message(), records: [] };
+    },
+  };
+  const size = `${members} members, ${entries} entries`;
+  await measureMessage("heartbeat", size, handler, async (client, address) => {
+    const reply = await client.heartbeat(address, message());
+    table.merge(reply.unsafeCoerce().members, beat);
+  });
+  row("memory of the member table", size, kb(held));
+}
+
+/** A report of the rates of some accounts, answered with their sums. */
+export async function measureUsage(accounts: number): Promise<void> {
+  const rates = Array.from({ length: accounts }, (_, index) => ({
+    account: `account-${index}`,
+    requestsPerSecond: 1.5,
+  }));
+  const handler: Partial<PeerHandler> = { reportUsage: (report) => report.accounts };
+  await measureMessage("usage report", `${accounts} accounts`, handler, (client, address) =>
+    client.reportUsage(address, { from: "box-1@0123456789ab", demand: [], accounts: rates }),
+  );
+}
+
+function relayed(index: number, residents: number): RelayedReport {
+  return {
+    load: {
+      engine: `engine-${index}`,
+      sequence: 100_000,
+      running: 30,
+      queued: 2,
+      pendingTokens: 4_000,
+      tokensPerSecond: 2_200,
+      leaving: false,
+    },
+    ageMs: 700,
+    placementVersion: 3,
+    placement: {
+      engineIncarnation: `engine-${index}-1-0123456789ab`,
+      fence: 7_000,
+      role: "mixed",
+      residents: Array.from({ length: residents }, (_, at) => ({
+        artifact: modelArtifact(`model-${at}`, "1"),
+        accelerator: at % 8,
+        sizeMb: 20_000,
+        state: "ready",
+      })),
+      settledOrders: [],
+    },
+  };
+}
+
+/** An asking for the reports of some engines, with and without their placements. */
+export async function measureRelayedReports(engines: number, residents: number): Promise<void> {
+  const whole = Array.from({ length: engines }, (_, index) => relayed(index, residents));
+  const loads = whole.map((report) => ({ ...report, placement: undefined }));
+  const held = whole.map(({ load }) => ({ engine: load.engine, placementVersion: 3 }));
+  const from = "box-1@0123456789ab";
+  const request = { from, pools: ["pool-1"], heldFrom: "box-2@0123456789ab", held };
+  for (const [reports, what] of [
+    [loads, "placements held"],
+    [whole, `${residents} residents each`],
+  ] as const) {
+    const handler: Partial<PeerHandler> = { readReports: () => ({ from, reports }) };
+    const size = `${engines} engines, ${what}`;
+    await measureMessage("asking for reports", size, handler, (client, address) =>
+      client.readReports(address, request),
+    );
+  }
+}
--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -7,81 +7,21 @@
 import { createJsonCaller } from "@linkfall/json-call";
 import { createVirtualClock, seededRandom, systemClock } from "@linkfall/kernel";
 import { ledgersOf } from "@linkfall/ledger";
-import { createMemberTable } from "@linkfall/membership";
 import { createOnceMemory, createTicketOffice, parseOnceId } from "@linkfall/once";
-import { createPeerClient, createPeerServer } from "@linkfall/peer-grpc";
 import { type PoolView, planPool } from "@linkfall/placement";
 import { createLogHttp } from "@linkfall/platform-http";
-import { type PeerHandler, streams } from "@linkfall/ports";
+import { streams } from "@linkfall/ports";
 import { jsonResponse } from "@linkfall/refusals";
 import { chooseTarget } from "@linkfall/routing";
 import { DeploymentProcesses } from "@linkfall/stand-ins";
-import { type Engine, type EngineReport, type MemberEntry, modelArtifact } from "@linkfall/types";
+import { type Engine, type EngineReport, modelArtifact } from "@linkfall/types";
+import { measureHeartbeats, measureRelayedReports, measureUsage } from "./capacity-peers.js";
 import { measureState } from "./capacity-state.js";
 import { engineResource, modelResource } from "./fleet-resources.js";
 import { heapUsed, kb, processorTime, row, say, us } from "./measure.js";
 
 const microsecondsPerMillisecond = 1_000;
 
-// --- Members -------------------------------------------------------------------------------
-
-function member(index: number, heartbeat: number): MemberEntry {
-  return {
-    box: `box-${index}`,
-    incarnation: `box-${index}@0123456789ab`,
-    peerAddress: `10.0.${index >> 8}.${index & 255}:7071`,
-    callerAddress: `10.0.${index >> 8}.${index & 255}:7070`,
-    domain: `domain-${index % 9}`,
-    heartbeat,
-    leaving: false,
-  };
-}
-
-async function measureHeartbeats(members: number, entries: number): Promise<void> {
-  const changes = { joined: () => undefined, gone: () => undefined };
-  const limits = { suspectMs: 15_000, forgetMs: 60_000 };
-  const before = heapUsed();
-  const table = createMemberTable("box-x@1", limits, changes);
-  let beat = 1;
-  const some = () =>
-    Array.from({ length: entries }, (_, at) => member((beat * entries + at) % members, beat));
-  table.merge(
-    Array.from({ length: members }, (_, index) => member(index, 0)),
-    0,
-  );
-  const held = heapUsed() - before;
-  const summary = { offset: 1, ready: true, logSilentMs: 100 };
-  const message = () => ({ from: member(0, ++beat), members: some(), summary });
-  const handler: PeerHandler = {
-    heartbeat(received) {
-      table.merge(received.members, beat);
-      return { ...message(), records: [] };
-    },
-    fetchState: () => ({ offset: 0, data: "" }),
-    reportUsage: () => [],
-    readReports: () => ({ from: "", reports: [] }),
-    forward: async () => jsonResponse({}),
-  };
-  const server = createPeerServer(handler, (problem) => {
-    throw problem;
-  });
-  const port = (await server.listen("127.0.0.1:0")).unsafeCoerce();
-  const client = createPeerClient(systemClock(), 5_000);
-  const address = `127.0.0.1:${port}`;
-  await client.heartbeat(address, message());
-  const time = await processorTime(1_500, async () => {
-    const reply = await client.heartbeat(address, message());
-    table.merge(reply.unsafeCoerce().members, beat);
-  });
-  client.close();
-  server.close();
-  const size = `${members} members, ${entries} entries`;
-  const bytes = JSON.stringify(message()).length;
-  row("heartbeat sent, answered and merged (both sides)", size, us(time));
-  row("its message as JSON text (upper bound of the wire)", size, kb(bytes));
-  row("memory of the member table", size, kb(held));
-}
-
 // --- Targets and log over HTTP ---------------------------------------------------------------
 
 function reportWith(engine: Engine, residents: number): EngineReport {
@@ -223,10 +163,13 @@
   for (const [members, entries] of [
     [8, 8],
     [64, 32],
+    [430, 16],
     [430, 32],
   ] as const) {
     await measureHeartbeats(members, entries);
   }
+  await measureUsage(60);
+  await measureRelayedReports(9, 24);
   await measureHttp();
   for (const residents of [8, 16, 32]) await measureReports(residents);
   for (const [engines, accelerators, models] of [
--- a/packages/caller-service/src/chunk-queue.ts
+++ b/packages/caller-service/src/chunk-queue.ts
@@ -1,5 +1,6 @@
 /** Parts of an answer on their way from the engine to the caller, with backpressure. */
 import type { BodyPart } from "@linkfall/ports";
+import { Right } from "purify-ts";
 
 /** Parts that may wait before the engine is held back. */
 const mostWaiting = 64;
@@ -15,6 +16,14 @@
   read(): AsyncGenerator<BodyPart>;
 }
 
+/** Parts that wait together as one, so that they cost the reader one write. */
+function joined(parts: readonly BodyPart[]): readonly BodyPart[] {
+  if (parts.length < 2) return parts;
+  const chunks = parts.flatMap((part) => (part.isRight() ? [part.extract()] : []));
+  const cuts = parts.filter((part) => part.isLeft());
+  return [Right(Buffer.concat(chunks)), ...cuts];
+}
+
 /** Creates an empty queue; `calledOff` is called when its reader stops before the end. */
 export function createChunkQueue(calledOff: () => void): ChunkQueue {
   let waiting: BodyPart[] = [];
@@ -47,7 +56,7 @@
     async *read() {
       try {
         for (;;) {
-          for (const part of takeAll()) yield part;
+          for (const part of joined(takeAll())) yield part;
           if (waiting.length > 0) continue;
           if (ended) return;
           await new Promise<void>((resolve) => (wakeReader = resolve));
--- a/packages/config/src/keys.ts
+++ b/packages/config/src/keys.ts
@@ -102,6 +102,11 @@
       "entries",
       "Most members passed on in one heartbeat.",
     ),
+    usage_ms: key(
+      wholeNumber(100, 60_000, 2_000),
+      "ms",
+      "Time between reports of demand and of accounts' rates to the boxes that add them up.",
+    ),
     stale_serving_ms: key(
       wholeNumber(1_000, 7_200_000, 60_000),
       "ms",
--- a/packages/peer-grpc/src/convert.ts
+++ b/packages/peer-grpc/src/convert.ts
@@ -88,15 +88,17 @@
   );
 }
 
-function fromPlacement({ role, residents, settledOrders }: ReportPlacement): Placement {
-  return { role, residents: [...residents], settledOrders: [...settledOrders] };
+function fromPlacement(placement: ReportPlacement): Placement {
+  const { residents, settledOrders } = placement;
+  return { ...placement, residents: [...residents], settledOrders: [...settledOrders] };
 }
 
-function toPlacement({ role, residents, settledOrders }: Placement): ReportPlacement {
+function toPlacement(message: Placement): ReportPlacement {
+  const { role, residents } = message;
   return {
+    ...message,
     role: oneOf(engineRoles, role),
     residents: residents.map((copy) => ({ ...copy, state: oneOf(residentStates, copy.state) })),
-    settledOrders,
   };
 }
 
--- a/packages/pool-control/src/pool-context.ts
+++ b/packages/pool-control/src/pool-context.ts
@@ -40,8 +40,7 @@
       const least = { kind: "pool", name: lease.pool, loadsPerSecond: 1, loadsAtOnce: 1 } as const;
       return store.desired().pools.get(lease.pool) ?? least;
     },
-    engines: () =>
-      [...store.desired().engines.values()].filter((engine) => engine.pool === lease.pool),
+    engines: () => store.desired().enginesByPool.get(lease.pool) ?? [],
     engineNamed: (name) => store.desired().engines.get(name),
     reportOf(engine) {
       const watched = watch.reportOf(engine);
--- a/packages/replicas/src/index.ts
+++ b/packages/replicas/src/index.ts
@@ -106,8 +106,7 @@
     };
   };
 
-  const poolEngines = (model: Model) =>
-    [...store.desired().engines.values()].filter((engine) => engine.pool === model.pool);
+  const poolEngines = (model: Model) => store.desired().enginesByPool.get(model.pool) ?? [];
 
   /** Those that fulfil the test, or all where none does. */
   const prefer = (offers: readonly Offer[], test: (offer: Offer) => boolean) => {
--- a/packages/report-relay/src/outgoing.ts
+++ b/packages/report-relay/src/outgoing.ts
@@ -20,8 +20,8 @@
 }
 
 function split({ report }: WatchedReport): { load: ReportLoad; placement: ReportPlacement } {
-  const { role, residents, settledOrders, ...load } = report;
-  return { load, placement: { role, residents, settledOrders } };
+  const { engineIncarnation, fence, role, residents, settledOrders, ...load } = report;
+  return { load, placement: { engineIncarnation, fence, role, residents, settledOrders } };
 }
 
 /** Creates the outgoing reports of one process start; its numbering ends with it. */
--- a/packages/state-fold/src/views.ts
+++ b/packages/state-fold/src/views.ts
@@ -22,6 +22,8 @@
   readonly models: ReadonlyMap<string, Model>;
   readonly adapters: ReadonlyMap<string, Adapter>;
   readonly engines: ReadonlyMap<string, Engine>;
+  /** Engines of each pool that has any; each request looks at those of one pool only. */
+  readonly enginesByPool: ReadonlyMap<string, readonly Engine[]>;
   readonly services: ReadonlyMap<string, PlainService>;
 }
 
@@ -45,10 +47,21 @@
   return new Map(ofKind.map((resource) => [resource.name, resource]));
 }
 
+function byPool(engines: Iterable<Engine>): ReadonlyMap<string, readonly Engine[]> {
+  const pools = new Map<string, Engine[]>();
+  for (const engine of engines) {
+    const ofPool = pools.get(engine.pool) ?? [];
+    ofPool.push(engine);
+    pools.set(engine.pool, ofPool);
+  }
+  return pools;
+}
+
 /** Sorts the resources of the folded state. */
 export function desiredStateOf(state: FoldedState): DesiredState {
   const resources = [...state.resources.values()].map((stored) => stored.resource);
   const accounts = byName(resources, "account");
+  const engines = byName(resources, "engine");
   return {
     deployment: [...byName(resources, "deployment").values()][0] ?? standardDeployment,
     accounts,
@@ -56,7 +69,8 @@
     pools: byName(resources, "pool"),
     models: byName(resources, "model"),
     adapters: byName(resources, "adapter"),
-    engines: byName(resources, "engine"),
+    engines,
+    enginesByPool: byPool(engines.values()),
     services: byName(resources, "service"),
   };
 }
--- a/packages/target-watch/src/index.ts
+++ b/packages/target-watch/src/index.ts
@@ -127,7 +127,7 @@
   const watched = () => {
     const held = leases.heldPools().map((lease) => lease.pool);
     const pools = new Set([...leases.servedPools(), ...held]);
-    return [...store.desired().engines.values()].filter((engine) => pools.has(engine.pool));
+    return [...pools].flatMap((pool) => store.desired().enginesByPool.get(pool) ?? []);
   };
 
   const readersOf = ({ name, pool }: Engine): readonly string[] => {
--- a/packages/types/src/targets.ts
+++ b/packages/types/src/targets.ts
@@ -39,8 +39,11 @@
   readonly settledOrders: readonly string[];
 }
 
-/** The part of a report that changes only with orders. */
-export type ReportPlacement = Pick<EngineReport, "role" | "residents" | "settledOrders">;
+/** The part of a report that changes only with orders and restarts. */
+export type ReportPlacement = Pick<
+  EngineReport,
+  "engineIncarnation" | "fence" | "role" | "residents" | "settledOrders"
+>;
 
 /** The part of a report that changes with every request. */
 export type ReportLoad = Omit<EngineReport, keyof ReportPlacement>;
--- a/packages/usage-report/src/index.ts
+++ b/packages/usage-report/src/index.ts
@@ -3,6 +3,7 @@
  * and the rate of a client account to the one box that rendezvous hashing names for it, which adds
  * up what all boxes report and tells them the sum. A broadcast would grow with models times boxes.
  */
+import { settingsName } from "@linkfall/config";
 import { createDemandMeter, type DemandMeter } from "@linkfall/demand-meter";
 import {
   clockName,
@@ -12,16 +13,16 @@
   type Service,
   serviceName,
 } from "@linkfall/kernel";
+import { leaseHolderName } from "@linkfall/lease-holder";
 import { incarnationName } from "@linkfall/log-writer";
 import { membershipName } from "@linkfall/membership";
 import { peerPortName, type UsageReport, type UsageTotals } from "@linkfall/ports";
 import { rankNodes } from "@linkfall/rendezvous";
 import { stateStoreName } from "@linkfall/state-store";
-import type { AccountRate, DemandSample, Incarnation, Milliseconds } from "@linkfall/types";
+import type { AccountRate, DemandSample, Incarnation, Milliseconds, Model } from "@linkfall/types";
 
-const reportEveryMs: Milliseconds = 2_000;
-/** A report or a sum older than this no longer counts. */
-const reportLifeMs: Milliseconds = 10_000;
+/** A report or a sum that has not come anew for so many periods no longer counts. */
+const lifePeriods = 5;
 
 export interface UsageReports {
   /** Counts one request. */
@@ -43,9 +44,9 @@
   readonly at: Milliseconds;
 }
 
-/** Drops what is too old. */
-function sweep<T>(entries: Map<string, Held<T>>, now: Milliseconds): void {
-  for (const [key, held] of entries) if (now - held.at > reportLifeMs) entries.delete(key);
+/** Drops what came before a time. */
+function sweep<T>(entries: Map<string, Held<T>>, oldest: Milliseconds): void {
+  for (const [key, held] of entries) if (held.at < oldest) entries.delete(key);
 }
 
 function toRates(meter: DemandMeter): readonly AccountRate[] {
@@ -58,7 +59,10 @@
   const store = kernel.find(stateStoreName);
   const membership = kernel.find(membershipName);
   const peers = kernel.find(peerPortName);
+  const leases = kernel.find(leaseHolderName);
   const self = kernel.find(incarnationName);
+  const everyMs = kernel.find(settingsName).membership.usage_ms;
+  const oldest = () => clock.now() - lifePeriods * everyMs;
   const models = createDemandMeter(clock);
   const accounts = createDemandMeter(clock);
   /** Reports of boxes, by incarnation: what this box is the home or the holder for. */
@@ -70,11 +74,26 @@
     return pool === undefined ? undefined : store.state().leases.get(pool)?.holder;
   };
 
-  const homeOf = (account: string): Incarnation =>
-    rankNodes(
-      account,
-      membership.serving().map((entry) => entry.incarnation),
-    )[0] ?? self;
+  /** The pool of the account's first model; most of its requests come to that pool's boxes. */
+  const mainPoolOf = (account: string): string | undefined => {
+    const own = [...store.desired().models.values()].filter(({ accounts }) =>
+      accounts.includes(account),
+    );
+    return own.reduce<Model | undefined>(
+      (first, model) => (first === undefined || model.name < first.name ? model : first),
+      undefined,
+    )?.pool;
+  };
+
+  /** One box for each account: of its main pool's, so that a box reports to few others. */
+  const homeOf = (account: string): Incarnation => {
+    const serving = membership.serving();
+    const pool = mainPoolOf(account);
+    const boxes = pool === undefined ? undefined : leases.boxesOf(pool);
+    const candidates = serving.filter((entry) => boxes?.includes(entry.box) ?? true);
+    const names = candidates.map((entry) => entry.incarnation);
+    return rankNodes(account, names)[0] ?? self;
+  };
 
   /** What goes to each box. */
   const reportsByBox = (): ReadonlyMap<Incarnation, UsageReport> => {
@@ -97,7 +116,7 @@
 
   const receive = (report: UsageReport): UsageTotals => {
     const now = clock.now();
-    sweep(reports, now);
+    sweep(reports, oldest());
     reports.set(report.from, { value: report, at: now });
     return report.accounts.map(({ account }) => ({ account, requestsPerSecond: sumOf(account) }));
   };
@@ -117,11 +136,11 @@
   };
 
   const round = () => {
-    sweep(totals, clock.now());
+    sweep(totals, oldest());
     for (const [box, report] of reportsByBox()) void sendTo(box, report);
   };
 
-  const loop = repeatEvery(clock, kernel.find(randomName), reportEveryMs, round);
+  const loop = repeatEvery(clock, kernel.find(randomName), everyMs, round);
   return {
     note(account, model, tokens = 0) {
       accounts.note(account, 0);
