Soak in smaller files: ports, checks of engines, bodies, faults of boxes, steps by subject

Ruled out: leaving the ports inside createWorld as closures (each needs only the world, its name, its process and the trace). Change: world-ports.ts (what a box reaches the outside with), engine-checks.ts, bodies.ts, box-faults.ts; steps of fleets and of reports in files of their own, with rest.ts for what they share. Nothing else changed.

--- /dev/null
+++ b/packages/soak/src/scenarios/fleet.steps.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { membershipName } from "@linkfall/membership";
+import { notes } from "@linkfall/test-support";
+import { createOperators } from "./operators.js";
+import { worldOf } from "./rest.js";
+import { createWorld, type World } from "./world.js";
+
+const fleetWarmUpMs = 30_000;
+
+Given(
+  "{int} boxes that each send a heartbeat to one other a round",
+  async function (this: object, count: number) {
+    const membership = { fanout: 1, suspect_ms: 4_000, forget_ms: 60_000 };
+    const world = createWorld(3, { settings: { membership } });
+    for (let index = 1; index <= count; index++) await world.startBox(`b${index}`);
+    void createOperators(world).begin();
+    await world.clock.runUntil(fleetWarmUpMs);
+    notes(this).set("world", world);
+  },
+);
+
+When(
+  "the log goes down for {int} s, more than twice the time that a cut-off box may serve",
+  async function (this: object, seconds: number) {
+    const world = worldOf(this);
+    world.log.faults.down = true;
+    await world.clock.runUntil(world.clock.now() + seconds * 1_000);
+  },
+);
+
+When(
+  "{int} boxes are cut off from the rest and from the log for {int} s",
+  async function (this: object, count: number, seconds: number) {
+    const world = worldOf(this);
+    const others = [...world.boxes.slice(count).map(({ name }) => name), "log", "list"];
+    for (const { name } of world.boxes.slice(0, count)) {
+      for (const other of others) {
+        world.network.cut(name, other);
+        world.network.cut(other, name);
+      }
+    }
+    await world.clock.runUntil(world.clock.now() + seconds * 1_000);
+  },
+);
+
+const isolatedBoxes = (world: World) =>
+  world.boxes.filter(({ box }) => box.kernel.find(membershipName).isolated());
+
+Then("every box still serves", function (this: object) {
+  assert.equal(isolatedBoxes(worldOf(this)).length, 0);
+});
+
+Then("those {int} refuse and the others serve", function (this: object, count: number) {
+  const world = worldOf(this);
+  assert.deepEqual(isolatedBoxes(world), world.boxes.slice(0, count));
+});
+
+When("the list goes out and every box is replaced", async function (this: object) {
+  const world = worldOf(this);
+  world.list.down = true;
+  const names = world.boxes.map((box) => box.name);
+  for (const box of [...world.boxes]) world.removeBox(box);
+  for (const name of names) await world.startBox(name);
+});
+
+Then("within {int} s every box hears every other", async function (this: object, seconds: number) {
+  const world = worldOf(this);
+  await world.clock.runUntil(world.clock.now() + seconds * 1_000);
+  const heard = world.boxes.map((box) => box.box.kernel.find(membershipName).alive().length);
+  assert.deepEqual(heard, Array(world.boxes.length).fill(world.boxes.length));
+});
--- a/packages/soak/src/scenarios/soak.steps.ts
+++ b/packages/soak/src/scenarios/soak.steps.ts
@@ -1,31 +1,19 @@
 import assert from "node:assert/strict";
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
-import { membershipName } from "@linkfall/membership";
 import { streams } from "@linkfall/ports";
 import { stateStoreName } from "@linkfall/state-store";
-import { targetWatchName } from "@linkfall/target-watch";
 import { notes } from "@linkfall/test-support";
-import { createCallers, type Told } from "./callers.js";
 import type { FaultName } from "./faults.js";
-import { createOperators } from "./operators.js";
 import { type Account, type Resource, resourceKey } from "@linkfall/types";
-import {
-  type AccountName,
-  accounts,
-  domains,
-  soakModel,
-  soakResources,
-  tokenOf,
-} from "./resources.js";
+import { type AccountName, domains, soakResources, tokenOf } from "./resources.js";
 import { operatorToken } from "./settings.js";
+import { deploymentAtRest, modelCount, probeAll, worldOf } from "./rest.js";
 import { runSeed } from "./run-seed.js";
 import { playSession } from "./session.js";
-import { createWorld, type World, type WorldBox } from "./world.js";
+import type { World, WorldBox } from "./world.js";
 
 const goldenFile = "packages/soak/src/scenarios/session.golden.txt";
-const modelCount = 10;
-const settledMs = 20_000;
 setDefaultTimeout(180_000);
 
 const repeatWith = (seed: number) => `repeat with: npm run soak -- --seeds ${seed}..${seed}`;
@@ -43,15 +31,6 @@
   },
 );
 
-async function deploymentAtRest(world: object, settings = {}): Promise<void> {
-  const created = createWorld(5, { settings });
-  for (const name of ["b1", "b2", "b3"]) await created.startBox(name);
-  void createOperators(created).begin();
-  await created.clock.runUntil(settledMs);
-  notes(world).set("world", created);
-}
-const worldOf = (world: object) => notes(world).get<World>("world");
-
 Given("a deployment at rest", async function (this: object) {
   await deploymentAtRest(this);
 });
@@ -61,139 +40,12 @@
   await deploymentAtRest(this, { platform });
 });
 
-Given(
-  "a deployment at rest in which one box reads each engine for all",
-  async function (this: object) {
-    await deploymentAtRest(this, { targets: { report_readers: 1 } });
-  },
-);
-
-When("a box is cut from the engines that it reads for all", function (this: object) {
-  const world = worldOf(this);
-  const [cut] = world.boxes;
-  const { readersOf } = cut.box.kernel.find(targetWatchName);
-  const read = world.engines.filter(({ core }) => readersOf(core.engine).includes(cut.name));
-  assert.ok(read.length > 0);
-  for (const { core } of read) world.network.cut(cut.name, core.engine.name);
-});
-
-Then("the other boxes serve every model {int} s later", async function (this: object, s: number) {
-  const world = worldOf(this);
-  await world.clock.runUntil(world.clock.now() + s * 1_000);
-  for (const box of world.boxes.slice(1)) {
-    const told = await probeAll(world, box);
-    assert.deepEqual(told, Array(modelCount).fill("answered"));
-  }
-});
-
-When("all engines but one leave", function (this: object) {
-  const world = worldOf(this);
-  for (const engine of world.engines.slice(1)) {
-    engine.core.leaving = true;
-    engine.leavingSince = world.clock.now();
-  }
-});
-
-Then(
-  "no engine gets new work {int} s after it began to leave",
-  async function (this: object, s: number) {
-    const world = worldOf(this);
-    const until = world.clock.now() + 2 * s * 1_000;
-    while (world.clock.now() < until) {
-      const callers = createCallers(world);
-      for (const box of world.boxes) {
-        for (const index of [0, 2, 4, 6, 8])
-          void callers.probe(box, "dispatch", soakModel(index).name);
-      }
-      await world.clock.runUntil(world.clock.now() + 200);
-    }
-    assert.deepEqual(world.violations, []);
-  },
-);
-
 When("the log goes down and a box joins", async function (this: object) {
   const world = worldOf(this);
   world.log.faults.down = true;
   notes(this).set("box", await world.startBox("b4"));
 });
 
-const fleetWarmUpMs = 30_000;
-
-Given(
-  "{int} boxes that each send a heartbeat to one other a round",
-  async function (this: object, count: number) {
-    const membership = { fanout: 1, suspect_ms: 4_000, forget_ms: 60_000 };
-    const world = createWorld(3, { settings: { membership } });
-    for (let index = 1; index <= count; index++) await world.startBox(`b${index}`);
-    void createOperators(world).begin();
-    await world.clock.runUntil(fleetWarmUpMs);
-    notes(this).set("world", world);
-  },
-);
-
-When(
-  "the log goes down for {int} s, more than twice the time that a cut-off box may serve",
-  async function (this: object, seconds: number) {
-    const world = worldOf(this);
-    world.log.faults.down = true;
-    await world.clock.runUntil(world.clock.now() + seconds * 1_000);
-  },
-);
-
-When(
-  "{int} boxes are cut off from the rest and from the log for {int} s",
-  async function (this: object, count: number, seconds: number) {
-    const world = worldOf(this);
-    const others = [...world.boxes.slice(count).map(({ name }) => name), "log", "list"];
-    for (const { name } of world.boxes.slice(0, count)) {
-      for (const other of others) {
-        world.network.cut(name, other);
-        world.network.cut(other, name);
-      }
-    }
-    await world.clock.runUntil(world.clock.now() + seconds * 1_000);
-  },
-);
-
-const isolatedBoxes = (world: World) =>
-  world.boxes.filter(({ box }) => box.kernel.find(membershipName).isolated());
-
-Then("every box still serves", function (this: object) {
-  assert.equal(isolatedBoxes(worldOf(this)).length, 0);
-});
-
-Then("those {int} refuse and the others serve", function (this: object, count: number) {
-  const world = worldOf(this);
-  assert.deepEqual(isolatedBoxes(world), world.boxes.slice(0, count));
-});
-
-When("the list goes out and every box is replaced", async function (this: object) {
-  const world = worldOf(this);
-  world.list.down = true;
-  const names = world.boxes.map((box) => box.name);
-  for (const box of [...world.boxes]) world.removeBox(box);
-  for (const name of names) await world.startBox(name);
-});
-
-Then("within {int} s every box hears every other", async function (this: object, seconds: number) {
-  const world = worldOf(this);
-  await world.clock.runUntil(world.clock.now() + seconds * 1_000);
-  const heard = world.boxes.map((box) => box.box.kernel.find(membershipName).alive().length);
-  assert.deepEqual(heard, Array(world.boxes.length).fill(world.boxes.length));
-});
-
-/** Asks a box for every model and answers with what came of it. */
-async function probeAll(world: World, box: WorldBox): Promise<readonly Told[]> {
-  const callers = createCallers(world);
-  const told: Told[] = [];
-  for (let index = 0; index < modelCount; index++) {
-    const account = accounts[index % accounts.length];
-    void callers.probe(box, account, soakModel(index).name).then((word) => told.push(word));
-  }
-  await world.clock.runUntil(world.clock.now() + 8_000);
-  return told;
-}
-
 Then("the new box serves every model within 5 s", async function (this: object) {
   const world = worldOf(this);
   await world.clock.runUntil(world.clock.now() + 5_000);
