Spare replicas come when requests begin to queue, and a move must earn three times as much

Change: threshold 1 (no place left) for 0.7, cost of a move 0.03 for 0.01, utilisation rises by half of the difference and falls by a tenth, moves_per_minute 20 for 6, cooldown_ms 5000 for 15000.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,6 @@
 /**
  * `npm run bench -- routing|placement [--seeds N] [--deployment D] [--variant V] [--faults] [--steady]
- * [--plot FOLDER]`: a table for each deployment and, on request, a plot.
+ * [--extra-minutes N] [--plot FOLDER]`: a table for each deployment and, on request, a plot.
  */
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
@@ -18,6 +18,7 @@
     variant: { type: "string" },
     faults: { type: "boolean", default: false },
     steady: { type: "boolean", default: false },
+    "extra-minutes": { type: "string", default: "0" },
     misses: { type: "boolean", default: false },
     plot: { type: "string" },
   },
@@ -32,12 +33,16 @@
 if (!experiment) throw new Error(`one of ${Object.keys(experiments).join(", ")}`);
 const seeds = Array.from({ length: Number(values.seeds) }, (_, index) => index + 1);
 
+const conditions = {
+  faults: values.faults,
+  steady: values.steady,
+  extraMinutes: Number(values["extra-minutes"]),
+};
+
 async function runVariant(deployment: Deployment, variant: Variant): Promise<VariantResults> {
   const results: RunResult[] = [];
   for (const seed of seeds) {
-    results.push(
-      await runPolicy(deployment, variant, seed, { faults: values.faults, steady: values.steady }),
-    );
+    results.push(await runPolicy(deployment, variant, seed, conditions));
   }
   return { variant: variant.name, results };
 }
--- a/packages/bench/src/policy-run.ts
+++ b/packages/bench/src/policy-run.ts
@@ -7,6 +7,8 @@
 import { accountToken, type Deployment } from "./deployments.js";
 import { type Arrival, createWorkload, phases } from "./workload.js";
 
+const msPerMinute: Milliseconds = 60_000;
+
 /** A way of deciding that is compared with others. */
 export interface Variant {
   readonly name: string;
@@ -21,6 +23,8 @@
   readonly faults: boolean;
   /** Demand neither bursts nor shifts. */
   readonly steady: boolean;
+  /** Minutes that are added to the run. */
+  readonly extraMinutes: number;
 }
 
 export interface RunResult {
@@ -149,8 +153,9 @@
   for (let index = 1; index <= deployment.boxes; index++) await world.startBox(`b${index}`);
   if (conditions.faults) loseDomain(world, deployment);
 
+  const end = phases.end + conditions.extraMinutes * msPerMinute;
   const arrivals = async () => {
-    while (world.clock.now() < phases.end) {
+    while (world.clock.now() < end) {
       await sleep(world.clock, workload.nextGap(world.clock.now()));
       void send(world, workload.next(world.clock.now()), tally);
     }
@@ -160,7 +165,7 @@
   world.clock.after(phases.requestsFrom, () => void arrivals());
   await world.clock.runUntil(phases.measureFrom);
   const movesBefore = movesSoFar(world);
-  await world.clock.runUntil(phases.end + 20_000);
+  await world.clock.runUntil(end + 20_000);
   return {
     attainment: tally.met / tally.requests,
     notRun: tally.notRun / tally.requests,
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -13,16 +13,16 @@
 
 /** Times of a run, in milliseconds from its start. */
 export const phases = {
-  /** Placing 40 models and 95 adapters takes 70 s at two loads a second. */
-  requestsFrom: 75_000,
-  measureFrom: 90_000,
+  /** Placing 40 models twice and 95 adapters takes 90 s at two loads a second. */
+  requestsFrom: 115_000,
+  measureFrom: 130_000,
   /** A tremor, or the evening shift: a few models are asked for far more. */
-  shiftFrom: 130_000,
-  shiftUntil: 200_000,
+  shiftFrom: 170_000,
+  shiftUntil: 240_000,
   /** A failure domain is lost here, in runs with faults. */
-  lossFrom: 220_000,
-  lossUntil: 260_000,
-  end: 290_000,
+  lossFrom: 260_000,
+  lossUntil: 300_000,
+  end: 330_000,
 } as const;
 
 const skew = 0.9;
--- a/packages/config/src/keys.ts
+++ b/packages/config/src/keys.ts
@@ -259,12 +259,12 @@
   placement: {
     plan_ms: key(wholeNumber(50, 600_000, 1_000), "ms", "Time between plans of a pool's holder."),
     cooldown_ms: key(
-      wholeNumber(0, 3_600_000, 15_000),
+      wholeNumber(0, 3_600_000, 5_000),
       "ms",
       "Wait after spare replicas of a model were added, before more are.",
     ),
     moves_per_minute: key(
-      wholeNumber(1, 10_000, 6),
+      wholeNumber(1, 10_000, 20),
       "moves/min",
       "Most moves of spare replicas a minute in one pool.",
     ),
--- a/packages/placement/src/demand.ts
+++ b/packages/placement/src/demand.ts
@@ -4,14 +4,14 @@
 import type { ModelView, PoolView } from "./pool-view.js";
 import type { Copy, Slot, WorkingPool } from "./working-pool.js";
 
-/** A model's least busy engine must be at least this busy before it gets another replica. */
-const busyUtilisation = 0.7;
+/** A model's least busy engine must have no place left before the model gets another replica. */
+const busyUtilisation = 1;
 /** An engine takes another replica only while it is at most this busy. */
 const idleUtilisation = 0.5;
 /** Queues longer than this add nothing to the worth of a move. */
 const fullUtilisation = 2;
 /** What one move must earn at equal weights, in share of demand times utilisation relieved. */
-const moveCost = 0.01;
+const moveCost = 0.03;
 /** A spare replica is displaced only for a model with at least this many times its demand. */
 const displacementRatio = 4;
 
--- a/packages/pool-control/src/pool-view.ts
+++ b/packages/pool-control/src/pool-view.ts
@@ -11,8 +11,9 @@
 import type { Fences } from "./fences.js";
 import type { PoolContext } from "./pool-context.js";
 
-/** Weight of one report in an engine's smoothed utilisation. */
-const utilisationStep = 0.1;
+/** Weight of one report in an engine's smoothed utilisation: it rises at once and falls slowly. */
+const risingStep = 0.5;
+const fallingStep = 0.1;
 
 export interface PoolViewer {
   /**
@@ -94,7 +95,8 @@
       if (engine?.pool !== context.lease.pool) return;
       const now = (report.running + report.queued) / engine.concurrency;
       const before = utilisation.get(report.engine) ?? now;
-      utilisation.set(report.engine, before + utilisationStep * (now - before));
+      const step = now > before ? risingStep : fallingStep;
+      utilisation.set(report.engine, before + step * (now - before));
     },
   };
 }
