A stream holds nothing for the tokens that have passed

Cause: each token was awaited in a race against one promise that stands for the whole stream's silence; every race left a reaction on that promise, some 490 bytes, until the stream's end. Ruled out: the parser and the queue towards the caller (both hand on what they take). Change: one waiting place in the watch of silence, taken over by each read. The new scenario (50,000 tokens, less than 5 MB) failed before and passes now. Conclusion: at 20,000 tokens a second and streams of some thousand tokens this was tens of megabytes of a box.

--- a/packages/completion/src/engine-stream.feature
+++ b/packages/completion/src/engine-stream.feature
@@ -17,3 +17,7 @@
       | belongs to attempt "r~0"          | garbled  | 0      |
       | holds an event that is no token   | garbled  | 1      |
       | falls silent for 3 s              | cut      | 1      |
+
+  Scenario: A long stream holds nothing for the tokens that have passed
+    When a stream of 50000 tokens has been read up to its last token
+    Then less than 5 MB are held for it
--- a/packages/completion/src/engine-stream.steps.ts
+++ b/packages/completion/src/engine-stream.steps.ts
@@ -1,11 +1,13 @@
 import assert from "node:assert/strict";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { Then, When } from "@cucumber/cucumber";
 import { createVirtualClock, type VirtualClock } from "@linkfall/kernel";
 import type { BodyPart, TargetResponse } from "@linkfall/ports";
 import { notes } from "@linkfall/test-support";
 import fc from "fast-check";
 import { Left, Right } from "purify-ts";
-import { readEngineStream, type StreamEnd } from "./engine-stream.js";
+import { attemptHeader, readEngineStream, type StreamEnd } from "./engine-stream.js";
 import type { CompletionToken } from "./job.js";
 
 const stallMs = 2_000;
@@ -99,3 +101,42 @@
   const result = notes(this).get<ReadResult>("result");
   assert.deepEqual([result.end.kind, result.tokens.length], [end, count]);
 });
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+function heapAfterCollection(): number {
+  collectGarbage();
+  return process.memoryUsage().heapUsed;
+}
+
+When(
+  "a stream of {int} tokens has been read up to its last token",
+  async function (this: object, count: number) {
+    async function* body(): AsyncGenerator<BodyPart> {
+      for (let position = 0; position < count; position++) {
+        const data = JSON.stringify({ choices: [{ text: " t", finish_reason: null }] });
+        yield Right(Buffer.from(`id: ${position}\ndata: ${data}\n\n`));
+      }
+      yield Right(Buffer.from("data: [DONE]\n\n"));
+    }
+    const before = heapAfterCollection();
+    let held = Infinity;
+    const headers = { [attemptHeader]: "r~1" };
+    await readEngineStream(
+      createVirtualClock(),
+      { status: 200, headers, body: body() },
+      "r~1",
+      0,
+      1_000,
+      ({ position }) => {
+        if (position === count - 1) held = heapAfterCollection() - before;
+      },
+    );
+    notes(this).set("held", held);
+  },
+);
+
+Then("less than {int} MB are held for it", function (this: object, megabytes: number) {
+  assert.ok(notes(this).get<number>("held") < megabytes * 1_000_000);
+});
--- a/packages/completion/src/engine-stream.ts
+++ b/packages/completion/src/engine-stream.ts
@@ -46,17 +46,31 @@
 /** Tells when a stream has been silent too long, with one timer for the whole stream. */
 function watchSilence(clock: Clock, limit: Milliseconds) {
   let heardAt = clock.now();
+  let isSilent = false;
+  let tellWaiting: () => void = () => undefined;
   let cancel: CancelTimer = () => undefined;
-  const silent = new Promise<undefined>((resolve) => {
-    const check = () => {
-      const left = heardAt + limit - clock.now();
-      if (left <= 0) resolve(undefined);
-      else cancel = clock.after(left, check);
-    };
-    check();
-  });
+  const check = () => {
+    const left = heardAt + limit - clock.now();
+    if (left > 0) {
+      cancel = clock.after(left, check);
+      return;
+    }
+    isSilent = true;
+    tellWaiting();
+  };
+  check();
   return {
-    silent,
+    /**
+     * The promise's value, or undefined once the stream has been silent too long. A race against one
+     * promise of the whole stream would keep something for each token until the stream's end.
+     */
+    orSilent<T>(promise: Promise<T>): Promise<T | undefined> {
+      return new Promise((resolve, reject) => {
+        tellWaiting = () => resolve(undefined);
+        if (isSilent) tellWaiting();
+        promise.then(resolve, reject);
+      });
+    },
     heard() {
       heardAt = clock.now();
     },
@@ -100,7 +114,7 @@
   const parts = response.body[Symbol.asyncIterator]();
   let next = from;
   for (;;) {
-    const read = await Promise.race([parts.next(), watch.silent]);
+    const read = await watch.orSilent(parts.next());
     watch.heard();
     if (read === undefined) return { kind: "cut", reason: "the stream fell silent" };
     if (read.done) return { kind: "cut", reason: "the stream ended before its end marker" };
