A box that shows that it is ready takes connections of callers

Cause: the new scenario that kills every box at once and starts others found /health/ready answering 200 while the callers' address was not listened on yet: the daemon began to listen there only after the whole start, and the state was there earlier. Ruled out: the addresses (free, and listened on a moment later); a crash (no event 1007). Change: callers' address is listened on before the box starts; until it is ready it refuses with not_ready and when to come back, as it did on the others. Conclusion: readiness is not shown before the box can be used.

--- a/packages/daemon/src/processes.feature
+++ b/packages/daemon/src/processes.feature
@@ -15,6 +15,10 @@
     When the log goes down and a new box starts
     Then the new box becomes ready and answers, and after the outage a change is in force on every box
 
+  Scenario: Every box is killed at the same moment, and others start in their place
+    When every box is killed and three new ones start
+    Then each of the new boxes serves, with every copy where it was, and no stand-in saw a violation
+
   Scenario: A box is stopped under load
     When a box is stopped while streams run through it
     Then every stream ends whole and the box exits with 0
--- a/packages/daemon/src/processes.steps.ts
+++ b/packages/daemon/src/processes.steps.ts
@@ -252,6 +252,34 @@
   },
 );
 
+When("every box is killed and three new ones start", async function (this: object) {
+  const deployment = deploymentOf(this);
+  const killed = [...deployment.boxes];
+  for (const box of killed) box.child.kill("SIGKILL");
+  await Promise.all(killed.map((box) => box.exited));
+  const started: RunningBox[] = [];
+  for (const name of ["box-1", "box-2", "box-3"]) {
+    started.push(await deployment.startBox(name, "north", times));
+  }
+  await Promise.all(started.map((box) => deployment.untilReady(box)));
+  notes(this).set("started", started);
+});
+
+Then(
+  "each of the new boxes serves, with every copy where it was, and no stand-in saw a violation",
+  async function (this: object) {
+    const deployment = deploymentOf(this);
+    for (const box of notes(this).get<RunningBox[]>("started")) {
+      const serves = async () => (await complete(box, { prompt: "after the kill" })).status === 200;
+      await until(serves, () => "a new box does not serve");
+      const seesBothCopies = async () =>
+        (await statusOf(box)).models.every((each) => each.ready === 2);
+      await until(seesBothCopies, () => "a new box does not see the copies");
+    }
+    assert.deepEqual(deployment.violations(), []);
+  },
+);
+
 When("a box is stopped while streams run through it", async function (this: object) {
   const deployment = deploymentOf(this);
   const [box] = deployment.boxes;
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -90,11 +90,14 @@
       client.close();
     },
   };
-  return EitherAsync.fromPromise(() => peerServer.listen(peer_address))
-    .chain(operators.listen)
-    .map(() => box.start())
-    .chain(callers.listen)
-    .map(() => daemon);
+  return (
+    EitherAsync.fromPromise(() => peerServer.listen(peer_address))
+      .chain(operators.listen)
+      // Callers are refused as not ready until the box is; once it shows that it is, they can connect.
+      .chain(callers.listen)
+      .map(() => box.start())
+      .map(() => daemon)
+  );
 }
 
 /** The logger that the settings ask for. */
