An unload is repeated only while another copy serves; boxes count one another during an outage

Change: served-elsewhere.ts answers whether another copy, on an engine that counts, would go on serving; it is asked before every sending of an unload and asserted when one is entered. While the log is out of reach the number of boxes may grow, but not shrink. Conclusion: an order is a decision of its moment; whatever goes out later is judged again.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -218,10 +218,17 @@
     }
   };
 
+  /** While the log is out of reach the number of boxes may grow, but not shrink. */
+  const noteElectorate = () => {
+    const names = new Set(table.known().map(({ entry }) => entry.box));
+    const boxes = Math.max(names.add(settings.box.name).size, listed.length);
+    electorate = freshMs() <= heardMs ? boxes : Math.max(electorate, boxes);
+  };
+
   const round = () => {
     heartbeat += 1;
     table.sweep(clock.now());
-    if (freshMs() <= heardMs) electorate = Math.max(table.known().length + 1, listed.length);
+    noteElectorate();
     noteIsolation();
     noteSuspected();
     for (const address of addressesOfRound()) void beat(address);
--- a/packages/pool-control/src/order-sender.ts
+++ b/packages/pool-control/src/order-sender.ts
@@ -11,6 +11,7 @@
 import type { Fences } from "./fences.js";
 import type { OpenOrder } from "./order-book.js";
 import type { PoolContext } from "./pool-context.js";
+import type { ServedElsewhere } from "./served-elsewhere.js";
 
 export interface OrderSender {
   /** Sends an order that is in the book, and enters it in the audit trail. */
@@ -19,7 +20,8 @@
   repeatDue(): Promise<void>;
 }
 
-function describe(order: Order): string {
+/** An order in words. */
+export function describe(order: Order): string {
   if (order.kind === "role") return `${order.engine}: role ${order.role} (${order.cause})`;
   return `${order.engine}/${order.accelerator}: ${order.kind} ${order.artifact} (${order.cause})`;
 }
@@ -29,6 +31,7 @@
   kernel: Kernel,
   context: PoolContext,
   fences: Fences,
+  servedElsewhere: ServedElsewhere,
 ): OrderSender {
   const clock = kernel.find(clockName);
   const store = kernel.find(stateStoreName);
@@ -41,6 +44,9 @@
 
   const maySend = (engine: Engine, order: Order) => {
     if (!context.isCurrent()) return false;
+    // Decided some time ago, perhaps, and the copy that was to stay may be lost since. The order waits in the
+    // book until another copy serves.
+    if (order.kind === "unload" && !servedElsewhere(order)) return false;
     if (engine.fenced) return fences.standsOn(engine);
     return context.isValid() && store.state().intents.has(order.id);
   };
--- a/packages/soak/src/scenarios/fleet.steps.ts
+++ b/packages/soak/src/scenarios/fleet.steps.ts
@@ -4,7 +4,7 @@
 import { notes } from "@linkfall/test-support";
 import { createOperators } from "./operators.js";
 import { worldOf } from "./rest.js";
-import { createWorld, type World } from "./world.js";
+import { createWorld, type World, type WorldBox } from "./world.js";
 
 const fleetWarmUpMs = 30_000;
 
@@ -44,6 +44,34 @@
   },
 );
 
+When(
+  "a box joins after the log has been down for {int} s",
+  async function (this: object, seconds: number) {
+    const world = worldOf(this);
+    world.log.faults.down = true;
+    await world.clock.runUntil(world.clock.now() + seconds * 1_000);
+    notes(this).set("box", await world.startBox("b4"));
+  },
+);
+
+When(
+  "{int} s later it is cut off from everyone for {int} s",
+  async function (this: object, after: number, seconds: number) {
+    const world = worldOf(this);
+    await world.clock.runUntil(world.clock.now() + after * 1_000);
+    const { name } = notes(this).get<WorldBox>("box");
+    for (const other of [...world.boxes.map((box) => box.name), "log", "list"]) {
+      world.network.cut(name, other);
+      world.network.cut(other, name);
+    }
+    await world.clock.runUntil(world.clock.now() + seconds * 1_000);
+  },
+);
+
+Then("it refuses and the others serve", function (this: object) {
+  assert.deepEqual(isolatedBoxes(worldOf(this)), [notes(this).get<WorldBox>("box")]);
+});
+
 const isolatedBoxes = (world: World) =>
   world.boxes.filter(({ box }) => box.kernel.find(membershipName).isolated());
 
--- a/packages/soak/src/scenarios/planted-faults.ts
+++ b/packages/soak/src/scenarios/planted-faults.ts
@@ -23,6 +23,39 @@
 
 /** Guards taken out one at a time. */
 export const plantedFaults: readonly PlantedFault[] = [
+  {
+    name: "unloads-repeated-blindly",
+    promise: "reachability",
+    file: "pool-control/dist/order-sender.js",
+    find: 'if (order.kind === "unload" && !servedElsewhere(order))',
+    replace: "if (false)",
+    scenario: "All faults, alone and in pairs: seed 100589",
+  },
+  {
+    name: "boxes-forgotten-during-an-outage",
+    promise: "configuration",
+    file: "membership/dist/membership.js",
+    find: "electorate = freshMs() <= heardMs ? boxes : Math.max(electorate, boxes);",
+    replace: "if (freshMs() <= heardMs) electorate = boxes;",
+    scenario: "A box that started during an outage of the log and is then cut off stops serving",
+  },
+  {
+    name: "holders-addresses-not-used",
+    promise: "configuration",
+    file: "membership/dist/membership.js",
+    find: ", ...holderAddresses()]",
+    replace: "]",
+    scenario: "Boxes that start while the platform's list is out find each other through the log",
+  },
+  {
+    name: "only-direct-word-confirms-an-outage",
+    promise: "configuration",
+    file: "membership/dist/membership.js",
+    find: "const aliveBoxes = membership.alive().length;",
+    replace: "const aliveBoxes = heardLately().length + 1;",
+    scenario:
+      "In a fleet where each box hears few others directly, an outage of the log is not taken for a cut",
+  },
   {
     name: "relayed-reports-taken-for-new",
     promise: "leaving",
--- a/packages/soak/src/scenarios/soak.feature
+++ b/packages/soak/src/scenarios/soak.feature
@@ -13,6 +13,8 @@
       | 124  |
       | 10160 |
       | 10373 |
+      | 100589 |
+      | 100778 |
 
   Scenario Outline: One fault again and again: <fault>
     Then a run with seed 7 and the fault "<fault>" breaks no promise
@@ -49,6 +51,12 @@
     When 4 boxes are cut off from the rest and from the log for 15 s
     Then those 4 refuse and the others serve
 
+  Scenario: A box that started during an outage of the log and is then cut off stops serving
+    Given a deployment at rest
+    When a box joins after the log has been down for 4 s
+    And 3 s later it is cut off from everyone for 10 s
+    Then it refuses and the others serve
+
   Scenario: Boxes that start while the platform's list is out find each other through the log
     Given a deployment at rest
     When the list goes out and every box is replaced
