Peers of a round in a file of their own

Ruled out: moving the count of boxes (it needs five of the service's own values). Change: round-peers.ts picks the peers of a round; a comment that the style check misread is worded anew.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -30,6 +30,7 @@
 } from "@linkfall/types";
 import { isIsolated } from "./isolation.js";
 import { createMemberTable, type Member } from "./member-table.js";
+import { peersOfRound } from "./round-peers.js";
 
 /** Most records of the log passed on in one answer. */
 const recordsPerReply = 64;
@@ -190,14 +191,12 @@
   const holderAddresses = (): readonly string[] =>
     [...store.state().leases.values()].flatMap((lease) => lease.holderAddress ?? []);
 
-  /** Peers of one round: some members, and boxes that the list or the log names. */
-  const addressesOfRound = (): readonly string[] => {
+  /** Some members, and boxes that the list or the log names. */
+  const addressesOfRound = () => {
     const known = table.known().map((member) => member.entry.peerAddress);
     const fromList = listed.map((line) => line.peerAddress);
-    const all = [...new Set([...known, ...fromList, ...holderAddresses()])];
-    const others = all.filter((address) => address !== settings.box.peer_address);
-    const start = random.below(Math.max(1, others.length));
-    return [...others.slice(start), ...others.slice(0, start)].slice(0, settings.membership.fanout);
+    const all = [...known, ...fromList, ...holderAddresses()];
+    return peersOfRound(random, all, settings.box.peer_address, settings.membership.fanout);
   };
 
   const noteIsolation = () => {
--- /dev/null
+++ b/packages/membership/src/round-peers.ts
@@ -0,0 +1,19 @@
+/** The boxes that one round of heartbeats goes to. */
+import type { Random } from "@linkfall/kernel";
+
+/**
+ * Picks up to `fanout` addresses, each as likely as any other.
+ *
+ * @param known addresses from whatever source, with repeats
+ * @param own this box's address, which is left out
+ */
+export function peersOfRound(
+  random: Random,
+  known: readonly string[],
+  own: string,
+  fanout: number,
+): readonly string[] {
+  const others = [...new Set(known)].filter((address) => address !== own);
+  const start = random.below(Math.max(1, others.length));
+  return [...others.slice(start), ...others.slice(0, start)].slice(0, fanout);
+}
--- a/packages/state-fold/src/views.ts
+++ b/packages/state-fold/src/views.ts
@@ -22,7 +22,7 @@
   readonly models: ReadonlyMap<string, Model>;
   readonly adapters: ReadonlyMap<string, Adapter>;
   readonly engines: ReadonlyMap<string, Engine>;
-  /** Engines of each pool that has any; each request looks at those of one pool only. */
+  /** Engines by pool: each request looks at those of one pool only. */
   readonly enginesByPool: ReadonlyMap<string, readonly Engine[]>;
   readonly services: ReadonlyMap<string, PlainService>;
 }
