A round of heartbeats goes to 3 boxes; whoever waits for the others asks them

They went to all peers only so that a write could be answered when every heard box had said that it has it.

--- a/packages/config/src/keys.ts
+++ b/packages/config/src/keys.ts
@@ -86,7 +86,7 @@
   },
   membership: {
     heartbeat_ms: key(wholeNumber(20, 60_000, 500), "ms", "Time between rounds of heartbeats."),
-    fanout: key(wholeNumber(1, 64, 8), "boxes", "Peers that one round goes to."),
+    fanout: key(wholeNumber(1, 64, 3), "boxes", "Peers that one round goes to."),
     suspect_ms: key(
       wholeNumber(100, 600_000, 2_500),
       "ms",
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -65,6 +65,8 @@
   isolated(): boolean;
   /** Boxes heard in the last moments, this one included, and how many of them have read so far. */
   readTo(offset: Offset): ReadProgress;
+  /** Asks those of them that had not read so far by their last word for a newer one. */
+  askBehind(offset: Offset): void;
   /** Answers the peers' messages. */
   receive(message: Heartbeat): HeartbeatReply;
   stateForPeer(): PeerState;
@@ -276,6 +278,12 @@
         reached: offsets.filter((reached) => reached >= offset).length,
       };
     },
+    askBehind(offset) {
+      for (const [start, { summary: word }] of heard) {
+        const address = table.find(start)?.entry.peerAddress;
+        if (address !== undefined && word.offset < offset) void beat(address);
+      }
+    },
     receive(message) {
       hear(message.from, message.members, message.summary);
       return {
--- a/packages/operator-service/src/writes.ts
+++ b/packages/operator-service/src/writes.ts
@@ -59,6 +59,8 @@
       if (reached === boxes || clock.now() >= end) {
         return { kind: "accepted", revision, boxes, inForceOn: reached };
       }
+      // Their next heartbeats would tell, too, but later than an operator wants to wait.
+      membership.askBehind(revision);
       await sleep(clock, inForceStepMs);
     }
   };
