A write during an outage is answered within its limit, whatever waits before it

A box appends one record after the other, and the limit was counted from a record's turn: a renewal that waited its own 10 s came on top; the last wait between two tries could add 2 s more. Ruled out: the tool (it waits for the box); the log stand-in (it refuses at once). Change: the limit is counted from the asking, and no wait goes beyond it. A record whose time has passed before its turn is not sent. Conclusion: operators are told in time.

--- a/packages/log-writer/src/index.ts
+++ b/packages/log-writer/src/index.ts
@@ -68,8 +68,7 @@
     return port.append(streams.state, data);
   };
 
-  const appendUntilFolded = async (data: string, number: number, limit: Milliseconds) => {
-    const giveUpAt = clock.now() + limit;
+  const appendUntilFolded = async (data: string, number: number, giveUpAt: Milliseconds) => {
     let wait = firstRetryWait;
     while (clock.now() < giveUpAt) {
       const appended = await appendOnce(data);
@@ -80,7 +79,7 @@
         await follower.catchUp();
         if (isFolded(number)) return true;
       }
-      await sleep(clock, wait);
+      await sleep(clock, Math.max(0, Math.min(wait, giveUpAt - clock.now())));
       wait = Math.min(longestRetryWait, 2 * wait);
       if (isFolded(number)) return true;
     }
@@ -89,12 +88,12 @@
 
   const run = async (
     recordOf: RecordOf,
-    limit: Milliseconds,
+    giveUpAt: Milliseconds,
   ): Promise<Either<AppendUnknown, readonly FoldEvent[]>> => {
     const number = ++sequence;
     const record = recordOf(`${incarnation}#${number}`);
     seen.set(record.id, []);
-    await appendUntilFolded(JSON.stringify(record), number, limit);
+    await appendUntilFolded(JSON.stringify(record), number, giveUpAt);
     const foldEvents = seen.get(record.id) ?? [];
     seen.delete(record.id);
     // No event although it is folded: the state was taken over as a whole, its effect is unseen.
@@ -103,7 +102,9 @@
 
   return {
     append(recordOf, limit) {
-      const result = queue.then(() => run(recordOf, limit));
+      // Counted from now: what waits before it, such as a renewal during an outage, is part of the wait.
+      const giveUpAt = clock.now() + limit;
+      const result = queue.then(() => run(recordOf, giveUpAt));
       queue = result.catch(() => undefined);
       return result;
     },
--- a/packages/soak/src/scenarios/fleet.steps.ts
+++ b/packages/soak/src/scenarios/fleet.steps.ts
@@ -3,6 +3,8 @@
 import { membershipName } from "@linkfall/membership";
 import { notes } from "@linkfall/test-support";
 import { createOperators } from "./operators.js";
+import { soakModel } from "./resources.js";
+import { operatorToken } from "./settings.js";
 import { worldOf } from "./rest.js";
 import { createWorld, type World, type WorldBox } from "./world.js";
 
@@ -98,3 +100,35 @@
   const heard = world.boxes.map((box) => box.box.kernel.find(membershipName).alive().length);
   assert.deepEqual(heard, Array(world.boxes.length).fill(world.boxes.length));
 });
+
+When(
+  "the log has been down for {int} s and an operator writes through each box",
+  async function (this: object, seconds: number) {
+    const world = worldOf(this);
+    world.log.faults.down = true;
+    await world.clock.runUntil(world.clock.now() + seconds * 1_000);
+    const resource = { ...soakModel(9), kind: "model", name: "m99" } as const;
+    const body = Buffer.from(JSON.stringify({ changes: [{ action: "put", resource, base: 0 }] }));
+    const told: string[] = [];
+    notes(this).set("told", told);
+    for (const { box } of world.boxes) {
+      const headers = { authorization: `Bearer ${operatorToken}` };
+      const { signal: gone } = new AbortController();
+      void box.operators
+        .handle({ method: "POST", path: "/v1/writes", headers, body, gone })
+        .then((answer) => told.push(Buffer.from(answer.body as Uint8Array).toString("utf8")));
+    }
+  },
+);
+
+Then(
+  "each is told within {int} s that the outcome is unknown",
+  async function (this: object, seconds: number) {
+    const world = worldOf(this);
+    await world.clock.runUntil(world.clock.now() + seconds * 1_000);
+    const kinds = notes(this)
+      .get<string[]>("told")
+      .map((text) => JSON.parse(text).kind);
+    assert.deepEqual(kinds, Array(world.boxes.length).fill("unknown"));
+  },
+);
--- a/packages/soak/src/scenarios/soak.feature
+++ b/packages/soak/src/scenarios/soak.feature
@@ -51,6 +51,11 @@
     When 4 boxes are cut off from the rest and from the log for 15 s
     Then those 4 refuse and the others serve
 
+  Scenario: A write during an outage is answered within its limit, whatever waits before it
+    Given a deployment at rest
+    When the log has been down for 2 s and an operator writes through each box
+    Then each is told within 11 s that the outcome is unknown
+
   Scenario: A box that started during an outage of the log and is then cut off stops serving
     Given a deployment at rest
     When a box joins after the log has been down for 4 s
