--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,9 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["**/dist/**", "**/generated/**", ".tmp/**", "reports/**"] },
+  {
+    ignores: ["target/**", "journal/**", "**/dist/**", "**/generated/**", ".tmp/**", "reports/**"],
+  },
   eslint.configs.recommended,
   ...tseslint.configs.recommended,
   {
--- /dev/null
+++ b/packages/box-peers/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./peers.js";
+export * from "./transport.js";
+export * from "./words.js";
--- /dev/null
+++ b/packages/desired-feed/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./desired-feed.js";
+export * from "./follow-stream.js";
--- /dev/null
+++ b/packages/entry-box/src/handle-request.ts
@@ -0,0 +1,93 @@
+/** From a request as it was read to its way through the box. */
+import type { ConfigurationInForce, DesiredFeed } from "@linkfall/desired-feed";
+import {
+  type ForwardContext,
+  type ForwardedRequest,
+  forwardRequest,
+  type RequestEnd,
+} from "@linkfall/forwarding";
+import type { Metrics } from "@linkfall/metrics";
+import type { RequestCodec } from "@linkfall/ports";
+import { shareFor } from "@linkfall/route-table";
+import type { Milliseconds, RequestTerms, Route } from "@linkfall/types";
+import { answerOwn, type FrontRequest } from "./front.js";
+
+export interface HandleContext {
+  readonly feed: DesiredFeed;
+  readonly codec: RequestCodec;
+  readonly forward: ForwardContext;
+  readonly metrics: Metrics;
+  /** Whether a request that is as long as its route's objective can still end here. */
+  takes(objectiveMs: Milliseconds): boolean;
+}
+
+const notReadyMs: Milliseconds = 500;
+const comeBackElsewhereMs: Milliseconds = 0;
+
+function toForwarded(
+  request: FrontRequest,
+  terms: RequestTerms,
+  route: Route,
+  { configuration }: ConfigurationInForce,
+): ForwardedRequest | undefined {
+  const service = configuration.services.get(shareFor(route, terms.id).service);
+  if (!service) return undefined;
+  const heldMs = Math.min(terms.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+  return {
+    ...request,
+    route,
+    service,
+    terms,
+    endsAt: request.arrivedAt + heldMs,
+    position: { lastId: terms.resumeAfter },
+    tried: new Set(),
+    runs: 0,
+    sends: 0,
+    held: false,
+  };
+}
+
+function record(context: HandleContext, request: ForwardedRequest, end: RequestEnd): void {
+  const { clock, logger } = context.forward;
+  const tookMs = Math.round(clock.now() - request.arrivedAt);
+  const reason = "reason" in end ? end.reason : "";
+  context.metrics.count("linkfall_requests_total", "Requests by route and outcome.", {
+    route: request.route.name,
+    outcome: end.outcome,
+    reason,
+  });
+  context.metrics.observe("linkfall_request_ms", "Time until the final answer.", tookMs);
+  logger.event("requestEnded", {
+    request: request.terms.id,
+    route: request.route.name,
+    model: request.terms.model,
+    outcome: end.outcome,
+    status: "status" in end ? end.status : undefined,
+    reason: reason === "" ? undefined : reason,
+    retryAfterMs: end.outcome === "refused" ? end.retryAfterMs : undefined,
+    sends: request.sends,
+    runs: request.runs,
+    held: request.held,
+    ms: tookMs,
+    leftMs: Math.round(request.endsAt - clock.now()),
+    configuration: context.feed.inForce()?.configuration.version,
+  });
+}
+
+/** Answers one request; what it needs to know of the deployment is of the moment of its arrival. */
+export async function handleRequest(context: HandleContext, request: FrontRequest): Promise<void> {
+  const { feed, codec, forward } = context;
+  const terms = codec.readTerms(request.headers);
+  const refused = (status: number, why: string, retryAfterMs?: Milliseconds) => {
+    forward.logger.event("requestRefused", { request: terms.id, status, why, path: request.path });
+    answerOwn(request.sink, status, retryAfterMs);
+  };
+  const inForce = feed.inForce();
+  if (!inForce || !feed.ready()) return refused(503, "no configuration yet", notReadyMs);
+  const route = inForce.routes.find(request.host, request.path);
+  if (!route) return refused(404, `no route in version ${inForce.configuration.version}`);
+  if (!context.takes(route.objectiveMs)) return refused(503, "stopping", comeBackElsewhereMs);
+  const forwarded = toForwarded(request, terms, route, inForce);
+  if (!forwarded) return refused(503, "no such service", notReadyMs);
+  record(context, forwarded, await forwardRequest(forward, forwarded));
+}
--- /dev/null
+++ b/packages/entry-box/src/registry.ts
@@ -0,0 +1,36 @@
+/** Finds the other boxes through a stream of the store in which each box leaves its address. */
+import type { BoxAddress, Peers } from "@linkfall/box-peers";
+import { type Clock, sleep } from "@linkfall/kernel";
+import type { KeyedStreamPort } from "@linkfall/ports";
+import type { Milliseconds } from "@linkfall/types";
+
+/** Pause after the registry could not be read or written. */
+const retryMs: Milliseconds = 500;
+/** How often the registry is read again, for boxes that nobody has told of. */
+const readAgainMs: Milliseconds = 15_000;
+
+function parseAddress(box: string, text: string): BoxAddress | undefined {
+  return /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(text) ? { box, peerAddress: text } : undefined;
+}
+
+/** Registers this box, and learns of others until `stopped` tells to end. */
+export async function followRegistry(
+  clock: Clock,
+  stream: KeyedStreamPort,
+  self: BoxAddress,
+  peers: Peers,
+  stopped: () => boolean,
+): Promise<void> {
+  let registered = false;
+  while (!stopped()) {
+    if (!registered) registered = (await stream.put(self.box, self.peerAddress)).isRight();
+    const read = await stream.newest();
+    read.ifRight(({ records }) => {
+      for (const { key, value } of records) {
+        const address = value === undefined ? undefined : parseAddress(key, value);
+        if (address) peers.learn(address);
+      }
+    });
+    await sleep(clock, registered && read.isRight() ? readAgainMs : retryMs);
+  }
+}
--- /dev/null
+++ b/packages/entry-settings/src/index.ts
@@ -0,0 +1,143 @@
+/** Settings of a box that forwards opaque requests: INI text, checked, every problem named at once. */
+import type { InvalidInput } from "@linkfall/errors";
+import { parse } from "ini";
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+
+const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "an IP number and a port");
+const name = z
+  .string()
+  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "letters, digits, '.', '_', '-'");
+const wholeNumber = (lowest: number, highest: number, standard: number) =>
+  z.coerce.number().int().min(lowest).max(highest).default(standard);
+const number = (lowest: number, highest: number, standard: number) =>
+  z.coerce.number().min(lowest).max(highest).default(standard);
+const milliseconds = (standard: number) => wholeNumber(1, 600_000, standard);
+const addresses = z
+  .string()
+  .default("")
+  .transform((text) => text.split(",").map((part) => part.trim()))
+  .transform((parts) => parts.filter((part) => part !== ""))
+  .pipe(z.array(address));
+
+/** The sections of the file; keys that end in `_ms` are milliseconds. */
+export const entrySettingsSchema = z.strictObject({
+  box: z.strictObject({
+    name,
+    domain: name,
+    front_address: address,
+    ready_address: address,
+    directory_address: address,
+    peer_address: address,
+    metrics_address: address,
+    /** Peer addresses of boxes that may be up, for when the store is not. */
+    seeds: addresses,
+  }),
+  store: z.strictObject({
+    address,
+    timeout_ms: milliseconds(1_500),
+    /** How long one read waits for a change. */
+    wait_ms: milliseconds(20_000),
+    /** Pause after a change of targets, so that the next ones come together. */
+    gather_targets_ms: milliseconds(600),
+    first_pause_ms: milliseconds(150),
+    longest_pause_ms: milliseconds(1_000),
+    /** How long after its return the store's list may lack targets that live. */
+    settle_ms: milliseconds(2_200),
+  }),
+  callers: z
+    .strictObject({
+      max_header_bytes: wholeNumber(1_024, 1_048_576, 16_384),
+      /** How long callers keep an answer of the directory. */
+      entries_lifetime_ms: milliseconds(1_500),
+    })
+    .prefault({}),
+  stop: z
+    .strictObject({
+      /** Time from the signal until the process has to be gone. */
+      grace_ms: milliseconds(8_000),
+    })
+    .prefault({}),
+  peers: z
+    .strictObject({
+      round_ms: milliseconds(400),
+      call_ms: milliseconds(400),
+      suspect_ms: milliseconds(1_500),
+      forget_ms: milliseconds(60_000),
+      fanout: wholeNumber(1, 64, 8),
+    })
+    .prefault({}),
+  lease: z
+    .strictObject({
+      lease_ms: milliseconds(3_000),
+      silent_ms: milliseconds(1_800),
+      rank_step_ms: milliseconds(300),
+      check_ms: milliseconds(150),
+    })
+    .prefault({}),
+  retries: z
+    .strictObject({
+      ratio: number(0, 10, 0.2),
+      slack: number(0, 100_000, 50),
+      window_ms: milliseconds(10_000),
+    })
+    .prefault({}),
+  forwarding: z
+    .strictObject({
+      connect_ms: milliseconds(400),
+      least_silent_ms: milliseconds(600),
+      silent_objectives: number(0.5, 100, 2),
+      deadline_margin_ms: milliseconds(5),
+      least_time_ms: milliseconds(15),
+      most_sends: wholeNumber(1, 20, 5),
+      come_back_ms: milliseconds(500),
+      first_token_cost_us: wholeNumber(1, 10_000, 15),
+      first_request_cost_ms: milliseconds(30),
+      cross_domain_ms: milliseconds(2),
+    })
+    .prefault({}),
+  targets: z
+    .strictObject({
+      lapse_grace_ms: milliseconds(1_600),
+      lapse_share: number(0, 1, 0.3),
+      failures_in_a_row: wholeNumber(1, 100, 3),
+      first_ejection_ms: milliseconds(1_000),
+      longest_ejection_ms: milliseconds(8_000),
+    })
+    .prefault({}),
+  placement: z
+    .strictObject({
+      /** Requests at work that one replica is to carry. */
+      in_flight_of_replica: number(0.1, 10_000, 4),
+      /** Time over which the next request of a rare model is weighed. */
+      horizon_ms: milliseconds(10_000),
+      state_ms: milliseconds(500),
+      busy_state_ms: milliseconds(100),
+      resend_ms: milliseconds(1_200),
+      give_up_ms: milliseconds(15_000),
+    })
+    .prefault({}),
+  log: z
+    .strictObject({
+      level: z.enum(["error", "warn", "info", "debug"]).default("info"),
+      /** Lines a second of one kind of event; the rest are counted. */
+      lines_per_second: wholeNumber(1, 10_000, 40),
+      /** Bytes that may wait for standard output. */
+      buffer_bytes: wholeNumber(1_024, 64_000_000, 1_000_000),
+    })
+    .prefault({}),
+});
+
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+
+/** Reads the text of a settings file. */
+export function readEntrySettings(text: string): Either<InvalidInput, EntrySettings> {
+  const checked = entrySettingsSchema.safeParse({ ...parse(text) });
+  if (checked.success) return Right(checked.data);
+  const problems = checked.error.issues.map((issue) => {
+    const keys = issue.code === "unrecognized_keys" ? [issue.keys.join(", ")] : [];
+    const reason = issue.code === "unrecognized_keys" ? "no such setting" : issue.message;
+    return { field: [...issue.path.map(String), ...keys].join("."), reason };
+  });
+  return Left({ kind: "invalid_input", problems });
+}
--- /dev/null
+++ b/packages/event-stream/src/index.ts
@@ -0,0 +1,52 @@
+/** Cuts an event stream into whole events, byte for byte. */
+
+/** One whole event with the blank line that ends it. */
+export interface StreamEvent {
+  readonly bytes: Buffer;
+  /** Its `id` field, where it has one. */
+  readonly id?: string;
+}
+
+export interface EventSplitter {
+  /** Takes bytes; returns the events that are whole now. */
+  push(bytes: Buffer): readonly StreamEvent[];
+  /** Bytes of an event that is not whole yet. */
+  rest(): Buffer;
+}
+
+const lineEnd = 0x0a;
+const carriageReturn = 0x0d;
+const idField = /(?:^|\n)id:\s?([^\r\n]*)/;
+
+/** Index after the blank line that ends the first event at or after `from`, or -1. */
+function endOfEvent(bytes: Buffer, from: number): number {
+  let index = bytes.indexOf(lineEnd, from);
+  while (index >= 0) {
+    const next = bytes[index + 1] === carriageReturn ? index + 2 : index + 1;
+    if (bytes[next] === lineEnd) return next + 1;
+    index = bytes.indexOf(lineEnd, index + 1);
+  }
+  return -1;
+}
+
+function toEvent(bytes: Buffer): StreamEvent {
+  const id = idField.exec(bytes.toString("latin1"))?.[1];
+  return { bytes, id };
+}
+
+/** Creates a splitter for one stream. */
+export function createEventSplitter(): EventSplitter {
+  let held: Buffer = Buffer.alloc(0);
+  return {
+    push(bytes) {
+      held = held.length === 0 ? bytes : Buffer.concat([held, bytes]);
+      const events: StreamEvent[] = [];
+      for (let end = endOfEvent(held, 0); end >= 0; end = endOfEvent(held, 0)) {
+        events.push(toEvent(held.subarray(0, end)));
+        held = held.subarray(end);
+      }
+      return events;
+    },
+    rest: () => held,
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/belief.ts
@@ -0,0 +1,106 @@
+/** What one box believes of one target. */
+import { createPrefixIndex, type PrefixIndex } from "@linkfall/prefix-index";
+import type {
+  EngineShape,
+  EngineState,
+  Holdings,
+  ListedTarget,
+  Milliseconds,
+} from "@linkfall/types";
+import { type Health, healthy } from "./health.js";
+
+/** Work at a target. */
+export interface TargetLoad {
+  readonly inFlight: number;
+  /** Prompt tokens of requests that have not shown their first event. */
+  readonly promptTokens: number;
+}
+
+export const noLoad: TargetLoad = { inFlight: 0, promptTokens: 0 };
+
+/** Share of an engine's cache that the index takes for kept prefixes. */
+const cacheShare = 0.7;
+const defaultCacheTokens = 100_000;
+
+/** One target; changed in place by the fleet that owns it. */
+export interface TargetBelief {
+  listed: ListedTarget;
+  /** Since when the list lacks it, while that may be a lapse of the list. */
+  missingSince?: Milliseconds;
+  /** Newest word of what it holds, by the number of orders that it has taken. */
+  holdings: Holdings;
+  /** When that word was last confirmed. */
+  holdingsAt: Milliseconds;
+  state?: EngineState;
+  stateAt: Milliseconds;
+  own: TargetLoad;
+  others: TargetLoad;
+  health: Health;
+  /** Models that are about to be dropped: nothing new is sent for them. */
+  withheld: ReadonlySet<string>;
+  /** Models that the target has just said it does not hold, with the sequence that is contradicted. */
+  denied: Map<string, number>;
+  readonly prefixes: PrefixIndex;
+}
+
+/** Sequence of a target that has not been asked for its state. */
+const unknownSequence = -1;
+
+export function createBelief(
+  listed: ListedTarget,
+  engine: EngineShape | undefined,
+  now: Milliseconds,
+): TargetBelief {
+  const cacheTokens = engine?.cacheTokens ?? defaultCacheTokens;
+  return {
+    listed,
+    holdings: { sequence: unknownSequence, models: listed.models ?? [] },
+    holdingsAt: now,
+    stateAt: -Infinity,
+    own: noLoad,
+    others: noLoad,
+    health: healthy,
+    withheld: new Set(),
+    denied: new Map(),
+    prefixes: createPrefixIndex(cacheTokens * cacheShare),
+  };
+}
+
+/** Whether the target is believed to hold the model, and the adapter where one is named. */
+export function holds(belief: TargetBelief, model: string, adapter?: string): boolean {
+  if (belief.withheld.has(model)) return false;
+  const key = adapter === undefined ? model : `${model}/${adapter}`;
+  if (belief.denied.get(key) === belief.holdings.sequence) return false;
+  const resident = belief.holdings.models.find((held) => held.name === model);
+  if (!resident) return false;
+  return adapter === undefined || resident.adapters.includes(adapter);
+}
+
+/** Takes newer holdings; returns whether anything changed. */
+export function takeHoldings(belief: TargetBelief, holdings: Holdings, now: Milliseconds): boolean {
+  const known = belief.holdings;
+  if (holdings.sequence < known.sequence) return false;
+  belief.holdingsAt = now;
+  const changed =
+    holdings.sequence !== known.sequence ||
+    JSON.stringify(holdings.models) !== JSON.stringify(known.models);
+  if (!changed) return false;
+  belief.holdings = { sequence: holdings.sequence, models: holdings.models };
+  dropGone(belief, known, holdings);
+  return true;
+}
+
+/** Takes what the list says of a target's models; its own word of the same sequence counts more. */
+export function takeListedModels(belief: TargetBelief, now: Milliseconds): boolean {
+  const { models } = belief.listed;
+  if (!models) return false;
+  return takeHoldings(belief, { sequence: belief.holdings.sequence, models }, now);
+}
+
+function dropGone(belief: TargetBelief, before: Holdings, after: Holdings): void {
+  const names = new Set(after.models.map((model) => model.name));
+  for (const model of before.models) {
+    if (!names.has(model.name)) belief.prefixes.drop(model.name);
+  }
+  belief.denied.clear();
+}
--- /dev/null
+++ b/packages/fleet/src/health.ts
@@ -0,0 +1,37 @@
+/** Leaves a target out for a while after failures in a row; each further time for longer. */
+import type { Milliseconds } from "@linkfall/types";
+
+/** When a target is left out, and for how long. */
+export interface EjectionRule {
+  readonly failuresInARow: number;
+  readonly firstMs: Milliseconds;
+  readonly longestMs: Milliseconds;
+}
+
+/** What one box has seen of a target's answers. */
+export interface Health {
+  readonly failures: number;
+  readonly ejections: number;
+  readonly ejectedUntil: Milliseconds;
+}
+
+export const healthy: Health = { failures: 0, ejections: 0, ejectedUntil: 0 };
+
+/** Health after an answer that the target made as it should. */
+export function afterSuccess(health: Health): Health {
+  if (health.failures === 0 && health.ejections === 0) return health;
+  return { failures: 0, ejections: Math.max(0, health.ejections - 1), ejectedUntil: 0 };
+}
+
+/** Health after a failure that the target is to blame for. */
+export function afterFailure(health: Health, rule: EjectionRule, now: Milliseconds): Health {
+  const failures = health.failures + 1;
+  if (failures < rule.failuresInARow) return { ...health, failures };
+  const lasting = Math.min(rule.longestMs, rule.firstMs * 2 ** health.ejections);
+  return { failures: 0, ejections: health.ejections + 1, ejectedUntil: now + lasting };
+}
+
+/** Whether the target is left out now. */
+export function isEjected(health: Health, now: Milliseconds): boolean {
+  return now < health.ejectedUntil;
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./belief.js";
+export * from "./fleet.js";
+export * from "./health.js";
--- /dev/null
+++ b/packages/forwarding/src/forward.ts
@@ -0,0 +1,219 @@
+/** The way of one request: pick a target or wait for weights, send, and go on while that may help. */
+import type { Random } from "@linkfall/kernel";
+import type { DemandMeter, Wanted } from "@linkfall/model-demand";
+import type { RetryBudget } from "@linkfall/retry-budget";
+import type { Milliseconds } from "@linkfall/types";
+import { type AttemptEnd, ownHeaders } from "./attempt.js";
+import type { ForwardedRequest, RequestEnd } from "./forwarded-request.js";
+import { type Pick, pickTarget } from "./pick.js";
+import { type SendContext, sendToTarget } from "./send-to-target.js";
+import type { ChangeWaiter } from "./wait-for-change.js";
+
+/** Limits of the whole way. */
+export interface ForwardLimits {
+  /** With less time left than this a send cannot be answered. */
+  readonly leastTimeMs: Milliseconds;
+  /** Most sends of one request, whatever they came to. */
+  readonly mostSends: number;
+  /** When a refused caller may come back, where nothing better is known. */
+  readonly comeBackMs: Milliseconds;
+}
+
+export interface ForwardContext extends SendContext {
+  readonly random: Random;
+  readonly budget: RetryBudget;
+  readonly demand: DemandMeter;
+  readonly waiter: ChangeWaiter;
+  readonly forwardLimits: ForwardLimits;
+  /** This box's failure domain. */
+  readonly domain: string;
+  /** Boxes that share the retry budget. */
+  boxes(): number;
+  /** Time until weights are expected to be there; undefined when nothing is known. */
+  expectedWeightsMs(wanted: Wanted): Milliseconds | undefined;
+}
+
+type Step = { readonly go: "on" } | { readonly go: "end"; readonly end: RequestEnd };
+
+const on: Step = { go: "on" };
+const ended = (end: RequestEnd): Step => ({ go: "end", end });
+
+const refusedStatus = 503;
+const lostStatus = 502;
+const lateStatus = 504;
+
+function refuse(
+  request: ForwardedRequest,
+  status: number,
+  reason: string,
+  retryAfterMs?: Milliseconds,
+): Step {
+  const { sink } = request;
+  if (sink.begun()) {
+    sink.cut();
+    return ended({ outcome: "cut", reason });
+  }
+  // A request of which a run may have begun must not be told that it did not run.
+  const honest = status === refusedStatus && request.runs > 0 ? lostStatus : status;
+  const comeBackMs = honest === refusedStatus ? retryAfterMs : undefined;
+  const body = Buffer.from(`${JSON.stringify({ error: reason })}\n`);
+  sink.whole(honest, ownHeaders(comeBackMs), body);
+  return ended({ outcome: "refused", status: honest, reason, retryAfterMs: comeBackMs });
+}
+
+function timeLeft(context: ForwardContext, request: ForwardedRequest): Milliseconds {
+  return request.endsAt - context.clock.now();
+}
+
+function outOfTime(request: ForwardedRequest): Step {
+  return request.runs > 0
+    ? refuse(request, lateStatus, "no answer in time")
+    : refuse(request, refusedStatus, "no target in time", 0);
+}
+
+/** Whether the request may be sent once more after a send that may have run. */
+function mayRepeat(context: ForwardContext, request: ForwardedRequest): boolean {
+  const { route } = request;
+  if (route.repeatability !== "repeatable" || request.runs >= route.maxAttempts) return false;
+  return timeLeft(context, request) > context.forwardLimits.leastTimeMs;
+}
+
+function takeRetry(context: ForwardContext, request: ForwardedRequest): boolean {
+  return context.budget.take(request.service.name, context.boxes());
+}
+
+function afterLoss(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  status: number,
+  reason: string,
+): Step {
+  request.runs += 1;
+  if (mayRepeat(context, request) && takeRetry(context, request)) return on;
+  return refuse(request, status, reason);
+}
+
+function passOn(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  end: Extract<AttemptEnd, { kind: "answered" }>,
+): Step {
+  request.runs += 1;
+  const { head, body } = end;
+  const worthRetry = head.status >= 500 && mayRepeat(context, request);
+  if (worthRetry && takeRetry(context, request)) return on;
+  request.sink.whole(head.status, context.codec.forCaller(head.headers), body);
+  return ended({ outcome: "answered", status: head.status });
+}
+
+function afterSend(context: ForwardContext, request: ForwardedRequest, end: AttemptEnd): Step {
+  switch (end.kind) {
+    case "answered":
+      return passOn(context, request, end);
+    case "streamed":
+      request.sink.end();
+      return ended({ outcome: "streamed" });
+    case "gone":
+      return ended({ outcome: "gone" });
+    case "lost":
+      return afterLoss(context, request, lostStatus, end.reason);
+    case "silent":
+      return afterLoss(context, request, lateStatus, "no answer in time");
+    case "not_sent":
+      return on;
+    case "not_run":
+      if (takeRetry(context, request)) return on;
+      return refuse(request, refusedStatus, "retry budget", context.forwardLimits.comeBackMs);
+  }
+}
+
+function wantedOf(request: ForwardedRequest): Wanted {
+  const { model = "", adapter } = request.terms;
+  return { service: request.service.name, model, adapter };
+}
+
+/** Logs a hold once: each change of the fleet may only confirm it. */
+function noteHeld(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  expectedMs: Milliseconds | undefined,
+): void {
+  if (request.held) return;
+  request.held = true;
+  context.logger.event("requestHeld", {
+    request: request.terms.id,
+    model: request.terms.model,
+    adapter: request.terms.adapter,
+    expectedMs,
+  });
+}
+
+/** Waits for the fleet to change, as long as that may still help the request. */
+async function waitForWeights(context: ForwardContext, request: ForwardedRequest): Promise<Step> {
+  const { forwardLimits } = context;
+  const wanted = wantedOf(request);
+  const expected = context.expectedWeightsMs(wanted);
+  const left = timeLeft(context, request) - forwardLimits.leastTimeMs;
+  if (expected !== undefined && expected > left) {
+    return refuse(request, refusedStatus, "weights will not be there in time", expected);
+  }
+  if (left <= 0) return outOfTime(request);
+  noteHeld(context, request, expected);
+  const endWait = context.demand.waits(wanted);
+  await context.waiter.next(left, request.sink);
+  endWait();
+  return request.sink.gone() ? ended({ outcome: "gone" }) : on;
+}
+
+async function sendPicked(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  pick: Extract<Pick, { kind: "target" }>,
+): Promise<Step> {
+  const { target, choice } = pick;
+  context.logger.event("targetChosen", {
+    request: request.terms.id,
+    target: target.listed.id,
+    expectedMs: Math.round(choice.expectedMs),
+    own: target.own.inFlight,
+    others: target.others.inFlight,
+    send: request.sends + 1,
+  });
+  return afterSend(context, request, await sendToTarget(context, request, target));
+}
+
+async function step(context: ForwardContext, request: ForwardedRequest): Promise<Step> {
+  if (request.sink.gone()) return ended({ outcome: "gone" });
+  if (timeLeft(context, request) <= context.forwardLimits.leastTimeMs) return outOfTime(request);
+  const { forwardLimits, fleet, random, domain } = context;
+  if (request.sends >= forwardLimits.mostSends) {
+    return refuse(request, refusedStatus, "too many sends", forwardLimits.comeBackMs);
+  }
+  const costs = context.costs.of(request.service.name);
+  const pick = pickTarget(fleet, request, costs, domain, random);
+  switch (pick.kind) {
+    case "target":
+      return sendPicked(context, request, pick);
+    case "weights_missing":
+      return waitForWeights(context, request);
+    case "all_tried":
+      return refuse(request, refusedStatus, "every target was tried", forwardLimits.comeBackMs);
+    case "no_target":
+      return refuse(request, refusedStatus, "no target", forwardLimits.comeBackMs);
+  }
+}
+
+/** Takes a request to its end; the caller has its final answer when this resolves. */
+export async function forwardRequest(
+  context: ForwardContext,
+  request: ForwardedRequest,
+): Promise<RequestEnd> {
+  const { terms, service } = request;
+  context.budget.request(service.name);
+  const asksForWeights = terms.model !== undefined && service.engine !== undefined;
+  const endDemand = asksForWeights ? context.demand.begins(wantedOf(request)) : () => undefined;
+  let taken = await step(context, request);
+  while (taken.go === "on") taken = await step(context, request);
+  endDemand();
+  return taken.end;
+}
--- /dev/null
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -0,0 +1,47 @@
+/** One request on its way through a box. */
+import type { RawHeaders } from "@linkfall/ports";
+import type { Milliseconds, RequestTerms, Route, RoutedService } from "@linkfall/types";
+import type { AnswerSink } from "./answer-sink.js";
+import type { StreamPosition } from "./attempt.js";
+
+export interface ForwardedRequest {
+  readonly route: Route;
+  readonly service: RoutedService;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  readonly terms: RequestTerms;
+  readonly sink: AnswerSink;
+  readonly arrivedAt: Milliseconds;
+  /** The final answer is due by then. */
+  readonly endsAt: Milliseconds;
+  readonly position: StreamPosition;
+  /** Targets that this request is not sent to again. */
+  readonly tried: Set<string>;
+  /** Sends that may have run. */
+  runs: number;
+  /** It has waited for weights. */
+  held: boolean;
+  /** All sends. */
+  sends: number;
+}
+
+/** How a request ended, for logs and metrics. */
+export type RequestEnd =
+  | { readonly outcome: "answered"; readonly status: number }
+  | { readonly outcome: "streamed" }
+  | { readonly outcome: "cut"; readonly reason: string }
+  | { readonly outcome: "gone" }
+  | {
+      readonly outcome: "refused";
+      readonly status: number;
+      readonly reason: string;
+      readonly retryAfterMs?: Milliseconds;
+    };
+
+/** Weights as the demand meter and the prefix index name them. */
+export function weightsOf(terms: RequestTerms): string {
+  return terms.adapter === undefined ? (terms.model ?? "") : `${terms.model}/${terms.adapter}`;
+}
--- /dev/null
+++ b/packages/forwarding/src/send-to-target.ts
@@ -0,0 +1,134 @@
+/** One send of a request to a picked target, with what it teaches about the target. */
+import type { Fleet, TargetBelief, TargetLoad } from "@linkfall/fleet";
+import type { Clock } from "@linkfall/kernel";
+import type { Logger } from "@linkfall/logger";
+import type { RequestCodec } from "@linkfall/ports";
+import type { Milliseconds } from "@linkfall/types";
+import { type AttemptEnd, sendAttempt } from "./attempt.js";
+import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
+import type { WorkCostMeter } from "./work-costs.js";
+
+/** Limits of one send. */
+export interface SendLimits {
+  readonly connectMs: Milliseconds;
+  /** Shortest time without a byte before another target is tried. */
+  readonly leastSilentMs: Milliseconds;
+  /** Silence that is borne, as a multiple of the route's objective. */
+  readonly silentObjectives: number;
+  /** Held back from the deadline that the target is told. */
+  readonly deadlineMarginMs: Milliseconds;
+}
+
+export interface SendContext {
+  readonly clock: Clock;
+  readonly codec: RequestCodec;
+  readonly fleet: Fleet;
+  readonly logger: Logger;
+  readonly costs: WorkCostMeter;
+  readonly limits: SendLimits;
+}
+
+function add(load: TargetLoad, inFlight: number, promptTokens: number): TargetLoad {
+  return { inFlight: load.inFlight + inFlight, promptTokens: load.promptTokens + promptTokens };
+}
+
+/** Silence after which another target is tried, where one may be. */
+function silentMs(request: ForwardedRequest, limits: SendLimits): Milliseconds | undefined {
+  if (request.route.repeatability !== "repeatable") return undefined;
+  if (request.runs + 1 >= request.route.maxAttempts) return undefined;
+  return Math.max(limits.leastSilentMs, request.route.objectiveMs * limits.silentObjectives);
+}
+
+/** Notes in the fleet what the end of a send says about its target. */
+function learn(context: SendContext, request: ForwardedRequest, id: string, end: AttemptEnd): void {
+  const { fleet } = context;
+  switch (end.kind) {
+    case "answered":
+      if (end.head.status >= 500) fleet.failed(id, `status ${end.head.status}`);
+      else fleet.succeeded(id);
+      return;
+    case "streamed":
+      return fleet.succeeded(id);
+    case "not_sent":
+    case "lost":
+      return fleet.failed(id, end.reason);
+    case "silent":
+      return fleet.failed(id, "silent");
+    case "not_run":
+      if (end.misdirected && request.terms.model !== undefined) {
+        fleet.deny(id, weightsOf(request.terms));
+      }
+      return;
+    case "gone":
+      return;
+  }
+}
+
+/** Sends the request and resolves with how that ended. */
+export async function sendToTarget(
+  context: SendContext,
+  request: ForwardedRequest,
+  target: TargetBelief,
+): Promise<AttemptEnd> {
+  const { clock, codec, limits } = context;
+  const { listed } = target;
+  const { terms, route } = request;
+  const weights = weightsOf(terms);
+  const query = { weights, parts: terms.parts };
+  const unread = Math.max(0, terms.promptTokens - target.prefixes.kept(query));
+  const queuedBefore = target.own.promptTokens + target.others.promptTokens;
+  const sentAt = clock.now();
+  let reading = true;
+
+  target.own = add(target.own, 1, unread);
+  target.prefixes.note(query);
+  request.tried.add(listed.id);
+  request.sends += 1;
+  const endReading = () => {
+    if (!reading) return;
+    reading = false;
+    target.own = add(target.own, 0, -unread);
+  };
+
+  const remainingMs = Math.floor(request.endsAt - sentAt - limits.deadlineMarginMs);
+  const end = await sendAttempt({
+    clock,
+    codec,
+    requestId: terms.id,
+    sink: request.sink,
+    streaming: route.streaming,
+    position: request.position,
+    endsAt: request.endsAt,
+    silentMs: silentMs(request, limits),
+    request: {
+      address: listed.address,
+      method: request.method,
+      path: request.path,
+      headers: codec.forSend(request.headers, {
+        targetId: listed.id,
+        remainingMs: Math.max(1, remainingMs),
+        rank: Math.min(9, route.priority),
+        resumeAfter: request.position.lastId,
+      }),
+      body: request.body,
+      connectMs: limits.connectMs,
+    },
+    onFirstBytes: () => {
+      endReading();
+      context.costs.observe(request.service.name, queuedBefore + unread, clock.now() - sentAt);
+    },
+  });
+  endReading();
+  target.own = add(target.own, -1, 0);
+  learn(context, request, listed.id, end);
+  context.logger.event("sendEnded", {
+    request: terms.id,
+    target: listed.id,
+    end: end.kind,
+    reason: "reason" in end ? end.reason : undefined,
+    status: end.kind === "not_run" ? end.status : undefined,
+    ms: Math.round(clock.now() - sentAt),
+    unread,
+  });
+  return end;
+}
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,2 +1,3 @@
 export * from "./events.js";
 export * from "./logger.js";
+export * from "./bounded-logger.js";
--- /dev/null
+++ b/packages/model-demand/src/index.ts
@@ -0,0 +1,163 @@
+/** What callers of this box ask of each model: requests at work or waiting, and since when. */
+import type { Clock } from "@linkfall/kernel";
+import type { Milliseconds } from "@linkfall/types";
+
+/** Weights that a request asks for. */
+export interface Wanted {
+  readonly service: string;
+  readonly model: string;
+  readonly adapter?: string;
+}
+
+/** Demand for the weights of one model, as one box or all boxes see it. */
+export interface ModelDemand {
+  readonly service: string;
+  readonly model: string;
+  /** Requests at work or waiting, averaged over the last second or so. */
+  readonly inFlight: number;
+  /** Requests that wait for the model. */
+  readonly waiting: number;
+  /** Requests that wait for an adapter of it, by name. */
+  readonly waitingAdapters: Readonly<Record<string, number>>;
+  /** Time since the last request. */
+  readonly idleMs: Milliseconds;
+}
+
+export interface DemandMeter {
+  /** Notes a request; the returned function notes its end. */
+  begins(wanted: Wanted): () => void;
+  /** Notes that a request waits for weights; the returned function ends the wait. */
+  waits(wanted: Wanted): () => void;
+  /** Demand of now, without models that nobody has asked for lately. */
+  read(): readonly ModelDemand[];
+}
+
+/** Time over which requests in flight are averaged. */
+const averageMs: Milliseconds = 1_000;
+/** Models that were not asked for in this time are left out. */
+const forgetMs: Milliseconds = 120_000;
+const shownDigits = 100;
+
+interface Entry {
+  readonly service: string;
+  readonly model: string;
+  inFlight: number;
+  average: number;
+  averagedAt: Milliseconds;
+  lastAt: Milliseconds;
+  waiting: number;
+  readonly adapters: Map<string, number>;
+}
+
+/** Brings the average up to now. */
+function settle(entry: Entry, now: Milliseconds): void {
+  const kept = Math.exp(-(now - entry.averagedAt) / averageMs);
+  entry.average = entry.average * kept + entry.inFlight * (1 - kept);
+  entry.averagedAt = now;
+}
+
+/** Calls an action at most once. */
+function once(action: () => void): () => void {
+  let done = false;
+  return () => {
+    if (done) return;
+    done = true;
+    action();
+  };
+}
+
+/** Creates the meter of one box. */
+export function createDemandMeter(clock: Clock): DemandMeter {
+  const entries = new Map<string, Entry>();
+
+  const entryOf = ({ service, model }: Wanted): Entry => {
+    const key = `${service} ${model}`;
+    const now = clock.now();
+    const entry: Entry = entries.get(key) ?? {
+      service,
+      model,
+      inFlight: 0,
+      average: 0,
+      averagedAt: now,
+      lastAt: now,
+      waiting: 0,
+      adapters: new Map(),
+    };
+    entries.set(key, entry);
+    return entry;
+  };
+
+  const countInFlight = (entry: Entry, by: number) => {
+    const now = clock.now();
+    settle(entry, now);
+    entry.inFlight += by;
+    entry.lastAt = now;
+  };
+
+  const countWaiting = (entry: Entry, adapter: string | undefined, by: number) => {
+    if (adapter === undefined) {
+      entry.waiting += by;
+      return;
+    }
+    const left = (entry.adapters.get(adapter) ?? 0) + by;
+    if (left > 0) entry.adapters.set(adapter, left);
+    else entry.adapters.delete(adapter);
+  };
+
+  const toDemand = (entry: Entry): ModelDemand => {
+    settle(entry, clock.now());
+    return {
+      service: entry.service,
+      model: entry.model,
+      inFlight: Math.round(entry.average * shownDigits) / shownDigits,
+      waiting: entry.waiting,
+      waitingAdapters: Object.fromEntries(entry.adapters),
+      idleMs: entry.inFlight > 0 ? 0 : Math.round(clock.now() - entry.lastAt),
+    };
+  };
+
+  return {
+    begins(wanted) {
+      const entry = entryOf(wanted);
+      countInFlight(entry, 1);
+      return once(() => countInFlight(entry, -1));
+    },
+    waits(wanted) {
+      const entry = entryOf(wanted);
+      countWaiting(entry, wanted.adapter, 1);
+      return once(() => countWaiting(entry, wanted.adapter, -1));
+    },
+    read() {
+      const now = clock.now();
+      for (const [key, entry] of entries) {
+        if (entry.inFlight === 0 && now - entry.lastAt > forgetMs) entries.delete(key);
+      }
+      return [...entries.values()].map(toDemand);
+    },
+  };
+}
+
+/** Demand of several boxes together. */
+export function sumDemand(readings: readonly (readonly ModelDemand[])[]): readonly ModelDemand[] {
+  const sums = new Map<string, ModelDemand>();
+  for (const demand of readings.flat()) {
+    const key = `${demand.service} ${demand.model}`;
+    const known = sums.get(key);
+    sums.set(key, known ? add(known, demand) : demand);
+  }
+  return [...sums.values()];
+}
+
+function add(left: ModelDemand, right: ModelDemand): ModelDemand {
+  const adapters: Record<string, number> = { ...left.waitingAdapters };
+  for (const [name, waiting] of Object.entries(right.waitingAdapters)) {
+    adapters[name] = (adapters[name] ?? 0) + waiting;
+  }
+  return {
+    ...left,
+    inFlight: left.inFlight + right.inFlight,
+    waiting: left.waiting + right.waiting,
+    waitingAdapters: adapters,
+    idleMs: Math.min(left.idleMs, right.idleMs),
+  };
+}
--- /dev/null
+++ b/packages/order-lease/src/index.ts
@@ -0,0 +1,262 @@
+/**
+ * The right to give orders: one box holds it, by a conditional append to a keyed stream. The offset
+ * of its claim is the fencing token. The holder proves that no newer claim exists by reading on.
+ */
+import type { LogFailure } from "@linkfall/errors";
+import {
+  clockName,
+  type Kernel,
+  randomName,
+  repeatEvery,
+  type Service,
+  serviceName,
+} from "@linkfall/kernel";
+import { loggerName } from "@linkfall/logger";
+import type { KeyedBatch, KeyedStreamPort } from "@linkfall/ports";
+import type { Epoch, Incarnation, Milliseconds, Offset } from "@linkfall/types";
+
+/** Who holds the right, as far as a box knows. */
+export interface LeaseWord {
+  readonly epoch: Epoch;
+  readonly holder: Incarnation;
+}
+
+export interface LeaseRules {
+  /** Time for which a holder that has not been superseded may go on without the store. */
+  readonly leaseMs: Milliseconds;
+  /** A holder that has not been heard for this long is taken for gone. */
+  readonly silentMs: Milliseconds;
+  /** Each later rank among the boxes waits this much longer before it claims. */
+  readonly rankStepMs: Milliseconds;
+  readonly checkMs: Milliseconds;
+}
+
+/** What the lease has to know of the other boxes. */
+export interface LeasePeers {
+  /** Time since the box was heard, undefined when it is not known; 0 for this box. */
+  heardMs(incarnation: Incarnation): Milliseconds | undefined;
+  /** Whether that box has said that it leaves. */
+  leaving(incarnation: Incarnation): boolean;
+  /** Time for which that box may go on giving orders, as it said last; 0 when it may not. */
+  ordersForMs(incarnation: Incarnation): Milliseconds;
+  /** This box's place in the order in which boxes claim. */
+  rank(): number;
+  /** Whether most boxes are heard and none of them reaches the store. */
+  allWithoutStore(): boolean;
+}
+
+export interface OrderLease extends Service {
+  /** The epoch under which this box may give orders now. */
+  epoch(): Epoch | undefined;
+  /** The newest word of the holder. */
+  known(): LeaseWord | undefined;
+  /** Takes the word of another box. */
+  hear(word: LeaseWord): void;
+  /** Notes that an engine refused an order of this epoch. */
+  refused(epoch: Epoch): void;
+  /** Time for which this box may go on giving orders. */
+  ordersForMs(): Milliseconds;
+  release(): Promise<void>;
+}
+
+export const orderLeaseName = serviceName<OrderLease>("order-lease");
+
+const leaseKey = "orders";
+/** Stands in place of a holder that has given the right up. */
+const releasedHolder = "-";
+/** Reads by which the holder proves its lease within the time of one. */
+const proofsOfLease = 6;
+/** A holder with a smaller part of its lease left than this has lost the store. */
+const lostShare = 0.35;
+/** Time that a superseded holder needs to hear of a new claim. */
+const noticeMs: Milliseconds = 300;
+
+interface LeaseState {
+  /** Newest claim that is known; offset -1 before the first. */
+  claim: { readonly holder: Incarnation; readonly offset: Offset };
+  /** When this box heard of that claim. */
+  claimHeardAt: Milliseconds;
+  end: Offset | undefined;
+  /** Until when this box may give orders without another proof. */
+  provenUntil: Milliseconds;
+  /** From when on this box may give orders. */
+  from: Milliseconds;
+  /** Since when the holder has been silent in this box's eyes. */
+  silentSince: Milliseconds | undefined;
+  /** When the holder before this box may last have given an order. */
+  lastHeardHolder: Milliseconds;
+  epochRefused: Epoch;
+}
+
+export function createOrderLease(
+  kernel: Kernel,
+  self: Incarnation,
+  stream: KeyedStreamPort,
+  peers: LeasePeers,
+  rules: LeaseRules,
+): OrderLease {
+  const clock = kernel.find(clockName);
+  const logger = kernel.find(loggerName);
+  const startedAt = clock.now();
+  const state: LeaseState = {
+    claim: { holder: releasedHolder, offset: -1 },
+    claimHeardAt: startedAt,
+    end: undefined,
+    provenUntil: -Infinity,
+    from: Infinity,
+    silentSince: undefined,
+    lastHeardHolder: startedAt,
+    epochRefused: -1,
+  };
+  let stopping = false;
+  let reading = false;
+
+  const epochOf = (offset: Offset): Epoch => offset + 1;
+  const mine = () =>
+    state.claim.holder === self && epochOf(state.claim.offset) > state.epochRefused;
+
+  const takeClaim = (holder: Incarnation, offset: Offset) => {
+    if (offset <= state.claim.offset) return;
+    const had = mine();
+    state.claim = { holder, offset };
+    state.silentSince = undefined;
+    state.claimHeardAt = clock.now();
+    if (had && holder !== self) {
+      logger.event("leaseLost", { pool: leaseKey, epoch: epochOf(offset), holder });
+    }
+  };
+
+  const takeBatch = (batch: KeyedBatch) => {
+    for (const record of batch.records) {
+      if (record.key === leaseKey) takeClaim(record.value ?? releasedHolder, record.offset);
+    }
+    state.end = batch.end;
+  };
+
+  const forget = (failure: LogFailure) => {
+    if (failure.kind === "log_truncated") state.end = undefined;
+  };
+
+  /** Reads on, so that a newer claim is heard of at once and its absence is proven. */
+  const prove = async () => {
+    if (reading) return;
+    reading = true;
+    const sentAt = clock.now();
+    const read =
+      state.end === undefined
+        ? await stream.newest()
+        : await stream.changes(state.end, Math.round(rules.leaseMs / proofsOfLease));
+    reading = false;
+    read.ifLeft(forget).ifRight((batch) => {
+      takeBatch(batch);
+      if (mine()) state.provenUntil = sentAt + rules.leaseMs;
+    });
+  };
+
+  /** Until when the holder that this box has heard of may give orders. */
+  const holderMayOrderUntil = (holder: Incarnation): Milliseconds => {
+    if (holder === releasedHolder || holder === self) return clock.now();
+    const heard = peers.heardMs(holder);
+    const silent = state.lastHeardHolder + rules.leaseMs;
+    if (heard === undefined || heard > rules.silentMs) return silent;
+    return clock.now() + peers.ordersForMs(holder);
+  };
+
+  const claim = async () => {
+    const read = await stream.newest();
+    if (read.isLeft()) return;
+    const before = state.claim.offset;
+    read.ifRight(takeBatch);
+    // Somebody else was faster: its claim is given its time.
+    if (state.claim.offset !== before && state.claim.holder !== releasedHolder) return;
+    const sentAt = clock.now();
+    const lastOrderBy = holderMayOrderUntil(state.claim.holder);
+    const put = await stream.put(leaseKey, self, state.end);
+    put.ifRight((offset) => {
+      const first = state.claim.offset < 0;
+      takeClaim(self, offset);
+      state.end = offset + 1;
+      state.provenUntil = sentAt + rules.leaseMs;
+      state.from = first ? clock.now() : Math.max(clock.now() + noticeMs, lastOrderBy);
+      logger.event("leaseTaken", {
+        pool: leaseKey,
+        epoch: epochOf(offset),
+        ordersInMs: Math.round(state.from - clock.now()),
+      });
+    });
+  };
+
+  /** Keeps the right; after a refused order it is claimed anew unless another box has it. */
+  const keep = async () => {
+    await prove();
+    if (state.claim.holder === self && !mine()) await claim();
+  };
+
+  /** Whether the holder, though it is heard, can no longer prove its lease. */
+  const hasLostStore = (holder: Incarnation): boolean => {
+    const sinceClaim = clock.now() - state.claimHeardAt;
+    if (sinceClaim < rules.leaseMs) return false;
+    return peers.ordersForMs(holder) < rules.leaseMs * lostShare;
+  };
+
+  const holderGone = (): boolean => {
+    const { holder } = state.claim;
+    if (state.claim.offset < 0 || holder === releasedHolder) return true;
+    const heard = peers.heardMs(holder);
+    if (heard !== undefined) {
+      state.lastHeardHolder = Math.max(state.lastHeardHolder, clock.now() - heard);
+    }
+    if (peers.leaving(holder)) return true;
+    if (heard !== undefined && hasLostStore(holder)) return true;
+    return clock.now() - state.lastHeardHolder > rules.silentMs;
+  };
+
+  const check = async () => {
+    if (stopping) return;
+    if (state.claim.holder === self) return keep();
+    if (!holderGone()) {
+      state.silentSince = undefined;
+      return;
+    }
+    state.silentSince ??= clock.now();
+    const turn = state.silentSince + peers.rank() * rules.rankStepMs;
+    if (clock.now() < turn) return;
+    await claim();
+  };
+
+  const loop = repeatEvery(clock, kernel.find(randomName), rules.checkMs, check);
+  return {
+    epoch() {
+      const now = clock.now();
+      if (!mine() || stopping || now < state.from) return undefined;
+      if (now >= state.provenUntil && !peers.allWithoutStore()) return undefined;
+      return epochOf(state.claim.offset);
+    },
+    known: () =>
+      state.claim.offset < 0
+        ? undefined
+        : { epoch: epochOf(state.claim.offset), holder: state.claim.holder },
+    hear: (word) => takeClaim(word.holder, word.epoch - 1),
+    refused(epoch) {
+      state.epochRefused = Math.max(state.epochRefused, epoch);
+      logger.event("fenceRefused", { pool: leaseKey, epoch });
+    },
+    ordersForMs() {
+      if (!mine() || stopping) return 0;
+      if (peers.allWithoutStore()) return rules.leaseMs;
+      return Math.max(0, Math.round(state.provenUntil - clock.now()));
+    },
+    async release() {
+      const held = mine();
+      stopping = true;
+      if (!held || state.end === undefined) return;
+      await stream.put(leaseKey, releasedHolder, state.end);
+      logger.event("leaseReleased", { pool: leaseKey });
+    },
+    start: loop.start,
+    stop: async () => {
+      stopping = true;
+      await loop.stop();
+    },
+  };
+}
--- /dev/null
+++ b/packages/ports/src/routed-ports.ts
@@ -0,0 +1,56 @@
+/** What the product asks of a platform whose requests are opaque to it. */
+import type { InvalidInput, TargetUnreachable } from "@linkfall/errors";
+import type {
+  EngineState,
+  FencedOrder,
+  ListedTarget,
+  Milliseconds,
+  OrderAnswer,
+  RequestTerms,
+  RoutedConfiguration,
+} from "@linkfall/types";
+import type { Either } from "purify-ts";
+
+/** Header names and values by turns, as they stand on the wire. */
+export type RawHeaders = readonly string[];
+
+/** Reads the platform's records of desired state and of targets. */
+export interface RecordCodec {
+  configuration(text: string): Either<InvalidInput, RoutedConfiguration>;
+  target(id: string, text: string): Either<InvalidInput, ListedTarget>;
+}
+
+/** The target of one send, as far as the wire needs it. */
+export interface SendTerms {
+  readonly targetId: string;
+  readonly remainingMs: Milliseconds;
+  /** Rank for the engine's own queue, 0 first. */
+  readonly rank?: number;
+  /** Position after which a stream goes on; as the caller sent it when absent. */
+  readonly resumeAfter?: string;
+}
+
+/** What the head of a target's answer says about the request. */
+export interface AnswerFacts {
+  readonly requestId?: string;
+  /** The target says that it did not run the request. */
+  readonly notRun: boolean;
+  /** Another start of a target has the address, or it does not hold what was asked for. */
+  readonly misdirected: boolean;
+}
+
+/** Translates between requests on the wire and their terms. */
+export interface RequestCodec {
+  readTerms(headers: RawHeaders): RequestTerms;
+  /** The caller's end-to-end headers with those that linkfall sets itself. */
+  forSend(headers: RawHeaders, terms: SendTerms): string[];
+  /** The target's end-to-end headers. */
+  forCaller(headers: RawHeaders): string[];
+  readAnswer(status: number, headers: RawHeaders): AnswerFacts;
+}
+
+/** Asks engines for their state and gives them orders. */
+export interface RoutedEnginePort {
+  state(target: ListedTarget): Promise<Either<TargetUnreachable, EngineState>>;
+  order(target: ListedTarget, order: FencedOrder): Promise<OrderAnswer>;
+}
--- /dev/null
+++ b/packages/raw-exchange/src/index.ts
@@ -0,0 +1,133 @@
+/** One HTTP exchange with a target on a connection of its own, its bytes passed on as they come. */
+import { Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+import type { TargetUnreachable } from "@linkfall/errors";
+import type { Clock } from "@linkfall/kernel";
+import type { RawHeaders } from "@linkfall/ports";
+import type { Milliseconds } from "@linkfall/types";
+
+/** One request as it is sent. */
+export interface ExchangeRequest {
+  /** `host:port`. */
+  readonly address: string;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  /** End-to-end headers; those of the connection are added here. */
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  /** Longest time until the connection stands. */
+  readonly connectMs: Milliseconds;
+}
+
+/** The head of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: RawHeaders;
+}
+
+/** What happens in an exchange. After `onWhole` or `onFailure` nothing more is called. */
+export interface ExchangeListener {
+  onHead(head: AnswerHead): void;
+  onBytes(bytes: Buffer): void;
+  /** The answer is whole. */
+  onWhole(): void;
+  /** The exchange ended before the answer was whole. */
+  onFailure(failure: TargetUnreachable): void;
+}
+
+export interface Exchange {
+  /** Closes the connection; the listener hears nothing more. */
+  abort(): void;
+  pause(): void;
+  resume(): void;
+}
+
+/** A connection for each request: what is not reused cannot carry bytes of an earlier answer. */
+const freshConnections = new Agent({ keepAlive: false, maxSockets: Infinity });
+
+function failure(reason: string, mayHaveArrived: boolean): TargetUnreachable {
+  return { kind: "target_unreachable", reason, mayHaveArrived };
+}
+
+/** Headers of the connection, and of the body that is sent whole. */
+function withFraming(request: ExchangeRequest): string[] {
+  const headers = [...request.headers, "Connection", "close"];
+  const mayHaveBody = request.body.length > 0 || request.method === "POST";
+  if (mayHaveBody) headers.push("Content-Length", String(request.body.length));
+  return headers;
+}
+
+function createRequest(request: ExchangeRequest): ClientRequest {
+  const mark = request.address.lastIndexOf(":");
+  return httpRequest({
+    host: request.address.slice(0, mark),
+    port: Number(request.address.slice(mark + 1)),
+    method: request.method,
+    path: request.path,
+    headers: withFraming(request) as never,
+    agent: freshConnections,
+  });
+}
+
+/** Begins an exchange. */
+export function openExchange(
+  clock: Clock,
+  request: ExchangeRequest,
+  listener: ExchangeListener,
+): Exchange {
+  let done = false;
+  let connected = false;
+  let message: IncomingMessage | undefined;
+  const sent = createRequest(request);
+
+  const finish = (report: () => void) => {
+    if (done) return;
+    done = true;
+    cancelConnect();
+    sent.destroy();
+    report();
+  };
+  const fail = (reason: string) => finish(() => listener.onFailure(failure(reason, connected)));
+  const cancelConnect = clock.after(request.connectMs, () => {
+    if (!connected) fail("no connection in time");
+  });
+
+  sent.once("socket", (socket) => {
+    // A reset behind bytes that are still unread is shown as a plain end. What tells them apart is
+    // that a connection that was reset has no peer any more.
+    socket.prependOnceListener("end", () => {
+      if (connected && socket.remoteAddress === undefined) fail("the connection was reset");
+    });
+    socket.once("connect", () => {
+      connected = true;
+      cancelConnect();
+    });
+  });
+  // Also called when a reset ends an answer without a length, before its end is reported.
+  sent.on("error", (problem) => fail(problem.message));
+  sent.once("response", (answer) => {
+    message = answer;
+    answer.on("error", (problem) => fail(problem.message));
+    answer.once("aborted", () => fail("the answer was cut"));
+    answer.on("data", (bytes: Buffer) => {
+      if (!done) listener.onBytes(bytes);
+    });
+    answer.once("end", () => {
+      if (answer.complete) finish(() => listener.onWhole());
+      else fail("the answer was cut");
+    });
+    if (!done) listener.onHead({ status: answer.statusCode ?? 0, headers: answer.rawHeaders });
+  });
+  sent.end(request.body);
+
+  return {
+    abort() {
+      if (done) return;
+      done = true;
+      cancelConnect();
+      sent.destroy();
+    },
+    pause: () => message?.pause(),
+    resume: () => message?.resume(),
+  };
+}
--- /dev/null
+++ b/packages/raw-exchange/src/raw-exchange.feature
@@ -0,0 +1,26 @@
+Feature: An exchange with a target tells a whole answer from one that was cut
+
+  Scenario: An answer without a length that ends with its connection is whole
+    Given a target that answers without a length and closes its connection
+    When a request is sent there
+    Then the answer is whole with 4 bytes
+
+  Scenario: An answer without a length that ends by a reset is not whole
+    Given a target that answers without a length and resets its connection at once
+    When a request is sent there
+    Then the exchange fails and the request may have arrived
+
+  Scenario: An answer shorter than its length is not whole
+    Given a target that answers less than its length and closes its connection
+    When a request is sent there
+    Then the exchange fails and the request may have arrived
+
+  Scenario: A request to a port where nobody listens has not arrived
+    Given a port where nobody listens
+    When a request is sent there
+    Then the exchange fails and the request has not arrived
+
+  Scenario: The second answer on a connection belongs to nobody
+    Given a target that answers twice on one connection
+    When a request is sent there
+    Then the answer is whole with 2 bytes
--- /dev/null
+++ b/packages/route-table/src/index.ts
@@ -0,0 +1,52 @@
+/** Finds the route of a request: exact host, then the longest path prefix. */
+import type { Route, RoutedConfiguration, RouteShare } from "@linkfall/types";
+import murmurhash from "murmurhash";
+
+const hashSteps = 0x1_0000_0000;
+
+/** Routes by host, longest prefix first. */
+export interface RouteTable {
+  find(host: string, path: string): Route | undefined;
+}
+
+/** The path of a request target, without its query. */
+function pathOf(target: string): string {
+  const query = target.indexOf("?");
+  return query < 0 ? target : target.slice(0, query);
+}
+
+/** A host in the form in which it is compared: lower case and without a port. */
+export function plainHost(host: string): string {
+  const port = host.lastIndexOf(":");
+  const name = port > 0 && !host.endsWith("]") ? host.slice(0, port) : host;
+  return name.toLowerCase();
+}
+
+/** Builds the table of a configuration. */
+export function createRouteTable(configuration: RoutedConfiguration): RouteTable {
+  const byHost = new Map<string, Route[]>();
+  for (const route of configuration.routes) {
+    const host = plainHost(route.host);
+    byHost.set(host, [...(byHost.get(host) ?? []), route]);
+  }
+  for (const routes of byHost.values()) {
+    routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+  }
+  return {
+    find(host, target) {
+      const path = pathOf(target);
+      return byHost.get(plainHost(host))?.find((route) => path.startsWith(route.pathPrefix));
+    },
+  };
+}
+
+/** The service that a request goes to: the same for the same request on every box. */
+export function shareFor(route: Route, requestId: string): RouteShare {
+  const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
+  let point = (murmurhash.v3(requestId) / hashSteps) * total;
+  for (const share of route.shares) {
+    if (point < share.weight) return share;
+    point -= share.weight;
+  }
+  return route.shares[0];
+}
--- /dev/null
+++ b/packages/target-choice/src/index.ts
@@ -0,0 +1,63 @@
+/** Chooses the target that is expected to answer first: a pure function over what one box believes. */
+import type { Random } from "@linkfall/kernel";
+import type { Milliseconds } from "@linkfall/types";
+
+/** One target as the choice sees it. */
+export interface Candidate {
+  readonly id: string;
+  readonly slots: number;
+  /** Requests of all boxes there. */
+  readonly inFlight: number;
+  /** Prompt tokens there that are still to be read, of all boxes. */
+  readonly queuedTokens: number;
+  /** Prompt tokens of this request that the target would have to read. */
+  readonly unreadTokens: number;
+  readonly sameDomain: boolean;
+}
+
+/** What one unit of work costs, as measured. */
+export interface WorkCosts {
+  /** Reading one prompt token. */
+  readonly perTokenMs: Milliseconds;
+  /** One request on a target with a free place. */
+  readonly perRequestMs: Milliseconds;
+  /** Reaching another failure domain. */
+  readonly crossDomainMs: Milliseconds;
+}
+
+/** A target with the time until it is expected to begin its answer. */
+export interface Choice {
+  readonly id: string;
+  readonly expectedMs: Milliseconds;
+}
+
+/** Candidates within this of the best are as good as the best; the pick among them is random. */
+const tieMs: Milliseconds = 2;
+/** How much the requests that share a batch slow each other. */
+const crowdShare = 0.1;
+
+/** Time until the target is expected to begin its answer. */
+export function expectedMs(candidate: Candidate, costs: WorkCosts): Milliseconds {
+  const reading = (candidate.queuedTokens + candidate.unreadTokens) * costs.perTokenMs;
+  const free = Math.max(0, candidate.slots - candidate.inFlight);
+  const rounds = free > 0 ? 0 : (candidate.inFlight - candidate.slots + 1) / candidate.slots;
+  const crowd = (candidate.inFlight / candidate.slots) * crowdShare * costs.perRequestMs;
+  const distance = candidate.sameDomain ? 0 : costs.crossDomainMs;
+  return reading + rounds * costs.perRequestMs + crowd + costs.perRequestMs + distance;
+}
+
+/** The target that is expected to answer first; `undefined` without candidates. */
+export function chooseTarget(
+  candidates: readonly Candidate[],
+  costs: WorkCosts,
+  random: Random,
+): Choice | undefined {
+  if (candidates.length === 0) return undefined;
+  const timed = candidates.map((candidate) => ({
+    id: candidate.id,
+    expectedMs: expectedMs(candidate, costs),
+  }));
+  const best = Math.min(...timed.map((choice) => choice.expectedMs));
+  const near = timed.filter((choice) => choice.expectedMs <= best + tieMs);
+  return near[random.below(near.length)];
+}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -5,3 +5,5 @@
 export * from "./outcomes.js";
 export * from "./members.js";
 export * from "./records.js";
+export * from "./routes.js";
+export * from "./routed-targets.js";
--- /dev/null
+++ b/packages/types/src/routed-targets.ts
@@ -0,0 +1,85 @@
+/** Targets as the platform lists them and as they report of themselves. */
+import type { Milliseconds } from "./identifiers.js";
+
+/** A model that an engine holds. */
+export interface ResidentModel {
+  readonly name: string;
+  readonly version: number;
+  readonly adapters: readonly string[];
+}
+
+/** What an engine says that it holds. */
+export interface Holdings {
+  /** Orders that the engine has taken since its start. */
+  readonly sequence: number;
+  readonly models: readonly ResidentModel[];
+}
+
+/** One start of a target, as the platform lists it. */
+export interface ListedTarget {
+  /** Names this start; the next start of the same target has another. */
+  readonly id: string;
+  readonly service: string;
+  /** `host:port`. */
+  readonly address: string;
+  readonly domain: string;
+  readonly slots: number;
+  readonly leaving: boolean;
+  /** Models that it holds, as old as the list; absent for a target of a plain service. */
+  readonly models?: readonly ResidentModel[];
+}
+
+/** What an engine answers when it is asked for its state. */
+export interface EngineState extends Holdings {
+  /** An order is being carried out. */
+  readonly busy: boolean;
+  readonly waiting: number;
+  readonly running: number;
+  readonly cacheTokensUsed: number;
+  /** Models whose weights lie in host memory. */
+  readonly inMemory: readonly string[];
+  /** Models whose weights lie on the target's disk. */
+  readonly onDisk: readonly string[];
+  /** Adapters on their way, as `model/adapter`. */
+  readonly adaptersComing: readonly string[];
+}
+
+/** Brings weights into an engine, or drops them. */
+export interface WeightOrder {
+  readonly action: "load" | "unload";
+  readonly model: string;
+  readonly adapter?: string;
+}
+
+/** An order as it is sent. */
+export interface FencedOrder extends WeightOrder {
+  /** The engine takes the order only after this many others. */
+  readonly expectedSequence: number;
+  readonly holder: string;
+  /** Fencing token of the holder. */
+  readonly epoch: number;
+}
+
+/** What an engine says to an order. `unanswered`: it may still be carried out. */
+export type OrderAnswer =
+  "under_way" | "in_force" | "conflict" | "fenced" | "refused" | "unanswered";
+
+/** A part of a prompt that requests may share. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** What a request says of itself beside its method, path and body. */
+export interface RequestTerms {
+  readonly id: string;
+  /** Time that the caller will wait, from its sending. */
+  readonly deadlineMs?: Milliseconds;
+  readonly model?: string;
+  readonly adapter?: string;
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+  readonly parts: readonly PromptPart[];
+  /** Position after which a stream is to go on. */
+  readonly resumeAfter?: string;
+}
--- /dev/null
+++ b/packages/types/src/routes.ts
@@ -0,0 +1,87 @@
+/** Routes of opaque requests: what operators declare and a box holds in force. */
+import type { Milliseconds } from "./identifiers.js";
+
+/** Whether a request may run again after it may have run before. */
+export type Repeatability = "repeatable" | "not_repeatable";
+
+/** A service with its share of a route's requests. */
+export interface RouteShare {
+  readonly service: string;
+  /** Relative to the other shares of the route. */
+  readonly weight: number;
+}
+
+/** Sends requests of one host and path prefix to a service. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  readonly shares: readonly RouteShare[];
+  readonly repeatability: Repeatability;
+  /** Answers are event streams. */
+  readonly streaming: boolean;
+  /** A stream that was cut may go on at another target after its last whole event. */
+  readonly resumable: boolean;
+  /** Longest time that a request may be held. */
+  readonly timeoutMs: Milliseconds;
+  /** Time within which an answer (the first event of a stream) is on time. */
+  readonly objectiveMs: Milliseconds;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Most targets that one request may be sent to. */
+  readonly maxAttempts: number;
+}
+
+/** Weights that engines can hold. */
+export interface DeclaredModel {
+  readonly name: string;
+  readonly memoryMb: number;
+  /** Time of a load from host memory. */
+  readonly fromMemoryMs: Milliseconds;
+  /** Time of a load from the target's disk. */
+  readonly fromDiskMs: Milliseconds;
+  /** Time of a load from the weight store. */
+  readonly fromStoreMs: Milliseconds;
+  readonly adapterMb: number;
+}
+
+/** What the engines of a service are like. */
+export interface EngineShape {
+  /** Requests that an engine runs at once. */
+  readonly slots: number;
+  /** Tokens of running requests and cached prefixes together. */
+  readonly cacheTokens: number;
+  /** Memory for weights and adapters. */
+  readonly memoryMb: number;
+  readonly adapterSlots: number;
+  /** Loads a second that the weight store permits over all engines. */
+  readonly storeLoadsPerSecond: number;
+  readonly models: ReadonlyMap<string, DeclaredModel>;
+}
+
+/** A group of like targets. */
+export interface RoutedService {
+  readonly name: string;
+  readonly healthPath: string;
+  /** Connections that a target takes from all callers together. */
+  readonly maxConnections: number;
+  /** Absent for a plain service. */
+  readonly engine?: EngineShape;
+}
+
+/** What a caller may send. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: Milliseconds;
+  readonly idleTimeoutMs: Milliseconds;
+}
+
+/** One whole configuration. A box never goes back to a lower version. */
+export interface RoutedConfiguration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: ReadonlyMap<string, RoutedService>;
+  readonly limits: CallerLimits;
+}
--- /dev/null
+++ b/packages/weight-orders/src/engine-work.ts
@@ -0,0 +1,46 @@
+/** The move under way on one engine, and which order it needs next. */
+import type { FencedOrder, Milliseconds, WeightOrder } from "@linkfall/types";
+import type { WeightMove } from "@linkfall/weight-plan";
+
+/** A move under way: its victims go one by one, then its model comes. */
+export interface EngineWork {
+  readonly move: WeightMove;
+  readonly begunAt: Milliseconds;
+  /** The order that was sent last, if it is not known to be done. */
+  sent?: { readonly order: FencedOrder; readonly at: Milliseconds; answered: boolean };
+}
+
+/** What the engine last said that it holds. */
+export interface EngineWord {
+  readonly sequence: number;
+  readonly busy: boolean;
+  readonly models: readonly string[];
+}
+
+export type NextStep =
+  | { readonly kind: "done" }
+  | { readonly kind: "wait" }
+  | { readonly kind: "order"; readonly order: WeightOrder };
+
+/** The step that a move needs, given what the engine says. */
+export function nextStep(move: WeightMove, word: EngineWord): NextStep {
+  if (word.busy) return { kind: "wait" };
+  const victim = move.victims.find((name) => word.models.includes(name));
+  if (victim !== undefined) return { kind: "order", order: { action: "unload", model: victim } };
+  if (word.models.includes(move.load)) return { kind: "done" };
+  return { kind: "order", order: { action: "load", model: move.load } };
+}
+
+/** Whether the last order may still be on its way: nothing else is sent before it is settled. */
+export function isPending(
+  work: EngineWork,
+  word: EngineWord,
+  now: Milliseconds,
+  resendMs: Milliseconds,
+): boolean {
+  const { sent } = work;
+  if (!sent) return false;
+  // The engine has taken an order since: this one is done, or can no longer be taken.
+  if (word.sequence > sent.order.expectedSequence) return false;
+  return now - sent.at < resendMs;
+}
--- /dev/null
+++ b/packages/weight-plan/src/copies.ts
@@ -0,0 +1,54 @@
+/** Copies of each model, and what the requests of a model lose when one of them goes. */
+import type { Milliseconds } from "@linkfall/types";
+import type { EngineView, ModelNeed } from "./engine-view.js";
+import type { PlanInput } from "./plan.js";
+
+/** Time since the last request of a model that nobody has asked for yet. */
+const neverAskedMs: Milliseconds = 120_000;
+/** Requests that come closer together than this are taken to come that often. */
+const leastIdleMs: Milliseconds = 500;
+/** A request at work holds up the unload, and its successors lose their replica. */
+const atWorkMs: Milliseconds = 1_500;
+/** What a copy beyond those that are needed is worth per request at work. */
+const surplusMs: Milliseconds = 50;
+
+/** Copies of each model, with those on their way in and without those on their way out. */
+export function countCopies(engines: readonly EngineView[]): Map<string, number> {
+  const copies = new Map<string, number>();
+  const add = (name: string, by: number) => copies.set(name, (copies.get(name) ?? 0) + by);
+  for (const { residents, incoming, outgoing } of engines) {
+    for (const resident of residents) add(resident.name, 1);
+    const holds = (name: string) => residents.some((held) => held.name === name);
+    if (incoming !== undefined && !holds(incoming)) add(incoming, 1);
+    if (outgoing !== undefined && holds(outgoing)) add(outgoing, -1);
+  }
+  return copies;
+}
+
+/** What is lost when the last copy of a model goes: its next request waits for a load. */
+function lastCopyLoss(input: PlanInput, name: string, need: ModelNeed | undefined): Milliseconds {
+  const model = input.models.get(name);
+  if (!model) return 0;
+  const idleMs = Math.max(leastIdleMs, need?.idleMs ?? neverAskedMs);
+  return (model.fromDiskMs * input.rules.horizonMs) / idleMs;
+}
+
+/** What requests lose when this copy goes, in milliseconds; Infinity where it must stay. */
+export function copyLoss(
+  input: PlanInput,
+  copies: ReadonlyMap<string, number>,
+  engine: EngineView,
+  name: string,
+): Milliseconds {
+  if (engine.outgoing === name) return Infinity;
+  const need = input.needs.get(name);
+  const have = copies.get(name) ?? 0;
+  const inFlight = need?.inFlight ?? 0;
+  if (have <= 1) {
+    if (need && need.waiting > 0) return Infinity;
+    return lastCopyLoss(input, name, need) + inFlight * atWorkMs;
+  }
+  const perReplicaAfter = inFlight / (have - 1);
+  if (perReplicaAfter <= input.rules.inFlightOfReplica) return inFlight * surplusMs;
+  return perReplicaAfter * atWorkMs;
+}
--- /dev/null
+++ b/packages/weight-plan/src/engine-view.ts
@@ -0,0 +1,75 @@
+/** What the planner knows: engines with what they hold, and what is asked of each model. */
+import type { DeclaredModel, Mebibytes, Milliseconds, ResidentModel } from "@linkfall/types";
+
+/** One engine as the planner sees it. */
+export interface EngineView {
+  readonly id: string;
+  readonly domain: string;
+  readonly memoryMb: Mebibytes;
+  readonly adapterSlots: number;
+  readonly residents: readonly ResidentModel[];
+  /** Adapters on their way, as `model/adapter`. */
+  readonly adaptersComing: readonly string[];
+  readonly inMemory: readonly string[];
+  readonly onDisk: readonly string[];
+  /** Time until a move that is under way is expected to end; 0 where nothing is under way. */
+  readonly freeInMs: Milliseconds;
+  /** The model that the move under way brings in, if any. */
+  readonly incoming?: string;
+  /** The model that the move under way drops, if any. */
+  readonly outgoing?: string;
+  /** Requests at work there. */
+  readonly inFlight: number;
+}
+
+/** What is asked of one model over all boxes. */
+export interface ModelNeed {
+  readonly model: DeclaredModel;
+  /** Requests at work or waiting, averaged. */
+  readonly inFlight: number;
+  /** Requests that wait for the model. */
+  readonly waiting: number;
+  /** Time since the last request; Infinity where none was seen. */
+  readonly idleMs: number;
+}
+
+export type LoadSource = "memory" | "disk" | "store";
+
+/** Where a load on this engine would come from. */
+export function sourceOf(engine: EngineView, model: string): LoadSource {
+  if (engine.inMemory.includes(model)) return "memory";
+  return engine.onDisk.includes(model) ? "disk" : "store";
+}
+
+/** How long a load on this engine takes. */
+export function loadTimeMs(engine: EngineView, model: DeclaredModel): number {
+  const times = {
+    memory: model.fromMemoryMs,
+    disk: model.fromDiskMs,
+    store: model.fromStoreMs,
+  };
+  return times[sourceOf(engine, model.name)];
+}
+
+/** Memory of the engine's weights and adapters, those on their way included. */
+export function usedMb(
+  engine: Pick<EngineView, "residents" | "adaptersComing">,
+  models: ReadonlyMap<string, DeclaredModel>,
+): Mebibytes {
+  const resident = engine.residents.reduce((sum, held) => {
+    const model = models.get(held.name);
+    if (!model) return sum;
+    return sum + model.memoryMb + held.adapters.length * model.adapterMb;
+  }, 0);
+  const coming = engine.adaptersComing.reduce(
+    (sum, name) => sum + (models.get(name.split("/", 1)[0])?.adapterMb ?? 0),
+    0,
+  );
+  return resident + coming;
+}
+
+/** Adapter places that are taken. */
+export function adaptersTaken(engine: Pick<EngineView, "residents" | "adaptersComing">): number {
+  const held = engine.residents.reduce((sum, resident) => sum + resident.adapters.length, 0);
+  return held + engine.adaptersComing.length;
+}
--- /dev/null
+++ b/packages/weight-plan/src/plan.ts
@@ -0,0 +1,175 @@
+/** Plans which models engines swap: what is missed most comes in, what is missed least goes. */
+import type { DeclaredModel, Milliseconds } from "@linkfall/types";
+import { copyLoss, countCopies } from "./copies.js";
+import { type EngineView, loadTimeMs, type ModelNeed, sourceOf, usedMb } from "./engine-view.js";
+
+/** One swap on one engine: the victims go, then the model comes. */
+export interface WeightMove {
+  readonly engine: string;
+  readonly load: string;
+  readonly victims: readonly string[];
+  readonly source: "memory" | "disk" | "store";
+  /** Requests wait for it; its replicas are too few; or no engine has it at hand. */
+  readonly reason: "waiting" | "demand" | "unreachable";
+}
+
+/** Settings of the plan. */
+export interface PlanRules {
+  /** Requests at work that one replica is to carry. */
+  readonly inFlightOfReplica: number;
+  /** Time over which the next request of a rare model is weighed. */
+  readonly horizonMs: Milliseconds;
+}
+
+export interface PlanInput {
+  readonly engines: readonly EngineView[];
+  readonly needs: ReadonlyMap<string, ModelNeed>;
+  readonly models: ReadonlyMap<string, DeclaredModel>;
+  /** Loads that the weight store's rate still permits now. */
+  readonly storeLoadsLeft: number;
+  readonly rules: PlanRules;
+}
+
+interface Wish {
+  readonly model: DeclaredModel;
+  readonly reason: WeightMove["reason"];
+  /** Higher comes first within a reason. */
+  readonly weight: number;
+}
+
+const reasonRank = { waiting: 2, demand: 1, unreachable: 0 } as const;
+/** What a request at work on an engine costs one more there. */
+const crowdMs: Milliseconds = 20;
+/** Beyond this, requests of a model on one replica earn a further one. */
+const replicaGainMs: Milliseconds = 250;
+
+function isAtHand(engines: readonly EngineView[], name: string): boolean {
+  return engines.some(
+    (engine) =>
+      engine.inMemory.includes(name) || engine.onDisk.includes(name) || engine.incoming === name,
+  );
+}
+
+function wishFor(
+  input: PlanInput,
+  copies: ReadonlyMap<string, number>,
+  model: DeclaredModel,
+): Wish | undefined {
+  const need = input.needs.get(model.name);
+  const have = copies.get(model.name) ?? 0;
+  if (have === 0 && need && need.waiting > 0) {
+    return { model, reason: "waiting", weight: need.waiting };
+  }
+  const perReplica = need && have > 0 ? need.inFlight / have : 0;
+  if (perReplica > input.rules.inFlightOfReplica) {
+    return { model, reason: "demand", weight: perReplica };
+  }
+  if (have === 0 && !isAtHand(input.engines, model.name)) {
+    return { model, reason: "unreachable", weight: 0 };
+  }
+  return undefined;
+}
+
+function wishesOf(input: PlanInput, copies: ReadonlyMap<string, number>): readonly Wish[] {
+  return [...input.models.values()]
+    .flatMap((model) => wishFor(input, copies, model) ?? [])
+    .sort(
+      (left, right) =>
+        reasonRank[right.reason] - reasonRank[left.reason] || right.weight - left.weight,
+    );
+}
+
+interface Place {
+  readonly engine: EngineView;
+  readonly victims: readonly string[];
+  /** What the victims' requests lose, in milliseconds. */
+  readonly loss: number;
+  /** Time until the model is there. */
+  readonly readyMs: Milliseconds;
+}
+
+/** The cheapest victims that make room on an engine; undefined when there is no room to be had. */
+function placeOn(
+  input: PlanInput,
+  copies: ReadonlyMap<string, number>,
+  engine: EngineView,
+  model: DeclaredModel,
+): Place | undefined {
+  if (engine.incoming === model.name) return undefined;
+  if (engine.residents.some((resident) => resident.name === model.name)) return undefined;
+  const priced = engine.residents
+    .map((resident) => ({ resident, loss: copyLoss(input, copies, engine, resident.name) }))
+    .sort((left, right) => left.loss - right.loss);
+  let room = engine.memoryMb - usedMb(engine, input.models);
+  let loss = 0;
+  const victims: string[] = [];
+  for (const { resident, loss: victimLoss } of priced) {
+    if (room >= model.memoryMb) break;
+    const freed = input.models.get(resident.name);
+    if (!freed) continue;
+    victims.push(resident.name);
+    loss += victimLoss;
+    room += freed.memoryMb + resident.adapters.length * freed.adapterMb;
+  }
+  if (room < model.memoryMb || !Number.isFinite(loss)) return undefined;
+  return { engine, victims, loss, readyMs: engine.freeInMs + loadTimeMs(engine, model) };
+}
+
+/** Whether the load earns what its victims lose. */
+function isWorth(wish: Wish, place: Place, rules: PlanRules): boolean {
+  switch (wish.reason) {
+    case "waiting":
+      return true;
+    case "demand":
+      return place.loss < (wish.weight - rules.inFlightOfReplica / 2) * replicaGainMs;
+    case "unreachable":
+      return place.loss < replicaGainMs;
+  }
+}
+
+function costOf(place: Place): number {
+  return place.readyMs + place.loss + place.engine.inFlight * crowdMs;
+}
+
+/** The best place, which may be an engine that is not free yet. */
+function bestPlace(
+  input: PlanInput,
+  copies: ReadonlyMap<string, number>,
+  wish: Wish,
+  storeLoadsLeft: number,
+): Place | undefined {
+  const places = input.engines.flatMap((engine) => {
+    const place = placeOn(input, copies, engine, wish.model);
+    if (!place || !isWorth(wish, place, input.rules)) return [];
+    const fromStore = sourceOf(engine, wish.model.name) === "store";
+    return fromStore && storeLoadsLeft <= 0 ? [] : [place];
+  });
+  return places.sort((left, right) => costOf(left) - costOf(right))[0];
+}
+
+/** Moves to begin now: at most one an engine. */
+export function planMoves(input: PlanInput): readonly WeightMove[] {
+  const copies = countCopies(input.engines);
+  const moves: WeightMove[] = [];
+  let { storeLoadsLeft, engines } = input;
+  for (const { model, ...wish } of wishesOf(input, copies)) {
+    const place = bestPlace({ ...input, engines }, copies, { model, ...wish }, storeLoadsLeft);
+    // An engine that is soon free and has the weights at hand is better than a slow load now.
+    if (!place || place.engine.freeInMs > 0) continue;
+    const { id } = place.engine;
+    const source = sourceOf(place.engine, model.name);
+    if (source === "store") storeLoadsLeft -= 1;
+    moves.push({
+      engine: id,
+      load: model.name,
+      victims: place.victims,
+      source,
+      reason: wish.reason,
+    });
+    copies.set(model.name, (copies.get(model.name) ?? 0) + 1);
+    for (const victim of place.victims) copies.set(victim, (copies.get(victim) ?? 0) - 1);
+    const occupied = { freeInMs: Math.max(1, place.readyMs), incoming: model.name };
+    engines = engines.map((engine) => (engine.id === id ? { ...engine, ...occupied } : engine));
+  }
+  return moves;
+}
--- a/scripts/sync-packages.mjs
+++ b/scripts/sync-packages.mjs
@@ -61,7 +61,13 @@
     description: known.description ?? "",
     license: "MIT",
     type: "module",
-    exports: { ".": { types: "./dist/index.d.ts", default: "./dist/index.js" } },
+    exports: {
+      ".": {
+        source: "./src/index.ts",
+        types: "./dist/index.d.ts",
+        default: "./dist/index.js",
+      },
+    },
     ...(known.bin ? { bin: known.bin } : {}),
     files: known.bin ? ["bin", "dist", "src"] : ["dist", "src"],
     dependencies: versionsOf(code),
@@ -74,3 +80,19 @@
     references,
   });
 }
+
+/** Adapters to the users' platform; not a package, and the rest builds without it. */
+const platformFolder = "platform";
+if (existsSync(join(platformFolder, "src"))) {
+  const imported = [
+    ...importedNames(platformFolder, false),
+    ...importedNames(platformFolder, true),
+  ];
+  const own = [...new Set(imported)].filter((name) => name.startsWith(ownScope)).sort();
+  writeJson(join(platformFolder, "tsconfig.json"), {
+    extends: "../tsconfig.base.json",
+    compilerOptions: { rootDir: "src", outDir: "dist" },
+    include: ["src"],
+    references: own.map((name) => ({ path: `../packages/${name.slice(ownScope.length)}` })),
+  });
+}
