Replicas by the requests that they help; hopeless queues refused; lease proven without waiting reads

Change: silence ends a send only where another target could serve; targets that failed are tried again after a pause; costs are learnt for each target, with the time of a whole answer for places that are taken; a request is held for a replica that comes sooner than the queue, and refused where the queue outlasts it; wishes rank by requests helped; three loads of the store are kept for waiting requests; an engine is not taken for soon free while its victim still works; orders are checked against the engine's memory again before they go (an order carried out late had filled the place and an invariant stopped a box); the lease is proven by reads that do not wait.

--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -290,17 +290,22 @@
     costs: createWorkCostMeter({
       perTokenMs: forwarding.first_token_cost_us / 1000,
       perRequestMs: forwarding.first_request_cost_ms,
+      perAnswerMs: forwarding.first_answer_cost_ms,
       crossDomainMs: forwarding.cross_domain_ms,
     }),
     limits: {
       connectMs: forwarding.connect_ms,
       leastSilentMs: forwarding.least_silent_ms,
       silentObjectives: forwarding.silent_objectives,
+      silentExpected: forwarding.silent_expected,
       deadlineMarginMs: forwarding.deadline_margin_ms,
     },
     forwardLimits: {
       leastTimeMs: forwarding.least_time_ms,
       mostSends: forwarding.most_sends,
+      againMs: forwarding.again_ms,
+      replicaGainMs: forwarding.replica_gain_ms,
+      hopelessShare: forwarding.hopeless_share,
       comeBackMs: forwarding.come_back_ms,
     },
     domain: settings.box.domain,
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -1,12 +1,12 @@
 /** The way of one request: pick a target or wait for weights, send, and go on while that may help. */
-import type { Random } from "@linkfall/kernel";
+import { type Random, sleep } from "@linkfall/kernel";
 import type { DemandMeter, Wanted } from "@linkfall/model-demand";
 import type { RetryBudget } from "@linkfall/retry-budget";
 import type { Milliseconds } from "@linkfall/types";
 import { type AttemptEnd, ownHeaders } from "./attempt.js";
 import type { ForwardedRequest, RequestEnd } from "./forwarded-request.js";
-import { type Pick, pickTarget } from "./pick.js";
-import { type SendContext, sendToTarget } from "./send-to-target.js";
+import { pickTarget } from "./pick.js";
+import { type PickedTarget, type SendContext, sendToTarget } from "./send-to-target.js";
 import type { ChangeWaiter } from "./wait-for-change.js";
 
 /** Limits of the whole way. */
@@ -15,6 +15,12 @@
   readonly leastTimeMs: Milliseconds;
   /** Most sends of one request, whatever they came to. */
   readonly mostSends: number;
+  /** A replica that is on its way is waited for where it answers this much sooner. */
+  readonly replicaGainMs: Milliseconds;
+  /** A request is refused where its answer would begin after this share of the time left. */
+  readonly hopelessShare: number;
+  /** Pause before targets that failed are tried again. */
+  readonly againMs: Milliseconds;
   /** When a refused caller may come back, where nothing better is known. */
   readonly comeBackMs: Milliseconds;
 }
@@ -165,21 +171,62 @@
   return request.sink.gone() ? ended({ outcome: "gone" }) : on;
 }
 
+/** With every target tried, those that failed may have recovered after a pause. */
+async function tryAgain(context: ForwardContext, request: ForwardedRequest): Promise<Step> {
+  const { clock, forwardLimits } = context;
+  if (timeLeft(context, request) < forwardLimits.againMs + forwardLimits.leastTimeMs) {
+    return refuse(request, refusedStatus, "every target was tried", forwardLimits.comeBackMs);
+  }
+  await sleep(clock, forwardLimits.againMs);
+  request.tried.clear();
+  return on;
+}
+
 async function sendPicked(
   context: ForwardContext,
   request: ForwardedRequest,
-  pick: Extract<Pick, { kind: "target" }>,
+  picked: PickedTarget,
 ): Promise<Step> {
-  const { target, choice } = pick;
+  const { target, choice, others } = picked;
   context.logger.event("targetChosen", {
     request: request.terms.id,
     target: target.listed.id,
     expectedMs: Math.round(choice.expectedMs),
     own: target.own.inFlight,
-    others: target.others.inFlight,
+    ofOthers: target.others.inFlight,
+    alternatives: others,
     send: request.sends + 1,
   });
-  return afterSend(context, request, await sendToTarget(context, request, target));
+  return afterSend(context, request, await sendToTarget(context, request, picked));
+}
+
+/** Time until a further replica of the request's model is there, if one is on its way. */
+function replicaComingMs(
+  context: ForwardContext,
+  request: ForwardedRequest,
+): Milliseconds | undefined {
+  const { model, adapter } = request.terms;
+  if (!request.service.engine || model === undefined || adapter !== undefined) return undefined;
+  return context.expectedWeightsMs({ service: request.service.name, model });
+}
+
+/** Sends the request, holds it for a replica that will answer sooner, or refuses what is hopeless. */
+async function admit(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  picked: PickedTarget,
+): Promise<Step> {
+  const { forwardLimits } = context;
+  const { expectedMs } = picked.choice;
+  const coming = replicaComingMs(context, request);
+  if (coming !== undefined && coming + forwardLimits.replicaGainMs < expectedMs) {
+    await context.waiter.next(coming + forwardLimits.replicaGainMs, request.sink);
+    return on;
+  }
+  if (expectedMs > timeLeft(context, request) * forwardLimits.hopelessShare) {
+    return refuse(request, refusedStatus, "the queue is too long", forwardLimits.comeBackMs);
+  }
+  return sendPicked(context, request, picked);
 }
 
 async function step(context: ForwardContext, request: ForwardedRequest): Promise<Step> {
@@ -189,15 +236,14 @@
   if (request.sends >= forwardLimits.mostSends) {
     return refuse(request, refusedStatus, "too many sends", forwardLimits.comeBackMs);
   }
-  const costs = context.costs.of(request.service.name);
-  const pick = pickTarget(fleet, request, costs, domain, random);
+  const pick = pickTarget(fleet, request, context.costs, domain, random);
   switch (pick.kind) {
     case "target":
-      return sendPicked(context, request, pick);
+      return admit(context, request, pick);
     case "weights_missing":
       return waitForWeights(context, request);
     case "all_tried":
-      return refuse(request, refusedStatus, "every target was tried", forwardLimits.comeBackMs);
+      return tryAgain(context, request);
     case "no_target":
       return refuse(request, refusedStatus, "no target", forwardLimits.comeBackMs);
   }
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -1,11 +1,12 @@
 /** One send of a request to a picked target, with what it teaches about the target. */
-import type { Fleet, TargetBelief, TargetLoad } from "@linkfall/fleet";
+import type { Fleet, TargetLoad } from "@linkfall/fleet";
 import type { Clock } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
 import type { RequestCodec } from "@linkfall/ports";
 import type { Milliseconds } from "@linkfall/types";
 import { type AttemptEnd, sendAttempt } from "./attempt.js";
 import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
+import type { Pick } from "./pick.js";
 import type { WorkCostMeter } from "./work-costs.js";
 
 /** Limits of one send. */
@@ -15,10 +16,15 @@
   readonly leastSilentMs: Milliseconds;
   /** Silence that is borne, as a multiple of the route's objective. */
   readonly silentObjectives: number;
+  /** Silence that is borne, as a multiple of the time that the choice expected. */
+  readonly silentExpected: number;
   /** Held back from the deadline that the target is told. */
   readonly deadlineMarginMs: Milliseconds;
 }
 
+/** A target as it was picked. */
+export type PickedTarget = Extract<Pick, { kind: "target" }>;
+
 export interface SendContext {
   readonly clock: Clock;
   readonly codec: RequestCodec;
@@ -32,11 +38,16 @@
   return { inFlight: load.inFlight + inFlight, promptTokens: load.promptTokens + promptTokens };
 }
 
-/** Silence after which another target is tried, where one may be. */
-function silentMs(request: ForwardedRequest, limits: SendLimits): Milliseconds | undefined {
-  if (request.route.repeatability !== "repeatable") return undefined;
+/** Silence after which another target is tried, where one may be and there is one. */
+function silentMs(
+  request: ForwardedRequest,
+  limits: SendLimits,
+  { choice, others }: PickedTarget,
+): Milliseconds | undefined {
+  if (others === 0 || request.route.repeatability !== "repeatable") return undefined;
   if (request.runs + 1 >= request.route.maxAttempts) return undefined;
-  return Math.max(limits.leastSilentMs, request.route.objectiveMs * limits.silentObjectives);
+  const objective = request.route.objectiveMs * limits.silentObjectives;
+  return Math.max(limits.leastSilentMs, objective, choice.expectedMs * limits.silentExpected);
 }
 
 /** Notes in the fleet what the end of a send says about its target. */
@@ -68,9 +79,10 @@
 export async function sendToTarget(
   context: SendContext,
   request: ForwardedRequest,
-  target: TargetBelief,
+  picked: PickedTarget,
 ): Promise<AttemptEnd> {
   const { clock, codec, limits } = context;
+  const { target } = picked;
   const { listed } = target;
   const { terms, route } = request;
   const weights = weightsOf(terms);
@@ -99,7 +111,7 @@
     streaming: route.streaming,
     position: request.position,
     endsAt: request.endsAt,
-    silentMs: silentMs(request, limits),
+    silentMs: silentMs(request, limits, picked),
     request: {
       address: listed.address,
       method: request.method,
@@ -115,11 +127,15 @@
     },
     onFirstBytes: () => {
       endReading();
-      context.costs.observe(request.service.name, queuedBefore + unread, clock.now() - sentAt);
+      const ahead = queuedBefore + unread;
+      context.costs.observe(request.service.name, listed.id, ahead, clock.now() - sentAt);
     },
   });
   endReading();
   target.own = add(target.own, -1, 0);
+  if (end.kind === "streamed" || end.kind === "answered") {
+    context.costs.answered(request.service.name, listed.id, clock.now() - sentAt);
+  }
   learn(context, request, listed.id, end);
   context.logger.event("sendEnded", {
     request: terms.id,
--- a/packages/forwarding/src/work-costs.ts
+++ b/packages/forwarding/src/work-costs.ts
@@ -1,46 +1,67 @@
-/** Learns what requests of each service cost from the time until their first bytes. */
+/** Learns what requests cost at each target from the time until their first bytes. */
 import type { WorkCosts } from "@linkfall/target-choice";
 import type { Milliseconds } from "@linkfall/types";
 
 export interface WorkCostMeter {
-  of(service: string): WorkCosts;
+  /** Costs at a target; those of its service where little was seen of the target. */
+  of(service: string, target: string): WorkCosts;
   /** Takes the time to the first bytes of a request behind which `tokens` had to be read. */
-  observe(service: string, tokens: number, tookMs: Milliseconds): void;
+  observe(service: string, target: string, tokens: number, tookMs: Milliseconds): void;
+  /** Takes the time that a whole answer took. */
+  answered(service: string, target: string, tookMs: Milliseconds): void;
 }
 
-const weight = 0.05;
+const serviceWeight = 0.03;
+const targetWeight = 0.15;
 /** Fewer tokens than this say more about a request's other costs than about reading. */
 const fewTokens = 500;
 const leastPerTokenMs = 0.002;
 const mostPerTokenMs = 0.2;
+const mostTargets = 5_000;
 
-interface Learnt {
-  perTokenMs: Milliseconds;
-  perRequestMs: Milliseconds;
-}
+type Learnt = { -readonly [Cost in keyof WorkCosts]: WorkCosts[Cost] };
 
 const between = (value: number, least: number, most: number) =>
   Math.min(most, Math.max(least, value));
 
+function learn(costs: Learnt, tokens: number, tookMs: Milliseconds, weight: number): void {
+  if (tokens < fewTokens) {
+    costs.perRequestMs += weight * (tookMs - costs.perRequestMs);
+    return;
+  }
+  const perToken = (tookMs - costs.perRequestMs) / tokens;
+  const seen = between(perToken, leastPerTokenMs, mostPerTokenMs);
+  costs.perTokenMs += weight * (seen - costs.perTokenMs);
+}
+
 /** Creates a meter that begins with the given costs. */
 export function createWorkCostMeter(initial: WorkCosts): WorkCostMeter {
-  const learnt = new Map<string, Learnt>();
-  const find = (service: string): Learnt => {
-    const known = learnt.get(service) ?? { ...initial };
-    learnt.set(service, known);
+  const services = new Map<string, Learnt>();
+  const targets = new Map<string, Learnt>();
+  const ofService = (service: string): Learnt => {
+    const known = services.get(service) ?? { ...initial };
+    services.set(service, known);
+    return known;
+  };
+  const ofTarget = (service: string, target: string): Learnt => {
+    const known = targets.get(target) ?? { ...ofService(service) };
+    // Targets come and go; what was learnt longest ago is let go of first.
+    targets.delete(target);
+    targets.set(target, known);
+    if (targets.size > mostTargets) targets.delete(targets.keys().next().value ?? "");
     return known;
   };
   return {
-    of: (service) => ({ ...find(service), crossDomainMs: initial.crossDomainMs }),
-    observe(service, tokens, tookMs) {
-      const costs = find(service);
-      if (tokens < fewTokens) {
-        costs.perRequestMs += weight * (tookMs - costs.perRequestMs);
-        return;
-      }
-      const perToken = (tookMs - costs.perRequestMs) / tokens;
-      const seen = between(perToken, leastPerTokenMs, mostPerTokenMs);
-      costs.perTokenMs += weight * (seen - costs.perTokenMs);
+    of: (service, target) => targets.get(target) ?? ofService(service),
+    observe(service, target, tokens, tookMs) {
+      learn(ofTarget(service, target), tokens, tookMs, targetWeight);
+      learn(ofService(service), tokens, tookMs, serviceWeight);
+    },
+    answered(service, target, tookMs) {
+      const known = ofTarget(service, target);
+      known.perAnswerMs += targetWeight * (tookMs - known.perAnswerMs);
+      const whole = ofService(service);
+      whole.perAnswerMs += serviceWeight * (tookMs - whole.perAnswerMs);
     },
   };
 }
--- a/packages/order-lease/src/index.ts
+++ b/packages/order-lease/src/index.ts
@@ -64,7 +64,8 @@
 const leaseKey = "orders";
 /** Stands in place of a holder that has given the right up. */
 const releasedHolder = "-";
-/** Reads by which the holder proves its lease within the time of one. */
+/** Reads by which the holder proves its lease within the time of one. They do not wait: a store that
+ * is silent about changes still answers what it has. */
 const proofsOfLease = 6;
 /** A holder with a smaller part of its lease left than this has lost the store. */
 const lostShare = 0.35;
@@ -79,6 +80,8 @@
   end: Offset | undefined;
   /** Until when this box may give orders without another proof. */
   provenUntil: Milliseconds;
+  /** When the last read that proved it was sent. */
+  provenAt: Milliseconds;
   /** From when on this box may give orders. */
   from: Milliseconds;
   /** Since when the holder has been silent in this box's eyes. */
@@ -103,6 +106,7 @@
     claimHeardAt: startedAt,
     end: undefined,
     provenUntil: -Infinity,
+    provenAt: -Infinity,
     from: Infinity,
     silentSince: undefined,
     lastHeardHolder: startedAt,
@@ -143,12 +147,11 @@
     reading = true;
     const sentAt = clock.now();
     const read =
-      state.end === undefined
-        ? await stream.newest()
-        : await stream.changes(state.end, Math.round(rules.leaseMs / proofsOfLease));
+      state.end === undefined ? await stream.newest() : await stream.changes(state.end, 0);
     reading = false;
     read.ifLeft(forget).ifRight((batch) => {
       takeBatch(batch);
+      state.provenAt = sentAt;
       if (mine()) state.provenUntil = sentAt + rules.leaseMs;
     });
   };
@@ -188,6 +191,7 @@
 
   /** Keeps the right; after a refused order it is claimed anew unless another box has it. */
   const keep = async () => {
+    if (mine() && clock.now() - state.provenAt < rules.leaseMs / proofsOfLease) return;
     await prove();
     if (state.claim.holder === self && !mine()) await claim();
   };
--- a/packages/target-choice/src/index.ts
+++ b/packages/target-choice/src/index.ts
@@ -13,14 +13,17 @@
   /** Prompt tokens of this request that the target would have to read. */
   readonly unreadTokens: number;
   readonly sameDomain: boolean;
+  readonly costs: WorkCosts;
 }
 
 /** What one unit of work costs, as measured. */
 export interface WorkCosts {
   /** Reading one prompt token. */
   readonly perTokenMs: Milliseconds;
-  /** One request on a target with a free place. */
+  /** Until the first bytes on a target with a free place, beside the reading. */
   readonly perRequestMs: Milliseconds;
+  /** A whole answer: for so long a place is taken. */
+  readonly perAnswerMs: Milliseconds;
   /** Reaching another failure domain. */
   readonly crossDomainMs: Milliseconds;
 }
@@ -37,25 +40,23 @@
 const crowdShare = 0.1;
 
 /** Time until the target is expected to begin its answer. */
-export function expectedMs(candidate: Candidate, costs: WorkCosts): Milliseconds {
+export function expectedMs(candidate: Candidate): Milliseconds {
+  const { costs } = candidate;
   const reading = (candidate.queuedTokens + candidate.unreadTokens) * costs.perTokenMs;
   const free = Math.max(0, candidate.slots - candidate.inFlight);
+  // With no place free, places become free one by one while answers end.
   const rounds = free > 0 ? 0 : (candidate.inFlight - candidate.slots + 1) / candidate.slots;
-  const crowd = (candidate.inFlight / candidate.slots) * crowdShare * costs.perRequestMs;
+  const crowd = (candidate.inFlight / candidate.slots) * crowdShare * costs.perAnswerMs;
   const distance = candidate.sameDomain ? 0 : costs.crossDomainMs;
-  return reading + rounds * costs.perRequestMs + crowd + costs.perRequestMs + distance;
+  return reading + rounds * costs.perAnswerMs + crowd + costs.perRequestMs + distance;
 }
 
 /** The target that is expected to answer first; `undefined` without candidates. */
-export function chooseTarget(
-  candidates: readonly Candidate[],
-  costs: WorkCosts,
-  random: Random,
-): Choice | undefined {
+export function chooseTarget(candidates: readonly Candidate[], random: Random): Choice | undefined {
   if (candidates.length === 0) return undefined;
   const timed = candidates.map((candidate) => ({
     id: candidate.id,
-    expectedMs: expectedMs(candidate, costs),
+    expectedMs: expectedMs(candidate),
   }));
   const best = Math.min(...timed.map((choice) => choice.expectedMs));
   const near = timed.filter((choice) => choice.expectedMs <= best + tieMs);
--- a/packages/weight-orders/src/order-giver.ts
+++ b/packages/weight-orders/src/order-giver.ts
@@ -67,6 +67,18 @@
 export const orderGiverName = serviceName<OrderGiver>("order-giver");
 
 const tickMs: Milliseconds = 50;
+/** What an unload takes with the reports that show its end. */
+const unloadMs: Milliseconds = 300;
+/** A load that should have ended may still take this long. */
+const leastLeftMs: Milliseconds = 100;
+
+/** An order about an adapter whose effect has not been seen. */
+interface AdapterOrder {
+  /** `model/adapter`. */
+  readonly key: string;
+  readonly after: number;
+  readonly until: Milliseconds;
+}
 
 interface GiverState {
   readonly work: Map<string, EngineWork>;
@@ -77,7 +89,7 @@
   /** When each model was last asked for, by `service model`. */
   readonly lastAsked: Map<string, Milliseconds>;
   /** Sequence that an engine has to show before it gets its next adapter order. */
-  readonly adapterOrders: Map<string, { readonly after: number; readonly until: Milliseconds }>;
+  readonly adapterOrders: Map<string, AdapterOrder>;
   epoch: Epoch | undefined;
   stopped: boolean;
 }
@@ -127,23 +139,23 @@
       const { id } = belief.listed;
       const busy =
         state.work.has(id) ||
-        awaitsAdapter(belief) ||
+        pendingAdapter(belief) !== undefined ||
         (belief.state?.adaptersComing.length ?? 0) > 0;
       const every = busy ? rules.busyStateMs : rules.stateMs;
       if (now - (state.asked.get(id) ?? -Infinity) >= every) void askState(belief);
     }
   };
 
-  const checkMemory = (belief: TargetBelief, shape: EngineShape, order: WeightOrder) => {
-    if (order.action !== "load") return;
+  /** Whether an order leaves the engine within its memory and its adapter places. */
+  const fits = (belief: TargetBelief, shape: EngineShape, order: WeightOrder): boolean => {
+    if (order.action !== "load") return true;
     const coming = belief.state?.adaptersComing ?? [];
     const held = { residents: belief.holdings.models, adaptersComing: coming };
     const model = shape.models.get(order.model);
     const addedMb = order.adapter === undefined ? model?.memoryMb : model?.adapterMb;
     const totalMb = usedMb(held, shape.models) + (addedMb ?? Infinity);
-    invariant(totalMb <= shape.memoryMb, "weights-fit", () => `${belief.listed.id} ${totalMb}`);
-    const fits = order.adapter === undefined || adaptersTaken(held) < shape.adapterSlots;
-    invariant(fits, "adapters-fit", () => belief.listed.id);
+    if (totalMb > shape.memoryMb) return false;
+    return order.adapter === undefined || adaptersTaken(held) < shape.adapterSlots;
   };
 
   const noteAnswer = (order: FencedOrder, id: string, answer: OrderAnswer) => {
@@ -164,7 +176,7 @@
     const { id } = belief.listed;
     const shape = shapeOf(belief);
     if (!shape || state.ordering.has(id)) return;
-    checkMemory(belief, shape, wanted);
+    invariant(fits(belief, shape, wanted), "weights-fit", () => `${id} ${wanted.model}`);
     const expectedSequence = belief.holdings.sequence;
     const order: FencedOrder = { ...wanted, expectedSequence, epoch, holder: input.self };
     const work = state.work.get(id);
@@ -172,7 +184,8 @@
     if (work && wanted.adapter === undefined) work.sent = sent;
     if (wanted.adapter !== undefined) {
       const until = clock.now() + rules.resendMs;
-      state.adapterOrders.set(id, { after: expectedSequence, until });
+      const key = `${wanted.model}/${wanted.adapter}`;
+      state.adapterOrders.set(id, { key, after: expectedSequence, until });
     }
     if (work?.move.source === "store" && wanted.action === "load" && wanted.adapter === undefined) {
       loads.began(clock.now());
@@ -210,7 +223,11 @@
     if (isPending(work, word, now, rules.resendMs)) return;
     const next = nextStep(work.move, word);
     if (next.kind === "done") return dropWork(id, "done");
-    if (next.kind === "order") void give(belief, next.order, epoch);
+    if (next.kind !== "order") return;
+    // An order that was carried out late may have filled the place since the move was planned.
+    const shape = shapeOf(belief);
+    if (!shape || !fits(belief, shape, next.order)) return dropWork(id, "no longer fits");
+    void give(belief, next.order, epoch);
   };
 
   const begin = (move: WeightMove) => {
@@ -225,21 +242,25 @@
     });
   };
 
-  const viewOf = (belief: TargetBelief, shape: EngineShape): EngineView | undefined => {
-    const work = state.work.get(belief.listed.id);
-    return toEngineView(belief, shape, work, work ? expectedOf(work) : 0);
+  /** The order about an adapter whose effect on this engine has yet to be seen. */
+  const pendingAdapter = (belief: TargetBelief): AdapterOrder | undefined => {
+    const pending = state.adapterOrders.get(belief.listed.id);
+    if (!pending || clock.now() >= pending.until) return undefined;
+    return belief.holdings.sequence <= pending.after ? pending : undefined;
   };
 
-  const awaitsAdapter = (belief: TargetBelief): boolean => {
-    const pending = state.adapterOrders.get(belief.listed.id);
-    if (!pending || clock.now() >= pending.until) return false;
-    return belief.holdings.sequence <= pending.after;
+  const viewOf = (belief: TargetBelief, shape: EngineShape): EngineView | undefined => {
+    const work = state.work.get(belief.listed.id);
+    const view = toEngineView(belief, shape, work, work ? expectedOf(work) : 0);
+    const pending = pendingAdapter(belief);
+    if (!view || !pending) return view;
+    const adaptersComing = [...view.adaptersComing, pending.key];
+    return { ...view, adaptersComing, freeInMs: Math.max(view.freeInMs, leastLeftMs) };
   };
 
   const viewsOf = (service: string, shape: EngineShape): readonly EngineView[] =>
     engines()
       .filter((belief) => belief.listed.service === service && belief.missingSince === undefined)
-      .filter((belief) => !awaitsAdapter(belief))
       .flatMap((belief) => viewOf(belief, shape) ?? []);
 
   const adapterNeeds = (demand: readonly ModelDemand[], service: string): AdapterNeed[] =>
@@ -288,7 +309,8 @@
     )) {
       const belief = fleet.find(order.engine);
       const { action, model, adapter } = order;
-      if (belief) void give(belief, { action, model, adapter }, epoch);
+      const wanted = { action, model, adapter };
+      if (belief && fits(belief, shape, wanted)) void give(belief, wanted, epoch);
     }
   };
 
@@ -323,14 +345,15 @@
   };
   let cancel = () => undefined as void;
 
+  /** Time until the move's model is there: until its load is ordered, all of the load is ahead. */
   const expectedOf = (work: EngineWork): Milliseconds => {
     const belief = fleet.find(work.move.engine);
     const model = belief && shapeOf(belief)?.models.get(work.move.load);
     if (!model) return rules.giveUpMs;
-    const { source } = work.move;
     const { fromMemoryMs, fromDiskMs, fromStoreMs } = model;
-    const total = { memory: fromMemoryMs, disk: fromDiskMs, store: fromStoreMs }[source];
-    return Math.max(0, work.begunAt + total - clock.now());
+    const loadMs = { memory: fromMemoryMs, disk: fromDiskMs, store: fromStoreMs }[work.move.source];
+    if (work.sent?.order.action !== "load") return loadMs + unloadMs;
+    return Math.max(leastLeftMs, work.sent.at + loadMs - clock.now());
   };
 
   return {
--- a/packages/weight-plan/src/copies.ts
+++ b/packages/weight-plan/src/copies.ts
@@ -9,6 +9,8 @@
 const leastIdleMs: Milliseconds = 500;
 /** A request at work holds up the unload, and its successors lose their replica. */
 const atWorkMs: Milliseconds = 1_500;
+/** A copy is one too many only where the others would be this far below what one carries. */
+const surplusShare = 0.6;
 /** What a copy beyond those that are needed is worth per request at work. */
 const surplusMs: Milliseconds = 50;
 
@@ -49,6 +51,6 @@
     return lastCopyLoss(input, name, need) + inFlight * atWorkMs;
   }
   const perReplicaAfter = inFlight / (have - 1);
-  if (perReplicaAfter <= input.rules.inFlightOfReplica) return inFlight * surplusMs;
-  return perReplicaAfter * atWorkMs;
+  const easy = input.rules.inFlightOfReplica * surplusShare;
+  return perReplicaAfter <= easy ? inFlight * surplusMs : perReplicaAfter * atWorkMs;
 }
--- a/packages/weight-plan/src/plan.ts
+++ b/packages/weight-plan/src/plan.ts
@@ -33,13 +33,22 @@
 interface Wish {
   readonly model: DeclaredModel;
   readonly reason: WeightMove["reason"];
-  /** Higher comes first within a reason. */
+  /** Requests that it would help; higher comes first. */
   readonly weight: number;
 }
 
-const reasonRank = { waiting: 2, demand: 1, unreachable: 0 } as const;
+/** A request that waits for a model counts as many that share a replica with too many others. */
+const waitingWeight = 3;
+/** An engine that is not free yet may be taken for something else before it is. */
+const notFreeFactor = 2;
 /** What a request at work on an engine costs one more there. */
 const crowdMs: Milliseconds = 20;
+/** What bringing a model that no engine has at hand is worth. */
+const unreachableGainMs: Milliseconds = 150;
+/** Loads from the weight store that are kept for models that requests wait for. */
+const storeLoadsReserved = 3;
+/** Replicas of one model that may be on their way at once. */
+const mostComing = 2;
 /** Beyond this, requests of a model on one replica earn a further one. */
 const replicaGainMs: Milliseconds = 250;
 
@@ -58,11 +67,13 @@
   const need = input.needs.get(model.name);
   const have = copies.get(model.name) ?? 0;
   if (have === 0 && need && need.waiting > 0) {
-    return { model, reason: "waiting", weight: need.waiting };
+    return { model, reason: "waiting", weight: need.waiting * waitingWeight };
   }
   const perReplica = need && have > 0 ? need.inFlight / have : 0;
-  if (perReplica > input.rules.inFlightOfReplica) {
-    return { model, reason: "demand", weight: perReplica };
+  const coming = input.engines.filter((engine) => engine.incoming === model.name).length;
+  // Requests that pile up during loads are no demand for ever more replicas.
+  if (perReplica > input.rules.inFlightOfReplica && coming < mostComing) {
+    return { model, reason: "demand", weight: perReplica - input.rules.inFlightOfReplica };
   }
   if (have === 0 && !isAtHand(input.engines, model.name)) {
     return { model, reason: "unreachable", weight: 0 };
@@ -73,10 +84,7 @@
 function wishesOf(input: PlanInput, copies: ReadonlyMap<string, number>): readonly Wish[] {
   return [...input.models.values()]
     .flatMap((model) => wishFor(input, copies, model) ?? [])
-    .sort(
-      (left, right) =>
-        reasonRank[right.reason] - reasonRank[left.reason] || right.weight - left.weight,
-    );
+    .sort((left, right) => right.weight - left.weight);
 }
 
 interface Place {
@@ -121,14 +129,15 @@
     case "waiting":
       return true;
     case "demand":
-      return place.loss < (wish.weight - rules.inFlightOfReplica / 2) * replicaGainMs;
+      return place.loss < (wish.weight + rules.inFlightOfReplica / 2) * replicaGainMs;
     case "unreachable":
-      return place.loss < replicaGainMs;
+      return place.loss < unreachableGainMs;
   }
 }
 
 function costOf(place: Place): number {
-  return place.readyMs + place.loss + place.engine.inFlight * crowdMs;
+  const risk = place.engine.freeInMs * (notFreeFactor - 1);
+  return place.readyMs + risk + place.loss + place.engine.inFlight * crowdMs;
 }
 
 /** The best place, which may be an engine that is not free yet. */
@@ -142,7 +151,8 @@
     const place = placeOn(input, copies, engine, wish.model);
     if (!place || !isWorth(wish, place, input.rules)) return [];
     const fromStore = sourceOf(engine, wish.model.name) === "store";
-    return fromStore && storeLoadsLeft <= 0 ? [] : [place];
+    const reserved = wish.reason === "waiting" ? 0 : storeLoadsReserved;
+    return fromStore && storeLoadsLeft <= reserved ? [] : [place];
   });
   return places.sort((left, right) => costOf(left) - costOf(right))[0];
 }
