Copies that stand before demand is known are kept; what is at hand nowhere is loaded when nothing presses

A crashed engine's address answered orders with 421 and was tried again at once.

Change: with no demand known, several copies of a model tell that it will be asked for; later a silent model's further copies lose their worth over a second; "unreachable" wishes wait until nothing else is wished. A port where nobody listens, or another start, leaves the target out at once.

--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -16,7 +16,13 @@
   type TargetLoad,
   noLoad,
 } from "./belief.js";
-import { afterFailure, afterSuccess, type EjectionRule, isEjected } from "./health.js";
+import {
+  afterFailure,
+  afterRefusedConnection,
+  afterSuccess,
+  type EjectionRule,
+  isEjected,
+} from "./health.js";
 
 /** How long a target whose entry lapsed goes on being believed in. */
 export interface LapseRule {
@@ -45,6 +51,8 @@
   deny(id: string, key: string): void;
   succeeded(id: string): void;
   failed(id: string, reason: string): void;
+  /** Notes that nobody, or somebody else, listens at the target's address. */
+  unreachable(id: string, reason: string): void;
   find(id: string): TargetBelief | undefined;
   all(): readonly TargetBelief[];
   /** Targets of a service that may get new requests. */
@@ -132,6 +140,17 @@
     }
   };
 
+  const worsen = (id: string, reason: string, after: typeof afterFailure) => {
+    const belief = beliefs.get(id);
+    if (!belief) return;
+    const before = belief.health;
+    belief.health = after(before, rules.ejection, clock.now());
+    if (belief.health.ejections === before.ejections) return;
+    const forMs = Math.round(belief.health.ejectedUntil - clock.now());
+    logger.event("targetEjected", { target: id, reason, forMs });
+    clock.after(forMs, changed);
+  };
+
   const usableNow = (belief: TargetBelief) => {
     if (belief.listed.leaving) return false;
     return !isEjected(belief.health, clock.now());
@@ -189,17 +208,8 @@
       const belief = beliefs.get(id);
       if (belief) belief.health = afterSuccess(belief.health);
     },
-    failed(id, reason) {
-      const belief = beliefs.get(id);
-      if (!belief) return;
-      const before = belief.health;
-      belief.health = afterFailure(before, rules.ejection, clock.now());
-      if (belief.health.ejections > before.ejections) {
-        const forMs = Math.round(belief.health.ejectedUntil - clock.now());
-        logger.event("targetEjected", { target: id, reason, forMs });
-        clock.after(forMs, changed);
-      }
-    },
+    failed: (id, reason) => worsen(id, reason, afterFailure),
+    unreachable: (id, reason) => worsen(id, reason, afterRefusedConnection),
     find: (id) => beliefs.get(id),
     all: () => [...beliefs.values()],
     usable(service) {
--- a/packages/fleet/src/health.ts
+++ b/packages/fleet/src/health.ts
@@ -35,3 +35,12 @@
 export function isEjected(health: Health, now: Milliseconds): boolean {
   return now < health.ejectedUntil;
 }
+
+/** Health after the target was found not to listen: it is left out at once. */
+export function afterRefusedConnection(
+  health: Health,
+  rule: EjectionRule,
+  now: Milliseconds,
+): Health {
+  return afterFailure({ ...health, failures: rule.failuresInARow - 1 }, rule, now);
+}
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -34,6 +34,9 @@
   readonly limits: SendLimits;
 }
 
+/** What the system calls a port where nobody listens. */
+const refusedConnection = "ECONNREFUSED";
+
 function add(load: TargetLoad, inFlight: number, promptTokens: number): TargetLoad {
   return { inFlight: load.inFlight + inFlight, promptTokens: load.promptTokens + promptTokens };
 }
@@ -61,6 +64,8 @@
     case "streamed":
       return fleet.succeeded(id);
     case "not_sent":
+      if (end.reason.includes(refusedConnection)) return fleet.unreachable(id, end.reason);
+      return fleet.failed(id, end.reason);
     case "lost":
       return fleet.failed(id, end.reason);
     case "silent":
--- a/packages/types/src/routed-targets.ts
+++ b/packages/types/src/routed-targets.ts
@@ -60,9 +60,12 @@
   readonly epoch: number;
 }
 
-/** What an engine says to an order. `unanswered`: it may still be carried out. */
+/**
+ * What an engine says to an order. `unanswered`: it may still be carried out; `gone`: another start
+ * has the address.
+ */
 export type OrderAnswer =
-  "under_way" | "in_force" | "conflict" | "fenced" | "refused" | "unanswered";
+  "under_way" | "in_force" | "conflict" | "fenced" | "refused" | "gone" | "unanswered";
 
 /** A part of a prompt that requests may share. */
 export interface PromptPart {
--- a/packages/weight-orders/src/order-giver.ts
+++ b/packages/weight-orders/src/order-giver.ts
@@ -1,5 +1,5 @@
 /** Gives the orders of the plan while this box holds the right to, and settles each before the next. */
-import type { Fleet, TargetBelief } from "@linkfall/fleet";
+import { type Fleet, isEjected, type TargetBelief } from "@linkfall/fleet";
 import { invariant } from "@linkfall/errors";
 import { clockName, type Kernel, type Service, serviceName } from "@linkfall/kernel";
 import { loggerName } from "@linkfall/logger";
@@ -195,7 +195,8 @@
     state.ordering.delete(id);
     sent.answered = answer !== "unanswered";
     noteAnswer(order, id, answer);
-    if (answer === "conflict" || answer === "refused") {
+    if (answer === "gone") fleet.unreachable(id, "another start has its address");
+    if (answer === "conflict" || answer === "refused" || answer === "gone") {
       state.adapterOrders.delete(id);
       dropWork(id, answer);
     }
@@ -261,6 +262,7 @@
   const viewsOf = (service: string, shape: EngineShape): readonly EngineView[] =>
     engines()
       .filter((belief) => belief.listed.service === service && belief.missingSince === undefined)
+      .filter((belief) => !isEjected(belief.health, clock.now()))
       .flatMap((belief) => viewOf(belief, shape) ?? []);
 
   const adapterNeeds = (demand: readonly ModelDemand[], service: string): AdapterNeed[] =>
--- a/packages/weight-plan/src/copies.ts
+++ b/packages/weight-plan/src/copies.ts
@@ -3,8 +3,12 @@
 import type { EngineView, ModelNeed } from "./engine-view.js";
 import type { PlanInput } from "./plan.js";
 
-/** Time since the last request of a model that nobody has asked for yet. */
+/** Time since the last request of a model that nobody has asked for since demand is known. */
 const neverAskedMs: Milliseconds = 120_000;
+/** Before any demand is known, several copies of a model tell that much will be asked of it. */
+const unknownSurplusMs: Milliseconds = 400;
+/** Time over which a further copy of a model that has fallen silent is still worth something. */
+const surplusHorizonMs: Milliseconds = 1_000;
 /** Requests that come closer together than this are taken to come that often. */
 const leastIdleMs: Milliseconds = 500;
 /** A request at work holds up the unload, and its successors lose their replica. */
@@ -51,6 +55,10 @@
     return lastCopyLoss(input, name, need) + inFlight * atWorkMs;
   }
   const perReplicaAfter = inFlight / (have - 1);
+  if (input.needs.size === 0) return unknownSurplusMs;
   const easy = input.rules.inFlightOfReplica * surplusShare;
-  return perReplicaAfter <= easy ? inFlight * surplusMs : perReplicaAfter * atWorkMs;
+  if (perReplicaAfter > easy) return perReplicaAfter * atWorkMs;
+  const model = input.models.get(name);
+  const idleMs = Math.max(leastIdleMs, need?.idleMs ?? neverAskedMs);
+  return inFlight * surplusMs + ((model?.fromDiskMs ?? 0) * surplusHorizonMs) / idleMs;
 }
--- a/packages/weight-plan/src/plan.ts
+++ b/packages/weight-plan/src/plan.ts
@@ -82,9 +82,11 @@
 }
 
 function wishesOf(input: PlanInput, copies: ReadonlyMap<string, number>): readonly Wish[] {
-  return [...input.models.values()]
-    .flatMap((model) => wishFor(input, copies, model) ?? [])
-    .sort((left, right) => right.weight - left.weight);
+  const wishes = [...input.models.values()].flatMap((model) => wishFor(input, copies, model) ?? []);
+  const pressing = wishes.filter((wish) => wish.reason !== "unreachable");
+  // A slow load for nobody yet must not hold an engine that others need soon.
+  const chosen = pressing.length > 0 ? pressing : wishes;
+  return [...chosen].sort((left, right) => right.weight - left.weight);
 }
 
 interface Place {
@@ -131,7 +133,7 @@
     case "demand":
       return place.loss < (wish.weight + rules.inFlightOfReplica / 2) * replicaGainMs;
     case "unreachable":
-      return place.loss < unreachableGainMs;
+      return place.loss < unreachableGainMs && place.engine.inFlight <= rules.inFlightOfReplica;
   }
 }
 
