Demand is told only to the order giver; callers are kept in their failure domain where two boxes serve it

Change: a word carries demand only for the reader that may give orders; the directory names the boxes of the caller's failure domain where there are two or more; a target elsewhere counts as 8 ms further.

--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -38,6 +38,7 @@
   recentDemand,
   takeHolderWord,
 } from "./box-word.js";
+import { chooseEntries, type EntryOfBox } from "./entries.js";
 import { createFront } from "./front.js";
 import { handleRequest } from "./handle-request.js";
 import { createPlannedStop } from "./planned-stop.js";
@@ -71,7 +72,8 @@
   /** Notes that the settings file is said to have changed; what a box runs with stays until its next start. */
   noteSettings(): void;
   ready(): boolean;
-  entries(): Entries;
+  /** Addresses for a caller in the given failure domain. */
+  entries(domain?: string): Entries;
   metricsText(): string;
 }
 
@@ -138,6 +140,9 @@
       expected: giver.expected(),
     };
   };
+  /** Demand is told only to the box that may give orders: it is most of a word. */
+  const givesOrders = (reader?: BoxWord) =>
+    reader !== undefined && reader.incarnation === lease.known()?.holder;
   const word = (reader?: BoxWord): BoxWord => ({
     box: settings.box.name,
     incarnation,
@@ -151,7 +156,7 @@
     configurationVersion: feed.inForce()?.configuration.version ?? -1,
     targetsEnd: feed.targetsEnd(),
     loads: ownLoads(fleet),
-    demand: recentDemand(demand.read()),
+    demand: givesOrders(reader) ? recentDemand(demand.read()) : [],
     lease: lease.known(),
     ordersForMs: lease.ordersForMs(),
     taken,
@@ -336,6 +341,14 @@
     lease.epoch() === undefined ? 0 : 1,
   );
 
+  const servingBoxes = (): readonly EntryOfBox[] => {
+    const own = { address: settings.box.front_address, domain: settings.box.domain };
+    const others = heardBoxes()
+      .filter(({ word: other }) => other.ready && !other.leaving)
+      .map(({ word: other }) => ({ address: other.frontAddress, domain: other.domain }));
+    return ready() ? [own, ...others] : others;
+  };
+
   const registerSelf = () =>
     followRegistry(
       clock,
@@ -374,16 +387,10 @@
     },
     noteSettings: () => logger.event("settingsSignalled"),
     ready,
-    entries() {
-      const others = heardBoxes()
-        .filter(({ word: other }) => other.ready && !other.leaving)
-        .map(({ word: other }) => other.frontAddress);
-      const own = ready() ? [settings.box.front_address] : [];
-      return {
-        addresses: [...own, ...others],
-        lifetimeMs: settings.callers.entries_lifetime_ms,
-      };
-    },
+    entries: (domain) => ({
+      addresses: chooseEntries(servingBoxes(), domain),
+      lifetimeMs: settings.callers.entries_lifetime_ms,
+    }),
     metricsText: metrics.expose,
   };
 }
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -98,7 +98,7 @@
       first_token_cost_us: wholeNumber(1, 10_000, 20),
       first_request_cost_ms: milliseconds(30),
       first_answer_cost_ms: milliseconds(300),
-      cross_domain_ms: milliseconds(2),
+      cross_domain_ms: milliseconds(8),
     })
     .prefault({}),
   targets: z
