--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -113,7 +113,7 @@
   placement: z
     .strictObject({
       /** Requests at work that one replica is to carry. */
-      in_flight_of_replica: number(0.1, 10_000, 4),
+      in_flight_of_replica: number(0.1, 10_000, 6),
       /** Time over which the next request of a rare model is weighed. */
       horizon_ms: milliseconds(10_000),
       state_ms: milliseconds(500),
--- /dev/null
+++ b/packages/fleet/src/fleet.feature
@@ -0,0 +1,80 @@
+Feature: A box believes of its targets what was last known, and doubts the list when it lapses
+
+  Background:
+    Given a fleet with targets "t1 t2 t3 t4 t5" of one service
+
+  Scenario: A target that leaves gets nothing new, whatever the list says later
+    When "t1" is listed as leaving
+    And "t1" is listed as ready
+    Then "t2 t3 t4 t5" may get requests
+
+  Scenario: A target whose entry goes alone gets nothing new
+    When the entry of "t1" goes
+    Then "t2 t3 t4 t5" may get requests
+
+  Scenario: When many entries go at once the list has lapsed and the targets are used on
+    When the entry of "t1" goes
+    And the entry of "t2" goes
+    And the entry of "t3" goes
+    Then "t1 t2 t3 t4 t5" may get requests
+
+  Scenario: What is still missing after the grace is gone
+    When the entry of "t1" goes
+    And the entry of "t2" goes
+    And the entry of "t3" goes
+    And 2000 ms pass
+    Then "t4 t5" may get requests
+
+  Scenario: While the store is away the grace does not run
+    When the entry of "t1" goes
+    And the entry of "t2" goes
+    And the entry of "t3" goes
+    And 9000 ms pass without the store
+    Then "t1 t2 t3 t4 t5" may get requests
+    When 2000 ms pass
+    Then "t4 t5" may get requests
+
+  Scenario: A target that comes back into the list within the grace is used on
+    When the entry of "t1" goes
+    And 500 ms pass
+    And "t1" is listed as ready
+    And 5000 ms pass
+    Then "t1 t2 t3 t4 t5" may get requests
+
+  Scenario: Three failures in a row leave a target out for a while, longer each time
+    When "t1" fails 3 times
+    Then "t2 t3 t4 t5" may get requests
+    When 1100 ms pass
+    Then "t1 t2 t3 t4 t5" may get requests
+    When "t1" fails 3 times
+    And 1100 ms pass
+    Then "t2 t3 t4 t5" may get requests
+
+  Scenario: A port where nobody listens leaves a target out at once
+    When nobody listens at "t1"
+    Then "t2 t3 t4 t5" may get requests
+
+  Scenario: Targets that fail are better than none
+    When nobody listens at "t1"
+    And nobody listens at "t2"
+    And nobody listens at "t3"
+    And nobody listens at "t4"
+    And nobody listens at "t5"
+    Then "t1 t2 t3 t4 t5" may get requests
+
+  Scenario: Older word of what an engine holds does not replace newer word
+    When "t1" says after 5 orders that it holds "a"
+    And "t1" says after 4 orders that it holds "b"
+    Then "t1" is believed to hold "a" and not "b"
+
+  Scenario: A model that is about to be dropped is held no more
+    When "t1" says after 5 orders that it holds "a"
+    And "a" is about to be dropped at "t1"
+    Then "t1" is believed not to hold "a"
+
+  Scenario: A target that denies a model is believed until it has taken another order
+    When "t1" says after 5 orders that it holds "a"
+    And "t1" denies "a"
+    Then "t1" is believed not to hold "a"
+    When "t1" says after 6 orders that it holds "a"
+    Then "t1" is believed to hold "a" and not "b"
--- /dev/null
+++ b/packages/model-demand/src/model-demand.steps.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { createVirtualClock, type VirtualClock } from "@linkfall/kernel";
+import { createDemandMeter, type DemandMeter, type ModelDemand, sumDemand } from "./index.js";
+
+interface Scene {
+  readonly clock: VirtualClock;
+  readonly meters: readonly DemandMeter[];
+  readonly ends: (() => void)[];
+}
+
+const scenes = new WeakMap<object, Scene>();
+const wanted = { service: "s", model: "m" };
+
+function begin(world: object, meters: number): Scene {
+  const clock = createVirtualClock();
+  const made = Array.from({ length: meters }, () => createDemandMeter(clock));
+  const scene = { clock, meters: made, ends: [] };
+  scenes.set(world, scene);
+  return scene;
+}
+
+function sceneOf(world: object): Scene {
+  const scene = scenes.get(world);
+  assert.ok(scene);
+  return scene;
+}
+
+function demandOf(world: object): ModelDemand {
+  const [demand] = sumDemand(sceneOf(world).meters.map((meter) => meter.read()));
+  return demand;
+}
+
+Given("a meter in which {int} requests for m begin", function (this: object, count: number) {
+  const { meters, ends } = begin(this, 1);
+  for (let index = 0; index < count; index++) ends.push(meters[0].begins(wanted));
+});
+
+Given(
+  "two meters in which {int} requests for m begin each",
+  function (this: object, count: number) {
+    const { meters, ends } = begin(this, 2);
+    for (const meter of meters) {
+      for (let index = 0; index < count; index++) ends.push(meter.begins(wanted));
+    }
+  },
+);
+
+Given(
+  "a meter in which {int} requests wait for m and {int} for its adapter x",
+  function (this: object, plain: number, adapted: number) {
+    const { meters, ends } = begin(this, 1);
+    for (let index = 0; index < plain; index++) ends.push(meters[0].waits(wanted));
+    for (let index = 0; index < adapted; index++) {
+      ends.push(meters[0].waits({ ...wanted, adapter: "x" }));
+    }
+  },
+);
+
+When("{int} s pass", function (this: object, seconds: number) {
+  const { clock } = sceneOf(this);
+  return clock.runUntil(clock.now() + seconds * 1_000);
+});
+
+When("the requests end and {int} s pass", function (this: object, seconds: number) {
+  const { clock, ends } = sceneOf(this);
+  for (const end of ends) end();
+  return clock.runUntil(clock.now() + seconds * 1_000);
+});
+
+When("the waits end twice", function (this: object) {
+  for (const end of sceneOf(this).ends) {
+    end();
+    end();
+  }
+});
+
+function assertInFlight(world: object, least: number, most: number): void {
+  const { inFlight } = demandOf(world);
+  assert.ok(inFlight >= least && inFlight <= most, String(inFlight));
+}
+
+Then(
+  "m has between {int} and {int} requests in flight",
+  function (this: object, least: number, most: number) {
+    assertInFlight(this, least, most);
+  },
+);
+
+Then(
+  "together m has between {int} and {int} requests in flight",
+  function (this: object, least: number, most: number) {
+    assertInFlight(this, least, most);
+  },
+);
+
+Then(
+  "m has between {int} and {int} requests in flight and was last asked for {int} s ago",
+  function (this: object, least: number, most: number, seconds: number) {
+    assertInFlight(this, least, most);
+    assert.equal(demandOf(this).idleMs, seconds * 1_000);
+  },
+);
+
+Then(
+  "the meter tells of {int} waiting for m and {int} for its adapter x",
+  function (this: object, plain: number, adapted: number) {
+    const demand = demandOf(this);
+    assert.equal(demand.waiting, plain);
+    assert.equal(demand.waitingAdapters.x ?? 0, adapted);
+  },
+);
--- /dev/null
+++ b/packages/weight-plan/src/weight-plan.feature
@@ -0,0 +1,75 @@
+Feature: The plan brings in what is missed most and drops what is missed least
+
+  Background:
+    Given models "a b c d e f" of 70 GB and engines of 220 GB
+
+  Scenario: A model that requests wait for comes from the engine that has it at hand
+    Given engine "1" holds "a b c"
+    And engine "2" holds "a b d" with "e" on disk
+    When 1 request waits for "e"
+    Then engine "2" swaps in "e" from disk for one model
+
+  Scenario: The last copy of a model that requests wait for is never a victim
+    Given engine "1" holds "a b c"
+    When 1 request waits for "e"
+    And 1 request waits for "a"
+    And 1 request waits for "b"
+    Then engine "1" swaps in "e" from store for "c"
+
+  Scenario: A busy model gets a further replica on the engine with the least to do
+    Given engine "1" holds "a b c" and has 40 requests at work
+    And engine "2" holds "d e f" and has 0 requests at work
+    And engine "3" holds "d e f" and has 30 requests at work
+    When 30 requests are at work on "a"
+    Then engine "2" swaps in "a" from store for one model
+
+  Scenario: A model with few requests gets no further replica
+    Given engine "1" holds "a b c"
+    And engine "2" holds "d e f"
+    When 3 requests are at work on "a"
+    Then nothing is planned
+
+  Scenario: Loads from the store are kept for requests that wait
+    Given engine "1" holds "a b c"
+    And engine "2" holds "d e f"
+    And the weight store permits 2 more loads
+    When 30 requests are at work on "a"
+    Then nothing is planned
+
+  Scenario: Nothing is loaded beyond what the weight store permits
+    Given engine "1" holds "a b c"
+    And the weight store permits 0 more loads
+    When 1 request waits for "e"
+    Then nothing is planned
+
+  Scenario: Before demand is known, further copies stand and what is at hand nowhere takes a single copy's place
+    Given engine "1" holds "a b d"
+    And engine "2" holds "a b e"
+    And engine "3" holds "a b c"
+    Then "f" takes the place of one of "c d e"
+
+  Scenario: What is at hand nowhere waits while something presses
+    Given engine "1" holds "a b c" with "d" on disk
+    And engine "2" holds "a b e"
+    When 1 request waits for "d"
+    Then engine "1" swaps in "d" from disk for one model
+    And engine "2" is left as it is
+
+  Scenario: An engine at work on a move is left alone
+    Given engine "1" holds "a b c" and is free in 500 ms
+    When 1 request waits for "e"
+    Then nothing is planned
+
+  Scenario: No plan for any demand overfills an engine or drops the last copy of what is in use
+    Then for random engines and demands every plan keeps the engines' memory and the models in use
+
+  Scenario: An adapter goes where its model and a place are
+    Given engine "1" holds "a b c"
+    And engine "2" holds "d e f"
+    When 2 requests wait for adapter "d/x"
+    Then adapter "d/x" is loaded on engine "2"
+
+  Scenario: With no place free an adapter that nobody waits for makes way
+    Given engine "1" holds "a b c" and adapters "a/1 a/2 b/3 b/4"
+    When 1 request waits for adapter "a/5"
+    Then an idle adapter is unloaded on engine "1"
