A claim learnt of by reading waits the whole lease; unheard holders are waited for; giver and box in small modules

Cause: the randomised scenario of the lease (30 seeds) found two boxes that might give orders at once: a claim whose answer was lost counted from an older tenure's time, and a holder that the others did not hear could go on proving its lease while a claimant began after 0.3 s.

Change: such a claim begins after a whole lease; a claimant waits a whole lease for a holder that it does not hear, or, where all engines fence, until such a holder has surely read of the claim. The giver (330 lines in one factory) and the wiring of a box are split by step.

--- /dev/null
+++ b/packages/entry-box/src/box-parts.ts
@@ -0,0 +1,40 @@
+/** What the services of one box share while they are wired. */
+import type { WordClient } from "@linkfall/box-peers";
+import type { EntrySettings } from "@linkfall/entry-settings";
+import { clockName, createKernel, type Kernel, randomName } from "@linkfall/kernel";
+import { loggerName } from "@linkfall/logger";
+import { createMetrics, metricsName } from "@linkfall/metrics";
+import { createDemandMeter, type DemandMeter } from "@linkfall/model-demand";
+import type { Incarnation } from "@linkfall/types";
+import { createWordClient } from "@linkfall/box-peers";
+import type { EntryBoxPorts } from "./box-ports.js";
+import { createPlannedStop, type PlannedStop } from "./planned-stop.js";
+
+export interface BoxParts {
+  readonly kernel: Kernel;
+  readonly settings: EntrySettings;
+  readonly ports: EntryBoxPorts;
+  readonly incarnation: Incarnation;
+  readonly stop: PlannedStop;
+  readonly demand: DemandMeter;
+  readonly wordClient: WordClient;
+}
+
+/** Creates the parts, with the services that every other one needs. */
+export function createBoxParts(settings: EntrySettings, ports: EntryBoxPorts): BoxParts {
+  const { clock, random, logger } = ports;
+  const kernel = createKernel();
+  kernel.provide(clockName, clock);
+  kernel.provide(randomName, random);
+  kernel.provide(loggerName, logger);
+  kernel.provide(metricsName, createMetrics());
+  return {
+    kernel,
+    settings,
+    ports,
+    incarnation: `${settings.box.name}@${random.identifier()}`,
+    stop: createPlannedStop(clock, settings),
+    demand: createDemandMeter(clock),
+    wordClient: createWordClient(clock, settings.peers.call_ms),
+  };
+}
--- /dev/null
+++ b/packages/entry-box/src/box-ports.ts
@@ -0,0 +1,23 @@
+/** What a box that forwards opaque requests needs of its surroundings. */
+import type { Clock, Random } from "@linkfall/kernel";
+import type { Logger } from "@linkfall/logger";
+import type { KeyedStreamPort, RecordCodec, RequestCodec, RoutedEnginePort } from "@linkfall/ports";
+
+export interface EntryBoxPorts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  /** Written by operators only. */
+  readonly configurationStream: KeyedStreamPort;
+  /** Written by targets only. */
+  readonly targetStream: KeyedStreamPort;
+  /** Where boxes leave their addresses. */
+  readonly boxStream: KeyedStreamPort;
+  /** Where boxes claim the order lease. */
+  readonly leaseStream: KeyedStreamPort;
+  /** Key of the record that holds the whole configuration. */
+  readonly configurationKey: string;
+  readonly records: RecordCodec;
+  readonly requests: RequestCodec;
+  readonly engines: RoutedEnginePort;
+}
--- /dev/null
+++ b/packages/entry-box/src/forward-context.ts
@@ -0,0 +1,85 @@
+/** What the forwarding of a box's requests is made of. */
+import { peersName } from "@linkfall/box-peers";
+import { fleetName } from "@linkfall/fleet";
+import {
+  type ChangeWaiter,
+  createChangeWaiter,
+  createWorkCostMeter,
+  type ForwardContext,
+} from "@linkfall/forwarding";
+import { orderLeaseName } from "@linkfall/order-lease";
+import { createRetryBudget } from "@linkfall/retry-budget";
+import type { Milliseconds } from "@linkfall/types";
+import { orderGiverName } from "@linkfall/weight-orders";
+import type { BoxParts } from "./box-parts.js";
+import type { WordTaker } from "./word-taker.js";
+
+/** Requests that begin to wait within this time are told together. */
+const gatherMs: Milliseconds = 2;
+const microsecondsPerMillisecond = 1000;
+
+/** A waiter whose requests are told to the box that gives orders. */
+export function createToldWaiter({ kernel, ports }: BoxParts): ChangeWaiter {
+  const { clock } = ports;
+  let telling = false;
+  const tell = () => {
+    telling = false;
+    const lease = kernel.find(orderLeaseName);
+    if (lease.epoch() !== undefined) kernel.find(orderGiverName).hurry();
+    else kernel.find(peersName).tell(lease.known()?.holder);
+  };
+  const waiter = createChangeWaiter(clock, () => {
+    if (telling) return;
+    telling = true;
+    clock.after(gatherMs, tell);
+  });
+  kernel.find(fleetName).onChange(waiter.wake);
+  return waiter;
+}
+
+export function createForwardContext(
+  { kernel, settings, ports, demand }: BoxParts,
+  waiter: ChangeWaiter,
+  words: WordTaker,
+): ForwardContext {
+  const { forwarding, retries } = settings;
+  const { clock, random, logger } = ports;
+  return {
+    clock,
+    random,
+    logger,
+    codec: ports.requests,
+    fleet: kernel.find(fleetName),
+    demand,
+    waiter,
+    domain: settings.box.domain,
+    boxes: kernel.find(peersName).most,
+    expectedWeightsMs: words.expectedWeightsMs,
+    budget: createRetryBudget(clock, {
+      ratio: retries.ratio,
+      slack: retries.slack,
+      windowMs: retries.window_ms,
+    }),
+    costs: createWorkCostMeter({
+      perTokenMs: forwarding.first_token_cost_us / microsecondsPerMillisecond,
+      perRequestMs: forwarding.first_request_cost_ms,
+      perAnswerMs: forwarding.first_answer_cost_ms,
+      crossDomainMs: forwarding.cross_domain_ms,
+    }),
+    limits: {
+      connectMs: forwarding.connect_ms,
+      leastSilentMs: forwarding.least_silent_ms,
+      silentObjectives: forwarding.silent_objectives,
+      silentExpected: forwarding.silent_expected,
+      deadlineMarginMs: forwarding.deadline_margin_ms,
+    },
+    forwardLimits: {
+      leastTimeMs: forwarding.least_time_ms,
+      mostSends: forwarding.most_sends,
+      againMs: forwarding.again_ms,
+      replicaGainMs: forwarding.replica_gain_ms,
+      hopelessShare: forwarding.hopeless_share,
+      comeBackMs: forwarding.come_back_ms,
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry-box/src/gauges.ts
@@ -0,0 +1,49 @@
+/** Gauges of what a box believes. */
+import { peersName } from "@linkfall/box-peers";
+import { desiredFeedName } from "@linkfall/desired-feed";
+import { fleetName } from "@linkfall/fleet";
+import { metricsName } from "@linkfall/metrics";
+import { orderLeaseName } from "@linkfall/order-lease";
+import type { BoxParts } from "./box-parts.js";
+import type { Front } from "./front.js";
+
+const millisecondsPerSecond = 1000;
+
+export function registerGauges({ kernel, ports }: BoxParts, front: Front): void {
+  const metrics = kernel.find(metricsName);
+  const feed = kernel.find(desiredFeedName);
+  const lease = kernel.find(orderLeaseName);
+  const fleet = kernel.find(fleetName);
+  metrics.gauge(
+    "linkfall_configuration_version",
+    "Version of the configuration in force.",
+    () => feed.inForce()?.configuration.version ?? -1,
+  );
+  metrics.gauge(
+    "linkfall_configuration_age_seconds",
+    "Time since the configuration came into force on this box.",
+    () => Math.round((ports.clock.now() - (feed.inForce()?.since ?? 0)) / millisecondsPerSecond),
+  );
+  metrics.gauge("linkfall_store_reachable", "1 while the store answers this box.", () =>
+    feed.reachesStore() ? 1 : 0,
+  );
+  metrics.gauge("linkfall_requests_open", "Requests without a final answer.", front.open);
+  metrics.gauge(
+    "linkfall_boxes_heard",
+    "Other boxes that were heard lately.",
+    () => kernel.find(peersName).heard().length,
+  );
+  metrics.gauge("linkfall_lease_held", "1 while this box may give orders.", () =>
+    lease.epoch() === undefined ? 0 : 1,
+  );
+  metrics.gauge(
+    "linkfall_targets_known",
+    "Targets that are believed in.",
+    () => fleet.all().length,
+  );
+  metrics.gauge(
+    "linkfall_targets_missing",
+    "Targets whose entry has lapsed.",
+    () => fleet.all().filter((belief) => belief.missingSince !== undefined).length,
+  );
+}
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -70,6 +70,8 @@
   lease: z
     .strictObject({
       lease_ms: milliseconds(3_000),
+      /** Whether all engines refuse orders of an epoch below one that they have seen. */
+      engines_fence: z.union([z.boolean(), z.stringbool()]).default(false),
       silent_ms: milliseconds(1_800),
       rank_step_ms: milliseconds(300),
       check_ms: milliseconds(150),
--- a/packages/order-lease/src/index.ts
+++ b/packages/order-lease/src/index.ts
@@ -22,6 +22,8 @@
 }
 
 export interface LeaseRules {
+  /** Whether all engines refuse orders of an epoch below one that they have seen. */
+  readonly enginesFence: boolean;
   /** Time for which a holder that has not been superseded may go on without the store. */
   readonly leaseMs: Milliseconds;
   /** A holder that has not been heard for this long is taken for gone. */
@@ -67,6 +69,8 @@
 /** Reads by which the holder proves its lease within the time of one. They do not wait: a store that
  * is silent about changes still answers what it has. */
 const proofsOfLease = 6;
+/** Checks within which a holder that reads every so often has surely read again. */
+const noticeChecks = 3;
 /** A holder with a smaller part of its lease left than this has lost the store. */
 const lostShare = 0.35;
 /** Time that a superseded holder needs to hear of a new claim. */
@@ -125,6 +129,9 @@
     state.claim = { holder, offset };
     state.silentSince = undefined;
     state.claimHeardAt = clock.now();
+    // A claim of this box that it learns of by reading: its answer was lost, and with it the time
+    // until which the holder before may give orders.
+    if (holder === self) state.from = clock.now() + rules.leaseMs;
     if (had && holder !== self) {
       logger.event("leaseLost", { pool: leaseKey, epoch: epochOf(offset), holder });
     }
@@ -160,9 +167,13 @@
   const holderMayOrderUntil = (holder: Incarnation): Milliseconds => {
     if (holder === releasedHolder || holder === self) return clock.now();
     const heard = peers.heardMs(holder);
-    const silent = state.lastHeardHolder + rules.leaseMs;
-    if (heard === undefined || heard > rules.silentMs) return silent;
-    return clock.now() + peers.ordersForMs(holder);
+    if (heard !== undefined && heard <= rules.silentMs) {
+      return clock.now() + peers.ordersForMs(holder);
+    }
+    // Unheard, it may have proven its lease just now, and go on for the whole of it. Where engines
+    // refuse a lower epoch, it is enough that a holder which the store serves has read of the claim.
+    const provesEvery = rules.leaseMs / proofsOfLease + noticeChecks * rules.checkMs;
+    return clock.now() + (rules.enginesFence ? provesEvery : rules.leaseMs);
   };
 
   const claim = async () => {
--- /dev/null
+++ b/packages/order-lease/src/order-lease.feature
@@ -0,0 +1,58 @@
+Feature: One box at a time may give orders, under an epoch that only rises
+
+  Background:
+    Given boxes "a b c" that hear each other and reach the store
+
+  Scenario: Of boxes that start together one gets the lease
+    When 2 s go by
+    Then exactly one box may give orders
+
+  Scenario: The lease passes on when its holder falls silent, after its time
+    Given "a" holds the lease
+    When "a" falls silent
+    Then no other box gives orders before the lease of "a" has run out
+    And within 8 s another box may give orders under a higher epoch
+
+  Scenario: A holder that the store refuses loses the lease though the others hear it
+    Given "a" holds the lease
+    When the store refuses "a"
+    Then within 8 s another box may give orders under a higher epoch
+    And "a" may give no orders
+
+  Scenario: While the store is away for all, the holder goes on
+    Given "a" holds the lease
+    When the store refuses "a"
+    And the store refuses "b"
+    And the store refuses "c"
+    And 20 s go by
+    Then "a" may give orders and nobody else
+
+  Scenario: A holder that hears of a newer claim stops at once
+    Given "a" holds the lease
+    When "a" hears of a newer claim of "b"
+    Then "a" may give no orders
+
+  Scenario: An engine's refusal ends the tenure, and a new claim has a higher epoch
+    Given "a" holds the lease
+    When an engine refuses the epoch of "a"
+    Then "a" may give no orders
+    And within 8 s a box may give orders under a higher epoch
+
+  Scenario: A box that leaves hands the lease on
+    Given "a" holds the lease
+    When "a" leaves
+    Then within 2 s another box may give orders under a higher epoch
+
+  Scenario: A claim whose answer is lost is found by reading
+    When the store loses the answers to "a"
+    And the store loses the answers to "b"
+    And the store loses the answers to "c"
+    And 5 s go by
+    And the store serves "a"
+    And the store serves "b"
+    And the store serves "c"
+    And 8 s go by
+    Then exactly one box may give orders
+
+  Scenario: Through random cuts, silences and returns no two boxes give orders at once and epochs rise
+    Then for 30 seeds no two boxes may give orders at once
--- /dev/null
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -0,0 +1,271 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+  clockName,
+  createKernel,
+  createVirtualClock,
+  pick,
+  randomName,
+  seededRandom,
+  type VirtualClock,
+} from "@linkfall/kernel";
+import { loggerName, recordingLogger } from "@linkfall/logger";
+import { createKeyedStore, type KeyedStore, type StoreAccess } from "@linkfall/test-support";
+import { createOrderLease, type LeaseRules, type OrderLease } from "./index.js";
+
+const rules: LeaseRules = {
+  enginesFence: false,
+  leaseMs: 3_000,
+  silentMs: 1_800,
+  rankStepMs: 300,
+  checkMs: 150,
+};
+const stepMs = 50;
+/** How often a box is heard. */
+const wordMs = 400;
+
+interface LeaseBox {
+  readonly name: string;
+  readonly lease: OrderLease;
+  silent: boolean;
+  leaving: boolean;
+  heardAt: number;
+  told: { ordersForMs: number };
+}
+
+interface Scene {
+  readonly clock: VirtualClock;
+  readonly store: KeyedStore;
+  readonly boxes: LeaseBox[];
+  readonly access: Map<string, StoreAccess>;
+  /** Highest epoch under which orders were allowed. */
+  highest: number;
+}
+
+const scenes = new WeakMap<object, Scene>();
+
+function sceneOf(world: object): Scene {
+  const scene = scenes.get(world);
+  assert.ok(scene);
+  return scene;
+}
+
+function createScene(names: readonly string[], seed: number): Scene {
+  const clock = createVirtualClock();
+  const store = createKeyedStore(clock);
+  const scene: Scene = { clock, store, boxes: [], access: new Map(), highest: 0 };
+  names.forEach((name, index) => {
+    const kernel = createKernel();
+    kernel.provide(clockName, clock);
+    kernel.provide(randomName, seededRandom(seed + index));
+    kernel.provide(
+      loggerName,
+      recordingLogger(() => undefined),
+    );
+    const find = (other: string) => scene.boxes.find((box) => box.name === other);
+    const lease = createOrderLease(
+      kernel,
+      name,
+      store.portFor(name),
+      {
+        heardMs: (other) => {
+          const box = find(other);
+          return box && (other === name ? 0 : clock.now() - box.heardAt);
+        },
+        leaving: (other) => find(other)?.leaving ?? false,
+        ordersForMs: (other) => find(other)?.told.ordersForMs ?? 0,
+        rank: () => index,
+        allWithoutStore: () =>
+          scene.boxes.every((box) => box.silent || scene.access.get(box.name) === "refuses") &&
+          scene.boxes.filter((box) => !box.silent).length * 2 > scene.boxes.length,
+      },
+      rules,
+    );
+    scene.boxes.push({
+      name,
+      lease,
+      silent: false,
+      leaving: false,
+      heardAt: 0,
+      told: { ordersForMs: 0 },
+    });
+  });
+  return scene;
+}
+
+/** Lets time pass; boxes that are not silent tell their word now and then. */
+async function pass(scene: Scene, ms: number, look: () => void = () => undefined): Promise<void> {
+  const { clock, boxes } = scene;
+  const end = clock.now() + ms;
+  while (clock.now() < end) {
+    await clock.runUntil(clock.now() + stepMs);
+    for (const box of boxes) {
+      if (box.silent || clock.now() - box.heardAt < wordMs) continue;
+      box.heardAt = clock.now();
+      box.told = { ordersForMs: box.lease.ordersForMs() };
+      const word = box.lease.known();
+      if (word) for (const other of boxes) if (!other.silent) other.lease.hear(word);
+    }
+    look();
+  }
+}
+
+const holders = ({ boxes }: Scene) => boxes.filter((box) => box.lease.epoch() !== undefined);
+
+function setAccess(scene: Scene, box: string, access: StoreAccess): void {
+  scene.access.set(box, access);
+  scene.store.setAccess(box, access);
+}
+
+function boxOf(scene: Scene, name: string): LeaseBox {
+  const box = scene.boxes.find((candidate) => candidate.name === name);
+  assert.ok(box);
+  return box;
+}
+
+async function passUntilHolder(scene: Scene, ms: number, allowed: (box: LeaseBox) => boolean) {
+  const end = scene.clock.now() + ms;
+  while (scene.clock.now() < end) {
+    await pass(scene, stepMs);
+    const holder = holders(scene).find(allowed);
+    if (holder) return holder;
+  }
+  return assert.fail("no other box may give orders");
+}
+
+Given(
+  "boxes {string} that hear each other and reach the store",
+  async function (this: object, names: string) {
+    const scene = createScene(names.split(" "), 1);
+    scenes.set(this, scene);
+    for (const box of scene.boxes) await box.lease.start();
+  },
+);
+
+Given("{string} holds the lease", async function (this: object, name: string) {
+  const scene = sceneOf(this);
+  await pass(scene, 2_000);
+  assert.deepEqual(
+    holders(scene).map((box) => box.name),
+    [name],
+  );
+  scene.highest = boxOf(scene, name).lease.epoch() ?? 0;
+});
+
+When("{int} s go by", function (this: object, seconds: number) {
+  return pass(sceneOf(this), seconds * 1_000);
+});
+
+When("{string} falls silent", function (this: object, name: string) {
+  const scene = sceneOf(this);
+  boxOf(scene, name).silent = true;
+  setAccess(scene, name, "refuses");
+});
+
+When("the store refuses {string}", function (this: object, name: string) {
+  setAccess(sceneOf(this), name, "refuses");
+});
+
+When("the store loses the answers to {string}", function (this: object, name: string) {
+  setAccess(sceneOf(this), name, "loses_answers");
+});
+
+When("the store serves {string}", function (this: object, name: string) {
+  setAccess(sceneOf(this), name, "serves");
+});
+
+When(
+  "{string} hears of a newer claim of {string}",
+  function (this: object, name: string, other: string) {
+    const { lease } = boxOf(sceneOf(this), name);
+    lease.hear({ epoch: (lease.epoch() ?? 0) + 5, holder: other });
+  },
+);
+
+When("an engine refuses the epoch of {string}", function (this: object, name: string) {
+  const { lease } = boxOf(sceneOf(this), name);
+  lease.refused(lease.epoch() ?? 0);
+});
+
+When("{string} leaves", function (this: object, name: string) {
+  const box = boxOf(sceneOf(this), name);
+  box.leaving = true;
+  // Its answer needs the virtual clock to move.
+  void box.lease.release();
+});
+
+Then("exactly one box may give orders", function (this: object) {
+  assert.equal(holders(sceneOf(this)).length, 1);
+});
+
+Then(
+  "no other box gives orders before the lease of {string} has run out",
+  async function (this: object, name: string) {
+    const scene = sceneOf(this);
+    const { lease } = boxOf(scene, name);
+    while (lease.epoch() !== undefined) {
+      assert.equal(holders(scene).length, 1);
+      await pass(scene, stepMs);
+    }
+  },
+);
+
+Then(
+  /^within (\d+) s (another|a) box may give orders under a higher epoch$/,
+  async function (this: object, seconds: string, which: string) {
+    const scene = sceneOf(this);
+    const before = scene.boxes.find((box) => box.name === "a");
+    const holder = await passUntilHolder(
+      scene,
+      Number(seconds) * 1_000,
+      (box) => which === "a" || box !== before,
+    );
+    assert.ok((holder.lease.epoch() ?? 0) > scene.highest);
+  },
+);
+
+Then("{string} may give no orders", function (this: object, name: string) {
+  assert.equal(boxOf(sceneOf(this), name).lease.epoch(), undefined);
+});
+
+Then("{string} may give orders and nobody else", function (this: object, name: string) {
+  assert.deepEqual(
+    holders(sceneOf(this)).map((box) => box.name),
+    [name],
+  );
+});
+
+Then("for {int} seeds no two boxes may give orders at once", async (seeds: number) => {
+  for (let seed = 1; seed <= seeds; seed++) {
+    const random = seededRandom(seed);
+    const scene = createScene(["a", "b", "c", "d"], seed);
+    for (const box of scene.boxes) await box.lease.start();
+    let highest = 0;
+    const look = () => {
+      const now = holders(scene);
+      const names = now.map((box) => box.name).join(" ");
+      assert.ok(now.length <= 1, `seed ${seed}: ${names} may give orders at once`);
+      for (const box of now) {
+        const epoch = box.lease.epoch() ?? 0;
+        assert.ok(epoch >= highest, `seed ${seed}: epoch ${epoch} after ${highest}`);
+        highest = epoch;
+      }
+    };
+    for (let step = 0; step < 12; step++) {
+      const box = pick(random, scene.boxes);
+      const choice = random.below(4);
+      if (choice === 0) setAccess(scene, box.name, "refuses");
+      if (choice === 1) setAccess(scene, box.name, "serves");
+      if (choice === 2) box.silent = !box.silent;
+      if (choice === 3) setAccess(scene, box.name, "loses_answers");
+      await pass(scene, 300 + random.below(3_000), look);
+    }
+    for (const box of scene.boxes) {
+      box.silent = false;
+      setAccess(scene, box.name, "serves");
+    }
+    await pass(scene, 9_000, look);
+    assert.equal(holders(scene).length, 1, `seed ${seed}: nobody may give orders in the end`);
+    for (const box of scene.boxes) await box.lease.stop();
+  }
+});
--- /dev/null
+++ b/packages/weight-orders/src/advance-moves.ts
@@ -0,0 +1,71 @@
+/** Takes the moves under way a step further. */
+import type { TargetBelief } from "@linkfall/fleet";
+import type { Epoch, Milliseconds } from "@linkfall/types";
+import type { WeightMove } from "@linkfall/weight-plan";
+import { type EngineWork, isPending, nextStep } from "./engine-work.js";
+import { endMove, fits, giveOrder } from "./give-order.js";
+import { type GiverContext, shapeOf } from "./giver-context.js";
+
+/** What an unload takes with the reports that show its end. */
+const unloadMs: Milliseconds = 300;
+/** A load that should have ended may still take this long. */
+export const leastLeftMs: Milliseconds = 100;
+
+/** Begins a move; its first order goes with the next look at it. */
+export function beginMove({ state, clock, metrics, logger }: GiverContext, move: WeightMove): void {
+  state.work.set(move.engine, { move, begunAt: clock.now() });
+  metrics.count("linkfall_loads_total", "Loads begun, by source.", { source: move.source });
+  logger.event("moveBegun", {
+    target: move.engine,
+    model: move.load,
+    victims: move.victims.join(" "),
+    source: move.source,
+    reason: move.reason,
+  });
+}
+
+/** Time until the move's model is there: until its load is ordered, all of the load is ahead. */
+export function moveLeftMs(context: GiverContext, { move, sent }: EngineWork): Milliseconds {
+  const belief = context.fleet.find(move.engine);
+  const model = belief && shapeOf(context, belief)?.models.get(move.load);
+  if (!model) return context.rules.giveUpMs;
+  const { fromMemoryMs, fromDiskMs, fromStoreMs } = model;
+  const loadMs = { memory: fromMemoryMs, disk: fromDiskMs, store: fromStoreMs }[move.source];
+  if (sent?.order.action !== "load") return loadMs + unloadMs;
+  return Math.max(leastLeftMs, sent.at + loadMs - context.clock.now());
+}
+
+function advance(
+  context: GiverContext,
+  belief: TargetBelief,
+  work: EngineWork,
+  epoch: Epoch,
+): void {
+  const { state, clock, rules } = context;
+  const { id } = belief.listed;
+  const now = clock.now();
+  if (!belief.state || state.ordering.has(id)) return;
+  const word = {
+    sequence: belief.holdings.sequence,
+    busy: belief.state.busy,
+    models: belief.holdings.models.map((model) => model.name),
+  };
+  if (now - work.begunAt > rules.giveUpMs) return endMove(context, id, "took too long");
+  if (isPending(work, word, now, rules.resendMs)) return;
+  const next = nextStep(work.move, word);
+  if (next.kind === "done") return endMove(context, id, "done");
+  if (next.kind !== "order") return;
+  // An order that was carried out late may have filled the place since the move was planned.
+  const shape = shapeOf(context, belief);
+  if (!shape || !fits(belief, shape, next.order)) return endMove(context, id, "no longer fits");
+  void giveOrder(context, belief, next.order, epoch);
+}
+
+/** Looks at every move. */
+export function advanceMoves(context: GiverContext, epoch: Epoch): void {
+  for (const [id, work] of [...context.state.work]) {
+    const belief = context.fleet.find(id);
+    if (belief && !belief.listed.leaving) advance(context, belief, work, epoch);
+    else endMove(context, id, "engine gone");
+  }
+}
--- a/packages/weight-orders/src/engine-work.ts
+++ b/packages/weight-orders/src/engine-work.ts
@@ -7,7 +7,7 @@
   readonly move: WeightMove;
   readonly begunAt: Milliseconds;
   /** The order that was sent last, if it is not known to be done. */
-  sent?: { readonly order: FencedOrder; readonly at: Milliseconds; answered: boolean };
+  sent?: { readonly order: FencedOrder; readonly at: Milliseconds };
 }
 
 /** What the engine last said that it holds. */
--- /dev/null
+++ b/packages/weight-orders/src/giver-context.ts
@@ -0,0 +1,109 @@
+/** What the steps of the order giver share. */
+import type { Fleet, TargetBelief } from "@linkfall/fleet";
+import type { Clock } from "@linkfall/kernel";
+import type { Logger } from "@linkfall/logger";
+import type { Metrics } from "@linkfall/metrics";
+import type { ModelDemand } from "@linkfall/model-demand";
+import type { OrderLease } from "@linkfall/order-lease";
+import type { RoutedEnginePort } from "@linkfall/ports";
+import type { EngineShape, Epoch, Milliseconds, RoutedConfiguration } from "@linkfall/types";
+import type { PlanRules } from "@linkfall/weight-plan";
+import type { EngineWork } from "./engine-work.js";
+import { createStoreLoadWindow, type StoreLoadWindow } from "./store-loads.js";
+
+export interface OrderRules {
+  readonly plan: PlanRules;
+  /** How often engines without a move are asked for their state. */
+  readonly stateMs: Milliseconds;
+  /** How often an engine with a move is asked. */
+  readonly busyStateMs: Milliseconds;
+  /** After which an order that shows no effect is sent again. */
+  readonly resendMs: Milliseconds;
+  /** After which a move is given up. */
+  readonly giveUpMs: Milliseconds;
+}
+
+export interface OrderGiverInput {
+  /** Name under which engines see this box. */
+  readonly self: string;
+  readonly fleet: Fleet;
+  readonly engines: RoutedEnginePort;
+  readonly lease: OrderLease;
+  readonly rules: OrderRules;
+  configuration(): RoutedConfiguration | undefined;
+  /** Demand of all boxes together. */
+  demand(): readonly ModelDemand[];
+  /** Called when other boxes should hear of a change at once. */
+  announce(): void;
+}
+
+/** An order about an adapter whose effect has not been seen. */
+export interface AdapterOrder {
+  /** `model/adapter`. */
+  readonly key: string;
+  /** The engine has taken it when it shows more orders than this. */
+  readonly after: number;
+  readonly until: Milliseconds;
+}
+
+/** What the giver keeps while it holds the lease. */
+export interface GiverState {
+  /** Moves under way, by engine. */
+  readonly work: Map<string, EngineWork>;
+  /** When each engine was asked last. */
+  readonly asked: Map<string, Milliseconds>;
+  /** Engines that have not answered yet. */
+  readonly asking: Set<string>;
+  /** Engines that have not answered an order yet. */
+  readonly ordering: Set<string>;
+  /** When each adapter was last waited for, by `model/adapter`. */
+  readonly adapterUse: Map<string, Milliseconds>;
+  /** When each model was last asked for, by `service model`. */
+  readonly lastAsked: Map<string, Milliseconds>;
+  readonly adapterOrders: Map<string, AdapterOrder>;
+  readonly loads: StoreLoadWindow;
+  epoch: Epoch | undefined;
+}
+
+export interface GiverContext extends OrderGiverInput {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly state: GiverState;
+}
+
+export function createGiverState(): GiverState {
+  return {
+    work: new Map(),
+    asked: new Map(),
+    asking: new Set(),
+    ordering: new Set(),
+    adapterUse: new Map(),
+    lastAsked: new Map(),
+    adapterOrders: new Map(),
+    loads: createStoreLoadWindow(),
+    epoch: undefined,
+  };
+}
+
+/** What the configuration says of the engine's service. */
+export function shapeOf(context: GiverContext, belief: TargetBelief): EngineShape | undefined {
+  return context.configuration()?.services.get(belief.listed.service)?.engine;
+}
+
+/** Engines that may be given orders. */
+export function enginesOf(context: GiverContext): readonly TargetBelief[] {
+  return context.fleet
+    .all()
+    .filter((belief) => shapeOf(context, belief) !== undefined && !belief.listed.leaving);
+}
+
+/** The order about an adapter whose effect on this engine has yet to be seen. */
+export function pendingAdapter(
+  { state, clock }: GiverContext,
+  belief: TargetBelief,
+): AdapterOrder | undefined {
+  const pending = state.adapterOrders.get(belief.listed.id);
+  if (!pending || clock.now() >= pending.until) return undefined;
+  return belief.holdings.sequence <= pending.after ? pending : undefined;
+}
--- a/packages/weight-orders/src/index.ts
+++ b/packages/weight-orders/src/index.ts
@@ -1,4 +1,2 @@
-export * from "./engine-work.js";
+export type { OrderGiverInput, OrderRules } from "./giver-context.js";
 export * from "./order-giver.js";
-export * from "./store-loads.js";
-export * from "./views.js";
--- /dev/null
+++ b/packages/weight-orders/src/plan-service.ts
@@ -0,0 +1,105 @@
+/** Plans the moves of one service from what is believed and asked now, and begins them. */
+import { isEjected, type TargetBelief } from "@linkfall/fleet";
+import type { ModelDemand } from "@linkfall/model-demand";
+import type { EngineShape, Epoch, Milliseconds } from "@linkfall/types";
+import { type AdapterNeed, type EngineView, planAdapters, planMoves } from "@linkfall/weight-plan";
+import { beginMove, leastLeftMs, moveLeftMs } from "./advance-moves.js";
+import { fits, giveOrder } from "./give-order.js";
+import { enginesOf, type GiverContext, pendingAdapter } from "./giver-context.js";
+import { toEngineView, toNeeds } from "./views.js";
+
+function viewOf(
+  context: GiverContext,
+  belief: TargetBelief,
+  shape: EngineShape,
+): EngineView | undefined {
+  const work = context.state.work.get(belief.listed.id);
+  const view = toEngineView(belief, shape, work, work ? moveLeftMs(context, work) : 0);
+  const pending = pendingAdapter(context, belief);
+  if (!view || !pending) return view;
+  const adaptersComing = [...view.adaptersComing, pending.key];
+  return { ...view, adaptersComing, freeInMs: Math.max(view.freeInMs, leastLeftMs) };
+}
+
+function viewsOf(
+  context: GiverContext,
+  service: string,
+  shape: EngineShape,
+): readonly EngineView[] {
+  const now = context.clock.now();
+  return enginesOf(context)
+    .filter((belief) => belief.listed.service === service && belief.missingSince === undefined)
+    .filter((belief) => !isEjected(belief.health, now))
+    .flatMap((belief) => viewOf(context, belief, shape) ?? []);
+}
+
+/** Loads that may begin now, less those of moves whose load has yet to be ordered. */
+function storeLoadsLeft({ state, clock }: GiverContext, shape: EngineShape): number {
+  const ahead = [...state.work.values()].filter(
+    ({ move, sent }) => move.source === "store" && sent?.order.action !== "load",
+  );
+  return state.loads.left(shape.storeLoadsPerSecond, clock.now()) - ahead.length;
+}
+
+/** Notes when models and adapters were asked for, and returns the adapters that requests wait for. */
+function noteDemand(
+  { state, clock }: GiverContext,
+  demand: readonly ModelDemand[],
+): readonly AdapterNeed[] {
+  const now = clock.now();
+  return demand.flatMap((entry) => {
+    state.lastAsked.set(`${entry.service} ${entry.model}`, now - entry.idleMs);
+    return Object.entries(entry.waitingAdapters).map(([adapter, waiting]) => {
+      state.adapterUse.set(`${entry.model}/${adapter}`, now);
+      return { model: entry.model, adapter, waiting };
+    });
+  });
+}
+
+function giveAdapterOrders(
+  context: GiverContext,
+  views: readonly EngineView[],
+  needs: readonly AdapterNeed[],
+  shape: EngineShape,
+  epoch: Epoch,
+): void {
+  const { state, fleet } = context;
+  const lastUsed = (key: string): Milliseconds => state.adapterUse.get(key) ?? -Infinity;
+  for (const { engine, action, model, adapter } of planAdapters(
+    views,
+    needs,
+    shape.models,
+    lastUsed,
+  )) {
+    const belief = fleet.find(engine);
+    const wanted = { action, model, adapter };
+    if (belief && fits(belief, shape, wanted)) void giveOrder(context, belief, wanted, epoch);
+  }
+}
+
+/** Plans one service. */
+export function planService(
+  context: GiverContext,
+  service: string,
+  shape: EngineShape,
+  epoch: Epoch,
+): void {
+  const { state, clock, rules } = context;
+  const demand = context.demand().filter((entry) => entry.service === service);
+  const adapterNeeds = noteDemand(context, demand);
+  const idleMs = (model: string) =>
+    clock.now() - (state.lastAsked.get(`${service} ${model}`) ?? -Infinity);
+  const views = viewsOf(context, service, shape);
+  const moves = planMoves({
+    engines: views,
+    needs: toNeeds(demand, service, shape, idleMs),
+    models: shape.models,
+    storeLoadsLeft: storeLoadsLeft(context, shape),
+    rules: rules.plan,
+  });
+  for (const move of moves) beginMove(context, move);
+  if (moves.length > 0) context.announce();
+  const moving = new Set(moves.map((move) => move.engine));
+  const still = views.filter((view) => !moving.has(view.id) && !state.ordering.has(view.id));
+  giveAdapterOrders(context, still, adapterNeeds, shape, epoch);
+}
