A box that starts leaves a lease that is held where it is

Cause: a box that began to claim before it knew of any claim, and heard of one from another box while it read the store, took what it had heard for what it had known before its read, and claimed.

Change: what was known is noted before the read.

--- a/packages/order-lease/src/index.ts
+++ b/packages/order-lease/src/index.ts
@@ -177,11 +177,11 @@
   };
 
   const claim = async () => {
+    const before = state.claim.offset;
     const read = await stream.newest();
     if (read.isLeft()) return;
-    const before = state.claim.offset;
     read.ifRight(takeBatch);
-    // Somebody else was faster: its claim is given its time.
+    // Somebody else was faster, as the read or another box has told meanwhile.
     if (state.claim.offset !== before && state.claim.holder !== releasedHolder) return;
     const sentAt = clock.now();
     const lastOrderBy = holderMayOrderUntil(state.claim.holder);
--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -7,6 +7,13 @@
     When 2 s go by
     Then exactly one box may give orders
 
+  Scenario: A box that starts later leaves the lease where it is
+    Given "a" holds the lease
+    When box "d" starts and hears of the claim while it reads
+    And 5 s go by
+    Then "a" may give orders and nobody else
+    And the epoch is as before
+
   Scenario: The lease passes on when its holder falls silent, after its time
     Given "a" holds the lease
     When "a" falls silent
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -10,8 +10,9 @@
   type VirtualClock,
 } from "@linkfall/kernel";
 import { loggerName, recordingLogger } from "@linkfall/logger";
+import type { KeyedStreamPort } from "@linkfall/ports";
 import { createKeyedStore, type KeyedStore, type StoreAccess } from "@linkfall/test-support";
-import { createOrderLease, type LeaseRules, type OrderLease } from "./index.js";
+import { createOrderLease, type LeasePeers, type LeaseRules, type OrderLease } from "./index.js";
 
 const rules: LeaseRules = {
   enginesFence: false,
@@ -50,46 +51,46 @@
   return scene;
 }
 
+function addBox(
+  scene: Scene,
+  name: string,
+  seed: number,
+  port: KeyedStreamPort = scene.store.portFor(name),
+): LeaseBox {
+  const { clock, boxes, access } = scene;
+  const rank = boxes.length;
+  const kernel = createKernel();
+  kernel.provide(clockName, clock);
+  kernel.provide(randomName, seededRandom(seed + rank));
+  kernel.provide(
+    loggerName,
+    recordingLogger(() => undefined),
+  );
+  const find = (other: string) => boxes.find((box) => box.name === other);
+  const peers: LeasePeers = {
+    heardMs: (other) => {
+      const box = find(other);
+      return box && (other === name ? 0 : clock.now() - box.heardAt);
+    },
+    leaving: (other) => find(other)?.leaving ?? false,
+    ordersForMs: (other) => find(other)?.told.ordersForMs ?? 0,
+    rank: () => rank,
+    allWithoutStore: () =>
+      boxes.every((box) => box.silent || access.get(box.name) === "refuses") &&
+      boxes.filter((box) => !box.silent).length * 2 > boxes.length,
+  };
+  const lease = createOrderLease(kernel, name, port, peers, rules);
+  const told = { ordersForMs: 0 };
+  const box = { name, lease, silent: false, leaving: false, heardAt: 0, told };
+  boxes.push(box);
+  return box;
+}
+
 function createScene(names: readonly string[], seed: number): Scene {
   const clock = createVirtualClock();
   const store = createKeyedStore(clock);
   const scene: Scene = { clock, store, boxes: [], access: new Map(), highest: 0 };
-  names.forEach((name, index) => {
-    const kernel = createKernel();
-    kernel.provide(clockName, clock);
-    kernel.provide(randomName, seededRandom(seed + index));
-    kernel.provide(
-      loggerName,
-      recordingLogger(() => undefined),
-    );
-    const find = (other: string) => scene.boxes.find((box) => box.name === other);
-    const lease = createOrderLease(
-      kernel,
-      name,
-      store.portFor(name),
-      {
-        heardMs: (other) => {
-          const box = find(other);
-          return box && (other === name ? 0 : clock.now() - box.heardAt);
-        },
-        leaving: (other) => find(other)?.leaving ?? false,
-        ordersForMs: (other) => find(other)?.told.ordersForMs ?? 0,
-        rank: () => index,
-        allWithoutStore: () =>
-          scene.boxes.every((box) => box.silent || scene.access.get(box.name) === "refuses") &&
-          scene.boxes.filter((box) => !box.silent).length * 2 > scene.boxes.length,
-      },
-      rules,
-    );
-    scene.boxes.push({
-      name,
-      lease,
-      silent: false,
-      leaving: false,
-      heardAt: 0,
-      told: { ordersForMs: 0 },
-    });
-  });
+  for (const name of names) addBox(scene, name, seed);
   return scene;
 }
 
@@ -187,6 +188,31 @@
   lease.refused(lease.epoch() ?? 0);
 });
 
+When(
+  "box {string} starts and hears of the claim while it reads",
+  async function (this: object, name: string) {
+    const scene = sceneOf(this);
+    const word = boxOf(scene, "a").lease.known();
+    assert.ok(word);
+    const port = scene.store.portFor(name);
+    const box: LeaseBox = addBox(scene, name, 1, {
+      ...port,
+      async newest() {
+        box.lease.hear(word);
+        return port.newest();
+      },
+    });
+    // It hears of the claim then and not before.
+    box.silent = true;
+    await box.lease.start();
+  },
+);
+
+Then("the epoch is as before", function (this: object) {
+  const scene = sceneOf(this);
+  assert.equal(boxOf(scene, "a").lease.epoch(), scene.highest);
+});
+
 When("{string} leaves", function (this: object, name: string) {
   const box = boxOf(sceneOf(this), name);
   box.leaving = true;
