--- /dev/null
+++ b/packages/box-peers/src/box-peers.feature
@@ -0,0 +1,33 @@
+Feature: Boxes know each other at any size of the deployment
+
+  Scenario: In a small deployment every box hears every other one
+    Given 8 boxes of which one holds the order lease
+    When 3000 ms go by among the boxes
+    Then every box takes 7 others for alive
+    And every box has heard 7 others itself
+
+  Scenario: In a large deployment every box knows of every other one, and few messages go
+    Given 60 boxes of which one holds the order lease
+    When 6000 ms go by among the boxes
+    Then every box takes 59 others for alive
+    And a box sends less than 10 heartbeats a second
+
+  Scenario: A box that stops is known to be gone everywhere
+    Given 60 boxes of which one holds the order lease
+    When 6000 ms go by among the boxes
+    And box 7 stops
+    And 3500 ms go by among the boxes
+    Then every box takes 58 others for alive
+
+  Scenario: Boxes are not forgotten while the order lease passes on
+    Given 60 boxes of which one holds the order lease
+    When 6000 ms go by among the boxes
+    And the holder stops
+    And 2500 ms go by among the boxes
+    Then every box takes at least 55 others for alive
+    When box 3 holds the order lease
+    And 5000 ms go by among the boxes
+    Then every box takes 58 others for alive
+
+  Scenario: A round lengthens with the deployment
+    Then with 7, 86 and 429 others a round of 400 ms and 4 ms a box takes 400, 400 and 1716 ms
--- /dev/null
+++ b/packages/box-peers/src/box-peers.steps.ts
@@ -0,0 +1,215 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+  clockName,
+  createKernel,
+  createVirtualClock,
+  randomName,
+  seededRandom,
+  type VirtualClock,
+} from "@linkfall/kernel";
+import { loggerName, recordingLogger } from "@linkfall/logger";
+import { Left, Right } from "purify-ts";
+import {
+  type BoxStatus,
+  createPeers,
+  type Heartbeat,
+  type HeartbeatSource,
+  type PeerClient,
+  type Peers,
+} from "./index.js";
+import { roundMs } from "./partners.js";
+
+interface SceneBox {
+  readonly address: string;
+  readonly peers: Peers;
+  stopped: boolean;
+  sent: number;
+}
+
+interface Scene {
+  readonly clock: VirtualClock;
+  readonly boxes: SceneBox[];
+  holder: string;
+  passedMs: number;
+}
+
+const scenes = new WeakMap<object, Scene>();
+const wireMs = 1;
+
+function sceneOf(world: object): Scene {
+  const scene = scenes.get(world);
+  assert.ok(scene);
+  return scene;
+}
+
+const nameOf = (index: number) => `box-${index}`;
+const addressOf = (index: number) => `10.0.0.1:${index + 1}`;
+
+function statusOf(scene: Scene, index: number, beat: number): BoxStatus {
+  return {
+    box: nameOf(index),
+    incarnation: nameOf(index),
+    beat,
+    frontAddress: addressOf(index),
+    peerAddress: addressOf(index),
+    domain: "d",
+    capacity: 1,
+    ready: true,
+    leaving: false,
+    strained: false,
+    takesRequests: false,
+    reading: index < 3,
+    reachesStore: true,
+    configurationVersion: 1,
+    targetsEnd: 1,
+    loads: {},
+    demand: [],
+    followed: { holder: scene.holder, engines: 0, members: 0 },
+  };
+}
+
+/** Heartbeats as a box makes them; the holder tells of every box that it knows. */
+function sourceOf(scene: Scene, index: number, peers: () => Peers): HeartbeatSource {
+  let beat = 0;
+  const followed = { holder: nameOf(index), engines: 0, members: 0 };
+  return {
+    holder: () => scene.holder,
+    message(_reader, sightings): Heartbeat {
+      beat += 1;
+      const status = statusOf(scene, index, beat);
+      if (scene.holder !== nameOf(index) || peers().mesh()) return { status, sightings };
+      const members = peers().sightings();
+      return {
+        status,
+        sightings,
+        report: { engines: [], members, followed, withheld: {}, expected: {} },
+      };
+    },
+  };
+}
+
+function clientOf(scene: Scene, index: number): PeerClient {
+  const unreachable = Left({
+    kind: "peer_unreachable",
+    reason: "stopped",
+    mayHaveArrived: false,
+  } as const);
+  return {
+    async exchange(address, heartbeat) {
+      scene.boxes[index].sent += 1;
+      await new Promise<void>((resolve) => {
+        scene.clock.after(wireMs, resolve);
+      });
+      const other = scene.boxes.find((box) => box.address === address);
+      if (!other || other.stopped || scene.boxes[index].stopped) return unreachable;
+      return Right(other.peers.receive(heartbeat));
+    },
+    configuration: async () => unreachable,
+    close: () => undefined,
+  };
+}
+
+function addBox(scene: Scene, index: number): void {
+  const kernel = createKernel();
+  kernel.provide(clockName, scene.clock);
+  kernel.provide(randomName, seededRandom(index + 1));
+  kernel.provide(
+    loggerName,
+    recordingLogger(() => undefined),
+  );
+  const source = sourceOf(scene, index, () => peers);
+  const peers: Peers = createPeers(kernel, clientOf(scene, index), source, {
+    selfAddress: addressOf(index),
+    roundMs: 400,
+    roundPerBoxMs: 4,
+    suspectMs: 1_500,
+    vouchedMs: 4_500,
+    forgetMs: 60_000,
+    fanout: 8,
+    searchFanout: 4,
+    randomEvery: 5,
+    sightings: 8,
+  });
+  scene.boxes.push({ address: addressOf(index), peers, stopped: false, sent: 0 });
+}
+
+Given(
+  "{int} boxes of which one holds the order lease",
+  async function (this: object, count: number) {
+    const scene: Scene = { clock: createVirtualClock(), boxes: [], holder: nameOf(0), passedMs: 0 };
+    scenes.set(this, scene);
+    for (let index = 0; index < count; index++) addBox(scene, index);
+    for (const { peers } of scene.boxes) {
+      for (const seed of [0, 1, 2]) peers.learn({ box: "seed", peerAddress: addressOf(seed) });
+      await peers.start();
+    }
+  },
+);
+
+When("{int} ms go by among the boxes", async function (this: object, ms: number) {
+  const scene = sceneOf(this);
+  scene.passedMs += ms;
+  await scene.clock.runUntil(scene.clock.now() + ms);
+});
+
+async function stopBox(scene: Scene, index: number): Promise<void> {
+  scene.boxes[index].stopped = true;
+  await scene.boxes[index].peers.stop();
+}
+
+When("box {int} stops", function (this: object, index: number) {
+  return stopBox(sceneOf(this), index);
+});
+
+When("the holder stops", function (this: object) {
+  return stopBox(sceneOf(this), 0);
+});
+
+When("box {int} holds the order lease", function (this: object, index: number) {
+  sceneOf(this).holder = nameOf(index);
+});
+
+const running = (scene: Scene) => scene.boxes.filter((box) => !box.stopped);
+
+Then("every box takes {int} others for alive", function (this: object, count: number) {
+  for (const { address, peers } of running(sceneOf(this))) {
+    assert.equal(peers.alive().length, count, address);
+  }
+});
+
+Then("every box takes at least {int} others for alive", function (this: object, count: number) {
+  for (const { address, peers } of running(sceneOf(this))) {
+    assert.ok(peers.alive().length >= count, `${address} ${peers.alive().length}`);
+  }
+});
+
+Then("every box has heard {int} others itself", function (this: object, count: number) {
+  for (const { peers } of sceneOf(this).boxes) assert.equal(peers.statuses().length, count);
+});
+
+Then(
+  "a box sends less than {int} heartbeats a second",
+  function (this: object, mostASecond: number) {
+    const { boxes, passedMs } = sceneOf(this);
+    const sent = boxes.reduce((sum, box) => sum + box.sent, 0);
+    assert.ok((sent * 1_000) / passedMs / boxes.length < mostASecond);
+  },
+);
+
+Then(
+  "with {int}, {int} and {int} others a round of {int} ms and {int} ms a box takes {int}, {int} and {int} ms",
+  (
+    few: number,
+    some: number,
+    many: number,
+    base: number,
+    perBox: number,
+    ofFew: number,
+    ofSome: number,
+    ofMany: number,
+  ) => {
+    const rounds = [few, some, many].map((others) => roundMs(base, perBox, others));
+    assert.deepEqual(rounds, [ofFew, ofSome, ofMany]);
+  },
+);
--- a/packages/box-peers/src/index.ts
+++ b/packages/box-peers/src/index.ts
@@ -1,3 +1,5 @@
+export * from "./change-numbers.js";
+export * from "./member.js";
+export * from "./messages.js";
 export * from "./peers.js";
 export * from "./transport.js";
-export * from "./words.js";
--- /dev/null
+++ b/packages/box-peers/src/messages.ts
@@ -0,0 +1,111 @@
+/** What boxes tell each other in their heartbeats. */
+import type { TargetLoad } from "@linkfall/fleet";
+import type { ModelDemand } from "@linkfall/model-demand";
+import type { LeaseWord } from "@linkfall/order-lease";
+import type { Holdings, Incarnation, ListedTarget, Milliseconds, Offset } from "@linkfall/types";
+
+/** What every box has to know of every other one. It changes seldom. */
+export interface BoxProfile {
+  readonly box: string;
+  readonly incarnation: Incarnation;
+  /** Where callers connect. */
+  readonly frontAddress: string;
+  /** Where other boxes connect. */
+  readonly peerAddress: string;
+  readonly domain: string;
+  /** What it can carry, in cores of one speed. */
+  readonly capacity: number;
+  readonly ready: boolean;
+  readonly leaving: boolean;
+  /** It has little of its processor left. */
+  readonly strained: boolean;
+  /** Callers have sent it requests lately. */
+  readonly takesRequests: boolean;
+  /** It reads desired state from the store itself. */
+  readonly reading: boolean;
+}
+
+/** How far a box has followed the reports of the holder of the order lease. */
+export interface FollowedReport {
+  readonly holder: Incarnation;
+  readonly engines: number;
+  readonly members: number;
+}
+
+/** One box, as it tells of itself. */
+export interface BoxStatus extends BoxProfile {
+  /** Grows with each heartbeat of this incarnation. */
+  readonly beat: number;
+  readonly reachesStore: boolean;
+  readonly configurationVersion: number;
+  /** How far the list of targets has been read. */
+  readonly targetsEnd: Offset;
+  readonly loads: Readonly<Record<string, TargetLoad>>;
+  readonly demand: readonly ModelDemand[];
+  readonly lease?: LeaseWord;
+  /** Time for which the sender may go on giving orders, where it may. */
+  readonly ordersForMs?: Milliseconds;
+  readonly followed?: FollowedReport;
+}
+
+/** What one engine holds, as the holder of the order lease has read it. */
+export interface EngineHoldings {
+  readonly id: string;
+  readonly holdings: Holdings;
+}
+
+/** A box as another one has heard of it. */
+export interface Sighting extends BoxProfile {
+  /** Time since it was heard. */
+  readonly ageMs: Milliseconds;
+  /** The sender takes it for gone. */
+  readonly silent: boolean;
+}
+
+/** What the holder of the order lease tells one other box. */
+export interface HolderReport {
+  /** Engines that have changed since the reader's last report. */
+  readonly engines: readonly EngineHoldings[];
+  /** Boxes that have changed since the reader's last report; absent where all boxes hear each other. */
+  readonly members?: readonly Sighting[];
+  /** How far the reader has followed once it has taken this. */
+  readonly followed: FollowedReport;
+  readonly withheld: Readonly<Record<string, readonly string[]>>;
+  /** Time until models are there, by `service model`. */
+  readonly expected: Readonly<Record<string, Milliseconds>>;
+  /** Requests of all boxes but the reader, by target; absent where the reader hears all boxes. */
+  readonly othersLoads?: Readonly<Record<string, TargetLoad>>;
+}
+
+/** Changes of the list of targets, for a box that does not read it from the store. */
+export interface TargetChanges {
+  /** The list as of this offset. */
+  readonly end: Offset;
+  /** `changed` is the whole list. */
+  readonly whole: boolean;
+  readonly changed: readonly ListedTarget[];
+  readonly gone: readonly string[];
+}
+
+/** Where another box can be asked. */
+export interface BoxAddress {
+  readonly box: string;
+  readonly peerAddress: string;
+}
+
+/** One message between two boxes; its answer has the same form. */
+export interface Heartbeat {
+  readonly status: BoxStatus;
+  /** Some of the boxes that the sender knows. */
+  readonly sightings: readonly Sighting[];
+  /** Present where the sender holds the order lease. */
+  readonly report?: HolderReport;
+  /** Present where the sender reads the list and the reader does not. */
+  readonly targets?: TargetChanges;
+}
+
+/** The configuration as one box has read it, in the form in which the store gave it. */
+export interface ConfigurationCopy {
+  readonly version: number;
+  readonly text?: string;
+}
--- a/packages/box-peers/src/peers.ts
+++ b/packages/box-peers/src/peers.ts
@@ -1,191 +1,242 @@
-/** Knows the other boxes: by the words that they exchange, and by the addresses that they pass on. */
+/** Knows the other boxes: by the heartbeats that they exchange and by what others tell of them. */
 import {
+  type CancelTimer,
   clockName,
   type Kernel,
   randomName,
-  repeatEvery,
   type Service,
   serviceName,
 } from "@linkfall/kernel";
 import { loggerName } from "@linkfall/logger";
 import type { Incarnation, Milliseconds } from "@linkfall/types";
-import type { WordClient } from "./transport.js";
-import type { BoxAddress, BoxWord, Exchange } from "./words.js";
+import { createMember, type Member, takeSighting, takeStatus } from "./member.js";
+import type { BoxAddress, BoxProfile, BoxStatus, Heartbeat, Sighting } from "./messages.js";
+import { isMesh, type PartnerRules, partnersOfRound, roundMs, sample } from "./partners.js";
+import type { PeerClient } from "./transport.js";
 
-export interface PeerRules {
+export interface PeerRules extends PartnerRules {
   /** Where other boxes reach this one. */
   readonly selfAddress: string;
-  /** Time between two rounds of words. */
+  /** Shortest time between two rounds of heartbeats. */
   readonly roundMs: Milliseconds;
+  /** Time between two rounds for each other box, where that is longer. */
+  readonly roundPerBoxMs: Milliseconds;
   /** A box that was not heard for this long gets no callers. */
   readonly suspectMs: Milliseconds;
+  /** A box that the holder of the order lease vouched for is believed in for this long after the
+   * holder fell silent. */
+  readonly vouchedMs: Milliseconds;
   /** A box that was not heard for this long is forgotten. */
   readonly forgetMs: Milliseconds;
-  /** Most boxes that one round goes to. */
-  readonly fanout: number;
+  /** Sightings in one heartbeat. */
+  readonly sightings: number;
 }
 
-/** A box with when it was heard last. */
-export interface HeardBox {
-  readonly word: BoxWord;
-  readonly heardAt: Milliseconds;
+/** What this box puts into its heartbeats. */
+export interface HeartbeatSource {
+  /** A message for one reader, or for a box that has not been heard yet. */
+  message(reader: BoxStatus | undefined, sightings: readonly Sighting[]): Heartbeat;
+  /** The holder of the order lease, as far as this box knows. */
+  holder(): Incarnation | undefined;
 }
 
 export interface Peers extends Service {
   /** Notes where a box may be asked. */
   learn(address: BoxAddress): void;
-  /** Answers the word of another box with this one's. */
-  receive(message: Exchange): Exchange;
-  /** Boxes that were heard lately, without this one. */
-  heard(): readonly HeardBox[];
+  /** Answers the heartbeat of another box with this one's. */
+  receive(heartbeat: Heartbeat): Heartbeat;
+  /** Boxes that are taken for alive, without this one. */
+  alive(): readonly BoxProfile[];
+  /** Statuses that came from boxes themselves lately. */
+  statuses(): readonly BoxStatus[];
+  /** Every known box as this one tells of it. */
+  sightings(): readonly Sighting[];
+  /** Time since the box itself was heard. */
   heardMs(incarnation: Incarnation): Milliseconds | undefined;
-  find(incarnation: Incarnation): BoxWord | undefined;
+  find(incarnation: Incarnation): BoxStatus | undefined;
   /** Most boxes that were known at once, this one included. */
   most(): number;
-  /** Sends this box's word now: to one box, or to all that a round goes to. */
-  tell(incarnation?: Incarnation): void;
-  onWord(listener: (word: BoxWord) => void): void;
+  /** Whether every box exchanges heartbeats with every other one. */
+  mesh(): boolean;
+  /** Sends a heartbeat now to the boxes of a round, or to those that are chosen. */
+  send(chosen?: (member: Member) => boolean): void;
+  onHeartbeat(listener: (heartbeat: Heartbeat) => void): void;
 }
 
 export const peersName = serviceName<Peers>("peers");
 
-interface Known {
-  readonly address: BoxAddress;
-  heard?: HeardBox;
-  asking: boolean;
-  /** There is news since the word that is on its way. */
+/** Calls to one box: one at a time, and one more where there is news meanwhile. */
+interface Calling {
   again: boolean;
-  failures: number;
-  learntAt: Milliseconds;
-  suspected: boolean;
 }
 
+/** Share of the interval by which rounds vary, so that boxes do not act in step. */
+const jitterShare = 0.2;
+
 export function createPeers(
   kernel: Kernel,
-  client: WordClient,
-  self: (reader?: BoxWord) => BoxWord,
+  client: PeerClient,
+  source: HeartbeatSource,
   rules: PeerRules,
 ): Peers {
   const clock = kernel.find(clockName);
   const random = kernel.find(randomName);
   const logger = kernel.find(loggerName);
-  const known = new Map<string, Known>();
-  const listeners: ((word: BoxWord) => void)[] = [];
+  const members = new Map<string, Member>();
+  const calling = new Map<Member, Calling>();
+  const listeners: ((heartbeat: Heartbeat) => void)[] = [];
   let most = 1;
+  let round = 0;
+  let stopped = false;
+  let cancel: CancelTimer = () => undefined;
+
+  const all = () => [...members.values()];
+  const mesh = () => isMesh(members.size, rules);
+  const intervalMs = () => roundMs(rules.roundMs, rules.roundPerBoxMs, members.size);
+  /** Silence after which a box is suspected: a few rounds. */
+  const suspectMs = () => (rules.suspectMs * intervalMs()) / rules.roundMs;
+  const byIncarnation = (incarnation: Incarnation) =>
+    all().find((member) => member.status?.incarnation === incarnation);
+
+  const learn = (address: BoxAddress): Member | undefined => {
+    if (address.peerAddress === rules.selfAddress) return undefined;
+    const known = members.get(address.peerAddress);
+    if (known) return known;
+    const member = createMember(address, clock.now());
+    members.set(address.peerAddress, member);
+    most = Math.max(most, members.size + 1);
+    return member;
+  };
 
-  const learn = (address: BoxAddress) => {
-    if (address.peerAddress === rules.selfAddress || known.has(address.peerAddress)) return;
-    known.set(address.peerAddress, {
-      address,
-      asking: false,
-      again: false,
-      failures: 0,
-      learntAt: clock.now(),
-      suspected: false,
-    });
-    most = Math.max(most, known.size + 1);
+  const isAlive = (member: Member): boolean => {
+    const now = clock.now();
+    if (now - member.seenAt <= suspectMs()) return true;
+    if (member.vouchedBy === undefined) return false;
+    const holder = byIncarnation(member.vouchedBy);
+    return holder !== undefined && now - holder.heardAt <= rules.vouchedMs;
   };
 
-  const isNews = (entry: Known, word: BoxWord) => {
-    const before = entry.heard?.word;
-    return !before || before.incarnation !== word.incarnation || word.beat > before.beat;
+  const takeSightings = ({ status, sightings, report }: Heartbeat) => {
+    const now = clock.now();
+    for (const sighting of sightings) {
+      const member = learn(sighting);
+      if (member) takeSighting(member, sighting, now);
+    }
+    for (const sighting of report?.members ?? []) {
+      const member = learn(sighting);
+      if (member) takeSighting(member, sighting, now, status.incarnation);
+    }
   };
 
-  const take = ({ word, known: others }: Exchange) => {
-    for (const address of others) learn(address);
-    learn({ box: word.box, peerAddress: word.peerAddress });
-    const entry = known.get(word.peerAddress);
-    if (!entry || !isNews(entry, word)) return;
-    if (entry.heard?.word.incarnation !== word.incarnation) {
-      logger.event("memberJoined", { box: word.box, incarnation: word.incarnation });
+  const take = (heartbeat: Heartbeat) => {
+    const { status } = heartbeat;
+    takeSightings(heartbeat);
+    const member = learn(status);
+    if (!member) return;
+    const before = member.status?.incarnation;
+    if (!takeStatus(member, status, clock.now())) return;
+    if (before !== status.incarnation) {
+      logger.event("memberJoined", { box: status.box, incarnation: status.incarnation });
     }
-    entry.suspected = false;
-    entry.heard = { word, heardAt: clock.now() };
-    for (const listener of listeners) listener(word);
+    member.suspected = false;
+    for (const listener of listeners) listener(heartbeat);
   };
 
-  const message = (reader?: BoxWord): Exchange => ({
-    word: self(reader),
-    known: [...known.values()].map((entry) => entry.address),
-  });
-
-  const ask = async (entry: Known): Promise<void> => {
-    entry.asking = true;
-    entry.again = false;
-    const reply = await client.exchange(entry.address.peerAddress, message(entry.heard?.word));
-    entry.asking = false;
-    reply.ifRight(take).ifLeft(() => void (entry.failures += 1));
-    if (entry.again && reply.isRight()) await ask(entry);
+  const toSighting = (member: Member): readonly Sighting[] => {
+    if (!member.profile) return [];
+    const { box, incarnation, frontAddress, peerAddress, domain, capacity } = member.profile;
+    const { ready, leaving, strained, takesRequests, reading } = member.profile;
+    const ageMs = Math.round(clock.now() - member.seenAt);
+    const identity = { box, incarnation, frontAddress, peerAddress, domain, capacity };
+    const state = { ready, leaving, strained, takesRequests, reading };
+    return [{ ...identity, ...state, ageMs, silent: !isAlive(member) }];
   };
-  const askUnlessAsked = (entry: Known) => {
-    if (!entry.asking) void ask(entry);
+
+  const message = (reader?: BoxStatus): Heartbeat => {
+    // A box that follows the holder's reports knows the others already.
+    const count = reader?.followed && !mesh() ? 1 : rules.sightings;
+    const told = sample(all().filter(isAlive), count, random);
+    return source.message(reader, told.flatMap(toSighting));
   };
-  /** Asks now, or as soon as the word that is on its way is answered. */
-  const askSoon = (entry: Known) => {
-    if (entry.asking) entry.again = true;
-    else void ask(entry);
+
+  const ask = async (member: Member): Promise<void> => {
+    const call: Calling = { again: false };
+    calling.set(member, call);
+    const reply = await client.exchange(member.address.peerAddress, message(member.status));
+    calling.delete(member);
+    reply.ifRight(take);
+    if (call.again && reply.isRight() && !stopped) await ask(member);
+  };
+  /** Asks now, or as soon as the call under way is answered. */
+  const askSoon = (member: Member) => {
+    const call = calling.get(member);
+    if (call) call.again = true;
+    else void ask(member);
   };
 
-  const suspect = (entry: Known, now: Milliseconds) => {
-    if (!entry.heard || entry.suspected) return;
-    if (now - entry.heard.heardAt <= rules.suspectMs) return;
-    entry.suspected = true;
-    const { box, incarnation } = entry.heard.word;
+  const suspect = (member: Member) => {
+    if (!member.profile || member.suspected || isAlive(member)) return;
+    member.suspected = true;
+    const { box, incarnation } = member.profile;
     logger.event("memberSuspected", { box, incarnation });
   };
 
-  const forget = () => {
-    const now = clock.now();
-    for (const [key, entry] of known) {
-      suspect(entry, now);
-      const last = entry.heard?.heardAt ?? entry.learntAt;
-      if (now - last <= rules.forgetMs) continue;
-      known.delete(key);
-      logger.event("memberGone", { box: entry.address.box });
+  const forgetGone = () => {
+    for (const [key, member] of members) {
+      suspect(member);
+      const last = Math.max(member.seenAt, member.learntAt);
+      if (isAlive(member) || clock.now() - last <= rules.forgetMs) continue;
+      members.delete(key);
+      logger.event("memberGone", { box: member.address.box });
     }
   };
 
-  /** Boxes of this round: all of a small deployment, a random part of a large one. */
-  const ofRound = (): readonly Known[] => {
-    const all = [...known.values()];
-    if (all.length <= rules.fanout) return all;
-    const chosen = new Set<Known>();
-    while (chosen.size < rules.fanout) chosen.add(all[random.below(all.length)]);
-    return [...chosen];
+  const partners = (): readonly Member[] => {
+    const holder = source.holder();
+    const heardAt = holder === undefined ? undefined : byIncarnation(holder)?.heardAt;
+    const holderHeard = heardAt !== undefined && clock.now() - heardAt <= suspectMs();
+    return partnersOfRound({ members: all(), holder, holderHeard, round }, rules, random);
   };
 
-  const round = () => {
-    forget();
-    for (const entry of ofRound()) askUnlessAsked(entry);
+  const runRound = () => {
+    if (stopped) return;
+    round += 1;
+    forgetGone();
+    for (const member of partners()) if (!calling.has(member)) void ask(member);
+    const jitter = 1 + jitterShare * (random.fraction() - 0.5);
+    cancel = clock.after(intervalMs() * jitter, runRound);
   };
-  const loop = repeatEvery(clock, random, rules.roundMs, round);
-
-  const heard = (): readonly HeardBox[] =>
-    [...known.values()].flatMap((entry) => entry.heard ?? []);
 
   return {
-    learn,
-    receive(exchange) {
-      take(exchange);
-      return message(exchange.word);
+    learn: (address) => void learn(address),
+    receive(heartbeat) {
+      take(heartbeat);
+      return message(heartbeat.status);
     },
-    heard: () => heard().filter((box) => clock.now() - box.heardAt <= rules.suspectMs),
+    alive: () => all().flatMap((member) => (isAlive(member) ? (member.profile ?? []) : [])),
+    statuses: () =>
+      all().flatMap((member) =>
+        member.status && clock.now() - member.heardAt <= suspectMs() ? member.status : [],
+      ),
+    sightings: () => all().flatMap(toSighting),
     heardMs(incarnation) {
-      const box = heard().find((entry) => entry.word.incarnation === incarnation);
-      return box && clock.now() - box.heardAt;
+      const member = byIncarnation(incarnation);
+      return member && clock.now() - member.heardAt;
     },
-    find: (incarnation) => heard().find((box) => box.word.incarnation === incarnation)?.word,
+    find: (incarnation) => byIncarnation(incarnation)?.status,
     most: () => most,
-    tell(incarnation) {
-      const entries = [...known.values()];
-      const chosen =
-        incarnation === undefined
-          ? ofRound()
-          : entries.filter((entry) => entry.heard?.word.incarnation === incarnation);
-      for (const entry of chosen) askSoon(entry);
+    mesh,
+    send(chosen) {
+      const members = chosen ? all().filter(chosen) : partners();
+      for (const member of members) askSoon(member);
+    },
+    onHeartbeat: (listener) => void listeners.push(listener),
+    async start() {
+      runRound();
+    },
+    async stop() {
+      stopped = true;
+      cancel();
     },
-    onWord: (listener) => void listeners.push(listener),
-    start: loop.start,
-    stop: loop.stop,
   };
 }
--- a/packages/box-peers/src/transport.ts
+++ b/packages/box-peers/src/transport.ts
@@ -1,4 +1,4 @@
-/** Words of boxes over gRPC, each message one JSON text. */
+/** Heartbeats of boxes over gRPC, each message one JSON text. */
 import {
   Client,
   credentials,
@@ -11,22 +11,22 @@
 import type { Clock } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
 import { type Either, Left, Right } from "purify-ts";
-import type { DesiredCopy, Exchange } from "./words.js";
+import type { ConfigurationCopy, Heartbeat } from "./messages.js";
 
 /** What a box answers to others. */
-export interface WordHandler {
-  exchange(message: Exchange): Exchange;
-  desired(): DesiredCopy;
+export interface PeerHandler {
+  exchange(heartbeat: Heartbeat): Heartbeat;
+  configuration(): ConfigurationCopy;
 }
 
 /** Asks other boxes. */
-export interface WordClient {
-  exchange(address: string, message: Exchange): Promise<Either<PeerUnreachable, Exchange>>;
-  desired(address: string): Promise<Either<PeerUnreachable, DesiredCopy>>;
+export interface PeerClient {
+  exchange(address: string, heartbeat: Heartbeat): Promise<Either<PeerUnreachable, Heartbeat>>;
+  configuration(address: string): Promise<Either<PeerUnreachable, ConfigurationCopy>>;
   close(): void;
 }
 
-export interface WordServer {
+export interface PeerServer {
   listen(address: string): Promise<Either<string, string>>;
   close(): void;
 }
@@ -39,7 +39,7 @@
 
 function method<Request, Reply>(name: string): MethodDefinition<Request, Reply> {
   return {
-    path: `/linkfall.Words/${name}`,
+    path: `/linkfall.Peers/${name}`,
     requestStream: false,
     responseStream: false,
     requestSerialize: toBytes,
@@ -50,8 +50,8 @@
 }
 
 const methods = {
-  exchange: method<Exchange, Exchange>("Exchange"),
-  desired: method<None, DesiredCopy>("Desired"),
+  exchange: method<Heartbeat, Heartbeat>("Exchange"),
+  configuration: method<None, ConfigurationCopy>("Configuration"),
 };
 
 /** Largest message; a whole configuration with many routes fits. */
@@ -74,7 +74,7 @@
 }
 
 /** Creates a client that keeps one connection to each box that it asks. */
-export function createWordClient(clock: Clock, callMs: Milliseconds): WordClient {
+export function createPeerClient(clock: Clock, callMs: Milliseconds): PeerClient {
   const connections = new Map<string, Connection>();
   const connect = (address: string): Connection => {
     const known = connections.get(address);
@@ -116,8 +116,8 @@
       );
     });
   return {
-    exchange: (address, message) => ask(address, methods.exchange, message),
-    desired: (address) => ask(address, methods.desired, {}),
+    exchange: (address, heartbeat) => ask(address, methods.exchange, heartbeat),
+    configuration: (address) => ask(address, methods.configuration, {}),
     close() {
       for (const { client } of connections.values()) client.close();
       connections.clear();
@@ -126,13 +126,13 @@
 }
 
 /** Creates a server that answers other boxes. */
-export function createWordServer(handler: WordHandler): WordServer {
+export function createPeerServer(handler: PeerHandler): PeerServer {
   const server = new Server(options);
   const implementation: UntypedServiceImplementation = {
-    exchange: ((call: { request: Exchange }, done: (problem: null, reply: Exchange) => void) =>
+    exchange: ((call: { request: Heartbeat }, done: (problem: null, reply: Heartbeat) => void) =>
       done(null, handler.exchange(call.request))) as never,
-    desired: ((_call: unknown, done: (problem: null, reply: DesiredCopy) => void) =>
-      done(null, handler.desired())) as never,
+    configuration: ((_call: unknown, done: (problem: null, reply: ConfigurationCopy) => void) =>
+      done(null, handler.configuration())) as never,
   };
   server.addService(methods as never, implementation);
   return {
--- /dev/null
+++ b/packages/desired-feed/src/configuration-holder.ts
@@ -0,0 +1,72 @@
+/** Holds the newest configuration. A version never goes back, and a broken record changes nothing. */
+import type { ConfigurationCopy } from "@linkfall/box-peers";
+import type { Fleet } from "@linkfall/fleet";
+import type { Clock } from "@linkfall/kernel";
+import type { Logger } from "@linkfall/logger";
+import type { RecordCodec } from "@linkfall/ports";
+import { createRouteTable, type RouteTable } from "@linkfall/route-table";
+import type { Milliseconds, RoutedConfiguration } from "@linkfall/types";
+
+/** One configuration with the table that is built of it. */
+export interface ConfigurationInForce {
+  readonly configuration: RoutedConfiguration;
+  readonly routes: RouteTable;
+  readonly since: Milliseconds;
+}
+
+export interface ConfigurationHolder {
+  inForce(): ConfigurationInForce | undefined;
+  /** -1 before the first. */
+  version(): number;
+  copy(): ConfigurationCopy;
+  /** Takes a record as the store gave it, read here or by another box. */
+  take(text: string, from: "store" | "box"): void;
+}
+
+export interface ConfigurationHolderInput {
+  readonly codec: RecordCodec;
+  readonly fleet: Fleet;
+  readonly configurationKey: string;
+}
+
+const noVersion = -1;
+
+export function createConfigurationHolder(
+  clock: Clock,
+  logger: Logger,
+  { codec, fleet, configurationKey }: ConfigurationHolderInput,
+): ConfigurationHolder {
+  let inForce: ConfigurationInForce | undefined;
+  let inForceText: string | undefined;
+  const version = () => inForce?.configuration.version ?? noVersion;
+
+  const putInForce = (configuration: RoutedConfiguration, text: string, from: string) => {
+    if (configuration.version <= version()) return;
+    inForce = { configuration, routes: createRouteTable(configuration), since: clock.now() };
+    inForceText = text;
+    const shapes = [...configuration.services.values()].map(
+      (service) => [service.name, service.engine] as const,
+    );
+    fleet.setEngines(new Map(shapes));
+    logger.event("configurationInForce", {
+      version: configuration.version,
+      routes: configuration.routes.length,
+      from,
+    });
+  };
+
+  return {
+    inForce: () => inForce,
+    version,
+    copy: () => ({ version: version(), text: inForceText }),
+    take(text, from) {
+      codec.configuration(text).caseOf({
+        Left: (invalid) => {
+          const problem = invalid.problems.map(({ field, reason }) => `${field}: ${reason}`);
+          logger.event("badRecord", { key: configurationKey, problem: problem.join("; ") });
+        },
+        Right: (configuration) => putInForce(configuration, text, from),
+      });
+    },
+  };
+}
--- a/packages/desired-feed/src/desired-feed.feature
+++ b/packages/desired-feed/src/desired-feed.feature
@@ -40,3 +40,30 @@
     When a copy with configuration 2 and targets "t9" of an earlier read comes from another box
     Then configuration 7 is in force
     And the target "t9" is not known
+
+  Scenario: A box that leaves reading to others makes no calls, and takes what they tell
+    When the feed leaves reading to other boxes
+    And 500 ms go by in the feed
+    Then the store is not read
+    When another box tells of "t3" changed and "t1" gone
+    And 2000 ms go by in the feed
+    Then the targets "t2 t3" are known
+
+  Scenario: A box that reads again takes the whole list from the store
+    When the feed leaves reading to other boxes
+    And 500 ms go by in the feed
+    And another box tells of "t8" changed and "t1" gone
+    And the target "t3" is written
+    And the target "t4" is written
+    And the target "t5" is written
+    And the feed reads itself again
+    And 4000 ms go by in the feed
+    Then the targets "t1 t2 t3 t4 t5" are known
+
+  Scenario: Another box is told just what has changed since
+    Given another box has been told of all
+    When the target "t3" is written
+    And the target "t1" is dropped
+    And 500 ms go by in the feed
+    Then a box that was told of all before is told of "t3" changed and "t1" gone
+    And a box that has read up to the start is told of "t2 t3", the whole list
--- a/packages/desired-feed/src/desired-feed.steps.ts
+++ b/packages/desired-feed/src/desired-feed.steps.ts
@@ -5,7 +5,7 @@
 import { loggerName, recordingLogger } from "@linkfall/logger";
 import type { RecordCodec } from "@linkfall/ports";
 import { createKeyedStore, type KeyedStore } from "@linkfall/test-support";
-import type { RoutedConfiguration } from "@linkfall/types";
+import type { ListedTarget, RoutedConfiguration } from "@linkfall/types";
 import { Left, Right } from "purify-ts";
 import { createDesiredFeed, type DesiredFeed } from "./index.js";
 
@@ -16,6 +16,10 @@
   readonly feed: DesiredFeed;
   readonly fleet: Fleet;
   readonly events: string[];
+  /** Whether this box is to read the store itself. */
+  reads: boolean;
+  /** How far another box was told of the list. */
+  toldEnd: number;
 }
 
 const scenes = new WeakMap<object, Scene>();
@@ -45,9 +49,14 @@
 
 const words = (text: string) => text.split(" ");
 
+function listedAs(id: string): ListedTarget {
+  return { id, service: "s", address: "10.0.0.1:1", domain: "d", slots: 1, leaving: false };
+}
+
 Given(
   "a store with configuration {int} and targets {string}",
   function (this: object, version: number, ids: string) {
+    const own: { scene?: Scene } = {};
     const clock = createVirtualClock();
     const events: string[] = [];
     const kernel = createKernel();
@@ -69,12 +78,15 @@
       targetStream: targets.portFor(box),
       codec,
       fleet,
+      peers: { reads: () => own.scene?.reads ?? true, anyReachesStore: () => true },
       times: { waitMs: 200, gatherMs: 0, firstPauseMs: 50, longestPauseMs: 300 },
       gatherTargetsMs: 0,
       configurationKey: key,
       settleMs: 1_000,
     });
-    scenes.set(this, { clock, configurations, targets, feed, fleet, events });
+    const rest = { events, reads: true, toldEnd: 0 };
+    own.scene = { clock, configurations, targets, feed, fleet, ...rest };
+    scenes.set(this, own.scene);
   },
 );
 
@@ -134,15 +146,68 @@
   /^a copy with configuration (\d+) and targets "(.*)" of (a later|an earlier) read comes from another box$/,
   function (this: object, version: string, ids: string, when: string) {
     const { feed } = sceneOf(this);
-    feed.takeCopy({
-      configurationVersion: Number(version),
-      configuration: version,
-      targetsEnd: feed.targetsEnd() + (when === "a later" ? 5 : -1),
-      targets: Object.fromEntries(words(ids).map((id) => [id, "s"])),
+    feed.takeConfiguration({ version: Number(version), text: version });
+    feed.takeTargets({
+      end: feed.targetsEnd() + (when === "a later" ? 5 : -1),
+      whole: true,
+      changed: words(ids).map(listedAs),
+      gone: [],
+    });
+  },
+);
+
+When("the feed leaves reading to other boxes", function (this: object) {
+  sceneOf(this).reads = false;
+});
+
+When("the feed reads itself again", function (this: object) {
+  sceneOf(this).reads = true;
+});
+
+When(
+  "another box tells of {string} changed and {string} gone",
+  function (this: object, changed: string, gone: string) {
+    const { feed } = sceneOf(this);
+    feed.takeTargets({
+      end: feed.targetsEnd() + 2,
+      whole: false,
+      changed: words(changed).map(listedAs),
+      gone: words(gone),
     });
   },
 );
 
+Then(
+  "a box that has read up to the start is told of {string}, the whole list",
+  function (this: object, ids: string) {
+    const changes = sceneOf(this).feed.targetsSince(0);
+    assert.ok(changes.whole);
+    assert.deepEqual(changes.changed.map(({ id }) => id).sort(), words(ids));
+  },
+);
+
+Then(
+  "a box that was told of all before is told of {string} changed and {string} gone",
+  function (this: object, changed: string, gone: string) {
+    const changes = sceneOf(this).feed.targetsSince(sceneOf(this).toldEnd);
+    assert.ok(!changes.whole);
+    assert.deepEqual(changes.changed.map(({ id }) => id).sort(), words(changed));
+    assert.deepEqual([...changes.gone].sort(), words(gone));
+  },
+);
+
+Given("another box has been told of all", function (this: object) {
+  const scene = sceneOf(this);
+  scene.toldEnd = scene.feed.targetsEnd();
+});
+
+Then("the store is not read", async function (this: object) {
+  const { targets } = sceneOf(this);
+  const before = targets.reads();
+  await pass(this, 2_000);
+  assert.equal(targets.reads(), before);
+});
+
 Then("configuration {int} is in force", function (this: object, version: number) {
   assert.equal(sceneOf(this).feed.inForce()?.configuration.version, version);
 });
--- a/packages/desired-feed/src/desired-feed.ts
+++ b/packages/desired-feed/src/desired-feed.ts
@@ -1,19 +1,34 @@
-/** The configuration in force and the list of targets, from the store or from another box's copy. */
+/** The configuration in force and the list of targets, from the store or from other boxes. */
+import type { ConfigurationCopy, TargetChanges } from "@linkfall/box-peers";
 import type { LogFailure } from "@linkfall/errors";
-import type { DesiredCopy } from "@linkfall/box-peers";
 import type { Fleet } from "@linkfall/fleet";
 import { clockName, type Kernel, type Service, serviceName } from "@linkfall/kernel";
-import { loggerName } from "@linkfall/logger";
+import { type Logger, loggerName } from "@linkfall/logger";
 import type { KeyedBatch, KeyedRecord, KeyedStreamPort, RecordCodec } from "@linkfall/ports";
-import { createRouteTable, type RouteTable } from "@linkfall/route-table";
-import type { ListedTarget, Milliseconds, Offset, RoutedConfiguration } from "@linkfall/types";
-import { createStreamFollower, type FollowTimes } from "./follow-stream.js";
+import type { ListedTarget, Milliseconds, Offset } from "@linkfall/types";
+import {
+  type ConfigurationHolder,
+  type ConfigurationInForce,
+  createConfigurationHolder,
+} from "./configuration-holder.js";
+import { createStreamFollower, type FollowTimes, type StreamFollower } from "./follow-stream.js";
+import { createStoreReach, type StoreReach } from "./store-reach.js";
+import { createTargetChangeLog, type TargetChangeLog } from "./target-change-log.js";
+
+/** What the feed has to know of the other boxes. */
+export interface FeedPeers {
+  /** Whether this box is to read the store itself. */
+  reads(): boolean;
+  /** Whether a box that reads the store, and was heard lately, reaches it. */
+  anyReachesStore(): boolean;
+}
 
 export interface DesiredFeedInput {
   readonly configurationStream: KeyedStreamPort;
   readonly targetStream: KeyedStreamPort;
   readonly codec: RecordCodec;
   readonly fleet: Fleet;
+  readonly peers: FeedPeers;
   readonly times: FollowTimes;
   /** Pause after each change of targets, which come in crowds when models move. */
   readonly gatherTargetsMs: Milliseconds;
@@ -23,175 +38,155 @@
   readonly settleMs: Milliseconds;
 }
 
-/** One configuration with the table that is built of it. */
-export interface ConfigurationInForce {
-  readonly configuration: RoutedConfiguration;
-  readonly routes: RouteTable;
-  readonly since: Milliseconds;
-}
-
 export interface DesiredFeed extends Service {
   inForce(): ConfigurationInForce | undefined;
   /** Whether configuration and targets are known. */
   ready(): boolean;
+  /** Whether this box reads the store itself now. */
+  reading(): boolean;
   reachesStore(): boolean;
   /** Whether the store is away, or came back only just now. */
   storeDisturbed(): boolean;
+  /** How far the list of targets is known. */
   targetsEnd(): Offset;
-  copy(): DesiredCopy;
+  configurationCopy(): ConfigurationCopy;
   /** Takes what another box has read, where it is newer. */
-  takeCopy(copy: DesiredCopy): void;
+  takeConfiguration(copy: ConfigurationCopy): void;
+  /** Changes of the list from an offset on. */
+  targetsSince(since: Offset): TargetChanges;
+  /** Takes changes of the list that another box has read, where they are newer. */
+  takeTargets(changes: TargetChanges): void;
 }
 
 export const desiredFeedName = serviceName<DesiredFeed>("desired-feed");
 
-interface FeedState {
-  inForce?: ConfigurationInForce;
-  configurationText?: string;
+/** What the steps of the feed share. */
+interface FeedContext {
+  readonly input: DesiredFeedInput;
+  readonly logger: Logger;
+  readonly configuration: ConfigurationHolder;
+  readonly reach: StoreReach;
+  readonly log: TargetChangeLog;
   targetsKnown: boolean;
   targetsEnd: Offset;
-  readonly targetTexts: Map<string, string>;
-  readonly failing: Set<"configuration" | "targets">;
-  returnedAt: Milliseconds;
 }
 
-export function createDesiredFeed(kernel: Kernel, input: DesiredFeedInput): DesiredFeed {
-  const clock = kernel.find(clockName);
-  const logger = kernel.find(loggerName);
-  const { codec, fleet } = input;
-  const state: FeedState = {
-    targetsKnown: false,
-    targetsEnd: 0,
-    targetTexts: new Map(),
-    failing: new Set(),
-    returnedAt: -Infinity,
-  };
+function readTarget({ input, logger }: FeedContext, id: string, text: string) {
+  return input.codec
+    .target(id, text)
+    .ifLeft(({ problems }) => logger.event("badRecord", { key: id, problem: problems[0]?.reason }))
+    .toMaybe()
+    .extract();
+}
 
-  const version = () => state.inForce?.configuration.version ?? -1;
-  const reachesStore = () => state.failing.size === 0;
-  const storeDisturbed = () => !reachesStore() || clock.now() - state.returnedAt < input.settleMs;
+function takeWholeList(context: FeedContext, targets: readonly ListedTarget[], end: Offset): void {
+  context.targetsKnown = true;
+  context.targetsEnd = end;
+  context.log.replace(targets, end);
+  context.input.fleet.takeList(targets);
+}
 
-  const takeConfiguration = (text: string, from: "store" | "box") => {
-    codec.configuration(text).caseOf({
-      Left: (invalid) => {
-        const problem = invalid.problems.map(({ field, reason }) => `${field}: ${reason}`);
-        logger.event("badRecord", { key: input.configurationKey, problem: problem.join("; ") });
-      },
-      Right: (configuration) => {
-        if (configuration.version <= version()) return;
-        const routes = createRouteTable(configuration);
-        state.inForce = { configuration, routes, since: clock.now() };
-        state.configurationText = text;
-        const shapes = [...configuration.services.values()].map(
-          (service) => [service.name, service.engine] as const,
-        );
-        fleet.setEngines(new Map(shapes));
-        logger.event("configurationInForce", {
-          version: configuration.version,
-          routes: configuration.routes.length,
-          from,
-        });
-      },
-    });
-  };
+function takeTargetRecord(context: FeedContext, { key, value, offset }: KeyedRecord): void {
+  // Another box may have told of it already.
+  if (offset < context.targetsEnd) return;
+  if (value === undefined) {
+    context.log.gone(key, offset);
+    context.input.fleet.dropEntry(key);
+    return;
+  }
+  const target = readTarget(context, key, value);
+  if (!target) return;
+  context.log.changed(target, offset);
+  context.input.fleet.takeEntry(target);
+}
 
-  const readTarget = (id: string, text: string): ListedTarget | undefined =>
-    codec
-      .target(id, text)
-      .ifLeft(({ problems }) =>
-        logger.event("badRecord", { key: id, problem: problems[0]?.reason }),
-      )
-      .toMaybe()
-      .extract();
+function takeNewestTargets(context: FeedContext, batch: KeyedBatch): void {
+  if (batch.end < context.targetsEnd) return;
+  const targets = batch.records.flatMap(({ key, value }) =>
+    value === undefined ? [] : (readTarget(context, key, value) ?? []),
+  );
+  takeWholeList(context, targets, batch.end);
+}
 
-  const takeTargets = (texts: ReadonlyMap<string, string>) => {
-    state.targetTexts.clear();
-    for (const [id, text] of texts) state.targetTexts.set(id, text);
-    const targets = [...texts].flatMap(([id, text]) => readTarget(id, text) ?? []);
-    state.targetsKnown = true;
-    fleet.takeList(targets, storeDisturbed());
-  };
+function takeTargetBatch(context: FeedContext, batch: KeyedBatch): void {
+  for (const record of batch.records) takeTargetRecord(context, record);
+  context.targetsEnd = Math.max(context.targetsEnd, batch.end);
+}
 
-  const takeTargetChange = ({ key, value, offset }: KeyedRecord) => {
-    // Another box's copy may have been ahead of the store's own answer.
-    if (offset < state.targetsEnd) return;
-    if (value === undefined) {
-      state.targetTexts.delete(key);
-      fleet.dropEntry(key, storeDisturbed());
-      return;
-    }
-    state.targetTexts.set(key, value);
-    const target = readTarget(key, value);
-    if (target) fleet.takeEntry(target);
-  };
+function takeConfigurationBatch({ input, configuration }: FeedContext, batch: KeyedBatch): void {
+  for (const { key, value } of batch.records) {
+    if (key === input.configurationKey && value !== undefined) configuration.take(value, "store");
+  }
+}
 
-  const noteRead = (stream: "configuration" | "targets") => (failure?: LogFailure) => {
-    const reached = reachesStore();
-    if (failure) state.failing.add(stream);
-    else state.failing.delete(stream);
-    if (reached && failure) {
-      const reason = failure.kind === "log_unavailable" ? failure.reason : failure.kind;
-      logger.event("logUnreachable", { stream, reason });
-    }
-    if (!reached && reachesStore()) {
-      state.returnedAt = clock.now();
-      logger.event("logReachable", { stream });
-    }
-  };
+/** Takes changes that another box has told of. */
+function takeTold(context: FeedContext, changes: TargetChanges, follower: StreamFollower): void {
+  if (changes.end <= context.targetsEnd) return;
+  const { fleet } = context.input;
+  if (changes.whole) takeWholeList(context, changes.changed, changes.end);
+  else {
+    for (const target of changes.changed) fleet.takeEntry(target);
+    for (const id of changes.gone) fleet.dropEntry(id);
+    context.targetsEnd = changes.end;
+  }
+  // What was told lacks the models; the next read of this box's own takes everything anew.
+  follower.restart();
+}
 
-  const takeConfigurationBatch = (batch: KeyedBatch) => {
-    for (const { key, value } of batch.records) {
-      if (key === input.configurationKey && value !== undefined) takeConfiguration(value, "store");
-    }
+function createContext(kernel: Kernel, input: DesiredFeedInput): FeedContext {
+  const logger = kernel.find(loggerName);
+  const clock = kernel.find(clockName);
+  return {
+    input,
+    logger,
+    configuration: createConfigurationHolder(clock, logger, input),
+    reach: createStoreReach(clock, logger, input.peers, input.settleMs),
+    log: createTargetChangeLog(),
+    targetsKnown: false,
+    targetsEnd: 0,
   };
+}
 
+export function createDesiredFeed(kernel: Kernel, input: DesiredFeedInput): DesiredFeed {
+  const clock = kernel.find(clockName);
+  const context = createContext(kernel, input);
+  const { configuration, reach, log } = context;
+  const noteRead = (stream: string) => (failure?: LogFailure) => reach.noteRead(stream, failure);
+  const takeConfigurations = (batch: KeyedBatch) => takeConfigurationBatch(context, batch);
   const configurationFollower = createStreamFollower({
     clock,
     port: input.configurationStream,
     times: input.times,
-    onWhole: takeConfigurationBatch,
-    onChanges: takeConfigurationBatch,
+    reads: input.peers.reads,
+    onWhole: takeConfigurations,
+    onChanges: takeConfigurations,
     onRead: noteRead("configuration"),
   });
   const targetFollower = createStreamFollower({
     clock,
     port: input.targetStream,
     times: { ...input.times, gatherMs: input.gatherTargetsMs },
-    onWhole(batch) {
-      if (batch.end < state.targetsEnd) return;
-      state.targetsEnd = batch.end;
-      const pairs = batch.records.flatMap(({ key, value }) =>
-        value === undefined ? [] : [[key, value] as const],
-      );
-      takeTargets(new Map(pairs));
-    },
-    onChanges(batch) {
-      for (const record of batch.records) takeTargetChange(record);
-      state.targetsEnd = Math.max(state.targetsEnd, batch.end);
-    },
+    reads: input.peers.reads,
+    onWhole: (batch) => takeNewestTargets(context, batch),
+    onChanges: (batch) => takeTargetBatch(context, batch),
     onRead: noteRead("targets"),
   });
 
   return {
-    inForce: () => state.inForce,
-    ready: () => state.inForce !== undefined && state.targetsKnown,
-    reachesStore,
-    storeDisturbed,
-    targetsEnd: () => state.targetsEnd,
-    copy: () => ({
-      configurationVersion: version(),
-      configuration: state.configurationText,
-      targetsEnd: state.targetsEnd,
-      targets: Object.fromEntries(state.targetTexts),
-    }),
-    takeCopy(copy) {
-      if (copy.configuration !== undefined && copy.configurationVersion > version()) {
-        takeConfiguration(copy.configuration, "box");
+    inForce: configuration.inForce,
+    ready: () => configuration.inForce() !== undefined && context.targetsKnown,
+    reading: input.peers.reads,
+    reachesStore: reach.reached,
+    storeDisturbed: reach.disturbed,
+    targetsEnd: () => context.targetsEnd,
+    configurationCopy: configuration.copy,
+    takeConfiguration: (copy) => {
+      if (copy.text !== undefined && copy.version > configuration.version()) {
+        configuration.take(copy.text, "box");
       }
-      if (copy.targetsEnd <= state.targetsEnd) return;
-      state.targetsEnd = copy.targetsEnd;
-      takeTargets(new Map(Object.entries(copy.targets)));
     },
+    targetsSince: (since) => log.since(since, context.targetsEnd),
+    takeTargets: (changes) => takeTold(context, changes, targetFollower),
     async start() {
       configurationFollower.start();
       targetFollower.start();
--- a/packages/desired-feed/src/follow-stream.ts
+++ b/packages/desired-feed/src/follow-stream.ts
@@ -19,14 +19,16 @@
 export interface StreamFollower {
   start(): void;
   stop(): void;
-  /** Offset that the next record will get, as far as this box has read; 0 before the first read. */
-  end(): Offset;
+  /** Begins again with the newest records: another box has told of later ones. */
+  restart(): void;
 }
 
 interface FollowInput {
   readonly clock: Clock;
   readonly port: KeyedStreamPort;
   readonly times: FollowTimes;
+  /** Whether this box is to read the stream itself now. */
+  reads(): boolean;
   /** Takes the newest record of every key; what it lacks is gone. */
   onWhole(batch: KeyedBatch): void;
   /** Takes changes in the order of offset. */
@@ -35,6 +37,9 @@
   onRead(failure?: LogFailure): void;
 }
 
+/** How often a box that does not read looks whether it has to. */
+const idleMs: Milliseconds = 150;
+
 /** Creates a follower that does nothing before it is started. */
 export function createStreamFollower(input: FollowInput): StreamFollower {
   const { clock, port, times } = input;
@@ -69,6 +74,11 @@
 
   const run = async () => {
     while (!stopped) {
+      if (!input.reads()) {
+        end = undefined;
+        await sleep(clock, idleMs);
+        continue;
+      }
       const read = await readOnce();
       if (stopped) return;
       await read.caseOf<Promise<void> | void>({ Left: fail, Right: take });
@@ -82,6 +92,8 @@
     stop: () => {
       stopped = true;
     },
-    end: () => end ?? 0,
+    restart: () => {
+      end = undefined;
+    },
   };
 }
--- /dev/null
+++ b/packages/desired-feed/src/target-change-log.ts
@@ -0,0 +1,75 @@
+/** Which targets of the list changed when, so that a box that does not read the list is told only what it lacks. */
+import type { TargetChanges } from "@linkfall/box-peers";
+import type { ListedTarget, Offset } from "@linkfall/types";
+
+export interface TargetChangeLog {
+  /** Takes the whole list as of `end`. */
+  replace(targets: readonly ListedTarget[], end: Offset): void;
+  changed(target: ListedTarget, offset: Offset): void;
+  gone(id: string, offset: Offset): void;
+  /** What changed from `since` on, up to `end`. */
+  since(since: Offset, end: Offset): TargetChanges;
+}
+
+interface Entry {
+  /** The record that brought the last change. */
+  readonly offset: Offset;
+  /** Absent where the target has gone. */
+  readonly target?: ListedTarget;
+}
+
+/** Targets that are gone and still remembered. */
+const mostGone = 2_000;
+
+/** What other boxes need of a target: engines' holdings come from the holder of the order lease. */
+function withoutModels({ models: _, ...target }: ListedTarget): ListedTarget {
+  return target;
+}
+
+const isSame = (left: ListedTarget | undefined, right: ListedTarget): boolean =>
+  left !== undefined && JSON.stringify(left) === JSON.stringify(right);
+
+/** Creates a log that knows of nothing. */
+export function createTargetChangeLog(): TargetChangeLog {
+  const entries = new Map<string, Entry>();
+  /** Before this offset it is not known what has gone. */
+  let first: Offset = 0;
+
+  const forgetOldest = () => {
+    const gone = [...entries].filter(([, entry]) => entry.target === undefined);
+    for (const [id, { offset }] of gone.slice(0, Math.max(0, gone.length - mostGone))) {
+      entries.delete(id);
+      first = Math.max(first, offset + 1);
+    }
+  };
+
+  return {
+    replace(targets, end) {
+      entries.clear();
+      first = end;
+      for (const target of targets) {
+        entries.set(target.id, { offset: end - 1, target: withoutModels(target) });
+      }
+    },
+    changed(target, offset) {
+      const told = withoutModels(target);
+      if (isSame(entries.get(target.id)?.target, told)) return;
+      entries.set(target.id, { offset, target: told });
+    },
+    gone(id, offset) {
+      entries.delete(id);
+      entries.set(id, { offset });
+      forgetOldest();
+    },
+    since(since, end) {
+      const whole = since < first;
+      const told = [...entries].filter(([, entry]) => whole || entry.offset >= since);
+      return {
+        end,
+        whole,
+        changed: told.flatMap(([, entry]) => entry.target ?? []),
+        gone: whole ? [] : told.flatMap(([id, entry]) => (entry.target ? [] : [id])),
+      };
+    },
+  };
+}
--- a/packages/entry-box/src/box-parts.ts
+++ b/packages/entry-box/src/box-parts.ts
@@ -1,12 +1,12 @@
 /** What the services of one box share while they are wired. */
-import type { WordClient } from "@linkfall/box-peers";
+import { createPeerClient, type PeerClient } from "@linkfall/box-peers";
 import type { EntrySettings } from "@linkfall/entry-settings";
 import { clockName, createKernel, type Kernel, randomName } from "@linkfall/kernel";
 import { loggerName } from "@linkfall/logger";
 import { createMetrics, metricsName } from "@linkfall/metrics";
 import { createDemandMeter, type DemandMeter } from "@linkfall/model-demand";
 import type { Incarnation } from "@linkfall/types";
-import { createWordClient } from "@linkfall/box-peers";
+import { type Activity, createActivity } from "./activity.js";
 import type { EntryBoxPorts } from "./box-ports.js";
 import { createPlannedStop, type PlannedStop } from "./planned-stop.js";
 
@@ -17,7 +17,8 @@
   readonly incarnation: Incarnation;
   readonly stop: PlannedStop;
   readonly demand: DemandMeter;
-  readonly wordClient: WordClient;
+  readonly activity: Activity;
+  readonly peerClient: PeerClient;
 }
 
 /** Creates the parts, with the services that every other one needs. */
@@ -28,6 +29,7 @@
   kernel.provide(randomName, random);
   kernel.provide(loggerName, logger);
   kernel.provide(metricsName, createMetrics());
+  const activity = createActivity(clock, random, ports.busyShare);
   return {
     kernel,
     settings,
@@ -35,6 +37,7 @@
     incarnation: `${settings.box.name}@${random.identifier()}`,
     stop: createPlannedStop(clock, settings),
     demand: createDemandMeter(clock),
-    wordClient: createWordClient(clock, settings.peers.call_ms),
+    activity: kernel.provide({ name: "activity" }, activity, activity),
+    peerClient: createPeerClient(clock, settings.peers.call_ms),
   };
 }
--- a/packages/entry-box/src/box-ports.ts
+++ b/packages/entry-box/src/box-ports.ts
@@ -20,4 +20,6 @@
   readonly records: RecordCodec;
   readonly requests: RequestCodec;
   readonly engines: RoutedEnginePort;
+  /** Share of the time since the last call in which this process was at work, from 0 to 1. */
+  busyShare(): number;
 }
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -1,5 +1,5 @@
 /** Wires the services of a box that forwards opaque requests. */
-import { createWordServer, peersName } from "@linkfall/box-peers";
+import { createPeerServer, peersName } from "@linkfall/box-peers";
 import { type DesiredFeed, desiredFeedName } from "@linkfall/desired-feed";
 import type { EntrySettings } from "@linkfall/entry-settings";
 import { metricsName } from "@linkfall/metrics";
@@ -8,15 +8,16 @@
 import { type BoxParts, createBoxParts } from "./box-parts.js";
 import type { EntryBoxPorts } from "./box-ports.js";
 import { chooseEntries, type EntryOfBox } from "./entries.js";
-import { createForwardContext, createToldWaiter } from "./forward-context.js";
+import { createForwardContext, createAnnouncingWaiter } from "./forward-context.js";
 import { createFront, type Front } from "./front.js";
 import { registerGauges } from "./gauges.js";
 import { handleRequest } from "./handle-request.js";
 import { provideGiver, provideLease } from "./provide-orders.js";
 import { provideFeed, provideFleet, providePeers } from "./provide-state.js";
 import { followRegistry } from "./registry.js";
-import { createWordMaker } from "./word-maker.js";
-import { type HolderKnowledge, takeWords } from "./word-taker.js";
+import { createHeartbeatSource } from "./heartbeat-source.js";
+import { type HolderKnowledge, receiveHeartbeats } from "./heartbeat-receiver.js";
+import { ownProfile } from "./own-profile.js";
 
 /** Addresses that callers may use now. */
 export interface Entries {
@@ -46,12 +47,12 @@
   const feed = provideFeed(parts, fleet);
   providePeers(
     parts,
-    createWordMaker(parts, () => knowledge.taken),
+    createHeartbeatSource(parts, () => knowledge.followed),
   );
   provideLease(parts);
   provideGiver(parts);
-  const waiter = createToldWaiter(parts);
-  const forward = createForwardContext(parts, waiter, takeWords(parts, knowledge, waiter));
+  const waiter = createAnnouncingWaiter(parts);
+  const forward = createForwardContext(parts, waiter, receiveHeartbeats(parts, knowledge, waiter));
   const metrics = kernel.find(metricsName);
   const context = { feed, codec: ports.requests, forward, metrics, takes: stop.takes };
   return createFront({
@@ -60,19 +61,19 @@
     now: ports.clock.now,
     limits: () => feed.inForce()?.configuration.limits,
     closing: stop.begun,
-    handle: (request) => handleRequest(context, request),
+    handle(request) {
+      parts.activity.note();
+      return handleRequest(context, request);
+    },
   });
 }
 
 /** Boxes that take callers now, as this box hears them. */
-function servingBoxes({ kernel, settings }: BoxParts, ready: boolean): readonly EntryOfBox[] {
-  const own = { address: settings.box.front_address, domain: settings.box.domain };
-  const others = kernel
-    .find(peersName)
-    .heard()
-    .filter(({ word }) => word.ready && !word.leaving)
-    .map(({ word }) => ({ address: word.frontAddress, domain: word.domain }));
-  return ready ? [own, ...others] : others;
+function servingBoxes(parts: BoxParts): readonly EntryOfBox[] {
+  const profiles = [ownProfile(parts), ...parts.kernel.find(peersName).alive()];
+  return profiles
+    .filter(({ ready, leaving }) => ready && !leaving)
+    .map(({ frontAddress, ...profile }) => ({ ...profile, address: frontAddress }));
 }
 
 /** Logs when the box serves, and tells the others at once. */
@@ -83,7 +84,7 @@
     if (!feed.ready()) return void clock.after(readyCheckMs, check);
     const version = feed.inForce()?.configuration.version;
     logger.event("boxReady", { afterMs: Math.round(clock.now() - startedAt), version });
-    kernel.find(peersName).tell();
+    kernel.find(peersName).send();
   };
   check();
 }
@@ -91,13 +92,16 @@
 /** Creates a box; it does nothing before it is started. */
 export function createEntryBox(settings: EntrySettings, ports: EntryBoxPorts): EntryBox {
   const parts = createBoxParts(settings, ports);
-  const { kernel, incarnation, stop, wordClient } = parts;
+  const { kernel, incarnation, stop, peerClient } = parts;
   const { clock, logger } = ports;
   const front = provideServices(parts);
   const feed = kernel.find(desiredFeedName);
   const peers = kernel.find(peersName);
   const lease = kernel.find(orderLeaseName);
-  const wordServer = createWordServer({ exchange: peers.receive, desired: feed.copy });
+  const peerServer = createPeerServer({
+    exchange: peers.receive,
+    configuration: feed.configurationCopy,
+  });
   registerGauges(parts, front);
   const ready = () => feed.ready() && !stop.begun();
 
@@ -105,7 +109,7 @@
     async start() {
       logger.event("boxStarted", { incarnation });
       for (const peerAddress of settings.box.seeds) peers.learn({ box: "seed", peerAddress });
-      await wordServer.listen(settings.box.peer_address);
+      await peerServer.listen(settings.box.peer_address);
       await front.listen();
       await kernel.start();
       const self = { box: settings.box.name, peerAddress: settings.box.peer_address };
@@ -115,19 +119,19 @@
     async drain() {
       logger.event("boxDraining", { inFlight: front.open() });
       stop.begin();
-      peers.tell();
+      peers.send();
       void lease.release();
       await stop.finish(front);
       logger.event("boxStopped", { inFlight: front.open() });
       front.closeAll();
       await kernel.stop();
-      wordClient.close();
-      wordServer.close();
+      peerClient.close();
+      peerServer.close();
     },
     noteSettings: () => logger.event("settingsSignalled"),
     ready,
     entries: (domain) => ({
-      addresses: chooseEntries(servingBoxes(parts, ready()), domain),
+      addresses: chooseEntries(servingBoxes(parts), domain),
       lifetimeMs: settings.callers.entries_lifetime_ms,
     }),
     metricsText: kernel.find(metricsName).expose,
--- a/packages/entry-box/src/entries.ts
+++ b/packages/entry-box/src/entries.ts
@@ -4,14 +4,39 @@
 export interface EntryOfBox {
   readonly address: string;
   readonly domain: string;
+  /** What it can carry, in cores of one speed. */
+  readonly capacity: number;
+  /** It has little of its processor left. */
+  readonly strained: boolean;
 }
 
-/** With fewer boxes than this in its own failure domain, a caller is told of all. */
-const enoughNear = 2;
+/** With fewer boxes than this to choose from, a caller is told of more. */
+const enough = 2;
+/** Boxes with this share of the strongest one's capacity are strong as well. */
+const strongShare = 0.5;
+/** With this share of the strong boxes strained, the others are needed too. */
+const helpShare = 0.5;
 
-/** Addresses for a caller: boxes of its failure domain where there are enough, else all. */
+type Carrier = Pick<EntryOfBox, "capacity" | "strained">;
+
+/** Capacity from which on a box counts as strong. */
+export function strongFrom(boxes: readonly Carrier[]): number {
+  return Math.max(0, ...boxes.map((box) => box.capacity)) * strongShare;
+}
+
+/** The boxes that are to take requests while they can carry them: few that know much serve better
+ * than many that know little. */
+function carriers(boxes: readonly EntryOfBox[], from: number): readonly EntryOfBox[] {
+  const strong = boxes.filter((box) => box.capacity >= from);
+  const strained = strong.filter((box) => box.strained);
+  return strained.length > strong.length * helpShare ? boxes : strong;
+}
+
+/** Addresses for a caller: strong boxes of its failure domain where there are enough, else of all. */
 export function chooseEntries(boxes: readonly EntryOfBox[], domain?: string): readonly string[] {
   const near = boxes.filter((box) => box.domain === domain);
-  const chosen = near.length >= enoughNear ? near : boxes;
+  const from = strongFrom(boxes);
+  const choices = [carriers(near, from), carriers(boxes, from), near];
+  const chosen = choices.find((choice) => choice.length >= enough) ?? boxes;
   return chosen.map((box) => box.address);
 }
--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -12,36 +12,41 @@
 import type { Milliseconds } from "@linkfall/types";
 import { orderGiverName } from "@linkfall/weight-orders";
 import type { BoxParts } from "./box-parts.js";
-import type { WordTaker } from "./word-taker.js";
+import type { HeartbeatReceiver } from "./heartbeat-receiver.js";
+import { boxesWithCallers } from "./boxes-with-callers.js";
 
 /** Requests that begin to wait within this time are told together. */
 const gatherMs: Milliseconds = 2;
 const microsecondsPerMillisecond = 1000;
 
-/** A waiter whose requests are told to the box that gives orders. */
-export function createToldWaiter({ kernel, ports }: BoxParts): ChangeWaiter {
+/** A waiter whose requests are announced to the box that gives orders. */
+export function createAnnouncingWaiter({ kernel, ports }: BoxParts): ChangeWaiter {
   const { clock } = ports;
-  let telling = false;
-  const tell = () => {
-    telling = false;
+  let announcing = false;
+  const announce = () => {
+    announcing = false;
     const lease = kernel.find(orderLeaseName);
     if (lease.epoch() !== undefined) kernel.find(orderGiverName).hurry();
-    else kernel.find(peersName).tell(lease.known()?.holder);
+    else {
+      const holder = lease.known()?.holder;
+      kernel.find(peersName).send((member) => member.status?.incarnation === holder);
+    }
   };
   const waiter = createChangeWaiter(clock, () => {
-    if (telling) return;
-    telling = true;
-    clock.after(gatherMs, tell);
+    if (announcing) return;
+    announcing = true;
+    clock.after(gatherMs, announce);
   });
   kernel.find(fleetName).onChange(waiter.wake);
   return waiter;
 }
 
 export function createForwardContext(
-  { kernel, settings, ports, demand }: BoxParts,
+  parts: BoxParts,
   waiter: ChangeWaiter,
-  words: WordTaker,
+  receiver: HeartbeatReceiver,
 ): ForwardContext {
+  const { kernel, settings, ports, demand } = parts;
   const { forwarding, retries } = settings;
   const { clock, random, logger } = ports;
   return {
@@ -53,8 +58,8 @@
     demand,
     waiter,
     domain: settings.box.domain,
-    boxes: kernel.find(peersName).most,
-    expectedWeightsMs: words.expectedWeightsMs,
+    boxes: () => boxesWithCallers(parts),
+    expectedWeightsMs: receiver.expectedWeightsMs,
     budget: createRetryBudget(clock, {
       ratio: retries.ratio,
       slack: retries.slack,
--- a/packages/entry-box/src/gauges.ts
+++ b/packages/entry-box/src/gauges.ts
@@ -30,8 +30,8 @@
   metrics.gauge("linkfall_requests_open", "Requests without a final answer.", front.open);
   metrics.gauge(
     "linkfall_boxes_heard",
-    "Other boxes that were heard lately.",
-    () => kernel.find(peersName).heard().length,
+    "Other boxes that are taken for alive.",
+    () => kernel.find(peersName).alive().length,
   );
   metrics.gauge("linkfall_lease_held", "1 while this box may give orders.", () =>
     lease.epoch() === undefined ? 0 : 1,
--- /dev/null
+++ b/packages/entry-box/src/heartbeat-receiver.ts
@@ -0,0 +1,121 @@
+/** Takes the heartbeats of other boxes: their load, desired state, what the order giver knows. */
+import {
+  type BoxStatus,
+  type FollowedReport,
+  type Heartbeat,
+  type HolderReport,
+  peersName,
+} from "@linkfall/box-peers";
+import { desiredFeedName } from "@linkfall/desired-feed";
+import { fleetName } from "@linkfall/fleet";
+import type { ChangeWaiter } from "@linkfall/forwarding";
+import type { Wanted } from "@linkfall/model-demand";
+import { orderLeaseName } from "@linkfall/order-lease";
+import type { Milliseconds } from "@linkfall/types";
+import { orderGiverName } from "@linkfall/weight-orders";
+import type { BoxParts } from "./box-parts.js";
+import { hasWaiting, sumLoads } from "./box-loads.js";
+
+export interface HeartbeatReceiver {
+  /** Time until weights are expected to be there, as the order giver told. */
+  expectedWeightsMs(wanted: Wanted): Milliseconds | undefined;
+}
+
+/** What was taken of the order giver's reports. */
+export interface HolderKnowledge {
+  followed?: FollowedReport;
+  /** When models are expected, by `service model`, on this box's clock. */
+  expectedAt: ReadonlyMap<string, Milliseconds>;
+}
+
+/** The loads of boxes that are heard are summed at most this often. */
+const sumEveryMs: Milliseconds = 20;
+
+/** Whether the order giver was heard lately enough for its report to count more than the list. */
+function trustsHolder({ kernel, settings }: BoxParts): boolean {
+  const lease = kernel.find(orderLeaseName);
+  if (lease.epoch() !== undefined) return true;
+  const holder = lease.known()?.holder;
+  const heardMs = holder === undefined ? undefined : kernel.find(peersName).heardMs(holder);
+  return heardMs !== undefined && heardMs < settings.peers.suspect_ms;
+}
+
+/** Asks boxes that are ahead for their configuration, one at a time. */
+function createCatchUp({ kernel, peerClient }: BoxParts): (other: BoxStatus) => Promise<void> {
+  let asking = false;
+  return async ({ configurationVersion, peerAddress }) => {
+    const feed = kernel.find(desiredFeedName);
+    const version = feed.inForce()?.configuration.version ?? -1;
+    if (asking || configurationVersion <= version) return;
+    asking = true;
+    (await peerClient.configuration(peerAddress)).ifRight(feed.takeConfiguration);
+    asking = false;
+  };
+}
+
+/** Sums the loads of the boxes that this one hears, at most every so often. */
+function createLoadSummer({ kernel, ports }: BoxParts): () => void {
+  let summedAt = -Infinity;
+  return () => {
+    const now = ports.clock.now();
+    if (now - summedAt < sumEveryMs) return;
+    summedAt = now;
+    const statuses = kernel.find(peersName).statuses();
+    kernel.find(fleetName).takeOthers(sumLoads(statuses.map((status) => status.loads)));
+  };
+}
+
+/** Takes targets that another box has read, unless this one reads them itself. */
+function takeTargets({ kernel }: BoxParts, { targets }: Heartbeat): void {
+  const feed = kernel.find(desiredFeedName);
+  if (targets && !(feed.reading() && feed.reachesStore())) feed.takeTargets(targets);
+}
+
+function takeReport({ kernel, ports }: BoxParts, knowledge: HolderKnowledge, report: HolderReport) {
+  const fleet = kernel.find(fleetName);
+  fleet.withhold(new Map(Object.entries(report.withheld)));
+  for (const { id, holdings } of report.engines) fleet.takeHoldings(id, holdings);
+  if (report.othersLoads) fleet.takeOthers(new Map(Object.entries(report.othersLoads)));
+  knowledge.followed = report.followed;
+  const now = ports.clock.now();
+  const expected = Object.entries(report.expected);
+  knowledge.expectedAt = new Map(expected.map(([key, ms]) => [key, now + ms]));
+}
+
+/** Begins to take heartbeats. */
+export function receiveHeartbeats(
+  parts: BoxParts,
+  knowledge: HolderKnowledge,
+  waiter: ChangeWaiter,
+): HeartbeatReceiver {
+  const { kernel, ports } = parts;
+  const peers = kernel.find(peersName);
+  const lease = kernel.find(orderLeaseName);
+  const giver = kernel.find(orderGiverName);
+  const catchUp = createCatchUp(parts);
+  const sumHeardLoads = createLoadSummer(parts);
+  kernel.find(fleetName).trustOwnWord(() => trustsHolder(parts));
+
+  peers.onHeartbeat((heartbeat) => {
+    const { status, report } = heartbeat;
+    if (status.lease) lease.hear(status.lease);
+    const givesOrders = lease.epoch() !== undefined;
+    if (peers.mesh() || givesOrders) sumHeardLoads();
+    takeTargets(parts, heartbeat);
+    void catchUp(status);
+    if (report && lease.known()?.holder === status.incarnation) {
+      takeReport(parts, knowledge, report);
+      waiter.wake();
+    }
+    if (givesOrders && hasWaiting(status)) giver.hurry();
+  });
+
+  return {
+    expectedWeightsMs({ service, model }) {
+      const key = `${service} ${model}`;
+      if (lease.epoch() !== undefined) return giver.expected()[key];
+      const at = knowledge.expectedAt.get(key);
+      return at === undefined ? undefined : Math.max(0, at - ports.clock.now());
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry-box/src/heartbeat-source.ts
@@ -0,0 +1,69 @@
+/** Makes the heartbeats that this box sends. */
+import {
+  type BoxStatus,
+  type FollowedReport,
+  type Heartbeat,
+  type HeartbeatSource,
+  peersName,
+  type TargetChanges,
+} from "@linkfall/box-peers";
+import { desiredFeedName } from "@linkfall/desired-feed";
+import { fleetName } from "@linkfall/fleet";
+import { orderLeaseName } from "@linkfall/order-lease";
+import type { BoxParts } from "./box-parts.js";
+import { ownLoads, recentDemand } from "./box-loads.js";
+import { ownProfile } from "./own-profile.js";
+import { createReportMaker } from "./holder-report.js";
+
+/** What this box has read of the list, for one that does not read it or cannot. */
+function targetsFor({ kernel }: BoxParts, reader: BoxStatus): TargetChanges | undefined {
+  const feed = kernel.find(desiredFeedName);
+  if (reader.reading && reader.reachesStore) return undefined;
+  if (!feed.ready() || !feed.reading() || reader.targetsEnd >= feed.targetsEnd()) return undefined;
+  return feed.targetsSince(reader.targetsEnd);
+}
+
+/** Creates the source; it finds its services when the first heartbeat is made. */
+export function createHeartbeatSource(
+  parts: BoxParts,
+  followed: () => FollowedReport | undefined,
+): HeartbeatSource {
+  const { kernel, demand } = parts;
+  const report = createReportMaker(parts);
+  let beat = 0;
+
+  const status = (reader?: BoxStatus): BoxStatus => {
+    const feed = kernel.find(desiredFeedName);
+    const lease = kernel.find(orderLeaseName);
+    const known = lease.known();
+    // Demand and load are most of a status, and of use only to boxes that give orders or hear all.
+    const toHolder = reader !== undefined && reader.incarnation === known?.holder;
+    const toAll = kernel.find(peersName).mesh();
+    beat += 1;
+    return {
+      ...ownProfile(parts),
+      beat,
+      reachesStore: feed.reachesStore(),
+      configurationVersion: feed.inForce()?.configuration.version ?? -1,
+      targetsEnd: feed.targetsEnd(),
+      loads: toAll || toHolder ? ownLoads(kernel.find(fleetName)) : {},
+      demand: toHolder ? recentDemand(demand.read()) : [],
+      lease: known,
+      ordersForMs: lease.ordersForMs(),
+      followed: followed(),
+    };
+  };
+
+  return {
+    holder: () => kernel.find(orderLeaseName).known()?.holder,
+    message(reader, sightings): Heartbeat {
+      const gives = kernel.find(orderLeaseName).epoch() !== undefined;
+      return {
+        status: status(reader),
+        sightings,
+        report: gives ? report(reader) : undefined,
+        targets: reader && targetsFor(parts, reader),
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry-box/src/holder-report.ts
@@ -0,0 +1,79 @@
+/** What the holder of the order lease tells one other box: what changed since that box's last report. */
+import {
+  type BoxStatus,
+  createChangeNumbers,
+  type EngineHoldings,
+  type FollowedReport,
+  type HolderReport,
+  peersName,
+  type Sighting,
+} from "@linkfall/box-peers";
+import { fleetName, type TargetLoad } from "@linkfall/fleet";
+import type { Milliseconds } from "@linkfall/types";
+import { orderGiverName } from "@linkfall/weight-orders";
+import { type Loads, ownLoads, sumLoads, withoutPart } from "./box-loads.js";
+import type { BoxParts } from "./box-parts.js";
+
+export type ReportMaker = (reader?: BoxStatus) => HolderReport;
+
+/** Members and loads are brought up to date at most this often, however many boxes ask. */
+const refreshMs: Milliseconds = 50;
+
+function isSameEngine(left: EngineHoldings, right: EngineHoldings): boolean {
+  return left.holdings === right.holdings;
+}
+
+/** Whether a box looks as before, but for the age of what is known. */
+function isSameMember(left: Sighting, right: Sighting): boolean {
+  return JSON.stringify({ ...left, ageMs: 0 }) === JSON.stringify({ ...right, ageMs: 0 });
+}
+
+export function createReportMaker({ kernel, ports, incarnation }: BoxParts): ReportMaker {
+  const engines = createChangeNumbers(isSameEngine);
+  const members = createChangeNumbers(isSameMember);
+  let refreshedAt = -Infinity;
+  let sums: ReadonlyMap<string, TargetLoad> = new Map();
+
+  const refreshEngines = () => {
+    const fleet = kernel.find(fleetName);
+    const asked = fleet.all().filter(({ state }) => state !== undefined);
+    const pairs = asked.map(({ listed, holdings }) => [listed.id, { id: listed.id, holdings }]);
+    engines.update(new Map(pairs as [string, EngineHoldings][]));
+  };
+  const refreshBoxes = () => {
+    const now = ports.clock.now();
+    if (now - refreshedAt < refreshMs) return;
+    refreshedAt = now;
+    const peers = kernel.find(peersName);
+    members.update(new Map(peers.sightings().map((sighting) => [sighting.box, sighting])));
+    const loads = peers.statuses().map((status) => status.loads);
+    sums = sumLoads([ownLoads(kernel.find(fleetName)), ...loads]);
+  };
+
+  /** What a box that does not hear all others is told beside. */
+  const ofBoxes = (
+    known: FollowedReport | undefined,
+    reader?: BoxStatus,
+  ): { members?: readonly Sighting[]; othersLoads?: Loads } => {
+    if (kernel.find(peersName).mesh()) return {};
+    refreshBoxes();
+    const changed = members.after(known?.members ?? 0);
+    if (!reader?.takesRequests) return { members: changed };
+    return { members: changed, othersLoads: withoutPart(sums, reader.loads) };
+  };
+
+  return (reader) => {
+    const giver = kernel.find(orderGiverName);
+    const followed = reader?.followed;
+    const known = followed?.holder === incarnation ? followed : undefined;
+    refreshEngines();
+    const boxes = ofBoxes(known, reader);
+    return {
+      engines: engines.after(known?.engines ?? 0),
+      ...boxes,
+      followed: { holder: incarnation, engines: engines.newest(), members: members.newest() },
+      withheld: Object.fromEntries(giver.withheld()),
+      expected: giver.expected(),
+    };
+  };
+}
--- /dev/null
+++ b/packages/entry-box/src/own-profile.ts
@@ -0,0 +1,28 @@
+/** What this box tells of itself to everybody. */
+import type { BoxProfile } from "@linkfall/box-peers";
+import { desiredFeedName } from "@linkfall/desired-feed";
+import type { BoxParts } from "./box-parts.js";
+
+export function ownProfile({
+  kernel,
+  settings,
+  incarnation,
+  stop,
+  activity,
+}: BoxParts): BoxProfile {
+  const { box } = settings;
+  const feed = kernel.find(desiredFeedName);
+  return {
+    box: box.name,
+    incarnation,
+    frontAddress: box.front_address,
+    peerAddress: box.peer_address,
+    domain: box.domain,
+    capacity: box.processor_share * box.processor_speed,
+    ready: feed.ready() && !stop.begun(),
+    leaving: stop.begun(),
+    strained: activity.strained(),
+    takesRequests: activity.takesRequests(),
+    reading: feed.reading(),
+  };
+}
--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -9,28 +9,29 @@
   type OrderLease,
   orderLeaseName,
 } from "@linkfall/order-lease";
-import { rankNodes } from "@linkfall/rendezvous";
 import { createOrderGiver, type OrderGiver, orderGiverName } from "@linkfall/weight-orders";
+import { hasWaiting } from "./box-loads.js";
 import type { BoxParts } from "./box-parts.js";
-
-const leaseKey = "orders";
+import { rankBoxes } from "./box-ranking.js";
+import { ownProfile } from "./own-profile.js";
 
 /** What the lease has to know of the other boxes. */
-function leasePeers({ kernel, settings }: BoxParts, peers: Peers): LeasePeers {
+function leasePeers(parts: BoxParts, peers: Peers): LeasePeers {
+  const { kernel, settings } = parts;
   const feed = kernel.find(desiredFeedName);
   return {
     heardMs: peers.heardMs,
     ordersForMs: (holder) => peers.find(holder)?.ordersForMs ?? 0,
+    claimed: () => peers.send(() => true),
     leaving: (holder) => peers.find(holder)?.leaving ?? false,
     rank() {
-      const serving = peers.heard().filter(({ word }) => word.ready);
-      const names = [settings.box.name, ...serving.map(({ word }) => word.box)];
-      return rankNodes(leaseKey, names).indexOf(settings.box.name);
+      const serving = peers.alive().filter((box) => box.ready);
+      return rankBoxes([ownProfile(parts), ...serving]).indexOf(settings.box.name);
     },
     allWithoutStore() {
-      const heard = peers.heard();
+      const heard = peers.statuses();
       if (feed.reachesStore() || heard.length * 2 < peers.most()) return false;
-      return heard.every(({ word }) => !word.reachesStore);
+      return heard.every((status) => !status.reachesStore);
     },
   };
 }
@@ -59,10 +60,12 @@
     engines: ports.engines,
     lease: kernel.find(orderLeaseName),
     configuration: () => feed.inForce()?.configuration,
-    demand: () => sumDemand([demand.read(), ...peers.heard().map(({ word }) => word.demand)]),
+    demand: () => sumDemand([demand.read(), ...peers.statuses().map((status) => status.demand)]),
     announce() {
       fleet.withhold(giver.withheld());
-      peers.tell();
+      // In a large deployment all others hear of it in their next round.
+      if (peers.mesh()) peers.send();
+      else peers.send((member) => hasWaiting(member.status));
     },
     rules: {
       plan: { inFlightOfReplica: placement.in_flight_of_replica, horizonMs: placement.horizon_ms },
--- a/packages/entry-box/src/provide-state.ts
+++ b/packages/entry-box/src/provide-state.ts
@@ -1,11 +1,11 @@
 /** Services that hold what a box believes: targets, configuration, other boxes. */
-import { createPeers, type Peers, peersName } from "@linkfall/box-peers";
+import { createPeers, type HeartbeatSource, type Peers, peersName } from "@linkfall/box-peers";
 import { createDesiredFeed, type DesiredFeed, desiredFeedName } from "@linkfall/desired-feed";
 import { createFleet, type Fleet, fleetName } from "@linkfall/fleet";
 import { repeatEvery } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
 import type { BoxParts } from "./box-parts.js";
-import type { WordMaker } from "./word-maker.js";
+import { createStoreReaders } from "./store-readers.js";
 
 const lapseCheckMs: Milliseconds = 250;
 
@@ -22,13 +22,15 @@
   return kernel.provide(fleetName, fleet);
 }
 
-export function provideFeed({ kernel, settings, ports }: BoxParts, fleet: Fleet): DesiredFeed {
+export function provideFeed(parts: BoxParts, fleet: Fleet): DesiredFeed {
+  const { kernel, settings, ports } = parts;
   const { store } = settings;
   const feed = createDesiredFeed(kernel, {
     configurationStream: ports.configurationStream,
     targetStream: ports.targetStream,
     codec: ports.records,
     fleet,
+    peers: createStoreReaders(parts),
     times: {
       waitMs: store.wait_ms,
       gatherMs: 0,
@@ -46,13 +48,21 @@
   return kernel.provide(desiredFeedName, feed, feed);
 }
 
-export function providePeers({ kernel, settings, wordClient }: BoxParts, word: WordMaker): Peers {
-  const peers = createPeers(kernel, wordClient, word, {
+export function providePeers(
+  { kernel, settings, peerClient }: BoxParts,
+  source: HeartbeatSource,
+): Peers {
+  const peers = createPeers(kernel, peerClient, source, {
     selfAddress: settings.box.peer_address,
     roundMs: settings.peers.round_ms,
+    roundPerBoxMs: settings.peers.round_per_box_ms,
     suspectMs: settings.peers.suspect_ms,
     forgetMs: settings.peers.forget_ms,
+    vouchedMs: settings.peers.vouched_ms,
     fanout: settings.peers.fanout,
+    searchFanout: settings.peers.search_fanout,
+    randomEvery: settings.peers.random_every,
+    sightings: settings.peers.sightings,
   });
   return kernel.provide(peersName, peers, peers);
 }
--- a/packages/entry-box/src/registry.ts
+++ b/packages/entry-box/src/registry.ts
@@ -8,6 +8,8 @@
 const retryMs: Milliseconds = 500;
 /** How often the registry is read again, for boxes that nobody has told of. */
 const readAgainMs: Milliseconds = 15_000;
+/** The same where one box hears all others and tells of them. */
+const readSeldomMs: Milliseconds = 60_000;
 
 function parseAddress(box: string, text: string): BoxAddress | undefined {
   return /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(text) ? { box, peerAddress: text } : undefined;
@@ -31,6 +33,7 @@
         if (address) peers.learn(address);
       }
     });
-    await sleep(clock, registered && read.isRight() ? readAgainMs : retryMs);
+    const againMs = peers.mesh() ? readAgainMs : readSeldomMs;
+    await sleep(clock, registered && read.isRight() ? againMs : retryMs);
   }
 }
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -25,6 +25,9 @@
   box: z.strictObject({
     name,
     domain: name,
+    /** Share of a processor that this box may use, and its speed against others'. */
+    processor_share: number(0.001, 1_000, 1),
+    processor_speed: number(0.001, 1_000, 1),
     front_address: address,
     ready_address: address,
     directory_address: address,
@@ -42,6 +45,8 @@
     gather_targets_ms: milliseconds(600),
     first_pause_ms: milliseconds(150),
     longest_pause_ms: milliseconds(1_000),
+    /** In a large deployment, boxes that read the store for all. */
+    readers: wholeNumber(1, 64, 3),
     /** How long after its return the store's list may lack targets that live. */
     settle_ms: milliseconds(2_200),
   }),
@@ -64,7 +69,18 @@
       call_ms: milliseconds(400),
       suspect_ms: milliseconds(1_500),
       forget_ms: milliseconds(60_000),
+      /** Up to this many other boxes all exchange heartbeats with all. */
       fanout: wholeNumber(1, 64, 8),
+      /** In a larger deployment, boxes asked in a round while the order giver is unheard. */
+      search_fanout: wholeNumber(1, 64, 4),
+      /** Every so many rounds a box at random is asked as well. */
+      random_every: wholeNumber(1, 1_000, 5),
+      /** Each other box lengthens a round by this, where that makes it longer than `round_ms`. */
+      round_per_box_ms: milliseconds(4),
+      /** How long boxes that the order giver vouched for are believed in after it fell silent. */
+      vouched_ms: milliseconds(4_500),
+      /** Other boxes that one heartbeat tells of. */
+      sightings: wholeNumber(0, 64, 8),
     })
     .prefault({}),
   lease: z
--- a/packages/fleet/src/fleet.steps.ts
+++ b/packages/fleet/src/fleet.steps.ts
@@ -38,10 +38,7 @@
     lapse: { graceMs: 1_600, share: 0.3 },
     ejection: { failuresInARow: 3, firstMs: 1_000, longestMs: 8_000 },
   });
-  fleet.takeList(
-    words(ids).map((id) => listed(id)),
-    false,
-  );
+  fleet.takeList(words(ids).map((id) => listed(id)));
   scenes.set(this, { clock, fleet });
 });
 
@@ -54,7 +51,7 @@
 });
 
 When("the entry of {string} goes", function (this: object, id: string) {
-  sceneOf(this).fleet.dropEntry(id, false);
+  sceneOf(this).fleet.dropEntry(id);
 });
 
 async function pass(world: object, ms: number, storeDisturbed: boolean): Promise<void> {
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -8,42 +8,26 @@
   ListedTarget,
   Milliseconds,
 } from "@linkfall/types";
+import { noLoad, takeHoldings, type TargetBelief, type TargetLoad } from "./belief.js";
+import { type FleetRules, type FleetState, noteChange, targetsOf } from "./fleet-state.js";
+import { afterFailure, afterRefusedConnection, afterSuccess, isEjected } from "./health.js";
 import {
-  createBelief,
-  takeHoldings,
-  takeListedModels,
-  type TargetBelief,
-  type TargetLoad,
-  noLoad,
-} from "./belief.js";
-import {
-  afterFailure,
-  afterRefusedConnection,
-  afterSuccess,
-  type EjectionRule,
-  isEjected,
-} from "./health.js";
-
-/** How long a target whose entry lapsed goes on being believed in. */
-export interface LapseRule {
-  /** After the store has come back, or after a lapse of many entries at once. */
-  readonly graceMs: Milliseconds;
-  /** Share of a service's entries that go within the grace to be taken for a lapse. */
-  readonly share: number;
-}
-
-export interface FleetRules {
-  readonly lapse: LapseRule;
-  readonly ejection: EjectionRule;
-}
+  dropEntry,
+  expireLapsed,
+  keepEarly,
+  looksLikeLapse,
+  takeEntry,
+  takeList,
+} from "./listing.js";
 
 export interface Fleet {
   /** Takes the whole list; targets that it lacks have lapsed or are gone. */
-  takeList(list: readonly ListedTarget[], storeDisturbed: boolean): void;
+  takeList(list: readonly ListedTarget[]): void;
   takeEntry(target: ListedTarget): void;
   /** Takes that an entry has gone from the list. */
-  dropEntry(id: string, storeDisturbed: boolean): void;
+  dropEntry(id: string): void;
   takeState(id: string, state: EngineState, ageMs: Milliseconds): void;
+  /** Takes what the holder of the order lease tells, also of a target that is not listed here yet. */
   takeHoldings(id: string, holdings: Holdings): void;
   /** Requests of the other boxes, by target. */
   takeOthers(loads: ReadonlyMap<string, TargetLoad>): void;
@@ -69,169 +53,103 @@
 
 export const fleetName = serviceName<Fleet>("fleet");
 
-export function createFleet(kernel: Kernel, rules: FleetRules): Fleet {
-  const clock = kernel.find(clockName);
-  const logger = kernel.find(loggerName);
-  const beliefs = new Map<string, TargetBelief>();
-  const listeners: (() => void)[] = [];
-  let ownWord = () => false;
-  let engines: ReadonlyMap<string, EngineShape | undefined> = new Map();
-
-  const changed = () => {
-    for (const listener of listeners) listener();
-  };
-
-  const add = (listed: ListedTarget) => {
-    beliefs.set(listed.id, createBelief(listed, engines.get(listed.service), clock.now()));
-    logger.event("targetSeen", {
-      target: listed.id,
-      service: listed.service,
-      address: listed.address,
-    });
-  };
-
-  const noteLeaving = (belief: TargetBelief, listed: ListedTarget) => {
-    if (!listed.leaving || belief.listed.leaving) return;
-    logger.event("targetLeaving", { target: listed.id, service: listed.service });
-  };
-
-  const update = (listed: ListedTarget) => {
-    const belief = beliefs.get(listed.id);
-    if (!belief) return add(listed);
-    noteLeaving(belief, listed);
-    // A target that once said that it leaves does not come back under the same id.
-    belief.listed = { ...listed, leaving: listed.leaving || belief.listed.leaving };
-    belief.missingSince = undefined;
-    if (!ownWord()) takeListedModels(belief, clock.now());
-  };
-
-  const remove = (belief: TargetBelief, why: string) => {
-    beliefs.delete(belief.listed.id);
-    logger.event("targetGone", { target: belief.listed.id, why });
-  };
+/** Notes a failure, and leaves the target out where that makes too many. */
+function worsen(state: FleetState, id: string, reason: string, after: typeof afterFailure): void {
+  const { clock, logger, rules } = state;
+  const belief = state.beliefs.get(id);
+  if (!belief) return;
+  const before = belief.health;
+  belief.health = after(before, rules.ejection, clock.now());
+  if (belief.health.ejections === before.ejections) return;
+  const forMs = Math.round(belief.health.ejectedUntil - clock.now());
+  logger.event("targetEjected", { target: id, reason, forMs });
+  clock.after(forMs, () => noteChange(state));
+}
 
-  const serviceSize = (service: string) =>
-    [...beliefs.values()].filter((belief) => belief.listed.service === service);
+function takeState(state: FleetState, id: string, read: EngineState, ageMs: Milliseconds): void {
+  const belief = state.beliefs.get(id);
+  const now = state.clock.now();
+  const at = now - ageMs;
+  if (!belief || at <= belief.stateAt) return;
+  belief.state = read;
+  belief.stateAt = at;
+  if (takeHoldings(belief, read, now)) noteChange(state);
+}
 
-  /** Whether so many entries of a service are missing that the list is to blame. */
-  const looksLikeLapse = (service: string): boolean => {
-    const targets = serviceSize(service);
-    const missing = targets.filter((target) => target.missingSince !== undefined);
-    return missing.length >= 2 && missing.length >= targets.length * rules.lapse.share;
-  };
+function takeTold(state: FleetState, id: string, holdings: Holdings): void {
+  const belief = state.beliefs.get(id);
+  if (!belief) return keepEarly(state, id, holdings);
+  if (takeHoldings(belief, holdings, state.clock.now())) noteChange(state);
+}
 
-  const miss = (belief: TargetBelief) => {
-    if (belief.missingSince !== undefined) return;
-    belief.missingSince = clock.now();
-    logger.event("targetMissing", { target: belief.listed.id, service: belief.listed.service });
-  };
+function withhold(state: FleetState, models: ReadonlyMap<string, readonly string[]>): void {
+  let freed = false;
+  for (const belief of state.beliefs.values()) {
+    const withheld = new Set(models.get(belief.listed.id) ?? []);
+    if (withheld.size < belief.withheld.size) freed = true;
+    belief.withheld = withheld;
+  }
+  if (freed) noteChange(state);
+}
 
-  const expireLapsed = (storeDisturbed: boolean) => {
-    if (storeDisturbed) {
-      // Nobody can renew an entry now: the grace begins with the store's return.
-      for (const belief of beliefs.values()) {
-        if (belief.missingSince !== undefined) belief.missingSince = clock.now();
-      }
-      return;
-    }
-    for (const belief of [...beliefs.values()]) {
-      const { missingSince } = belief;
-      if (missingSince === undefined) continue;
-      if (clock.now() - missingSince > rules.lapse.graceMs) remove(belief, "not listed again");
-    }
-  };
+function deny(state: FleetState, id: string, key: string, forMs: Milliseconds): void {
+  const belief = state.beliefs.get(id);
+  if (!belief) return;
+  const { sequence } = belief.holdings;
+  belief.denied.set(key, { sequence, until: state.clock.now() + forMs });
+  if (Number.isFinite(forMs)) state.clock.after(forMs, () => noteChange(state));
+}
 
-  const worsen = (id: string, reason: string, after: typeof afterFailure) => {
-    const belief = beliefs.get(id);
-    if (!belief) return;
-    const before = belief.health;
-    belief.health = after(before, rules.ejection, clock.now());
-    if (belief.health.ejections === before.ejections) return;
-    const forMs = Math.round(belief.health.ejectedUntil - clock.now());
-    logger.event("targetEjected", { target: id, reason, forMs });
-    clock.after(forMs, changed);
-  };
+function usable(state: FleetState, service: string): readonly TargetBelief[] {
+  const now = state.clock.now();
+  const staying = targetsOf(state, service).filter((belief) => !belief.listed.leaving);
+  const lapse = looksLikeLapse(state, service);
+  const sound = staying.filter(
+    (belief) => (lapse || belief.missingSince === undefined) && !isEjected(belief.health, now),
+  );
+  // With nothing else left, a target that was left out is better than none.
+  return sound.length > 0 ? sound : staying;
+}
 
-  const usableNow = (belief: TargetBelief) => {
-    if (belief.listed.leaving) return false;
-    return !isEjected(belief.health, clock.now());
+export function createFleet(kernel: Kernel, rules: FleetRules): Fleet {
+  const state: FleetState = {
+    clock: kernel.find(clockName),
+    logger: kernel.find(loggerName),
+    rules,
+    beliefs: new Map(),
+    early: new Map(),
+    listeners: [],
+    engines: new Map(),
+    ownWord: () => false,
   };
-
+  const { beliefs, listeners } = state;
   return {
-    takeList(list) {
-      const names = new Set(list.map((target) => target.id));
-      for (const target of list) update(target);
-      for (const belief of beliefs.values()) {
-        if (!names.has(belief.listed.id)) miss(belief);
-      }
-      changed();
-    },
-    takeEntry(target) {
-      update(target);
-      changed();
-    },
-    dropEntry(id) {
-      const belief = beliefs.get(id);
-      if (!belief) return;
-      if (belief.listed.leaving) remove(belief, "left");
-      else miss(belief);
-    },
-    takeState(id, state, ageMs) {
-      const belief = beliefs.get(id);
-      if (!belief) return;
-      const at = clock.now() - ageMs;
-      if (at <= belief.stateAt) return;
-      belief.state = state;
-      belief.stateAt = at;
-      if (takeHoldings(belief, state, clock.now())) changed();
-    },
-    takeHoldings(id, holdings) {
-      const belief = beliefs.get(id);
-      if (belief && takeHoldings(belief, holdings, clock.now())) changed();
-    },
+    takeList: (list) => takeList(state, list),
+    takeEntry: (target) => takeEntry(state, target),
+    dropEntry: (id) => dropEntry(state, id),
+    takeState: (id, read, ageMs) => takeState(state, id, read, ageMs),
+    takeHoldings: (id, holdings) => takeTold(state, id, holdings),
     takeOthers(loads) {
       for (const belief of beliefs.values()) belief.others = loads.get(belief.listed.id) ?? noLoad;
     },
-    withhold(models) {
-      let freed = false;
-      for (const belief of beliefs.values()) {
-        const withheld = new Set(models.get(belief.listed.id) ?? []);
-        if (withheld.size < belief.withheld.size) freed = true;
-        belief.withheld = withheld;
-      }
-      if (freed) changed();
-    },
-    deny(id, key, forMs = Infinity) {
-      const belief = beliefs.get(id);
-      if (!belief) return;
-      const { sequence } = belief.holdings;
-      belief.denied.set(key, { sequence, until: clock.now() + forMs });
-      if (Number.isFinite(forMs)) clock.after(forMs, changed);
-    },
+    withhold: (models) => withhold(state, models),
+    deny: (id, key, forMs = Infinity) => deny(state, id, key, forMs),
     succeeded(id) {
       const belief = beliefs.get(id);
       if (belief) belief.health = afterSuccess(belief.health);
     },
-    failed: (id, reason) => worsen(id, reason, afterFailure),
-    unreachable: (id, reason) => worsen(id, reason, afterRefusedConnection),
+    failed: (id, reason) => worsen(state, id, reason, afterFailure),
+    unreachable: (id, reason) => worsen(state, id, reason, afterRefusedConnection),
     find: (id) => beliefs.get(id),
     all: () => [...beliefs.values()],
-    usable(service) {
-      const targets = serviceSize(service);
-      const present = targets.filter((target) => target.missingSince === undefined);
-      const lapse = looksLikeLapse(service);
-      const sound = (lapse ? targets : present).filter(usableNow);
-      if (sound.length > 0) return sound;
-      // With nothing else left, a target that was left out is better than none.
-      return targets.filter((target) => !target.listed.leaving);
-    },
+    usable: (service) => usable(state, service),
     onChange: (listener) => void listeners.push(listener),
     setEngines(shapes) {
-      engines = shapes;
+      state.engines = shapes;
     },
     trustOwnWord(fresh) {
-      ownWord = fresh;
+      state.ownWord = fresh;
     },
-    expireLapsed,
+    expireLapsed: (storeDisturbed) => expireLapsed(state, storeDisturbed),
   };
 }
--- a/packages/order-lease/src/index.ts
+++ b/packages/order-lease/src/index.ts
@@ -43,6 +43,8 @@
   ordersForMs(incarnation: Incarnation): Milliseconds;
   /** This box's place in the order in which boxes claim. */
   rank(): number;
+  /** Tells all boxes of a claim that this one has made. */
+  claimed(): void;
   /** Whether most boxes are heard and none of them reaches the store. */
   allWithoutStore(): boolean;
 }
@@ -197,6 +199,7 @@
         epoch: epochOf(offset),
         ordersInMs: Math.round(state.from - clock.now()),
       });
+      peers.claimed();
     });
   };
 
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -75,6 +75,7 @@
     leaving: (other) => find(other)?.leaving ?? false,
     ordersForMs: (other) => find(other)?.told.ordersForMs ?? 0,
     rank: () => rank,
+    claimed: () => undefined,
     allWithoutStore: () =>
       boxes.every((box) => box.silent || access.get(box.name) === "refuses") &&
       boxes.filter((box) => !box.silent).length * 2 > boxes.length,
--- a/packages/test-support/src/tests/keyed-store.ts
+++ b/packages/test-support/src/tests/keyed-store.ts
@@ -15,6 +15,8 @@
   /** Drops the history: reads from before now are told so. */
   compact(): void;
   records(): readonly KeyedRecord[];
+  /** Calls that have read so far. */
+  reads(): number;
 }
 
 /** How often a read that waits looks again. */
@@ -24,6 +26,7 @@
   const records: KeyedRecord[] = [];
   const access = new Map<string, StoreAccess>();
   let first = 0;
+  let reads = 0;
   const accessOf = (box: string) => access.get(box) ?? "serves";
   const refused = () => Left({ kind: "log_unavailable", reason: "cut off" } as const);
   const append = (key: string, value: string | undefined) => {
@@ -42,10 +45,12 @@
 
   const portFor = (box: string): KeyedStreamPort => ({
     async newest() {
+      reads += 1;
       await after(1);
       return accessOf(box) === "serves" ? Right(newestOfKeys()) : refused();
     },
     async changes(from, waitMs) {
+      reads += 1;
       const until = clock.now() + waitMs;
       await after(1);
       while (records.length <= from && clock.now() < until) await after(lookMs);
@@ -71,6 +76,7 @@
     compact: () => {
       first = records.length;
     },
+    reads: () => reads,
     records: () => records,
   };
 }
--- a/packages/weight-orders/src/ask-engines.ts
+++ b/packages/weight-orders/src/ask-engines.ts
@@ -1,5 +1,6 @@
 /** Asks engines for their state: those with a move often, the others now and then. */
 import type { TargetBelief } from "@linkfall/fleet";
+import type { Milliseconds } from "@linkfall/types";
 import { enginesOf, type GiverContext, pendingAdapter } from "./giver-context.js";
 
 /** Asks one engine, unless it is being asked. */
@@ -19,16 +20,21 @@
   });
 }
 
+/** With many engines, those without a move are asked less often: one every so many milliseconds. */
+const askGapMs: Milliseconds = 20;
+
 /** Asks every engine whose state is due. */
 export function askDueEngines(context: GiverContext): void {
   const { state, clock, rules } = context;
   const now = clock.now();
-  for (const belief of enginesOf(context)) {
+  const engines = enginesOf(context);
+  const stillMs = Math.max(rules.stateMs, engines.length * askGapMs);
+  for (const belief of engines) {
     const { id } = belief.listed;
     const adaptersMove =
       pendingAdapter(context, belief) !== undefined ||
       (belief.state?.adaptersComing.length ?? 0) > 0;
-    const every = state.work.has(id) || adaptersMove ? rules.busyStateMs : rules.stateMs;
+    const every = state.work.has(id) || adaptersMove ? rules.busyStateMs : stillMs;
     if (now - (state.asked.get(id) ?? -Infinity) >= every) void askEngine(context, belief);
   }
 }
--- a/packages/weight-orders/src/order-giver.ts
+++ b/packages/weight-orders/src/order-giver.ts
@@ -26,6 +26,10 @@
 export const orderGiverName = serviceName<OrderGiver>("order-giver");
 
 const tickMs: Milliseconds = 50;
+/** Looks take at most about this share of the time, however large the deployment is. */
+const mostLookShare = 0.2;
+/** Two looks are at least this far apart. */
+const leastGapMs: Milliseconds = 10;
 /** A box that may not give orders looks less often whether it may. */
 const idleTickMs: Milliseconds = 200;
 /** The epoch of the first claim of all: nobody gave orders before it. */
@@ -80,21 +84,36 @@
   const { state } = context;
   let stopped = false;
   let cancel: CancelTimer = () => undefined;
+  /** The next look comes no sooner. */
+  let notBefore = -Infinity;
+  let hurrying = false;
 
+  const lookNow = (epoch: Epoch) => {
+    const before = clock.now();
+    look(context, epoch);
+    const tookMs = clock.now() - before;
+    notBefore = before + Math.max(leastGapMs, tookMs / mostLookShare);
+  };
   const tick = () => {
     if (stopped) return;
+    hurrying = false;
     const epoch = input.lease.epoch();
-    cancel = clock.after(epoch === undefined ? idleTickMs : tickMs, tick);
-    if (epoch !== undefined) look(context, epoch);
+    if (epoch !== undefined) lookNow(epoch);
     else if (state.epoch !== undefined) endTenure(context);
+    const waitMs = epoch === undefined ? idleTickMs : tickMs;
+    cancel = clock.after(Math.max(waitMs, notBefore - clock.now()), tick);
   };
 
   return {
     withheld: () => new Map([...state.work].map(([id, work]) => [id, work.move.victims] as const)),
     expected: () => expectedTimes(context),
     hurry() {
+      if (hurrying || stopped) return;
       cancel();
-      tick();
+      const waitMs = notBefore - clock.now();
+      if (waitMs <= 0) return tick();
+      hurrying = true;
+      cancel = clock.after(waitMs, tick);
     },
     async start() {
       tick();
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -193,7 +193,7 @@
     lapse: { graceMs: 1_600, share: 0.3 },
     ejection: { failuresInARow: 3, firstMs: 1_000, longestMs: 8_000 },
   });
-  fleet.takeList(engineIds.map(listed), false);
+  fleet.takeList(engineIds.map(listed));
   const scene: Scene = {
     clock,
     fleet,
--- a/packages/weight-plan/src/plan.ts
+++ b/packages/weight-plan/src/plan.ts
@@ -49,19 +49,36 @@
 const storeLoadsReserved = 3;
 /** Replicas of one model that may be on their way at once. */
 const mostComing = 2;
+/** Wishes of one plan: the others come with the next ones, some tens of milliseconds later. */
+const mostWishes = 32;
 /** Beyond this, requests of a model on one replica earn a further one. */
 const replicaGainMs: Milliseconds = 250;
 
-function isAtHand(engines: readonly EngineView[], name: string): boolean {
-  return engines.some(
-    (engine) =>
-      engine.inMemory.includes(name) || engine.onDisk.includes(name) || engine.incoming === name,
-  );
+/** Where models are over all engines, counted once for a whole plan. */
+interface Whereabouts {
+  readonly copies: Map<string, number>;
+  /** Models that some engine has at hand, or that are on their way. */
+  readonly atHand: ReadonlySet<string>;
+  /** Loads on their way, by model. */
+  readonly coming: ReadonlyMap<string, number>;
+}
+
+function locate(engines: readonly EngineView[]): Whereabouts {
+  const atHand = new Set<string>();
+  const coming = new Map<string, number>();
+  for (const { inMemory, onDisk, incoming } of engines) {
+    for (const name of inMemory) atHand.add(name);
+    for (const name of onDisk) atHand.add(name);
+    if (incoming === undefined) continue;
+    atHand.add(incoming);
+    coming.set(incoming, (coming.get(incoming) ?? 0) + 1);
+  }
+  return { copies: countCopies(engines), atHand, coming };
 }
 
 function wishFor(
   input: PlanInput,
-  copies: ReadonlyMap<string, number>,
+  { copies, atHand, coming }: Whereabouts,
   model: DeclaredModel,
 ): Wish | undefined {
   const need = input.needs.get(model.name);
@@ -70,23 +87,23 @@
     return { model, reason: "waiting", weight: need.waiting * waitingWeight };
   }
   const perReplica = need && have > 0 ? need.inFlight / have : 0;
-  const coming = input.engines.filter((engine) => engine.incoming === model.name).length;
   // Requests that pile up during loads are no demand for ever more replicas.
-  if (perReplica > input.rules.inFlightOfReplica && coming < mostComing) {
+  if (perReplica > input.rules.inFlightOfReplica && (coming.get(model.name) ?? 0) < mostComing) {
     return { model, reason: "demand", weight: perReplica - input.rules.inFlightOfReplica };
   }
-  if (have === 0 && !isAtHand(input.engines, model.name)) {
+  if (have === 0 && !atHand.has(model.name)) {
     return { model, reason: "unreachable", weight: 0 };
   }
   return undefined;
 }
 
-function wishesOf(input: PlanInput, copies: ReadonlyMap<string, number>): readonly Wish[] {
-  const wishes = [...input.models.values()].flatMap((model) => wishFor(input, copies, model) ?? []);
+function wishesOf(input: PlanInput, where: Whereabouts): readonly Wish[] {
+  const wishes = [...input.models.values()].flatMap((model) => wishFor(input, where, model) ?? []);
   const pressing = wishes.filter((wish) => wish.reason !== "unreachable");
   // A slow load for nobody yet must not hold an engine that others need soon.
   const chosen = pressing.length > 0 ? pressing : wishes;
-  return [...chosen].sort((left, right) => right.weight - left.weight);
+  const sorted = [...chosen].sort((left, right) => right.weight - left.weight);
+  return sorted.slice(0, mostWishes);
 }
 
 interface Place {
@@ -161,10 +178,11 @@
 
 /** Moves to begin now: at most one an engine. */
 export function planMoves(input: PlanInput): readonly WeightMove[] {
-  const copies = countCopies(input.engines);
+  const where = locate(input.engines);
+  const { copies } = where;
   const moves: WeightMove[] = [];
   let { storeLoadsLeft, engines } = input;
-  for (const { model, ...wish } of wishesOf(input, copies)) {
+  for (const { model, ...wish } of wishesOf(input, where)) {
     const place = bestPlace({ ...input, engines }, copies, { model, ...wish }, storeLoadsLeft);
     // An engine that is soon free and has the weights at hand is better than a slow load now.
     if (!place || place.engine.freeInMs > 0) continue;
