--- a/packages/entry-box/src/planned-stop.ts
+++ b/packages/entry-box/src/planned-stop.ts
@@ -1,16 +1,16 @@
 /** The course of a planned stop: leave the answers, serve on until callers have moved, then end. */
 import type { EntrySettings } from "@linkfall/entry-settings";
 import { type Clock, sleep } from "@linkfall/kernel";
-import type { Milliseconds } from "@linkfall/types";
+import type { Milliseconds, Route } from "@linkfall/types";
 import type { Front } from "./front.js";
 
 export interface PlannedStop {
   begin(): void;
   begun(): boolean;
-  /** Whether a request that needs about `objectiveMs` can still end before the process must. */
-  takes(objectiveMs: Milliseconds): boolean;
+  /** Whether a request of the route can still end before the process must. */
+  takes(route: Pick<Route, "streaming" | "objectiveMs">): boolean;
   /** Resolves when the process may end. */
-  finish(front: Front): Promise<void>;
+  finish(front: Pick<Front, "quietMs" | "open" | "close">): Promise<void>;
 }
 
 /** Kept back of the grace for the process's own end. */
@@ -18,18 +18,31 @@
 const stepMs: Milliseconds = 50;
 /** Some callers keep an answer of the directory this many times as long as they are told. */
 const lateCallers = 3;
+/** A whole answer is expected to take at most this many times its route's objective. */
+const answerObjectives = 2;
+/** A stream's objective is about its first event: how long it goes on nobody knows beforehand. It is
+ * begun only in this part of the grace, so that the rest is left for it. */
+const streamShare = 0.3;
 
-export function createPlannedStop(clock: Clock, settings: EntrySettings): PlannedStop {
+export function createPlannedStop(
+  clock: Clock,
+  settings: Pick<EntrySettings, "callers" | "stop">,
+): PlannedStop {
   let beganAt: Milliseconds | undefined;
   const lifetimeMs = settings.callers.entries_lifetime_ms;
-  const lastMs = settings.stop.grace_ms - reserveMs;
+  const graceMs = settings.stop.grace_ms;
+  const lastMs = graceMs - reserveMs;
   const sinceMs = () => (beganAt === undefined ? 0 : clock.now() - beganAt);
   return {
     begin() {
       beganAt ??= clock.now();
     },
     begun: () => beganAt !== undefined,
-    takes: (objectiveMs) => beganAt === undefined || lastMs - sinceMs() > objectiveMs * 2,
+    takes({ streaming, objectiveMs }) {
+      if (beganAt === undefined) return true;
+      if (streaming && sinceMs() > graceMs * streamShare) return false;
+      return lastMs - sinceMs() > objectiveMs * answerObjectives;
+    },
     async finish(front) {
       // Callers that were told of this address may connect until their answer has run out.
       const listenMs = Math.min(lifetimeMs * lateCallers, lastMs / 2);
--- a/packages/weight-orders/src/advance-moves.ts
+++ b/packages/weight-orders/src/advance-moves.ts
@@ -4,7 +4,7 @@
 import type { WeightMove } from "@linkfall/weight-plan";
 import { type EngineWork, isPending, nextStep, wordToGoBy } from "./engine-work.js";
 import { endMove, fits, giveOrder, planOrder, planOrderAhead } from "./give-order.js";
-import { type GiverContext, shapeOf } from "./giver-context.js";
+import { type GiverContext, shapeOf, stateInTenure } from "./giver-context.js";
 
 /** What an unload takes with the reports that show its end. */
 const unloadMs: Milliseconds = 300;
@@ -44,10 +44,11 @@
   const { state, clock, rules } = context;
   const { id } = belief.listed;
   const now = clock.now();
-  if (!belief.state || state.ordering.has(id)) return;
+  const read = stateInTenure(context, belief);
+  if (!read || state.ordering.has(id)) return;
   const said = {
     sequence: belief.holdings.sequence,
-    busy: belief.state.busy,
+    busy: read.busy,
     models: belief.holdings.models.map((model) => model.name),
   };
   const word = wordToGoBy(work, said, now);
--- a/packages/weight-orders/src/giver-context.ts
+++ b/packages/weight-orders/src/giver-context.ts
@@ -6,7 +6,13 @@
 import type { ModelDemand } from "@linkfall/model-demand";
 import type { OrderLease } from "@linkfall/order-lease";
 import type { RoutedEnginePort } from "@linkfall/ports";
-import type { EngineShape, Epoch, Milliseconds, RoutedConfiguration } from "@linkfall/types";
+import type {
+  EngineShape,
+  EngineState,
+  Epoch,
+  Milliseconds,
+  RoutedConfiguration,
+} from "@linkfall/types";
 import type { PlanRules } from "@linkfall/weight-plan";
 import type { EngineWork } from "./engine-work.js";
 import { createStoreLoadWindow, type StoreLoadWindow } from "./store-loads.js";
@@ -63,6 +69,8 @@
   readonly adapterOrders: Map<string, AdapterOrder>;
   readonly loads: StoreLoadWindow;
   epoch: Epoch | undefined;
+  /** Since when this box holds that epoch. */
+  tenureSince: Milliseconds;
 }
 
 export interface GiverContext extends OrderGiverInput {
@@ -83,6 +91,7 @@
     adapterOrders: new Map(),
     loads: createStoreLoadWindow(),
     epoch: undefined,
+    tenureSince: Infinity,
   };
 }
 
@@ -98,6 +107,18 @@
     .filter((belief) => shapeOf(context, belief) !== undefined && !belief.listed.leaving);
 }
 
+/**
+ * What the engine has said of itself in this tenure. What it said before may be older than an order
+ * of another holder, and holdings that another box told of lack what is on its way.
+ */
+export function stateInTenure(
+  { state }: GiverContext,
+  belief: TargetBelief,
+): EngineState | undefined {
+  if (belief.stateAt < state.tenureSince || !belief.state) return undefined;
+  return belief.state.sequence >= belief.holdings.sequence ? belief.state : undefined;
+}
+
 /** The order about an adapter whose effect on this engine has yet to be seen. */
 export function pendingAdapter(
   { state, clock }: GiverContext,
--- a/packages/weight-orders/src/order-giver.ts
+++ b/packages/weight-orders/src/order-giver.ts
@@ -38,7 +38,9 @@
 /** Begins a tenure: what another holder may have begun is counted as begun. */
 function takeOver({ state, clock, configuration }: GiverContext, epoch: Epoch): void {
   state.epoch = epoch;
+  state.tenureSince = clock.now();
   state.work.clear();
+  state.asked.clear();
   if (epoch === firstEpoch) return;
   for (const service of configuration()?.services.values() ?? []) {
     const perSecond = service.engine?.storeLoadsPerSecond;
--- a/packages/weight-orders/src/plan-service.ts
+++ b/packages/weight-orders/src/plan-service.ts
@@ -5,7 +5,7 @@
 import { type AdapterNeed, type EngineView, planAdapters, planMoves } from "@linkfall/weight-plan";
 import { beginMove, leastLeftMs, moveLeftMs } from "./advance-moves.js";
 import { fits, giveOrder, planOrder } from "./give-order.js";
-import { enginesOf, type GiverContext, pendingAdapter } from "./giver-context.js";
+import { enginesOf, type GiverContext, pendingAdapter, stateInTenure } from "./giver-context.js";
 import { toEngineView, toNeeds } from "./views.js";
 
 function viewOf(
@@ -14,7 +14,13 @@
   shape: EngineShape,
 ): EngineView | undefined {
   const work = context.state.work.get(belief.listed.id);
-  const view = toEngineView(belief, shape, work, work ? moveLeftMs(context, work) : 0);
+  const view = toEngineView(
+    belief,
+    stateInTenure(context, belief),
+    shape,
+    work,
+    work ? moveLeftMs(context, work) : 0,
+  );
   const pending = pendingAdapter(context, belief);
   if (!view || !pending) return view;
   const adaptersComing = [...view.adaptersComing, pending.key];
--- a/packages/weight-orders/src/views.ts
+++ b/packages/weight-orders/src/views.ts
@@ -1,18 +1,19 @@
 /** From what the box believes of engines to what the planner needs. */
 import type { TargetBelief } from "@linkfall/fleet";
 import type { ModelDemand } from "@linkfall/model-demand";
-import type { EngineShape, Milliseconds } from "@linkfall/types";
+import type { EngineShape, EngineState, Milliseconds } from "@linkfall/types";
 import type { EngineView, ModelNeed } from "@linkfall/weight-plan";
 import type { EngineWork } from "./engine-work.js";
 
-/** The planner's view of one engine; undefined before its state is known. */
+/** The planner's view of one engine; undefined before its `state` is known. */
 export function toEngineView(
   belief: TargetBelief,
+  state: EngineState | undefined,
   shape: EngineShape,
   work: EngineWork | undefined,
   workLeftMs: Milliseconds,
 ): EngineView | undefined {
-  const { state, listed, holdings } = belief;
+  const { listed, holdings } = belief;
   if (!state) return undefined;
   const inFlight = belief.own.inFlight + belief.others.inFlight;
   return {
--- a/packages/weight-orders/src/weight-orders.feature
+++ b/packages/weight-orders/src/weight-orders.feature
@@ -36,6 +36,20 @@
     And 1000 ms go by in the giver
     Then the lease is told that epoch 4 was refused
 
+  Scenario: A box that holds the lease again asks engines before it orders
+    Given 1 engines "x" of 150 MB that hold nothing, and loads from the store at 100 a second
+    When 600 ms go by in the giver
+    And the giver loses the lease
+    And another holder has "a" loaded into "x0" and tells of it while the load is under way
+    And engines answer after 200 ms
+    And the giver holds the lease again under epoch 6
+    And requests wait for "b"
+    And 1000 ms go by in the giver
+    Then nothing was overfilled
+    When 3000 ms go by in the giver
+    Then one engine holds "b"
+    And nothing was overfilled
+
   Scenario: The weight store's rate is kept, also after a takeover
     Given 12 engines "x" of 150 MB that hold nothing, and loads from the store at 2 a second
     When requests wait for "a b c" on many engines and 20000 ms go by in the giver
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -27,7 +27,7 @@
 
 const service = "s";
 const modelMb = 100;
-const answerMs = 5;
+const promptAnswerMs = 5;
 const loadMs = 200;
 
 type Fate = "taken" | "lost" | { readonly lateMs: number };
@@ -54,6 +54,8 @@
   epoch: number | undefined;
   demand: readonly ModelDemand[];
   perSecond: number;
+  /** Time that engines take to answer. */
+  answerMs: number;
   names: readonly string[];
   /** Models that every engine has on its disk. */
   onDisk: readonly string[];
@@ -123,7 +125,7 @@
   const find = (id: string) => scene.engines.find((engine) => engine.id === id);
   return {
     async state({ id }) {
-      await after(answerMs);
+      await after(scene.answerMs);
       const engine = find(id);
       if (!engine) {
         return Left({ kind: "target_unreachable", reason: "gone", mayHaveArrived: false });
@@ -144,7 +146,7 @@
     async order({ id }, order) {
       scene.orders.push({ at: clock.now(), order });
       const fate = scene.fates.shift() ?? "taken";
-      await after(answerMs);
+      await after(scene.answerMs);
       const engine = find(id);
       if (!engine) return "gone";
       if (fate === "taken") return carryOut(scene, engine, order);
@@ -212,6 +214,7 @@
     epoch: 4,
     demand: [],
     perSecond: 100,
+    answerMs: promptAnswerMs,
     names,
     onDisk: names,
   };
@@ -265,6 +268,28 @@
   sceneOf(this).epoch = undefined;
 });
 
+Given(
+  "another holder has {string} loaded into {string} and tells of it while the load is under way",
+  async function (this: object, name: string, id: string) {
+    const scene = sceneOf(this);
+    const engine = scene.engines.find((candidate) => candidate.id === id);
+    assert.ok(engine);
+    await scene.clock.runUntil(scene.clock.now() + 300);
+    engine.sequence += 1;
+    scene.fleet.takeHoldings(id, { sequence: engine.sequence, models: [] });
+    await scene.clock.runUntil(scene.clock.now() + 2_000);
+    engine.models.push(name);
+  },
+);
+
+Given("engines answer after {int} ms", function (this: object, ms: number) {
+  sceneOf(this).answerMs = ms;
+});
+
+Given("the giver holds the lease again under epoch {int}", function (this: object, epoch: number) {
+  sceneOf(this).epoch = epoch;
+});
+
 Given("the engines have seen epoch {int}", function (this: object, epoch: number) {
   for (const engine of sceneOf(this).engines) engine.seenEpoch = epoch;
 });
@@ -334,6 +359,11 @@
   },
 );
 
+Then("one engine holds {string}", function (this: object, name: string) {
+  const held = sceneOf(this).engines.map((engine) => engine.models.join(" "));
+  assert.deepEqual(held, [name]);
+});
+
 Then("nothing was overfilled", function (this: object) {
   for (const engine of sceneOf(this).engines) assert.ok(!engine.overfilled, engine.id);
 });
