--- a/packages/entry-box/src/box-parts.ts
+++ b/packages/entry-box/src/box-parts.ts
@@ -3,7 +3,7 @@
 import type { EntrySettings } from "@linkfall/entry-settings";
 import { clockName, createKernel, type Kernel, randomName } from "@linkfall/kernel";
 import { loggerName } from "@linkfall/logger";
-import { createMetrics, metricsName } from "@linkfall/metrics";
+import { metricsName } from "@linkfall/metrics";
 import { createDemandMeter, type DemandMeter } from "@linkfall/model-demand";
 import type { Incarnation } from "@linkfall/types";
 import { type Activity, createActivity } from "./activity.js";
@@ -28,7 +28,7 @@
   kernel.provide(clockName, clock);
   kernel.provide(randomName, random);
   kernel.provide(loggerName, logger);
-  kernel.provide(metricsName, createMetrics());
+  kernel.provide(metricsName, ports.metrics);
   const activity = createActivity(clock, random, ports.busyShare);
   return {
     kernel,
--- a/packages/entry-box/src/box-ports.ts
+++ b/packages/entry-box/src/box-ports.ts
@@ -1,12 +1,15 @@
 /** What a box that forwards opaque requests needs of its surroundings. */
 import type { Clock, Random } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
+import type { Metrics } from "@linkfall/metrics";
 import type { KeyedStreamPort, RecordCodec, RequestCodec, RoutedEnginePort } from "@linkfall/ports";
 
 export interface EntryBoxPorts {
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  /** The ports record into it as well. */
+  readonly metrics: Metrics;
   /** Written by operators only. */
   readonly configurationStream: KeyedStreamPort;
   /** Written by targets only. */
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -109,7 +109,7 @@
     async start() {
       logger.event("boxStarted", { incarnation });
       for (const peerAddress of settings.box.seeds) peers.learn({ box: "seed", peerAddress });
-      await peerServer.listen(settings.box.peer_address);
+      await peerServer.listen(settings.box.peer_listen_address ?? settings.box.peer_address);
       await front.listen();
       await kernel.start();
       const self = { box: settings.box.name, peerAddress: settings.box.peer_address };
--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -4,9 +4,11 @@
 import {
   type ChangeWaiter,
   createChangeWaiter,
+  createForwardMetrics,
   createWorkCostMeter,
   type ForwardContext,
 } from "@linkfall/forwarding";
+import { metricsName } from "@linkfall/metrics";
 import { orderLeaseName } from "@linkfall/order-lease";
 import { createRetryBudget } from "@linkfall/retry-budget";
 import type { Milliseconds } from "@linkfall/types";
@@ -53,6 +55,7 @@
     clock,
     random,
     logger,
+    metrics: createForwardMetrics(kernel.find(metricsName)),
     codec: ports.requests,
     fleet: kernel.find(fleetName),
     demand,
--- a/packages/entry-box/src/gauges.ts
+++ b/packages/entry-box/src/gauges.ts
@@ -27,6 +27,14 @@
   metrics.gauge("linkfall_store_reachable", "1 while the store answers this box.", () =>
     feed.reachesStore() ? 1 : 0,
   );
+  metrics.gauge("linkfall_engine_reports_age_ms", "Age of the oldest engine's holdings.", () => {
+    const engines = fleet.all().filter(({ holdings }) => holdings.sequence >= 0);
+    const oldest = Math.min(ports.clock.now(), ...engines.map(({ holdingsAt }) => holdingsAt));
+    return Math.round(ports.clock.now() - oldest);
+  });
+  metrics.gauge("linkfall_store_read_here", "1 while this box reads the store itself.", () =>
+    feed.reading() ? 1 : 0,
+  );
   metrics.gauge("linkfall_requests_open", "Requests without a final answer.", front.open);
   metrics.gauge(
     "linkfall_boxes_heard",
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -32,6 +32,8 @@
     ready_address: address,
     directory_address: address,
     peer_address: address,
+    /** Where this box listens for others, where that is not what it tells them. */
+    peer_listen_address: address.optional(),
     metrics_address: address,
     /** Peer addresses of boxes that may be up, for when the store is not. */
     seeds: addresses,
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -49,6 +49,8 @@
   readonly silentMs?: Milliseconds;
   /** Called with the first byte of the body. */
   onFirstBytes(): void;
+  /** Called with the time between the bytes of a stream. */
+  onGap(ms: Milliseconds): void;
 }
 
 /** Longest answer that is held whole; longer ones are passed on as they come. */
@@ -74,7 +76,7 @@
   let head: AnswerHead | undefined;
   let facts: AnswerFacts | undefined;
   let passing = false;
-  let seenBytes = false;
+  let bytesAt: Milliseconds | undefined;
   let settled = false;
   let cancelSilence = () => undefined as void;
 
@@ -133,10 +135,12 @@
   const takeBytes = (bytes: Buffer) => {
     if (settled || !head) return;
     watchSilence();
-    if (!seenBytes) input.onFirstBytes();
-    seenBytes = true;
-    if (isStream()) passEvents(head, bytes);
-    else hold(head, bytes);
+    const before = bytesAt;
+    bytesAt = clock.now();
+    if (before === undefined) input.onFirstBytes();
+    if (!isStream()) return hold(head, bytes);
+    if (before !== undefined) input.onGap(bytesAt - before);
+    passEvents(head, bytes);
   };
   const takeWhole = () => {
     if (!head || !facts) return settle({ kind: "lost", reason: "no answer", begun: begun() });
--- /dev/null
+++ b/packages/forwarding/src/forward-metrics.ts
@@ -0,0 +1,40 @@
+/** What the forwarding of requests counts and measures. */
+import type { Metrics } from "@linkfall/metrics";
+import type { Milliseconds } from "@linkfall/types";
+
+export interface ForwardMetrics {
+  /** A send has ended. */
+  sendEnded(service: string, end: string): void;
+  /** The first bytes of an answer's body came so long after the send. */
+  firstBytes(afterMs: Milliseconds): void;
+  /** The next bytes of a stream came so long after those before. */
+  gap(ms: Milliseconds): void;
+  /** A further send was asked of the retry budget. */
+  retry(service: string, granted: boolean): void;
+  /** A request waited for weights. */
+  waited(ms: Milliseconds): void;
+}
+
+/** Records into the metrics of the process. */
+export function createForwardMetrics(metrics: Metrics): ForwardMetrics {
+  return {
+    sendEnded: (service, end) =>
+      metrics.count("linkfall_sends_total", "Sends to targets, by how they ended.", {
+        service,
+        end,
+      }),
+    firstBytes: (afterMs) =>
+      metrics.observe(
+        "linkfall_first_byte_ms",
+        "From a send to the answer's first bytes.",
+        afterMs,
+      ),
+    gap: (ms) => metrics.observe("linkfall_stream_gap_ms", "Between the bytes of a stream.", ms),
+    retry: (service, granted) =>
+      metrics.count("linkfall_retries_total", "Further sends, by what the budget said.", {
+        service,
+        granted: String(granted),
+      }),
+    waited: (ms) => metrics.observe("linkfall_weights_wait_ms", "Waits for weights.", ms),
+  };
+}
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -85,7 +85,9 @@
 }
 
 function takeRetry(context: ForwardContext, request: ForwardedRequest): boolean {
-  return context.budget.take(request.service.name, context.boxes());
+  const granted = context.budget.take(request.service.name, context.boxes());
+  context.metrics.retry(request.service.name, granted);
+  return granted;
 }
 
 function afterLoss(
@@ -166,8 +168,10 @@
   if (left <= 0) return outOfTime(request);
   noteHeld(context, request, expected);
   const endWait = context.demand.waits(wanted);
+  const from = context.clock.now();
   await context.waiter.next(left, request.sink);
   endWait();
+  context.metrics.waited(context.clock.now() - from);
   return request.sink.gone() ? ended({ outcome: "gone" }) : on;
 }
 
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -5,6 +5,7 @@
 import type { RequestCodec } from "@linkfall/ports";
 import type { Milliseconds } from "@linkfall/types";
 import { type AttemptEnd, sendAttempt } from "./attempt.js";
+import type { ForwardMetrics } from "./forward-metrics.js";
 import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
 import type { Pick } from "./pick.js";
 import type { WorkCostMeter } from "./work-costs.js";
@@ -32,6 +33,7 @@
   readonly logger: Logger;
   readonly costs: WorkCostMeter;
   readonly limits: SendLimits;
+  readonly metrics: ForwardMetrics;
 }
 
 /** How long a refusal over an order that seems to be under way counts. */
@@ -141,8 +143,10 @@
       body: request.body,
       connectMs: limits.connectMs,
     },
+    onGap: context.metrics.gap,
     onFirstBytes: () => {
       endReading();
+      context.metrics.firstBytes(clock.now() - sentAt);
       const ahead = queuedBefore + unread;
       context.costs.observe(request.service.name, listed.id, ahead, clock.now() - sentAt);
     },
@@ -153,6 +157,7 @@
     context.costs.answered(request.service.name, listed.id, clock.now() - sentAt);
   }
   learn(context, request, listed.id, end);
+  context.metrics.sendEnded(request.service.name, end.kind);
   context.logger.event("sendEnded", {
     request: terms.id,
     target: listed.id,
