--- a/packages/peer-grpc/src/ask-stream.ts
+++ b/packages/ask-stream/src/index.ts
@@ -8,51 +8,57 @@
 import type { Clock } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
 import { type Either, Left, Right } from "purify-ts";
-import type { Answer, Ask, PeerClient } from "./generated/peer.js";
 
-export type AskBody = NonNullable<Ask["body"]>;
-export type AnswerBody = NonNullable<Answer["body"]>;
+/** A message or its answer, as it stands on the stream. */
+export interface Numbered<Body> {
+  readonly number: number;
+  readonly body: Body | undefined;
+}
+
+export interface AskStream<Ask, Answer> {
+  ask(body: Ask): Promise<Either<PeerUnreachable, Answer>>;
+  close(): void;
+}
 
-export interface AskStream {
-  ask(body: AskBody): Promise<Either<PeerUnreachable, AnswerBody>>;
+/** A stream on a connection that nothing else uses. */
+export interface DialledStream<Ask, Answer> {
+  readonly stream: ClientDuplexStream<Numbered<Ask>, Numbered<Answer>>;
+  /** Closes the connection beneath. */
   close(): void;
 }
 
-interface Connection {
-  readonly client: PeerClient;
-  readonly stream: ClientDuplexStream<Ask, Answer>;
-  readonly pending: Map<number, (result: Either<PeerUnreachable, AnswerBody>) => void>;
+interface Connection<Ask, Answer> extends DialledStream<Ask, Answer> {
+  readonly pending: Map<number, (result: Either<PeerUnreachable, Answer>) => void>;
 }
 
 /**
  * Creates the stream to one box; it is opened by the first message.
  *
  * @param limit longest wait for one answer
- * @param dial opens a client whose connection nothing else uses
+ * @param dial opens a stream on a connection of its own
  */
-export function createAskStream(
+export function createAskStream<Ask, Answer>(
   clock: Clock,
   limit: Milliseconds,
-  dial: () => PeerClient,
-): AskStream {
-  let open: Connection | undefined;
+  dial: () => DialledStream<Ask, Answer>,
+): AskStream<Ask, Answer> {
+  let open: Connection<Ask, Answer> | undefined;
   let asked = 0;
 
   /** Ends a connection; what is under way on it gets no answer. */
-  const giveUp = (connection: Connection, reason: string) => {
+  const giveUp = (connection: Connection<Ask, Answer>, reason: string) => {
     if (open === connection) open = undefined;
     const failure = { kind: "peer_unreachable", reason, mayHaveArrived: true } as const;
     for (const answer of connection.pending.values()) answer(Left(failure));
     connection.pending.clear();
     connection.stream.cancel();
-    connection.client.close();
+    connection.close();
   };
 
-  const connect = (): Connection => {
-    const client = dial();
-    const connection: Connection = { client, stream: client.exchange(), pending: new Map() };
-    connection.stream.on("data", ({ number, body }: Answer) => {
-      if (body) connection.pending.get(number)?.(Right(body));
+  const connect = (): Connection<Ask, Answer> => {
+    const connection: Connection<Ask, Answer> = { ...dial(), pending: new Map() };
+    connection.stream.on("data", ({ number, body }: Numbered<Answer>) => {
+      if (body !== undefined) connection.pending.get(number)?.(Right(body));
       connection.pending.delete(number);
     });
     connection.stream.on("error", (problem) => giveUp(connection, problem.message));
--- a/packages/box-peers/src/transport.ts
+++ b/packages/box-peers/src/transport.ts
@@ -1,12 +1,17 @@
-/** Heartbeats of boxes over gRPC, each message one JSON text. */
+/**
+ * Messages between boxes over gRPC, each one JSON text, all those to one box on one stream: a call for
+ * each costs a small box about ten times as much.
+ */
 import {
   Client,
   credentials,
   type MethodDefinition,
   Server,
   ServerCredentials,
+  type ServerDuplexStream,
   type UntypedServiceImplementation,
 } from "@grpc/grpc-js";
+import { type AskStream, createAskStream, type Numbered } from "@linkfall/ask-stream";
 import type { PeerUnreachable } from "@linkfall/errors";
 import type { Clock } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
@@ -31,31 +36,31 @@
   close(): void;
 }
 
-interface None {
-  readonly none?: never;
-}
+/** One message; its answer has the same kind. */
+type Ask =
+  | { readonly kind: "heartbeat"; readonly heartbeat: Heartbeat }
+  | { readonly kind: "configuration" };
+type Answer =
+  | { readonly kind: "heartbeat"; readonly heartbeat: Heartbeat }
+  | { readonly kind: "configuration"; readonly copy: ConfigurationCopy };
 
 const toBytes = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
+const fromBytes = (bytes: Buffer): never => JSON.parse(bytes.toString("utf8")) as never;
 
-function method<Request, Reply>(name: string): MethodDefinition<Request, Reply> {
-  return {
-    path: `/linkfall.Peers/${name}`,
-    requestStream: false,
-    responseStream: false,
-    requestSerialize: toBytes,
-    requestDeserialize: (bytes) => JSON.parse(bytes.toString("utf8")) as Request,
-    responseSerialize: toBytes,
-    responseDeserialize: (bytes) => JSON.parse(bytes.toString("utf8")) as Reply,
-  };
-}
-
-const methods = {
-  exchange: method<Heartbeat, Heartbeat>("Exchange"),
-  configuration: method<None, ConfigurationCopy>("Configuration"),
+const exchange: MethodDefinition<Numbered<Ask>, Numbered<Answer>> = {
+  path: "/linkfall.Boxes/Exchange",
+  requestStream: true,
+  responseStream: true,
+  requestSerialize: toBytes,
+  requestDeserialize: fromBytes,
+  responseSerialize: toBytes,
+  responseDeserialize: fromBytes,
 };
 
 /** Largest message; a whole configuration with many routes fits. */
 const longestMessage = 16 * 1024 * 1024;
+/** A stream not used for so long is closed: a large deployment's boxes meet many others now and then. */
+const unusedMs: Milliseconds = 15_000;
 const options = {
   "grpc.max_receive_message_length": longestMessage,
   "grpc.initial_reconnect_backoff_ms": 100,
@@ -64,77 +69,90 @@
   "grpc.use_local_subchannel_pool": 1,
   "grpc.enable_retries": 0,
   "grpc.enable_channelz": 0,
+  "grpc.enable_http_proxy": 0,
 };
-/** After this many failures in a row a connection is given up for a new one. */
-const failuresOfOneConnection = 2;
 
-interface Connection {
-  readonly client: Client;
-  failures: number;
+interface OpenStream {
+  readonly stream: AskStream<Ask, Answer>;
+  usedAt: Milliseconds;
+}
+
+function dial(address: string) {
+  const client = new Client(`ipv4:${address}`, credentials.createInsecure(), options);
+  const { path, requestSerialize, responseDeserialize } = exchange;
+  return {
+    stream: client.makeBidiStreamRequest(path, requestSerialize, responseDeserialize),
+    close: () => client.close(),
+  };
+}
+
+function otherKind(answer: Answer): PeerUnreachable {
+  const reason = `answered with ${answer.kind}`;
+  return { kind: "peer_unreachable", reason, mayHaveArrived: true };
 }
 
-/** Creates a client that keeps one connection to each box that it asks. */
+/** Creates a client that keeps one stream to each box that it asks. */
 export function createPeerClient(clock: Clock, callMs: Milliseconds): PeerClient {
-  const connections = new Map<string, Connection>();
-  const connect = (address: string): Connection => {
-    const known = connections.get(address);
-    if (known) return known;
-    const client = new Client(`ipv4:${address}`, credentials.createInsecure(), options);
-    const connection = { client, failures: 0 };
-    connections.set(address, connection);
-    return connection;
+  const streams = new Map<string, OpenStream>();
+
+  const closeUnused = () => {
+    const oldest = clock.now() - unusedMs;
+    for (const [address, { stream, usedAt }] of streams) {
+      if (usedAt >= oldest) continue;
+      stream.close();
+      streams.delete(address);
+    }
   };
-  const noteFailure = (address: string, connection: Connection) => {
-    connection.failures += 1;
-    if (connection.failures < failuresOfOneConnection) return;
-    if (connections.get(address) === connection) connections.delete(address);
-    connection.client.close();
+  const streamTo = (address: string): AskStream<Ask, Answer> => {
+    const known = streams.get(address);
+    if (known) {
+      known.usedAt = clock.now();
+      return known.stream;
+    }
+    closeUnused();
+    const stream = createAskStream<Ask, Answer>(clock, callMs, () => dial(address));
+    streams.set(address, { stream, usedAt: clock.now() });
+    return stream;
   };
-  const ask = <Request, Reply>(
-    address: string,
-    { path, requestSerialize, responseDeserialize }: MethodDefinition<Request, Reply>,
-    request: Request,
-  ): Promise<Either<PeerUnreachable, Reply>> =>
-    new Promise((resolve) => {
-      const connection = connect(address);
-      const deadline = new Date(Date.parse(clock.wallTime()) + callMs);
-      connection.client.makeUnaryRequest(
-        path,
-        requestSerialize,
-        responseDeserialize,
-        request,
-        { deadline },
-        (problem, reply) => {
-          if (!problem && reply !== undefined) {
-            connection.failures = 0;
-            return resolve(Right(reply));
-          }
-          noteFailure(address, connection);
-          const reason = problem?.message ?? "no reply";
-          resolve(Left({ kind: "peer_unreachable", reason, mayHaveArrived: true }));
-        },
-      );
-    });
+
   return {
-    exchange: (address, heartbeat) => ask(address, methods.exchange, heartbeat),
-    configuration: (address) => ask(address, methods.configuration, {}),
+    async exchange(address, heartbeat) {
+      const answered = await streamTo(address).ask({ kind: "heartbeat", heartbeat });
+      return answered.chain((answer) =>
+        answer.kind === "heartbeat" ? Right(answer.heartbeat) : Left(otherKind(answer)),
+      );
+    },
+    async configuration(address) {
+      const answered = await streamTo(address).ask({ kind: "configuration" });
+      return answered.chain((answer) =>
+        answer.kind === "configuration" ? Right(answer.copy) : Left(otherKind(answer)),
+      );
+    },
     close() {
-      for (const { client } of connections.values()) client.close();
-      connections.clear();
+      for (const { stream } of streams.values()) stream.close();
+      streams.clear();
     },
   };
 }
 
+function answerTo(handler: PeerHandler, ask: Ask): Answer {
+  if (ask.kind === "configuration") return { kind: ask.kind, copy: handler.configuration() };
+  return { kind: ask.kind, heartbeat: handler.exchange(ask.heartbeat) };
+}
+
 /** Creates a server that answers other boxes. */
 export function createPeerServer(handler: PeerHandler): PeerServer {
   const server = new Server(options);
   const implementation: UntypedServiceImplementation = {
-    exchange: ((call: { request: Heartbeat }, done: (problem: null, reply: Heartbeat) => void) =>
-      done(null, handler.exchange(call.request))) as never,
-    configuration: ((_call: unknown, done: (problem: null, reply: ConfigurationCopy) => void) =>
-      done(null, handler.configuration())) as never,
+    exchange: ((call: ServerDuplexStream<Numbered<Ask>, Numbered<Answer>>) => {
+      call.on("data", ({ number, body }: Numbered<Ask>) => {
+        if (body !== undefined) call.write({ number, body: answerTo(handler, body) });
+      });
+      call.on("end", () => call.end());
+      call.on("error", () => undefined);
+    }) as never,
   };
-  server.addService(methods as never, implementation);
+  server.addService({ exchange } as never, implementation);
   return {
     listen: (address) =>
       new Promise((resolve) => {
--- a/packages/peer-grpc/src/peer-client.ts
+++ b/packages/peer-grpc/src/peer-client.ts
@@ -1,11 +1,11 @@
 /** Asks other boxes. */
 import { type ClientReadableStream, Metadata, type ServiceError, status } from "@grpc/grpc-js";
+import { type AskStream, createAskStream } from "@linkfall/ask-stream";
 import type { PeerUnreachable, TargetUnreachable } from "@linkfall/errors";
 import type { Clock } from "@linkfall/kernel";
 import type { BodyPart, CallerRequest, CallerResponse, PeerPort, PeerState } from "@linkfall/ports";
 import type { Milliseconds } from "@linkfall/types";
 import { Either, Left, Right } from "purify-ts";
-import { type AnswerBody, type AskStream, createAskStream } from "./ask-stream.js";
 import {
   fromBeatReply,
   fromReportsReply,
@@ -13,7 +13,13 @@
   toReportsMessage,
   toUsageMessage,
 } from "./convert.js";
-import { type ForwardPart, PeerClient, type StatePart } from "./generated/peer.js";
+import {
+  type Answer,
+  type Ask,
+  type ForwardPart,
+  PeerClient,
+  type StatePart,
+} from "./generated/peer.js";
 import { clientCredentials, type PeerTls } from "./peer-tls.js";
 
 /** Connections not used for so long are closed: their boxes are gone. */
@@ -25,6 +31,9 @@
   // Boxes meet each other directly, whatever proxy the environment names.
   "grpc.enable_http_proxy": 0,
 };
+type AskBody = NonNullable<Ask["body"]>;
+type AnswerBody = NonNullable<Answer["body"]>;
+
 /** The stream of small messages gives its connection up alone, so it shares none. */
 const ownConnection = { "grpc.use_local_subchannel_pool": 1 };
 
@@ -32,7 +41,7 @@
 interface HeldPeer {
   /** For forwarded requests and the fetching of state. */
   readonly client: PeerClient;
-  readonly stream: AskStream;
+  readonly stream: AskStream<AskBody, AnswerBody>;
   usedAt: Milliseconds;
 }
 
@@ -143,8 +152,10 @@
       return known;
     }
     closeUnused();
-    const dial = () =>
-      new PeerClient(address, credentials, { ...channelOptions, ...ownConnection });
+    const dial = () => {
+      const client = new PeerClient(address, credentials, { ...channelOptions, ...ownConnection });
+      return { stream: client.exchange(), close: () => client.close() };
+    };
     const peer: HeldPeer = {
       client: new PeerClient(address, credentials, channelOptions),
       stream: createAskStream(clock, limit, dial),
