--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,5 +22,13 @@
     files: ["scripts/**", "*.js"],
     languageOptions: { globals: { process: "readonly", console: "readonly" } },
   },
+  {
+    files: ["**/*.cjs"],
+    languageOptions: {
+      sourceType: "commonjs",
+      globals: { require: "readonly", module: "readonly", __dirname: "readonly" },
+    },
+    rules: { "@typescript-eslint/no-require-imports": "off" },
+  },
   prettier,
 );
--- a/packages/box-peers/src/box-peers.feature
+++ b/packages/box-peers/src/box-peers.feature
@@ -19,6 +19,14 @@
     And 3500 ms go by among the boxes
     Then every box takes 58 others for alive
 
+  Scenario: A box without callers makes its rounds farther apart, and is known to be gone as well
+    Given 60 boxes of which one holds the order lease
+    When 6000 ms go by among the boxes
+    And box 30 stops
+    And 6000 ms go by among the boxes
+    Then every box takes 58 others for alive
+    And box 20 has sent less than box 5
+
   Scenario: Boxes are not forgotten while the order lease passes on
     Given 60 boxes of which one holds the order lease
     When 6000 ms go by among the boxes
--- a/packages/box-peers/src/box-peers.steps.ts
+++ b/packages/box-peers/src/box-peers.steps.ts
@@ -58,7 +58,7 @@
     ready: true,
     leaving: false,
     strained: false,
-    takesRequests: false,
+    takesRequests: index <= 9,
     reading: index < 3,
     reachesStore: true,
     configurationVersion: 1,
@@ -75,6 +75,7 @@
   const followed = { holder: nameOf(index), engines: 0, members: 0 };
   return {
     holder: () => scene.holder,
+    resting: () => index > 9,
     message(_reader, sightings): Heartbeat {
       beat += 1;
       const status = statusOf(scene, index, beat);
@@ -213,3 +214,11 @@
     assert.deepEqual(rounds, [ofFew, ofSome, ofMany]);
   },
 );
+
+Then(
+  "box {int} has sent less than box {int}",
+  function (this: object, resting: number, busy: number) {
+    const { boxes } = sceneOf(this);
+    assert.ok(boxes[resting].sent < boxes[busy].sent);
+  },
+);
--- a/packages/box-peers/src/peers.ts
+++ b/packages/box-peers/src/peers.ts
@@ -38,6 +38,8 @@
   message(reader: BoxStatus | undefined, sightings: readonly Sighting[]): Heartbeat;
   /** The holder of the order lease, as far as this box knows. */
   holder(): Incarnation | undefined;
+  /** Whether this box has no callers now. */
+  resting(): boolean;
 }
 
 export interface Peers extends Service {
@@ -70,6 +72,8 @@
   again: boolean;
 }
 
+/** In a large deployment, boxes without callers make their rounds so many times as far apart. */
+const restingFactor = 2;
 /** Share of the interval by which rounds vary, so that boxes do not act in step. */
 const jitterShare = 0.2;
 
@@ -95,6 +99,8 @@
   const intervalMs = () => roundMs(rules.roundMs, rules.roundPerBoxMs, members.size);
   /** Silence after which a box is suspected: a few rounds. */
   const suspectMs = () => (rules.suspectMs * intervalMs()) / rules.roundMs;
+  const mayRestMs = (member: Member) =>
+    mesh() || member.profile?.takesRequests ? suspectMs() : suspectMs() * restingFactor;
   const byIncarnation = (incarnation: Incarnation) =>
     all().find((member) => member.status?.incarnation === incarnation);
 
@@ -110,7 +116,7 @@
 
   const isAlive = (member: Member): boolean => {
     const now = clock.now();
-    if (now - member.seenAt <= suspectMs()) return true;
+    if (now - member.seenAt <= mayRestMs(member)) return true;
     if (member.vouchedBy === undefined) return false;
     const holder = byIncarnation(member.vouchedBy);
     return holder !== undefined && now - holder.heardAt <= rules.vouchedMs;
@@ -204,7 +210,8 @@
     forgetGone();
     for (const member of partners()) if (!calling.has(member)) void ask(member);
     const jitter = 1 + jitterShare * (random.fraction() - 0.5);
-    cancel = clock.after(intervalMs() * jitter, runRound);
+    const factor = source.resting() && !mesh() ? restingFactor : 1;
+    cancel = clock.after(intervalMs() * factor * jitter, runRound);
   };
 
   return {
--- a/packages/entry-box/src/heartbeat-source.ts
+++ b/packages/entry-box/src/heartbeat-source.ts
@@ -55,6 +55,8 @@
   };
 
   return {
+    resting: () =>
+      !parts.activity.takesRequests() && kernel.find(orderLeaseName).epoch() === undefined,
     holder: () => kernel.find(orderLeaseName).known()?.holder,
     message(reader, sightings): Heartbeat {
       const gives = kernel.find(orderLeaseName).epoch() !== undefined;
--- /dev/null
+++ b/packages/process-soak/src/link.ts
@@ -0,0 +1,116 @@
+/** A proxy on loopback between two processes, whose bytes can be held up or cut from outside. */
+import { createServer, type Server, Socket } from "node:net";
+
+/** What a link does with bytes and with new connections. */
+export type LinkMode =
+  | { readonly kind: "open" }
+  | { readonly kind: "delayed"; readonly ms: number }
+  /** Holds up everything, both ways. */
+  | { readonly kind: "silent" }
+  /** Holds up what the caller sends. */
+  | { readonly kind: "deaf" }
+  /** Holds up what the target answers. */
+  | { readonly kind: "mute" }
+  /** Resets connections, those that stand and new ones. */
+  | { readonly kind: "resetting" };
+
+export interface Link {
+  /** Where callers connect. */
+  readonly address: string;
+  setMode(mode: LinkMode): void;
+  close(): void;
+}
+
+type Direction = "to_target" | "from_target";
+
+const open: LinkMode = { kind: "open" };
+
+function holdsUp(mode: LinkMode, direction: Direction): boolean {
+  if (mode.kind === "silent") return true;
+  return mode.kind === (direction === "to_target" ? "deaf" : "mute");
+}
+
+function splitAddress(address: string): [host: string, port: number] {
+  const mark = address.lastIndexOf(":");
+  return [address.slice(0, mark), Number(address.slice(mark + 1))];
+}
+
+const sleep = (ms: number) =>
+  new Promise<void>((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** Opens a link at `address` that leads to `target`. */
+export async function openLink(address: string, target: string): Promise<Link> {
+  let mode = open;
+  let changed: (() => void)[] = [];
+  const pairs = new Set<readonly [Socket, Socket]>();
+
+  const nextChange = () =>
+    new Promise<void>((resolve) => {
+      changed.push(resolve);
+    });
+  /** Resolves when bytes of this direction may pass. */
+  const gate = async (direction: Direction): Promise<void> => {
+    while (holdsUp(mode, direction)) await nextChange();
+    if (mode.kind === "delayed") await sleep(mode.ms);
+  };
+  const resetBoth = (pair: readonly [Socket, Socket]) => {
+    pairs.delete(pair);
+    for (const socket of pair) socket.resetAndDestroy();
+  };
+  const carry = async (from: Socket, to: Socket, direction: Direction): Promise<void> => {
+    for await (const chunk of from) {
+      await gate(direction);
+      if (to.destroyed) return;
+      if (!to.write(chunk as Buffer)) {
+        await new Promise<void>((resolve) => {
+          to.once("drain", resolve);
+          to.once("close", resolve);
+        });
+      }
+    }
+    await gate(direction);
+    to.end();
+  };
+
+  const server: Server = createServer({ allowHalfOpen: true }, (caller) => {
+    if (mode.kind === "resetting") return void caller.resetAndDestroy();
+    const [host, port] = splitAddress(target);
+    const onward = new Socket({ allowHalfOpen: true });
+    const pair = [caller, onward] as const;
+    pairs.add(pair);
+    onward.connect(port, host);
+    for (const socket of pair) {
+      socket.setNoDelay(true);
+      socket.on("error", () => resetBoth(pair));
+      socket.on("close", () => {
+        if (caller.destroyed && onward.destroyed) pairs.delete(pair);
+      });
+    }
+    carry(caller, onward, "to_target").catch(() => resetBoth(pair));
+    carry(onward, caller, "from_target").catch(() => resetBoth(pair));
+  });
+  const [host, port] = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+
+  return {
+    address,
+    setMode(next) {
+      mode = next;
+      if (next.kind === "resetting") for (const pair of [...pairs]) resetBoth(pair);
+      const woken = changed;
+      changed = [];
+      for (const wake of woken) wake();
+    },
+    close() {
+      server.close();
+      mode = open;
+      for (const pair of [...pairs]) resetBoth(pair);
+      for (const wake of changed.splice(0)) wake();
+    },
+  };
+}
--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -1,9 +1,12 @@
-/** Bundles linkfalld for the users' platform into one file under target/, from the sources. */
+/** Bundles linkfalld for the users' platform into target/, from the sources, with V8's compiled code. */
+import { copyFileSync, rmSync, writeFileSync } from "node:fs";
+import { createRequire } from "node:module";
+import { resolve } from "node:path";
 import { build } from "esbuild";
 
 await build({
   entryPoints: ["platform/src/main.ts"],
-  outfile: "target/linkfalld.cjs",
+  outfile: "target/linkfalld-body.js",
   bundle: true,
   platform: "node",
   target: "node20",
@@ -11,3 +14,9 @@
   conditions: ["source"],
   logLevel: "warning",
 });
+copyFileSync("platform/loader.cjs", "target/linkfalld.cjs");
+rmSync("target/linkfalld-body.compiled", { force: true });
+
+// What has run once is compiled, also functions that V8 would compile only at their first call.
+const { load, compiledFile } = createRequire(import.meta.url)(resolve("target/linkfalld.cjs"));
+writeFileSync(compiledFile, load().script.createCachedData());
