--- a/packages/box-peers/src/peers.ts
+++ b/packages/box-peers/src/peers.ts
@@ -74,6 +74,8 @@
 
 /** In a large deployment, boxes without callers make their rounds so many times as far apart. */
 const restingFactor = 2;
+/** One of so many heartbeats tells a box of another that it knows already, should it have missed it. */
+const rememberEvery = 4;
 /** Share of the interval by which rounds vary, so that boxes do not act in step. */
 const jitterShare = 0.2;
 
@@ -158,11 +160,15 @@
     return [{ ...identity, ...state, ageMs, silent: !isAlive(member) }];
   };
 
+  /** A box that follows the holder's reports knows the others already, but for new ones. */
+  const sightingsFor = (reader?: BoxStatus): readonly Member[] => {
+    const alive = all().filter(isAlive);
+    if (!reader?.followed) return sample(alive, rules.sightings, random);
+    return random.below(rememberEvery) === 0 ? sample(alive, 1, random) : [];
+  };
+
   const message = (reader?: BoxStatus): Heartbeat => {
-    // A box that follows the holder's reports knows the others already.
-    const count = reader?.followed && !mesh() ? 1 : rules.sightings;
-    const told = sample(all().filter(isAlive), count, random);
-    return source.message(reader, told.flatMap(toSighting));
+    return source.message(reader, sightingsFor(reader).flatMap(toSighting));
   };
 
   const ask = async (member: Member): Promise<void> => {
