--- /dev/null
+++ b/packages/process-soak/src/process-soak.steps.ts
@@ -0,0 +1,208 @@
+import assert from "node:assert/strict";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { seededRandom } from "@linkfall/kernel";
+import {
+  type ArrivedOrder,
+  type Begun,
+  checkAllAnswered,
+  checkAtMostOnce,
+  checkDraining,
+  checkNoReversal,
+  checkNotRun,
+  checkOneHolder,
+  checkWholeAndOwn,
+  drawFaults,
+  type Finding,
+  type Link,
+  openLink,
+  type Outcome,
+  type RouteProbe,
+} from "./index.js";
+
+interface Scene {
+  readonly outcomes: Outcome[];
+  readonly begun: Begun[];
+  readonly orders: ArrivedOrder[];
+  readonly probes: RouteProbe[];
+}
+
+const scenes = new WeakMap<object, Scene>();
+
+function sceneOf(world: object): Scene {
+  const scene = scenes.get(world) ?? { outcomes: [], begun: [], orders: [], probes: [] };
+  scenes.set(world, scene);
+  return scene;
+}
+
+const answered = { sentAt: 0, endedAt: 1, status: 200, whole: true, own: true, box: "b1" };
+
+Given(
+  /^a request "(.*)" that may (not )?be repeated, answered whole with 200$/,
+  function (this: object, id: string, not: string | undefined) {
+    sceneOf(this).outcomes.push({ ...answered, id, repeatable: not === undefined });
+  },
+);
+
+Given(
+  "a request {string} that may be repeated, refused with {int}",
+  function (this: object, id: string, status: number) {
+    sceneOf(this).outcomes.push({ ...answered, id, repeatable: true, status, own: false });
+  },
+);
+
+Given("a request {string} that got another's answer as whole", function (this: object, id: string) {
+  sceneOf(this).outcomes.push({ ...answered, id, repeatable: true, own: false });
+});
+
+Given("{string} began at {string}", function (this: object, id: string, target: string) {
+  sceneOf(this).begun.push({ id, target, at: 0 });
+});
+
+When(
+  "{int} ms later {string} began at {string}",
+  function (this: object, ms: number, id: string, target: string) {
+    sceneOf(this).begun.push({ id, target, at: ms });
+  },
+);
+
+Given(
+  "an order of {string} under epoch {int} at {string}",
+  function (this: object, holder: string, epoch: number, engine: string) {
+    sceneOf(this).orders.push({ engine, holder, epoch, at: 0 });
+  },
+);
+
+Given(
+  /^a probe of "(.*)" in life (\d+) that (knows|does not know) version (\d+)$/,
+  function (this: object, box: string, life: string, knows: string, version: string) {
+    const { probes } = sceneOf(this);
+    const sentAt = probes.length * 10;
+    const probe = { box, life: Number(life), version: Number(version), known: knows === "knows" };
+    probes.push({ ...probe, sentAt, endedAt: sentAt + 1 });
+  },
+);
+
+const leftAt = 5;
+const checks: Readonly<Record<string, (scene: Scene) => readonly Finding[]>> = {
+  "at most once": ({ outcomes, begun }) => checkAtMostOnce(outcomes, begun),
+  "not run is true": ({ outcomes, begun }) => checkNotRun(outcomes, begun),
+  "whole and own answers": ({ outcomes }) => checkWholeAndOwn(outcomes),
+  "one order giver": ({ orders }) => checkOneHolder(orders),
+  "a configuration does not revert": ({ probes }) => checkNoReversal(probes, () => Infinity),
+  "a leaving target gets nothing new": ({ begun }) => checkDraining(begun, "p1", leftAt),
+  "every request is answered": ({ outcomes }) => checkAllAnswered(outcomes, "in calm"),
+};
+
+Then("the check of {string} is silent", function (this: object, check: string) {
+  assert.deepEqual(checks[check](sceneOf(this)), []);
+});
+
+Then("the check of {string} finds {string}", function (this: object, check: string, what: string) {
+  const findings = checks[check](sceneOf(this));
+  assert.equal(findings.length, 1);
+  assert.ok(findings[0].detail.includes(what), findings[0].detail);
+});
+
+Then(
+  "{int} drawn faults of one seed are alike, end within the time, and overlap",
+  (count: number) => {
+    const lengthMs = 5_000;
+    const kinds = [
+      { kind: "kill", subjects: ["b1", "b2"], mostMs: 1 },
+      { kind: "silent", subjects: ["b1"], mostMs: 3_000 },
+    ];
+    const faults = drawFaults(seededRandom(7), kinds, count, lengthMs);
+    assert.deepEqual(drawFaults(seededRandom(7), kinds, count, lengthMs), faults);
+    const leastMs = 50;
+    for (const fault of faults) assert.ok(fault.atMs + fault.forMs <= lengthMs + leastMs);
+    const overlaps = faults.some(
+      (fault, index) => index > 0 && faults[index - 1].atMs + faults[index - 1].forMs > fault.atMs,
+    );
+    assert.ok(overlaps);
+  },
+);
+
+interface LinkScene {
+  readonly link: Link;
+  readonly echo: Server;
+  readonly caller: Socket;
+  readonly received: string[];
+}
+
+const linkScenes = new WeakMap<object, LinkScene>();
+
+function linkOf(world: object): LinkScene {
+  const scene = linkScenes.get(world);
+  assert.ok(scene);
+  return scene;
+}
+
+const listening = (server: Server) =>
+  new Promise<number>((resolve) => {
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      resolve(typeof address === "object" && address ? address.port : 0);
+    });
+  });
+
+Given("a link to an echo", async function (this: object) {
+  const echo = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.pipe(socket);
+  });
+  const port = await listening(echo);
+  const free = createServer();
+  const linkPort = await listening(free);
+  await new Promise((resolve) => free.close(resolve));
+  const link = await openLink(`127.0.0.1:${linkPort}`, `127.0.0.1:${port}`);
+  const received: string[] = [];
+  const caller = connect(linkPort, "127.0.0.1");
+  caller.on("data", (bytes: Buffer) => received.push(bytes.toString()));
+  caller.on("error", () => undefined);
+  linkScenes.set(this, { link, echo, caller, received });
+});
+
+After({ name: "link" }, function (this: object) {
+  const scene = linkScenes.get(this);
+  scene?.caller.destroy();
+  scene?.link.close();
+  scene?.echo.close();
+});
+
+/** Waits until the caller has received the text. */
+async function receives({ caller, received }: LinkScene, text: string): Promise<void> {
+  while (!received.join("").includes(text)) {
+    await new Promise((resolve) => caller.once("data", resolve));
+  }
+}
+
+Then("bytes come back through it", async function (this: object) {
+  const scene = linkOf(this);
+  scene.caller.write("first");
+  await receives(scene, "first");
+});
+
+When("the link is silent", function (this: object) {
+  linkOf(this).link.setMode({ kind: "silent" });
+});
+
+Then("no bytes come back until it is open again", async function (this: object) {
+  const scene = linkOf(this);
+  scene.caller.write("second");
+  // Whatever time passes here, nothing may come: the order of two events, not their time, is asserted.
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.ok(!scene.received.join("").includes("second"));
+  scene.link.setMode({ kind: "open" });
+  await receives(scene, "second");
+});
+
+When("the link is resetting", function (this: object) {
+  linkOf(this).link.setMode({ kind: "resetting" });
+});
+
+Then("its connections are reset", async function (this: object) {
+  const { caller } = linkOf(this);
+  if (!caller.destroyed) await new Promise((resolve) => caller.once("close", resolve));
+  assert.ok(caller.destroyed);
+});
