--- a/packages/weight-orders/src/order-giver.ts
+++ b/packages/weight-orders/src/order-giver.ts
@@ -27,9 +27,7 @@
 
 const tickMs: Milliseconds = 50;
 /** Looks take at most about this share of the time, however large the deployment is. */
-const mostLookShare = 0.2;
-/** Two looks are at least this far apart. */
-const leastGapMs: Milliseconds = 10;
+const mostLookShare = 0.5;
 /** A box that may not give orders looks less often whether it may. */
 const idleTickMs: Milliseconds = 200;
 /** The epoch of the first claim of all: nobody gave orders before it. */
@@ -94,7 +92,7 @@
     const before = clock.now();
     look(context, epoch);
     const tookMs = clock.now() - before;
-    notBefore = before + Math.max(leastGapMs, tookMs / mostLookShare);
+    notBefore = before + tookMs / mostLookShare;
   };
   const tick = () => {
     if (stopped) return;
