--- a/packages/process-soak/src/process-soak.steps.ts
+++ b/packages/process-soak/src/process-soak.steps.ts
@@ -206,3 +206,16 @@
   if (!caller.destroyed) await new Promise((resolve) => caller.once("close", resolve));
   assert.ok(caller.destroyed);
 });
+
+When("its caller ends the connection", function (this: object) {
+  linkOf(this).caller.destroy();
+});
+
+Then("the connection to the echo ends as well", async function (this: object) {
+  const { echo } = linkOf(this);
+  const open = () =>
+    new Promise<number>((resolve) => {
+      echo.getConnections((_problem, count) => resolve(count));
+    });
+  while ((await open()) > 0) await new Promise((resolve) => setTimeout(resolve, 5));
+});
--- a/packages/process-soak/src/promises.feature
+++ b/packages/process-soak/src/promises.feature
@@ -55,3 +55,9 @@
     Then no bytes come back until it is open again
     When the link is resetting
     Then its connections are reset
+
+  Scenario: A link leaves nothing open behind a caller that goes
+    Given a link to an echo
+    Then bytes come back through it
+    When its caller ends the connection
+    Then the connection to the echo ends as well
--- a/packages/process-soak/src/tests/link.ts
+++ b/packages/process-soak/src/tests/link.ts
@@ -81,11 +81,13 @@
     const pair = [caller, onward] as const;
     pairs.add(pair);
     onward.connect(port, host);
-    for (const socket of pair) {
+    for (const [socket, other] of [pair, [onward, caller] as const]) {
       socket.setNoDelay(true);
       socket.on("error", () => resetBoth(pair));
+      // What one side has closed the other keeps open no longer than its last bytes take.
       socket.on("close", () => {
-        if (caller.destroyed && onward.destroyed) pairs.delete(pair);
+        other.destroySoon();
+        if (other.destroyed) pairs.delete(pair);
       });
     }
     carry(caller, onward, "to_target").catch(() => resetBoth(pair));
