--- a/packages/process-soak/src/tests/link.ts
+++ b/packages/process-soak/src/tests/link.ts
@@ -40,6 +40,12 @@
     setTimeout(resolve, ms);
   });
 
+/** A socket that is being shut down cannot be reset: Node would keep its handle for ever. */
+function resetSocket(socket: Socket): void {
+  if (socket.writableEnded || socket.destroyed) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** Opens a link at `address` that leads to `target`. */
 export async function openLink(address: string, target: string): Promise<Link> {
   let mode = open;
@@ -57,7 +63,7 @@
   };
   const resetBoth = (pair: readonly [Socket, Socket]) => {
     pairs.delete(pair);
-    for (const socket of pair) socket.resetAndDestroy();
+    for (const socket of pair) resetSocket(socket);
   };
   const carry = async (from: Socket, to: Socket, direction: Direction): Promise<void> => {
     for await (const chunk of from) {
