--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -38,6 +38,7 @@
     route,
     service,
     terms,
+    awaitedUntil: request.arrivedAt + Math.min(heldMs, route.patienceMs ?? heldMs),
     endsAt: request.arrivedAt + heldMs,
     position: { lastId: terms.resumeAfter },
     tried: new Set(),
@@ -82,6 +83,8 @@
     forward.logger.event("requestRefused", { request: terms.id, status, why, path: request.path });
     answerOwn(request.sink, status, retryAfterMs);
   };
+  const contradictory = codec.contradictory(request.headers);
+  if (contradictory !== undefined) return refused(400, `more than one ${contradictory}`);
   const inForce = feed.inForce();
   if (!inForce || !feed.ready()) return refused(503, "no configuration yet", notReadyMs);
   const route = inForce.routes.find(request.host, request.path);
--- a/packages/ports/src/routed-ports.ts
+++ b/packages/ports/src/routed-ports.ts
@@ -42,6 +42,8 @@
 /** Translates between requests on the wire and their terms. */
 export interface RequestCodec {
   readTerms(headers: RawHeaders): RequestTerms;
+  /** The name of a term that comes with more than one value; such a request reaches no target. */
+  contradictory(headers: RawHeaders): string | undefined;
   /** The caller's end-to-end headers with those that linkfall sets itself. */
   forSend(headers: RawHeaders, terms: SendTerms): string[];
   /** The target's end-to-end headers. */
--- a/packages/process-soak/src/process-soak.steps.ts
+++ b/packages/process-soak/src/process-soak.steps.ts
@@ -8,6 +8,7 @@
   checkAllAnswered,
   checkAtMostOnce,
   checkDraining,
+  checkNoForgery,
   checkNoReversal,
   checkNotRun,
   checkOneHolder,
@@ -59,6 +60,13 @@
   sceneOf(this).begun.push({ id, target, at: 0 });
 });
 
+Given(
+  "{string} began at {string} with a header of {string}",
+  function (this: object, id: string, target: string, value: string) {
+    sceneOf(this).begun.push({ id, target, at: 0, headerValues: [value] });
+  },
+);
+
 When(
   "{int} ms later {string} began at {string}",
   function (this: object, ms: number, id: string, target: string) {
@@ -88,6 +96,7 @@
   "at most once": ({ outcomes, begun }) => checkAtMostOnce(outcomes, begun),
   "not run is true": ({ outcomes, begun }) => checkNotRun(outcomes, begun),
   "whole and own answers": ({ outcomes }) => checkWholeAndOwn(outcomes),
+  "callers do not steer targets": ({ begun }) => checkNoForgery(begun, "forged"),
   "one order giver": ({ orders }) => checkOneHolder(orders),
   "a configuration does not revert": ({ probes }) => checkNoReversal(probes, () => Infinity),
   "a leaving target gets nothing new": ({ begun }) => checkDraining(begun, "p1", leftAt),
--- a/packages/process-soak/src/promises.feature
+++ b/packages/process-soak/src/promises.feature
@@ -13,6 +13,12 @@
     When "r1" began at "p1"
     Then the check of "not run is true" finds "r1"
 
+  Scenario: A target that gets a header that a caller forged
+    Given "r1" began at "p1" with a header of "own"
+    Then the check of "callers do not steer targets" is silent
+    Given "r2" began at "p1" with a header of "forged"
+    Then the check of "callers do not steer targets" finds "r2"
+
   Scenario: Another's answer as whole
     Given a request "r1" that may be repeated, answered whole with 200
     Then the check of "whole and own answers" is silent
--- a/packages/process-soak/src/tests/promises.ts
+++ b/packages/process-soak/src/tests/promises.ts
@@ -20,6 +20,8 @@
   readonly id: string;
   readonly target: string;
   readonly at: number;
+  /** Values of the request's headers as they reached the target. */
+  readonly headerValues?: readonly string[];
 }
 
 /** An order that reached an engine. */
@@ -85,6 +87,16 @@
   return (runs.get(id) ?? []).map((run) => run.target).join(", ");
 }
 
+/** Nothing that a caller forged to steer a target reaches it; forged headers carry `mark`. */
+export function checkNoForgery(begun: readonly Begun[], mark: string): readonly Finding[] {
+  return begun
+    .filter(({ headerValues }) => headerValues?.includes(mark))
+    .map(({ id, target }) => ({
+      promise: "callers do not steer targets",
+      detail: `${id} reached ${target} with a header that only linkfall may set`,
+    }));
+}
+
 /** An answer that looks whole is the caller's own, to its end. */
 export function checkWholeAndOwn(outcomes: readonly Outcome[]): readonly Finding[] {
   return outcomes
