A caller's patience bounds what is held for it; holds end before a planned stop; fewer questions to engines

Change: the route tells how long callers wait for a stream's next event, and holds and refusals go by it; each step of a request, not only its arrival, asks whether it can still end before a planned stop; a load is asked about by its expected time left. New scenarios of forwarding without a network.

--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -54,7 +54,7 @@
   const waiter = createAnnouncingWaiter(parts);
   const forward = createForwardContext(parts, waiter, receiveHeartbeats(parts, knowledge, waiter));
   const metrics = kernel.find(metricsName);
-  const context = { feed, codec: ports.requests, forward, metrics, takes: stop.takes };
+  const context = { feed, codec: ports.requests, forward, metrics };
   return createFront({
     address: settings.box.front_address,
     maxHeaderBytes: settings.callers.max_header_bytes,
--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -61,6 +61,7 @@
     demand,
     waiter,
     domain: settings.box.domain,
+    takes: parts.stop.takes,
     boxes: () => boxesWithCallers(parts),
     expectedWeightsMs: receiver.expectedWeightsMs,
     budget: createRetryBudget(clock, {
--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -17,12 +17,9 @@
   readonly codec: RequestCodec;
   readonly forward: ForwardContext;
   readonly metrics: Metrics;
-  /** Whether a request of the route can still end here. */
-  takes(route: Route): boolean;
 }
 
 const notReadyMs: Milliseconds = 500;
-const comeBackElsewhereMs: Milliseconds = 0;
 
 function toForwarded(
   request: FrontRequest,
@@ -89,7 +86,6 @@
   if (!inForce || !feed.ready()) return refused(503, "no configuration yet", notReadyMs);
   const route = inForce.routes.find(request.host, request.path);
   if (!route) return refused(404, `no route in version ${inForce.configuration.version}`);
-  if (!context.takes(route)) return refused(503, "stopping", comeBackElsewhereMs);
   const forwarded = toForwarded(request, terms, route, inForce);
   if (!forwarded) return refused(503, "no such service", notReadyMs);
   record(context, forwarded, await forwardRequest(forward, forwarded));
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -2,7 +2,7 @@
 import { type Random, sleep } from "@linkfall/kernel";
 import type { DemandMeter, Wanted } from "@linkfall/model-demand";
 import type { RetryBudget } from "@linkfall/retry-budget";
-import type { Milliseconds } from "@linkfall/types";
+import type { Milliseconds, Route } from "@linkfall/types";
 import { type AttemptEnd, ownHeaders } from "./attempt.js";
 import type { ForwardedRequest, RequestEnd } from "./forwarded-request.js";
 import { pickTarget } from "./pick.js";
@@ -33,6 +33,8 @@
   readonly forwardLimits: ForwardLimits;
   /** This box's failure domain. */
   readonly domain: string;
+  /** Whether a request of the route that is sent now can still end before a planned stop of the box. */
+  takes(route: Route): boolean;
   /** Boxes that share the retry budget. */
   boxes(): number;
   /** Time until weights are expected to be there; undefined when nothing is known. */
@@ -44,6 +46,10 @@
 const on: Step = { go: "on" };
 const ended = (end: RequestEnd): Step => ({ go: "end", end });
 
+/** A held request looks at least this often whether its box is about to stop. */
+const lookAgainMs: Milliseconds = 250;
+const comeBackElsewhereMs: Milliseconds = 0;
+
 const refusedStatus = 503;
 const lostStatus = 502;
 const lateStatus = 504;
@@ -67,8 +73,10 @@
   return ended({ outcome: "refused", status: honest, reason, retryAfterMs: comeBackMs });
 }
 
+/** Time in which a send may still bring the caller its answer, or the next part of it. */
 function timeLeft(context: ForwardContext, request: ForwardedRequest): Milliseconds {
-  return request.endsAt - context.clock.now();
+  const until = request.sink.begun() ? request.endsAt : request.awaitedUntil;
+  return until - context.clock.now();
 }
 
 function outOfTime(request: ForwardedRequest): Step {
@@ -169,7 +177,7 @@
   noteHeld(context, request, expected);
   const endWait = context.demand.waits(wanted);
   const from = context.clock.now();
-  await context.waiter.next(left, request.sink);
+  await context.waiter.next(Math.min(left, lookAgainMs), request.sink);
   endWait();
   context.metrics.waited(context.clock.now() - from);
   return request.sink.gone() ? ended({ outcome: "gone" }) : on;
@@ -236,6 +244,10 @@
 async function step(context: ForwardContext, request: ForwardedRequest): Promise<Step> {
   if (request.sink.gone()) return ended({ outcome: "gone" });
   if (timeLeft(context, request) <= context.forwardLimits.leastTimeMs) return outOfTime(request);
+  // What could not end before the stop would be cut off by it.
+  if (!request.sink.begun() && !context.takes(request.route)) {
+    return refuse(request, refusedStatus, "stopping", comeBackElsewhereMs);
+  }
   const { forwardLimits, fleet, random, domain } = context;
   if (request.sends >= forwardLimits.mostSends) {
     return refuse(request, refusedStatus, "too many sends", forwardLimits.comeBackMs);
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -15,6 +15,8 @@
   readonly terms: RequestTerms;
   readonly sink: AnswerSink;
   readonly arrivedAt: Milliseconds;
+  /** Until then the caller waits for the answer to begin. */
+  readonly awaitedUntil: Milliseconds;
   /** The final answer is due by then. */
   readonly endsAt: Milliseconds;
   readonly position: StreamPosition;
--- /dev/null
+++ b/packages/forwarding/src/forwarding.feature
@@ -0,0 +1,28 @@
+Feature: What becomes of a request whose weights or targets are not there
+
+  Background:
+    Given an engine that holds "m1"
+    And a stream that is due after 400 ms, is awaited for 2000 ms and may take 12000 ms
+
+  Scenario: Weights that come after the caller has left are no reason to hold it
+    Given the weights of "m2" are expected in 3000 ms
+    When a caller asks for "m2"
+    Then it is refused at once with 503, to come back after 3000 ms
+
+  Scenario: A request that is held is refused when its caller is about to leave
+    Given the weights of "m2" are expected in 1000 ms
+    When a caller asks for "m2"
+    Then it is held for 1900 ms
+    And it is refused with 503 before 2000 ms have passed
+
+  Scenario: A held request goes on when its weights are there
+    Given the weights of "m2" are expected in 1000 ms
+    When a caller asks for "m2"
+    And the engine holds "m2" after 900 ms
+    Then it is sent to the engine
+
+  Scenario: A held request is refused while there is time, not cut off by a planned stop
+    Given the weights of "m2" are expected in 1800 ms
+    And the box takes nothing more after 300 ms
+    When a caller asks for "m2"
+    Then it is refused with 503 before 600 ms have passed
--- /dev/null
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -0,0 +1,260 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { createFleet, type Fleet } from "@linkfall/fleet";
+import {
+  clockName,
+  createKernel,
+  createVirtualClock,
+  seededRandom,
+  type VirtualClock,
+} from "@linkfall/kernel";
+import { loggerName, recordingLogger } from "@linkfall/logger";
+import { createMetrics } from "@linkfall/metrics";
+import { createDemandMeter } from "@linkfall/model-demand";
+import type { RawHeaders, RequestCodec } from "@linkfall/ports";
+import { createRetryBudget } from "@linkfall/retry-budget";
+import type { Milliseconds, Route, RoutedService } from "@linkfall/types";
+import {
+  type AnswerSink,
+  createChangeWaiter,
+  createForwardMetrics,
+  createWorkCostMeter,
+  type ForwardContext,
+  type ForwardedRequest,
+  forwardRequest,
+  type RequestEnd,
+} from "./index.js";
+
+interface Answer {
+  readonly status: number;
+  readonly headers: RawHeaders;
+}
+
+interface Scene {
+  readonly clock: VirtualClock;
+  readonly fleet: Fleet;
+  readonly context: ForwardContext;
+  readonly expected: Map<string, Milliseconds>;
+  route: Route;
+  /** From then on the box takes nothing, for a planned stop. */
+  stopsAt: Milliseconds;
+  answer?: Answer;
+  end?: RequestEnd;
+  request?: ForwardedRequest;
+}
+
+const scenes = new WeakMap<object, Scene>();
+const service: RoutedService = {
+  name: "engines",
+  healthPath: "/health",
+  maxConnections: 10,
+  engine: {
+    slots: 8,
+    cacheTokens: 10_000,
+    memoryMb: 300,
+    adapterSlots: 2,
+    storeLoadsPerSecond: 1,
+    models: new Map(),
+  },
+};
+/** Nobody listens there: a send ends at once. */
+const address = "127.0.0.1:1";
+
+const codec: RequestCodec = {
+  readTerms: () => ({ id: "r", promptTokens: 0, maxOutputTokens: 0, parts: [] }),
+  contradictory: () => undefined,
+  forSend: () => [],
+  forCaller: () => [],
+  readAnswer: () => ({ notRun: false, misdirected: false }),
+};
+
+function contextOf(
+  clock: VirtualClock,
+  expected: Map<string, Milliseconds>,
+  stopsAt: () => Milliseconds,
+) {
+  const kernel = createKernel();
+  const logger = recordingLogger(() => undefined);
+  kernel.provide(clockName, clock);
+  kernel.provide(loggerName, logger);
+  const fleet = createFleet(kernel, {
+    lapse: { graceMs: 1_600, share: 0.3 },
+    ejection: { failuresInARow: 3, firstMs: 1_000, longestMs: 8_000 },
+  });
+  const waiter = createChangeWaiter(clock, () => undefined);
+  fleet.onChange(waiter.wake);
+  const context: ForwardContext = {
+    clock,
+    random: seededRandom(1),
+    logger,
+    metrics: createForwardMetrics(createMetrics()),
+    codec,
+    fleet,
+    demand: createDemandMeter(clock),
+    waiter,
+    domain: "d1",
+    takes: () => clock.now() < stopsAt(),
+    boxes: () => 1,
+    expectedWeightsMs: ({ model }) => {
+      const at = expected.get(model);
+      return at === undefined ? undefined : Math.max(0, at - clock.now());
+    },
+    budget: createRetryBudget(clock, { ratio: 0.2, slack: 10, windowMs: 10_000 }),
+    costs: createWorkCostMeter({
+      perTokenMs: 0.02,
+      perRequestMs: 30,
+      perAnswerMs: 300,
+      crossDomainMs: 8,
+    }),
+    limits: {
+      connectMs: 400,
+      leastSilentMs: 600,
+      silentObjectives: 2,
+      silentExpected: 4,
+      deadlineMarginMs: 5,
+    },
+    forwardLimits: {
+      leastTimeMs: 15,
+      mostSends: 5,
+      againMs: 120,
+      replicaGainMs: 150,
+      hopelessShare: 0.9,
+      comeBackMs: 500,
+    },
+  };
+  return { fleet, context };
+}
+
+function sceneOf(world: object): Scene {
+  const scene = scenes.get(world);
+  assert.ok(scene);
+  return scene;
+}
+
+Given("an engine that holds {string}", function (this: object, model: string) {
+  const clock = createVirtualClock();
+  const expected = new Map<string, Milliseconds>();
+  const stopsAt = () => scenes.get(this)?.stopsAt ?? Infinity;
+  const { fleet, context } = contextOf(clock, expected, stopsAt);
+  const models = [{ name: model, version: 1, adapters: [] }];
+  fleet.takeList([
+    { id: "e1", service: "engines", address, domain: "d1", slots: 8, leaving: false, models },
+  ]);
+  const route = { name: "none" } as Route;
+  scenes.set(this, { clock, fleet, context, expected, route, stopsAt: Infinity });
+});
+
+Given(
+  "a stream that is due after {int} ms, is awaited for {int} ms and may take {int} ms",
+  function (this: object, objectiveMs: number, patienceMs: number, timeoutMs: number) {
+    sceneOf(this).route = {
+      name: "stream",
+      host: "a.example",
+      pathPrefix: "/",
+      shares: [{ service: service.name, weight: 1 }],
+      repeatability: "not_repeatable",
+      streaming: true,
+      resumable: false,
+      timeoutMs,
+      objectiveMs,
+      patienceMs,
+      priority: 0,
+      maxAttempts: 1,
+    };
+  },
+);
+
+Given(
+  "the weights of {string} are expected in {int} ms",
+  function (this: object, model: string, ms: number) {
+    sceneOf(this).expected.set(model, ms);
+  },
+);
+
+Given("the box takes nothing more after {int} ms", function (this: object, ms: number) {
+  sceneOf(this).stopsAt = ms;
+});
+
+/** Remembers the answer that its caller would get. */
+function sinkOf(scene: Scene): AnswerSink {
+  return {
+    begun: () => scene.answer !== undefined,
+    head: () => undefined,
+    bytes: () => true,
+    onDrain: () => undefined,
+    end: () => undefined,
+    cut: () => undefined,
+    whole: (status, headers) => void (scene.answer = { status, headers }),
+    gone: () => false,
+    onGone: () => undefined,
+  };
+}
+
+/** Lets a request that is decided at once come to its end. */
+const settleMs = 1;
+
+When("a caller asks for {string}", async function (this: object, model: string) {
+  const scene = sceneOf(this);
+  const { route, clock, context } = scene;
+  const request: ForwardedRequest = {
+    route,
+    service,
+    method: "POST",
+    path: "/",
+    headers: [],
+    body: Buffer.alloc(0),
+    terms: { id: "r1", model, promptTokens: 100, maxOutputTokens: 10, parts: [] },
+    sink: sinkOf(scene),
+    arrivedAt: clock.now(),
+    awaitedUntil: clock.now() + (route.patienceMs ?? route.timeoutMs),
+    endsAt: clock.now() + route.timeoutMs,
+    position: {},
+    tried: new Set(),
+    runs: 0,
+    sends: 0,
+    held: false,
+  };
+  scene.request = request;
+  void forwardRequest(context, request).then((end) => void (scene.end = end));
+  await clock.runUntil(settleMs);
+});
+
+When(
+  "the engine holds {string} after {int} ms",
+  async function (this: object, model: string, ms: number) {
+    const { clock, fleet } = sceneOf(this);
+    await clock.runUntil(ms);
+    const models = [{ name: model, version: 1, adapters: [] }];
+    fleet.takeHoldings("e1", { sequence: 1, models });
+    await clock.runUntil(ms + settleMs);
+  },
+);
+
+Then(
+  "it is refused at once with {int}, to come back after {int} ms",
+  function (this: object, status: number, ms: number) {
+    const { answer } = sceneOf(this);
+    assert.equal(answer?.status, status);
+    const retryAfter = answer.headers[answer.headers.indexOf("Retry-After") + 1];
+    assert.equal(Number(retryAfter) * 1000, ms);
+  },
+);
+
+Then("it is held for {int} ms", async function (this: object, ms: number) {
+  const scene = sceneOf(this);
+  await scene.clock.runUntil(ms);
+  assert.equal(scene.end, undefined);
+});
+
+Then(
+  "it is refused with {int} before {int} ms have passed",
+  async function (this: object, status: number, ms: number) {
+    const scene = sceneOf(this);
+    await scene.clock.runUntil(ms);
+    assert.equal(scene.answer?.status, status);
+  },
+);
+
+Then("it is sent to the engine", function (this: object) {
+  assert.ok((sceneOf(this).request?.sends ?? 0) > 0);
+});
--- a/packages/types/src/routes.ts
+++ b/packages/types/src/routes.ts
@@ -27,6 +27,9 @@
   readonly timeoutMs: Milliseconds;
   /** Time within which an answer (the first event of a stream) is on time. */
   readonly objectiveMs: Milliseconds;
+  /** Longest time that callers wait for the next event of a stream, the first one included; absent
+   * where they wait until their deadline. */
+  readonly patienceMs?: Milliseconds;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Most targets that one request may be sent to. */
--- a/packages/weight-orders/src/advance-moves.ts
+++ b/packages/weight-orders/src/advance-moves.ts
@@ -1,16 +1,11 @@
 /** Takes the moves under way a step further. */
 import type { TargetBelief } from "@linkfall/fleet";
-import type { Epoch, Milliseconds } from "@linkfall/types";
+import type { Epoch } from "@linkfall/types";
 import type { WeightMove } from "@linkfall/weight-plan";
 import { type EngineWork, isPending, nextStep, wordToGoBy } from "./engine-work.js";
 import { endMove, fits, giveOrder, planOrder, planOrderAhead } from "./give-order.js";
 import { type GiverContext, shapeOf, stateInTenure } from "./giver-context.js";
 
-/** What an unload takes with the reports that show its end. */
-const unloadMs: Milliseconds = 300;
-/** A load that should have ended may still take this long. */
-export const leastLeftMs: Milliseconds = 100;
-
 /** Begins a move; its first order goes with the next look at it. */
 export function beginMove({ state, clock, metrics, logger }: GiverContext, move: WeightMove): void {
   state.work.set(move.engine, { move, begunAt: clock.now(), aheadFrom: Infinity });
@@ -24,17 +19,6 @@
   });
 }
 
-/** Time until the move's model is there: until its load is ordered, all of the load is ahead. */
-export function moveLeftMs(context: GiverContext, { move, sent }: EngineWork): Milliseconds {
-  const belief = context.fleet.find(move.engine);
-  const model = belief && shapeOf(context, belief)?.models.get(move.load);
-  if (!model) return context.rules.giveUpMs;
-  const { fromMemoryMs, fromDiskMs, fromStoreMs } = model;
-  const loadMs = { memory: fromMemoryMs, disk: fromDiskMs, store: fromStoreMs }[move.source];
-  if (sent?.order.action !== "load") return loadMs + unloadMs;
-  return Math.max(leastLeftMs, sent.at + loadMs - context.clock.now());
-}
-
 function advance(
   context: GiverContext,
   belief: TargetBelief,
--- a/packages/weight-orders/src/ask-engines.ts
+++ b/packages/weight-orders/src/ask-engines.ts
@@ -2,6 +2,7 @@
 import type { TargetBelief } from "@linkfall/fleet";
 import type { Milliseconds } from "@linkfall/types";
 import { enginesOf, type GiverContext, pendingAdapter } from "./giver-context.js";
+import { moveLeftMs } from "./move-time.js";
 
 /** Asks one engine, unless it is being asked. */
 export async function askEngine(context: GiverContext, belief: TargetBelief): Promise<void> {
@@ -23,6 +24,25 @@
 /** With many engines, those without a move are asked less often: one every so many milliseconds. */
 const askGapMs: Milliseconds = 20;
 
+/** A load is asked about again when this share of its time left has passed: often towards its end. */
+const askShare = 0.5;
+
+/** Time after its last question after which an engine is asked again. */
+function askEveryMs(
+  context: GiverContext,
+  belief: TargetBelief,
+  stillMs: Milliseconds,
+): Milliseconds {
+  const { state, rules } = context;
+  const work = state.work.get(belief.listed.id);
+  if (work?.sent?.order.action === "load") {
+    return Math.max(rules.busyStateMs, moveLeftMs(context, work) * askShare);
+  }
+  const adaptersMove =
+    pendingAdapter(context, belief) !== undefined || (belief.state?.adaptersComing.length ?? 0) > 0;
+  return work || adaptersMove ? rules.busyStateMs : stillMs;
+}
+
 /** Asks every engine whose state is due. */
 export function askDueEngines(context: GiverContext): void {
   const { state, clock, rules } = context;
@@ -31,10 +51,7 @@
   const stillMs = Math.max(rules.stateMs, engines.length * askGapMs);
   for (const belief of engines) {
     const { id } = belief.listed;
-    const adaptersMove =
-      pendingAdapter(context, belief) !== undefined ||
-      (belief.state?.adaptersComing.length ?? 0) > 0;
-    const every = state.work.has(id) || adaptersMove ? rules.busyStateMs : stillMs;
+    const every = askEveryMs(context, belief, stillMs);
     if (now - (state.asked.get(id) ?? -Infinity) >= every) void askEngine(context, belief);
   }
 }
--- a/packages/weight-orders/src/order-giver.ts
+++ b/packages/weight-orders/src/order-giver.ts
@@ -9,9 +9,10 @@
 import { loggerName } from "@linkfall/logger";
 import { metricsName } from "@linkfall/metrics";
 import type { Epoch, Milliseconds } from "@linkfall/types";
-import { advanceMoves, moveLeftMs } from "./advance-moves.js";
+import { advanceMoves } from "./advance-moves.js";
 import { askDueEngines } from "./ask-engines.js";
 import { createGiverState, type GiverContext, type OrderGiverInput } from "./giver-context.js";
+import { moveLeftMs } from "./move-time.js";
 import { planService } from "./plan-service.js";
 
 export interface OrderGiver extends Service {
--- a/packages/weight-orders/src/plan-service.ts
+++ b/packages/weight-orders/src/plan-service.ts
@@ -3,9 +3,10 @@
 import type { ModelDemand } from "@linkfall/model-demand";
 import type { EngineShape, Epoch, Milliseconds } from "@linkfall/types";
 import { type AdapterNeed, type EngineView, planAdapters, planMoves } from "@linkfall/weight-plan";
-import { beginMove, leastLeftMs, moveLeftMs } from "./advance-moves.js";
+import { beginMove } from "./advance-moves.js";
 import { fits, giveOrder, planOrder } from "./give-order.js";
 import { enginesOf, type GiverContext, pendingAdapter, stateInTenure } from "./giver-context.js";
+import { leastLeftMs, moveLeftMs } from "./move-time.js";
 import { toEngineView, toNeeds } from "./views.js";
 
 function viewOf(
