Copies are valued by the objective of those who ask, replicas by the load that they carry

Cause: what a copy is worth was idle time times load time. A model of live replies (objective 400 ms, load 0.6 to 6 s) lost its only copy to rare ones whose callers wait 5 s and could have had theirs swapped in on time. Ruled out: a higher constant number of requests for each copy (an engine carries 48 short or 6 long prompts). Change: the demand of a model tells the shortest objective of its callers and the time that engines read its prompts; a last copy's loss counts by the share of requests that a load would make late; a replica is wished for beyond a share of what an engine can do (placement.load_of_replica in place of in_flight_of_replica).

--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -66,6 +66,8 @@
     sends: request.sends,
     runs: request.runs,
     held: request.held,
+    firstMs: request.firstAt && Math.round(request.firstAt - request.arrivedAt),
+    objectiveMs: request.route.objectiveMs,
     ms: tookMs,
     leftMs: Math.round(request.endsAt - clock.now()),
     configuration: context.feed.inForce()?.configuration.version,
--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -68,7 +68,7 @@
       else peers.send((member) => hasWaiting(member.status));
     },
     rules: {
-      plan: { inFlightOfReplica: placement.in_flight_of_replica, horizonMs: placement.horizon_ms },
+      plan: { loadOfReplica: placement.load_of_replica, horizonMs: placement.horizon_ms },
       stateMs: placement.state_ms,
       busyStateMs: placement.busy_state_ms,
       resendMs: placement.resend_ms,
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -132,8 +132,8 @@
     .prefault({}),
   placement: z
     .strictObject({
-      /** Requests at work that one replica is to carry. */
-      in_flight_of_replica: number(0.1, 10_000, 6),
+      /** Load that one replica is to carry: reading of prompts and places taken, 1 being a whole engine. */
+      load_of_replica: number(0.01, 10, 0.6),
       /** Time over which the next request of a rare model is weighed. */
       horizon_ms: milliseconds(10_000),
       state_ms: milliseconds(500),
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -1,10 +1,10 @@
 /** The way of one request: pick a target or wait for weights, send, and go on while that may help. */
 import { type Random, sleep } from "@linkfall/kernel";
-import type { DemandMeter, Wanted } from "@linkfall/model-demand";
+import type { Wanted } from "@linkfall/model-demand";
 import type { RetryBudget } from "@linkfall/retry-budget";
 import type { Milliseconds, Route } from "@linkfall/types";
 import { type AttemptEnd, ownHeaders } from "./attempt.js";
-import type { ForwardedRequest, RequestEnd } from "./forwarded-request.js";
+import { type ForwardedRequest, type RequestEnd, wantedOf } from "./forwarded-request.js";
 import { pickTarget } from "./pick.js";
 import { type PickedTarget, type SendContext, sendToTarget } from "./send-to-target.js";
 import type { ChangeWaiter } from "./wait-for-change.js";
@@ -28,7 +28,6 @@
 export interface ForwardContext extends SendContext {
   readonly random: Random;
   readonly budget: RetryBudget;
-  readonly demand: DemandMeter;
   readonly waiter: ChangeWaiter;
   readonly forwardLimits: ForwardLimits;
   /** This box's failure domain. */
@@ -143,11 +142,6 @@
   }
 }
 
-function wantedOf(request: ForwardedRequest): Wanted {
-  const { model = "", adapter } = request.terms;
-  return { service: request.service.name, model, adapter };
-}
-
 /** Logs a hold once: each change of the fleet may only confirm it. */
 function noteHeld(
   context: ForwardContext,
@@ -273,7 +267,7 @@
   const { terms, service } = request;
   context.budget.request(service.name);
   const asksForWeights = terms.model !== undefined && service.engine !== undefined;
-  const endDemand = asksForWeights ? context.demand.begins(wantedOf(request)) : () => undefined;
+  const endDemand = asksForWeights ? context.demand.begins(wantedOf(request), request.route.objectiveMs) : () => undefined;
   let taken = await step(context, request);
   while (taken.go === "on") taken = await step(context, request);
   endDemand();
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -1,4 +1,5 @@
 /** One request on its way through a box. */
+import type { Wanted } from "@linkfall/model-demand";
 import type { RawHeaders } from "@linkfall/ports";
 import type { Milliseconds, RequestTerms, Route, RoutedService } from "@linkfall/types";
 import type { AnswerSink } from "./answer-sink.js";
@@ -24,6 +25,8 @@
   readonly tried: Set<string>;
   /** Sends that may have run. */
   runs: number;
+  /** When the first bytes of an answer's body came. */
+  firstAt?: Milliseconds;
   /** It has waited for weights. */
   held: boolean;
   /** All sends. */
@@ -43,6 +46,12 @@
       readonly retryAfterMs?: Milliseconds;
     };
 
+/** What a request asks for, in the demand meter's terms. */
+export function wantedOf(request: ForwardedRequest): Wanted {
+  const { model = "", adapter } = request.terms;
+  return { service: request.service.name, model, adapter };
+}
+
 /** Weights as the demand meter and the prefix index name them. */
 export function weightsOf(terms: RequestTerms): string {
   return terms.adapter === undefined ? (terms.model ?? "") : `${terms.model}/${terms.adapter}`;
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -2,11 +2,12 @@
 import type { Fleet, TargetLoad } from "@linkfall/fleet";
 import type { Clock } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
+import type { DemandMeter } from "@linkfall/model-demand";
 import type { RequestCodec } from "@linkfall/ports";
 import type { Milliseconds } from "@linkfall/types";
 import { type AttemptEnd, sendAttempt } from "./attempt.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
-import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
+import { type ForwardedRequest, wantedOf, weightsOf } from "./forwarded-request.js";
 import type { Pick } from "./pick.js";
 import type { WorkCostMeter } from "./work-costs.js";
 
@@ -32,6 +33,7 @@
   readonly fleet: Fleet;
   readonly logger: Logger;
   readonly costs: WorkCostMeter;
+  readonly demand: DemandMeter;
   readonly limits: SendLimits;
   readonly metrics: ForwardMetrics;
 }
@@ -114,6 +116,10 @@
   target.prefixes.note(query);
   request.tried.add(listed.id);
   request.sends += 1;
+  if (request.service.engine && terms.model !== undefined) {
+    const { perTokenMs } = context.costs.of(request.service.name, listed.id);
+    context.demand.reads(wantedOf(request), unread * perTokenMs);
+  }
   const endReading = () => {
     if (!reading) return;
     reading = false;
@@ -146,6 +152,7 @@
     onGap: context.metrics.gap,
     onFirstBytes: () => {
       endReading();
+      request.firstAt ??= clock.now();
       context.metrics.firstBytes(clock.now() - sentAt);
       const ahead = queuedBefore + unread;
       context.costs.observe(request.service.name, listed.id, ahead, clock.now() - sentAt);
--- a/packages/model-demand/src/index.ts
+++ b/packages/model-demand/src/index.ts
@@ -15,6 +15,11 @@
   readonly model: string;
   /** Requests at work or waiting, averaged over the last second or so. */
   readonly inFlight: number;
+  /** Time in which engines read prompts for it, per time that passes, averaged likewise: 1 is one
+   * engine that does nothing else. */
+  readonly reading: number;
+  /** Shortest objective of the requests that asked for it. */
+  readonly objectiveMs: Milliseconds;
   /** Requests that wait for the model. */
   readonly waiting: number;
   /** Requests that wait for an adapter of it, by name. */
@@ -24,8 +29,10 @@
 }
 
 export interface DemandMeter {
-  /** Notes a request; the returned function notes its end. */
-  begins(wanted: Wanted): () => void;
+  /** Notes a request and the time in which it is to begin; the returned function notes its end. */
+  begins(wanted: Wanted, objectiveMs: Milliseconds): () => void;
+  /** Notes that an engine reads a prompt for so long. */
+  reads(wanted: Wanted, ms: Milliseconds): void;
   /** Notes that a request waits for weights; the returned function ends the wait. */
   waits(wanted: Wanted): () => void;
   /** Demand of now, without models that nobody has asked for lately. */
@@ -43,6 +50,8 @@
   readonly model: string;
   inFlight: number;
   average: number;
+  reading: number;
+  objectiveMs: Milliseconds;
   averagedAt: Milliseconds;
   lastAt: Milliseconds;
   waiting: number;
@@ -53,6 +62,7 @@
 function settle(entry: Entry, now: Milliseconds): void {
   const kept = Math.exp(-(now - entry.averagedAt) / averageMs);
   entry.average = entry.average * kept + entry.inFlight * (1 - kept);
+  entry.reading *= kept;
   entry.averagedAt = now;
 }
 
@@ -78,6 +88,8 @@
       model,
       inFlight: 0,
       average: 0,
+      reading: 0,
+      objectiveMs: Infinity,
       averagedAt: now,
       lastAt: now,
       waiting: 0,
@@ -110,6 +122,8 @@
       service: entry.service,
       model: entry.model,
       inFlight: Math.round(entry.average * shownDigits) / shownDigits,
+      reading: Math.round(entry.reading * shownDigits) / shownDigits,
+      objectiveMs: entry.objectiveMs,
       waiting: entry.waiting,
       waitingAdapters: Object.fromEntries(entry.adapters),
       idleMs: entry.inFlight > 0 ? 0 : Math.round(clock.now() - entry.lastAt),
@@ -117,11 +131,17 @@
   };
 
   return {
-    begins(wanted) {
+    begins(wanted, objectiveMs) {
       const entry = entryOf(wanted);
+      entry.objectiveMs = Math.min(entry.objectiveMs, objectiveMs);
       countInFlight(entry, 1);
       return once(() => countInFlight(entry, -1));
     },
+    reads(wanted, ms) {
+      const entry = entryOf(wanted);
+      settle(entry, clock.now());
+      entry.reading += ms / averageMs;
+    },
     waits(wanted) {
       const entry = entryOf(wanted);
       countWaiting(entry, wanted.adapter, 1);
@@ -156,6 +176,8 @@
   return {
     ...left,
     inFlight: left.inFlight + right.inFlight,
+    reading: left.reading + right.reading,
+    objectiveMs: Math.min(left.objectiveMs, right.objectiveMs),
     waiting: left.waiting + right.waiting,
     waitingAdapters: adapters,
     idleMs: Math.min(left.idleMs, right.idleMs),
--- a/packages/model-demand/src/model-demand.steps.ts
+++ b/packages/model-demand/src/model-demand.steps.ts
@@ -33,7 +33,7 @@
 
 Given("a meter in which {int} requests for m begin", function (this: object, count: number) {
   const { meters, ends } = begin(this, 1);
-  for (let index = 0; index < count; index++) ends.push(meters[0].begins(wanted));
+  for (let index = 0; index < count; index++) ends.push(meters[0].begins(wanted, 400));
 });
 
 Given(
@@ -41,7 +41,7 @@
   function (this: object, count: number) {
     const { meters, ends } = begin(this, 2);
     for (const meter of meters) {
-      for (let index = 0; index < count; index++) ends.push(meter.begins(wanted));
+      for (let index = 0; index < count; index++) ends.push(meter.begins(wanted, 400));
     }
   },
 );
--- a/packages/weight-orders/src/giver-context.ts
+++ b/packages/weight-orders/src/giver-context.ts
@@ -52,6 +52,13 @@
   readonly until: Milliseconds;
 }
 
+/** The last request of a model that is known of. */
+export interface LastAsked {
+  readonly at: Milliseconds;
+  /** Shortest objective of those who have asked for it. */
+  readonly objectiveMs: Milliseconds;
+}
+
 /** What the giver keeps while it holds the lease. */
 export interface GiverState {
   /** Moves under way, by engine. */
@@ -64,8 +71,8 @@
   readonly ordering: Set<string>;
   /** When each adapter was last waited for, by `model/adapter`. */
   readonly adapterUse: Map<string, Milliseconds>;
-  /** When each model was last asked for, by `service model`. */
-  readonly lastAsked: Map<string, Milliseconds>;
+  /** The last request of each model, by `service model`. */
+  readonly lastAsked: Map<string, LastAsked>;
   readonly adapterOrders: Map<string, AdapterOrder>;
   readonly loads: StoreLoadWindow;
   epoch: Epoch | undefined;
--- a/packages/weight-orders/src/plan-service.ts
+++ b/packages/weight-orders/src/plan-service.ts
@@ -55,7 +55,10 @@
 ): readonly AdapterNeed[] {
   const now = clock.now();
   return demand.flatMap((entry) => {
-    state.lastAsked.set(`${entry.service} ${entry.model}`, now - entry.idleMs);
+    const key = `${entry.service} ${entry.model}`;
+    const known = state.lastAsked.get(key)?.objectiveMs ?? Infinity;
+    const objectiveMs = Math.min(known, entry.objectiveMs);
+    state.lastAsked.set(key, { at: now - entry.idleMs, objectiveMs });
     return Object.entries(entry.waitingAdapters).map(([adapter, waiting]) => {
       state.adapterUse.set(`${entry.model}/${adapter}`, now);
       return { model: entry.model, adapter, waiting };
@@ -94,12 +97,11 @@
   const { state, clock, rules } = context;
   const demand = context.demand().filter((entry) => entry.service === service);
   const adapterNeeds = noteDemand(context, demand);
-  const idleMs = (model: string) =>
-    clock.now() - (state.lastAsked.get(`${service} ${model}`) ?? -Infinity);
+  const lastAsked = (model: string) => state.lastAsked.get(`${service} ${model}`);
   const views = viewsOf(context, service, shape);
   const moves = planMoves({
     engines: views,
-    needs: toNeeds(demand, service, shape, idleMs),
+    needs: toNeeds(demand, service, shape, lastAsked, clock.now()),
     models: shape.models,
     storeLoadsLeft: storeLoadsLeft(context, shape),
     rules: rules.plan,
--- a/packages/weight-orders/src/views.ts
+++ b/packages/weight-orders/src/views.ts
@@ -4,6 +4,7 @@
 import type { EngineShape, EngineState, Milliseconds } from "@linkfall/types";
 import type { EngineView, ModelNeed } from "@linkfall/weight-plan";
 import type { EngineWork } from "./engine-work.js";
+import type { LastAsked } from "./giver-context.js";
 
 /** The planner's view of one engine; undefined before its `state` is known. */
 export function toEngineView(
@@ -32,24 +33,30 @@
   };
 }
 
-/** The need of each model of a service; `idleMs` tells the time since a model was last asked for. */
+/** The need of each model of a service; `lastAsked` tells of models that nobody asks for now. */
 export function toNeeds(
   demand: readonly ModelDemand[],
   service: string,
   shape: EngineShape,
-  idleMs: (model: string) => Milliseconds,
+  lastAsked: (model: string) => LastAsked | undefined,
+  now: Milliseconds,
 ): ReadonlyMap<string, ModelNeed> {
   const needs = new Map<string, ModelNeed>();
   for (const [name, model] of shape.models) {
-    const idle = idleMs(name);
-    if (Number.isFinite(idle)) needs.set(name, { model, inFlight: 0, waiting: 0, idleMs: idle });
+    const last = lastAsked(name);
+    if (!last) continue;
+    const { at, objectiveMs } = last;
+    const idleMs = now - at;
+    needs.set(name, { model, inFlight: 0, load: 0, objectiveMs, waiting: 0, idleMs });
   }
   for (const entry of demand) {
     const model = shape.models.get(entry.model);
     if (entry.service !== service || !model) continue;
     const forAdapters = Object.values(entry.waitingAdapters).reduce((sum, n) => sum + n, 0);
     const waiting = entry.waiting + forAdapters;
-    needs.set(entry.model, { model, inFlight: entry.inFlight, waiting, idleMs: entry.idleMs });
+    const { inFlight, reading, objectiveMs, idleMs } = entry;
+    const load = reading + inFlight / shape.slots;
+    needs.set(entry.model, { model, inFlight, load, objectiveMs, waiting, idleMs });
   }
   return needs;
 }
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -227,7 +227,7 @@
     demand: () => scene.demand,
     announce: () => undefined,
     rules: {
-      plan: { inFlightOfReplica: 6, horizonMs: 10_000 },
+      plan: { loadOfReplica: 0.6, horizonMs: 10_000 },
       stateMs: 300,
       busyStateMs: 60,
       resendMs: 800,
@@ -308,7 +308,16 @@
 );
 
 function waitFor(scene: Scene, name: string, inFlight = 1): void {
-  const demand = { service, model: name, inFlight, waiting: 1, waitingAdapters: {}, idleMs: 0 };
+  const demand = {
+    service,
+    model: name,
+    inFlight,
+    reading: 0,
+    objectiveMs: 500,
+    waiting: 1,
+    waitingAdapters: {},
+    idleMs: 0,
+  };
   scene.demand = [...scene.demand.filter((entry) => entry.model !== name), demand];
 }
 
--- a/packages/weight-plan/src/copies.ts
+++ b/packages/weight-plan/src/copies.ts
@@ -13,7 +13,7 @@
 const leastIdleMs: Milliseconds = 500;
 /** A request at work holds up the unload, and its successors lose their replica. */
 const atWorkMs: Milliseconds = 1_500;
-/** A copy is one too many only where the others would be this far below what one carries. */
+/** A copy is one too many only where the others would have less than this share of what one carries. */
 const surplusShare = 0.6;
 /** What a copy beyond those that are needed is worth per request at work. */
 const surplusMs: Milliseconds = 50;
@@ -31,12 +31,22 @@
   return copies;
 }
 
+/**
+ * Share of the requests that come during a load which lose by it: all where the load takes longer than
+ * their objective, few where it leaves time. Nobody knows of a model that was never asked for.
+ */
+function lateShare(loadMs: Milliseconds, need: ModelNeed | undefined): number {
+  const ratio = need ? loadMs / need.objectiveMs : 1;
+  return Math.min(1, ratio * ratio);
+}
+
 /** What is lost when the last copy of a model goes: its next request waits for a load. */
 function lastCopyLoss(input: PlanInput, name: string, need: ModelNeed | undefined): Milliseconds {
   const model = input.models.get(name);
   if (!model) return 0;
   const idleMs = Math.max(leastIdleMs, need?.idleMs ?? neverAskedMs);
-  return (model.fromDiskMs * input.rules.horizonMs) / idleMs;
+  const { fromDiskMs } = model;
+  return (fromDiskMs * lateShare(fromDiskMs, need) * input.rules.horizonMs) / idleMs;
 }
 
 /** What requests lose when this copy goes, in milliseconds; Infinity where it must stay. */
@@ -54,10 +64,10 @@
     if (need && need.waiting > 0) return Infinity;
     return lastCopyLoss(input, name, need) + inFlight * atWorkMs;
   }
-  const perReplicaAfter = inFlight / (have - 1);
   if (input.needs.size === 0) return unknownSurplusMs;
-  const easy = input.rules.inFlightOfReplica * surplusShare;
-  if (perReplicaAfter > easy) return perReplicaAfter * atWorkMs;
+  const loadAfter = (need?.load ?? 0) / (have - 1);
+  const easy = input.rules.loadOfReplica * surplusShare;
+  if (loadAfter > easy) return (inFlight / (have - 1)) * atWorkMs;
   const model = input.models.get(name);
   const idleMs = Math.max(leastIdleMs, need?.idleMs ?? neverAskedMs);
   return inFlight * surplusMs + ((model?.fromDiskMs ?? 0) * surplusHorizonMs) / idleMs;
--- a/packages/weight-plan/src/engine-view.ts
+++ b/packages/weight-plan/src/engine-view.ts
@@ -27,6 +27,10 @@
   readonly model: DeclaredModel;
   /** Requests at work or waiting, averaged. */
   readonly inFlight: number;
+  /** What its requests take of engines: 1 is all that one engine can do. */
+  readonly load: number;
+  /** Shortest objective of the requests that asked for it. */
+  readonly objectiveMs: Milliseconds;
   /** Requests that wait for the model. */
   readonly waiting: number;
   /** Time since the last request; Infinity where none was seen. */
--- a/packages/weight-plan/src/plan.ts
+++ b/packages/weight-plan/src/plan.ts
@@ -15,8 +15,8 @@
 
 /** Settings of the plan. */
 export interface PlanRules {
-  /** Requests at work that one replica is to carry. */
-  readonly inFlightOfReplica: number;
+  /** Load that one replica is to carry, as a share of what an engine can do. */
+  readonly loadOfReplica: number;
   /** Time over which the next request of a rare model is weighed. */
   readonly horizonMs: Milliseconds;
 }
@@ -35,6 +35,8 @@
   readonly reason: WeightMove["reason"];
   /** Requests that it would help; higher comes first. */
   readonly weight: number;
+  /** Requests at work that the replicas there carry as they should, each. */
+  readonly carried: number;
 }
 
 /** A request that waits for a model counts as many that share a replica with too many others. */
@@ -45,6 +47,8 @@
 const crowdMs: Milliseconds = 20;
 /** What bringing a model that no engine has at hand is worth. */
 const unreachableGainMs: Milliseconds = 150;
+/** An engine with no more requests at work can be held up by a load for nobody yet. */
+const quietRequests = 6;
 /** Loads from the weight store that are kept for models that requests wait for. */
 const storeLoadsReserved = 3;
 /** Replicas of one model that may be on their way at once. */
@@ -84,15 +88,17 @@
   const need = input.needs.get(model.name);
   const have = copies.get(model.name) ?? 0;
   if (have === 0 && need && need.waiting > 0) {
-    return { model, reason: "waiting", weight: need.waiting * waitingWeight };
+    return { model, reason: "waiting", weight: need.waiting * waitingWeight, carried: 0 };
   }
-  const perReplica = need && have > 0 ? need.inFlight / have : 0;
+  const load = need && have > 0 ? need.load / have : 0;
   // Requests that pile up during loads are no demand for ever more replicas.
-  if (perReplica > input.rules.inFlightOfReplica && (coming.get(model.name) ?? 0) < mostComing) {
-    return { model, reason: "demand", weight: perReplica - input.rules.inFlightOfReplica };
+  if (need && load > input.rules.loadOfReplica && (coming.get(model.name) ?? 0) < mostComing) {
+    const atWork = need.inFlight / have;
+    const carried = (atWork * input.rules.loadOfReplica) / load;
+    return { model, reason: "demand", weight: atWork - carried, carried };
   }
   if (have === 0 && !atHand.has(model.name)) {
-    return { model, reason: "unreachable", weight: 0 };
+    return { model, reason: "unreachable", weight: 0, carried: 0 };
   }
   return undefined;
 }
@@ -143,14 +149,14 @@
 }
 
 /** Whether the load earns what its victims lose. */
-function isWorth(wish: Wish, place: Place, rules: PlanRules): boolean {
+function isWorth(wish: Wish, place: Place): boolean {
   switch (wish.reason) {
     case "waiting":
       return true;
     case "demand":
-      return place.loss < (wish.weight + rules.inFlightOfReplica / 2) * replicaGainMs;
+      return place.loss < (wish.weight + wish.carried / 2) * replicaGainMs;
     case "unreachable":
-      return place.loss < unreachableGainMs && place.engine.inFlight <= rules.inFlightOfReplica;
+      return place.loss < unreachableGainMs && place.engine.inFlight <= quietRequests;
   }
 }
 
@@ -168,7 +174,7 @@
 ): Place | undefined {
   const places = input.engines.flatMap((engine) => {
     const place = placeOn(input, copies, engine, wish.model);
-    if (!place || !isWorth(wish, place, input.rules)) return [];
+    if (!place || !isWorth(wish, place)) return [];
     const fromStore = sourceOf(engine, wish.model.name) === "store";
     const reserved = wish.reason === "waiting" ? 0 : storeLoadsReserved;
     return fromStore && storeLoadsLeft <= reserved ? [] : [place];
--- a/packages/weight-plan/src/weight-plan.feature
+++ b/packages/weight-plan/src/weight-plan.feature
@@ -16,6 +16,14 @@
     And 1 request waits for "b"
     Then engine "1" swaps in "e" from store for "c"
 
+  Scenario: A model that can be brought back within its objective goes before one that cannot
+    Given engine "1" holds "a b c"
+    When "a" was asked for 8000 ms ago, to begin within 400 ms
+    And "b" was asked for 2000 ms ago, to begin within 5000 ms
+    And "c" was asked for 8000 ms ago, to begin within 400 ms
+    And 1 request waits for "e"
+    Then engine "1" swaps in "e" from store for "b"
+
   Scenario: A busy model gets a further replica on the engine with the least to do
     Given engine "1" holds "a b c" and has 40 requests at work
     And engine "2" holds "d e f" and has 0 requests at work
--- a/packages/weight-plan/src/weight-plan.steps.ts
+++ b/packages/weight-plan/src/weight-plan.steps.ts
@@ -13,7 +13,10 @@
   type WeightMove,
 } from "./index.js";
 
-const rules = { inFlightOfReplica: 4, horizonMs: 10_000 };
+const rules = { loadOfReplica: 0.5, horizonMs: 10_000 };
+/** What one request at work takes of an engine here. */
+const loadOfRequest = 0.125;
+const objectiveMs = 500;
 const modelMb = 70_000;
 const memoryMb = 220_000;
 
@@ -131,7 +134,16 @@
   const { needs, models } = sceneOf(world);
   const declared = models.get(name);
   assert.ok(declared);
-  needs.set(name, { model: declared, inFlight: 0, waiting: 0, idleMs: 0, ...part });
+  const load = (part.inFlight ?? 0) * loadOfRequest;
+  needs.set(name, {
+    model: declared,
+    inFlight: 0,
+    load,
+    objectiveMs,
+    waiting: 0,
+    idleMs: 0,
+    ...part,
+  });
 }
 
 When(/^(\d+) requests? waits? for "(.*)"$/, function (this: object, waiting: string, name: string) {
@@ -163,6 +175,13 @@
   },
 );
 
+When(
+  "{string} was asked for {int} ms ago, to begin within {int} ms",
+  function (this: object, name: string, idleMs: number, objective: number) {
+    need(this, name, { idleMs, objectiveMs: objective });
+  },
+);
+
 Then("engine {string} is left as it is", function (this: object, id: string) {
   assert.ok(!planOf(this).some((move) => move.engine === id));
 });
@@ -210,6 +229,8 @@
 const randomNeed = fc.record({
   name: fc.constantFrom(...names),
   inFlight: fc.nat(60),
+  load: fc.double({ min: 0, max: 8, noNaN: true }),
+  objectiveMs: fc.constantFrom(400, 5_000),
   waiting: fc.nat(5),
   idleMs: fc.nat(20_000),
 });
