--- a/packages/box-peers/src/peers.ts
+++ b/packages/box-peers/src/peers.ts
@@ -160,10 +160,11 @@
     return [{ ...identity, ...state, ageMs, silent: !isAlive(member) }];
   };
 
-  /** A box that follows the holder's reports knows the others already, but for new ones. */
+  /** A box that hears all others, or follows the holder's reports, knows them already, but for new ones. */
   const sightingsFor = (reader?: BoxStatus): readonly Member[] => {
     const alive = all().filter(isAlive);
-    if (!reader?.followed) return sample(alive, rules.sightings, random);
+    const knowsOthers = reader !== undefined && (mesh() || reader.followed !== undefined);
+    if (!knowsOthers) return sample(alive, rules.sightings, random);
     return random.below(rememberEvery) === 0 ? sample(alive, 1, random) : [];
   };
 
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -8,7 +8,7 @@
 import { type BoxParts, createBoxParts } from "./box-parts.js";
 import type { EntryBoxPorts } from "./box-ports.js";
 import { chooseEntries, type EntryOfBox } from "./entries.js";
-import { createForwardContext, createAnnouncingWaiter } from "./forward-context.js";
+import { createFleetWaiter, createForwardContext } from "./forward-context.js";
 import { createFront, type Front } from "./front.js";
 import { registerGauges } from "./gauges.js";
 import { handleRequest } from "./handle-request.js";
@@ -51,7 +51,7 @@
   );
   provideLease(parts);
   provideGiver(parts);
-  const waiter = createAnnouncingWaiter(parts);
+  const waiter = createFleetWaiter(parts);
   const forward = createForwardContext(parts, waiter, receiveHeartbeats(parts, knowledge, waiter));
   const metrics = kernel.find(metricsName);
   const context = { feed, codec: ports.requests, forward, metrics };
--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -5,6 +5,7 @@
   type ChangeWaiter,
   createChangeWaiter,
   createForwardMetrics,
+  createStreamPace,
   createWorkCostMeter,
   type ForwardContext,
 } from "@linkfall/forwarding";
@@ -17,28 +18,31 @@
 import type { HeartbeatReceiver } from "./heartbeat-receiver.js";
 import { boxesWithCallers } from "./boxes-with-callers.js";
 
-/** Requests that begin to wait within this time are told together. */
-const gatherMs: Milliseconds = 2;
+/** Requests that begin to wait within this time are told together: little against the time of a load. */
+const gatherMs: Milliseconds = 10;
 const microsecondsPerMillisecond = 1000;
 
-/** A waiter whose requests are announced to the box that gives orders. */
-export function createAnnouncingWaiter({ kernel, ports }: BoxParts): ChangeWaiter {
+/** Tells the box that gives orders of demand, several requests together. */
+function createDemandAnnouncer({ kernel, ports }: BoxParts): () => void {
   const { clock } = ports;
   let announcing = false;
   const announce = () => {
     announcing = false;
     const lease = kernel.find(orderLeaseName);
-    if (lease.epoch() !== undefined) kernel.find(orderGiverName).hurry();
-    else {
-      const holder = lease.known()?.holder;
-      kernel.find(peersName).send((member) => member.status?.incarnation === holder);
-    }
+    if (lease.epoch() !== undefined) return kernel.find(orderGiverName).hurry();
+    const holder = lease.known()?.holder;
+    kernel.find(peersName).send((member) => member.status?.incarnation === holder);
   };
-  const waiter = createChangeWaiter(clock, () => {
+  return () => {
     if (announcing) return;
     announcing = true;
     clock.after(gatherMs, announce);
-  });
+  };
+}
+
+/** A waiter that wakes its requests when what is believed of targets has changed. */
+export function createFleetWaiter({ kernel, ports }: BoxParts): ChangeWaiter {
+  const waiter = createChangeWaiter(ports.clock);
   kernel.find(fleetName).onChange(waiter.wake);
   return waiter;
 }
@@ -61,6 +65,7 @@
     demand,
     waiter,
     domain: settings.box.domain,
+    tellOfWait: createDemandAnnouncer(parts),
     takes: parts.stop.takes,
     boxes: () => boxesWithCallers(parts),
     expectedWeightsMs: receiver.expectedWeightsMs,
@@ -69,6 +74,7 @@
       slack: retries.slack,
       windowMs: retries.window_ms,
     }),
+    pace: createStreamPace(clock),
     costs: createWorkCostMeter({
       perTokenMs: forwarding.first_token_cost_us / microsecondsPerMillisecond,
       perRequestMs: forwarding.first_request_cost_ms,
--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -41,6 +41,7 @@
     tried: new Set(),
     runs: 0,
     sends: 0,
+    longestGapMs: 0,
     held: false,
   };
 }
@@ -68,6 +69,7 @@
     held: request.held,
     firstMs: request.firstAt && Math.round(request.firstAt - request.arrivedAt),
     objectiveMs: request.route.objectiveMs,
+    gapMs: request.longestGapMs > 0 ? Math.round(request.longestGapMs) : undefined,
     ms: tookMs,
     leftMs: Math.round(request.endsAt - clock.now()),
     configuration: context.feed.inForce()?.configuration.version,
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -133,7 +133,7 @@
   placement: z
     .strictObject({
       /** Load that one replica is to carry: reading of prompts and places taken, 1 being a whole engine. */
-      load_of_replica: number(0.01, 10, 0.6),
+      load_of_replica: number(0.01, 10, 0.3),
       /** Time over which the next request of a rare model is weighed. */
       horizon_ms: milliseconds(10_000),
       state_ms: milliseconds(500),
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -32,6 +32,8 @@
   readonly forwardLimits: ForwardLimits;
   /** This box's failure domain. */
   readonly domain: string;
+  /** Tells the box that gives orders at once of a wait for weights that it may not know of. */
+  tellOfWait(): void;
   /** Whether a request of the route that is sent now can still end before a planned stop of the box. */
   takes(route: Route): boolean;
   /** Boxes that share the retry budget. */
@@ -142,7 +144,7 @@
   }
 }
 
-/** Logs a hold once: each change of the fleet may only confirm it. */
+/** Logs and tells of a hold once: each change of the fleet may only confirm it. */
 function noteHeld(
   context: ForwardContext,
   request: ForwardedRequest,
@@ -150,6 +152,8 @@
 ): void {
   if (request.held) return;
   request.held = true;
+  // A load that is expected has been ordered: the next heartbeat tells of those who wait for it.
+  if (expectedMs === undefined) context.tellOfWait();
   context.logger.event("requestHeld", {
     request: request.terms.id,
     model: request.terms.model,
@@ -168,8 +172,8 @@
     return refuse(request, refusedStatus, "weights will not be there in time", expected);
   }
   if (left <= 0) return outOfTime(request);
-  noteHeld(context, request, expected);
   const endWait = context.demand.waits(wanted);
+  noteHeld(context, request, expected);
   const from = context.clock.now();
   await context.waiter.next(Math.min(left, lookAgainMs), request.sink);
   endWait();
@@ -246,7 +250,7 @@
   if (request.sends >= forwardLimits.mostSends) {
     return refuse(request, refusedStatus, "too many sends", forwardLimits.comeBackMs);
   }
-  const pick = pickTarget(fleet, request, context.costs, domain, random, context.clock.now());
+  const pick = pickTarget(fleet, request, context, domain, random, context.clock.now());
   switch (pick.kind) {
     case "target":
       return admit(context, request, pick);
@@ -267,7 +271,9 @@
   const { terms, service } = request;
   context.budget.request(service.name);
   const asksForWeights = terms.model !== undefined && service.engine !== undefined;
-  const endDemand = asksForWeights ? context.demand.begins(wantedOf(request), request.route.objectiveMs) : () => undefined;
+  const endDemand = asksForWeights
+    ? context.demand.begins(wantedOf(request), request.route.objectiveMs)
+    : () => undefined;
   let taken = await step(context, request);
   while (taken.go === "on") taken = await step(context, request);
   endDemand();
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -27,6 +27,8 @@
   runs: number;
   /** When the first bytes of an answer's body came. */
   firstAt?: Milliseconds;
+  /** Longest time between two arrivals of bytes of its stream. */
+  longestGapMs: Milliseconds;
   /** It has waited for weights. */
   held: boolean;
   /** All sends. */
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -18,6 +18,7 @@
   type AnswerSink,
   createChangeWaiter,
   createForwardMetrics,
+  createStreamPace,
   createWorkCostMeter,
   type ForwardContext,
   type ForwardedRequest,
@@ -81,7 +82,7 @@
     lapse: { graceMs: 1_600, share: 0.3 },
     ejection: { failuresInARow: 3, firstMs: 1_000, longestMs: 8_000 },
   });
-  const waiter = createChangeWaiter(clock, () => undefined);
+  const waiter = createChangeWaiter(clock);
   fleet.onChange(waiter.wake);
   const context: ForwardContext = {
     clock,
@@ -93,6 +94,7 @@
     demand: createDemandMeter(clock),
     waiter,
     domain: "d1",
+    tellOfWait: () => undefined,
     takes: () => clock.now() < stopsAt(),
     boxes: () => 1,
     expectedWeightsMs: ({ model }) => {
@@ -100,6 +102,7 @@
       return at === undefined ? undefined : Math.max(0, at - clock.now());
     },
     budget: createRetryBudget(clock, { ratio: 0.2, slack: 10, windowMs: 10_000 }),
+    pace: createStreamPace(clock),
     costs: createWorkCostMeter({
       perTokenMs: 0.02,
       perRequestMs: 30,
@@ -212,6 +215,7 @@
     tried: new Set(),
     runs: 0,
     sends: 0,
+    longestGapMs: 0,
     held: false,
   };
   scene.request = request;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -5,5 +5,6 @@
 export * from "./forwarded-request.js";
 export * from "./pick.js";
 export * from "./send-to-target.js";
+export * from "./stream-pace.js";
 export * from "./wait-for-change.js";
 export * from "./work-costs.js";
--- a/packages/forwarding/src/pick.ts
+++ b/packages/forwarding/src/pick.ts
@@ -5,8 +5,15 @@
 import type { Milliseconds } from "@linkfall/types";
 import { type Candidate, type Choice, chooseTarget } from "@linkfall/target-choice";
 import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
+import type { StreamPace } from "./stream-pace.js";
 import type { WorkCostMeter } from "./work-costs.js";
 
+/** What this box has measured of targets. */
+export interface TargetMeters {
+  readonly costs: WorkCostMeter;
+  readonly pace: StreamPace;
+}
+
 export type Pick =
   | {
       readonly kind: "target";
@@ -52,7 +59,7 @@
   belief: TargetBelief,
   request: ForwardedRequest,
   domain: string,
-  costs: WorkCostMeter,
+  { costs, pace }: TargetMeters,
   home: PrefixHome | undefined,
 ): Candidate {
   const { terms } = request;
@@ -64,6 +71,7 @@
     inFlight: belief.own.inFlight + belief.others.inFlight,
     queuedTokens: belief.own.promptTokens + belief.others.promptTokens,
     unreadTokens: Math.max(0, terms.promptTokens - kept),
+    pauseMs: pace.recentMs(belief.listed.id),
     sameDomain: belief.listed.domain === domain,
     costs: costs.of(request.service.name, belief.listed.id),
   };
@@ -79,7 +87,7 @@
 export function pickTarget(
   fleet: Fleet,
   request: ForwardedRequest,
-  costs: WorkCostMeter,
+  meters: TargetMeters,
   domain: string,
   random: Random,
   now: Milliseconds,
@@ -90,7 +98,7 @@
   if (holding.length === 0) return { kind: "weights_missing" };
   const untried = holding.filter((belief) => !request.tried.has(belief.listed.id));
   const home = homeOf(request, holding);
-  const candidates = untried.map((belief) => toCandidate(belief, request, domain, costs, home));
+  const candidates = untried.map((belief) => toCandidate(belief, request, domain, meters, home));
   const choice = chooseTarget(candidates, random);
   if (!choice) return { kind: "all_tried" };
   const target = untried.find((belief) => belief.listed.id === choice.id);
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -8,8 +8,7 @@
 import { type AttemptEnd, sendAttempt } from "./attempt.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
 import { type ForwardedRequest, wantedOf, weightsOf } from "./forwarded-request.js";
-import type { Pick } from "./pick.js";
-import type { WorkCostMeter } from "./work-costs.js";
+import type { Pick, TargetMeters } from "./pick.js";
 
 /** Limits of one send. */
 export interface SendLimits {
@@ -27,12 +26,11 @@
 /** A target as it was picked. */
 export type PickedTarget = Extract<Pick, { kind: "target" }>;
 
-export interface SendContext {
+export interface SendContext extends TargetMeters {
   readonly clock: Clock;
   readonly codec: RequestCodec;
   readonly fleet: Fleet;
   readonly logger: Logger;
-  readonly costs: WorkCostMeter;
   readonly demand: DemandMeter;
   readonly limits: SendLimits;
   readonly metrics: ForwardMetrics;
@@ -149,7 +147,11 @@
       body: request.body,
       connectMs: limits.connectMs,
     },
-    onGap: context.metrics.gap,
+    onGap: (ms) => {
+      request.longestGapMs = Math.max(request.longestGapMs, ms);
+      context.pace.observe(listed.id, ms);
+      context.metrics.gap(ms);
+    },
     onFirstBytes: () => {
       endReading();
       request.firstAt ??= clock.now();
--- a/packages/forwarding/src/wait-for-change.ts
+++ b/packages/forwarding/src/wait-for-change.ts
@@ -10,8 +10,8 @@
   wake(): void;
 }
 
-/** Creates a waiter; `onWait` is called when a request begins to wait. */
-export function createChangeWaiter(clock: Clock, onWait: () => void): ChangeWaiter {
+/** Creates a waiter. */
+export function createChangeWaiter(clock: Clock): ChangeWaiter {
   let waiting = new Set<() => void>();
   return {
     next: (limitMs, sink) =>
@@ -24,7 +24,6 @@
         const cancel = clock.after(limitMs, end);
         waiting.add(end);
         sink.onGone(end);
-        onWait();
       }),
     wake() {
       const woken = waiting;
--- a/packages/forwarding/src/work-costs.ts
+++ b/packages/forwarding/src/work-costs.ts
@@ -15,6 +15,8 @@
 const targetWeight = 0.15;
 /** Fewer tokens than this say more about a request's other costs than about reading. */
 const fewTokens = 500;
+const leastPerRequestMs = 1;
+const mostPerRequestMs = 5_000;
 const leastPerTokenMs = 0.002;
 const mostPerTokenMs = 0.2;
 const mostTargets = 5_000;
@@ -24,14 +26,23 @@
 const between = (value: number, least: number, most: number) =>
   Math.min(most, Math.max(least, value));
 
+/**
+ * Moves an estimate towards the median of what is seen, by a share of itself. Means are no use here: one
+ * answer that was held up by what this box cannot see would make ten quick ones look slow.
+ */
+function towardsMedian(estimate: number, seen: number, weight: number): number {
+  return estimate * (seen > estimate ? 1 + weight : 1 / (1 + weight));
+}
+
 function learn(costs: Learnt, tokens: number, tookMs: Milliseconds, weight: number): void {
   if (tokens < fewTokens) {
-    costs.perRequestMs += weight * (tookMs - costs.perRequestMs);
+    const moved = towardsMedian(costs.perRequestMs, tookMs, weight);
+    costs.perRequestMs = between(moved, leastPerRequestMs, mostPerRequestMs);
     return;
   }
   const perToken = (tookMs - costs.perRequestMs) / tokens;
-  const seen = between(perToken, leastPerTokenMs, mostPerTokenMs);
-  costs.perTokenMs += weight * (seen - costs.perTokenMs);
+  const moved = towardsMedian(costs.perTokenMs, perToken, weight);
+  costs.perTokenMs = between(moved, leastPerTokenMs, mostPerTokenMs);
 }
 
 /** Creates a meter that begins with the given costs. */
--- a/packages/target-choice/src/index.ts
+++ b/packages/target-choice/src/index.ts
@@ -12,6 +12,8 @@
   readonly queuedTokens: number;
   /** Prompt tokens of this request that the target would have to read. */
   readonly unreadTokens: number;
+  /** Time that its streams wait from one event to the next now; 0 where this is not known. */
+  readonly pauseMs: Milliseconds;
   readonly sameDomain: boolean;
   readonly costs: WorkCosts;
 }
@@ -54,11 +56,13 @@
 /** The target that is expected to answer first; `undefined` without candidates. */
 export function chooseTarget(candidates: readonly Candidate[], random: Random): Choice | undefined {
   if (candidates.length === 0) return undefined;
-  const timed = candidates.map((candidate) => ({
-    id: candidate.id,
-    expectedMs: expectedMs(candidate),
-  }));
-  const best = Math.min(...timed.map((choice) => choice.expectedMs));
-  const near = timed.filter((choice) => choice.expectedMs <= best + tieMs);
-  return near[random.below(near.length)];
+  // Pauses tell of prompts that the target reads for other boxes, and each further prompt lengthens them.
+  const timed = candidates.map((candidate) => {
+    const expected = expectedMs(candidate);
+    return { id: candidate.id, expectedMs: expected, costMs: expected + candidate.pauseMs };
+  });
+  const best = Math.min(...timed.map(({ costMs }) => costMs));
+  const near = timed.filter(({ costMs }) => costMs <= best + tieMs);
+  const { id, expectedMs: chosenMs } = near[random.below(near.length)];
+  return { id, expectedMs: chosenMs };
 }
--- a/packages/target-choice/src/target-choice.feature
+++ b/packages/target-choice/src/target-choice.feature
@@ -16,5 +16,12 @@
     Then the choice is "free"
     And "full" is expected after more than 10 ms beyond "free"
 
+  Scenario: A target whose streams are held up by other prompts is left to those
+    Given a target "held up" with 5 in flight, 0 tokens queued and 500 unread
+    And a target "even" with 9 in flight, 0 tokens queued and 500 unread
+    And the streams of target "held up" wait 250 ms between events
+    And the streams of target "even" wait 40 ms between events
+    Then the choice is "even"
+
   Scenario: Without a target there is no choice
     Then there is no choice
--- a/packages/target-choice/src/target-choice.steps.ts
+++ b/packages/target-choice/src/target-choice.steps.ts
@@ -22,12 +22,22 @@
       inFlight,
       queuedTokens: queued,
       unreadTokens: unread,
+      pauseMs: 0,
       sameDomain: true,
       costs,
     });
   },
 );
 
+Given(
+  "the streams of target {string} wait {int} ms between events",
+  function (this: object, id: string, pauseMs: number) {
+    const list = candidates(this);
+    const index = list.findIndex((candidate) => candidate.id === id);
+    list[index] = { ...list[index], pauseMs };
+  },
+);
+
 Then("the choice is {string}", function (this: object, id: string) {
   for (let seed = 0; seed < 20; seed++) {
     assert.equal(chooseTarget(candidates(this), seededRandom(seed))?.id, id);
--- a/packages/weight-orders/src/giver-context.ts
+++ b/packages/weight-orders/src/giver-context.ts
@@ -75,6 +75,8 @@
   readonly lastAsked: Map<string, LastAsked>;
   readonly adapterOrders: Map<string, AdapterOrder>;
   readonly loads: StoreLoadWindow;
+  /** When this box first saw demand in its tenure. */
+  watchedSince: Milliseconds | undefined;
   epoch: Epoch | undefined;
   /** Since when this box holds that epoch. */
   tenureSince: Milliseconds;
@@ -97,6 +99,7 @@
     lastAsked: new Map(),
     adapterOrders: new Map(),
     loads: createStoreLoadWindow(),
+    watchedSince: undefined,
     epoch: undefined,
     tenureSince: Infinity,
   };
--- a/packages/weight-orders/src/plan-service.ts
+++ b/packages/weight-orders/src/plan-service.ts
@@ -87,6 +87,9 @@
   }
 }
 
+/** What was not asked for in so short a time may still be: it takes this long to tell. */
+const leastWatchedMs: Milliseconds = 10_000;
+
 /** Plans one service. */
 export function planService(
   context: GiverContext,
@@ -96,6 +99,7 @@
 ): void {
   const { state, clock, rules } = context;
   const demand = context.demand().filter((entry) => entry.service === service);
+  if (demand.length > 0) state.watchedSince ??= clock.now();
   const adapterNeeds = noteDemand(context, demand);
   const lastAsked = (model: string) => state.lastAsked.get(`${service} ${model}`);
   const views = viewsOf(context, service, shape);
@@ -103,6 +107,7 @@
     engines: views,
     needs: toNeeds(demand, service, shape, lastAsked, clock.now()),
     models: shape.models,
+    watchedMs: Math.max(leastWatchedMs, clock.now() - (state.watchedSince ?? clock.now())),
     storeLoadsLeft: storeLoadsLeft(context, shape),
     rules: rules.plan,
   });
--- a/packages/weight-plan/src/copies.ts
+++ b/packages/weight-plan/src/copies.ts
@@ -3,8 +3,6 @@
 import type { EngineView, ModelNeed } from "./engine-view.js";
 import type { PlanInput } from "./plan.js";
 
-/** Time since the last request of a model that nobody has asked for since demand is known. */
-const neverAskedMs: Milliseconds = 120_000;
 /** Before any demand is known, several copies of a model tell that much will be asked of it. */
 const unknownSurplusMs: Milliseconds = 400;
 /** Time over which a further copy of a model that has fallen silent is still worth something. */
@@ -40,11 +38,17 @@
   return Math.min(1, ratio * ratio);
 }
 
+/** Time since the last request; a model that was never asked for is taken to be due as its silence was long. */
+function idleOf(input: PlanInput, need: ModelNeed | undefined): Milliseconds {
+  return Math.max(leastIdleMs, need?.idleMs ?? input.watchedMs);
+}
+
 /** What is lost when the last copy of a model goes: its next request waits for a load. */
-function lastCopyLoss(input: PlanInput, name: string, need: ModelNeed | undefined): Milliseconds {
+export function lastCopyLoss(input: PlanInput, name: string): Milliseconds {
   const model = input.models.get(name);
   if (!model) return 0;
-  const idleMs = Math.max(leastIdleMs, need?.idleMs ?? neverAskedMs);
+  const need = input.needs.get(name);
+  const idleMs = idleOf(input, need);
   const { fromDiskMs } = model;
   return (fromDiskMs * lateShare(fromDiskMs, need) * input.rules.horizonMs) / idleMs;
 }
@@ -62,13 +66,13 @@
   const inFlight = need?.inFlight ?? 0;
   if (have <= 1) {
     if (need && need.waiting > 0) return Infinity;
-    return lastCopyLoss(input, name, need) + inFlight * atWorkMs;
+    return lastCopyLoss(input, name) + inFlight * atWorkMs;
   }
   if (input.needs.size === 0) return unknownSurplusMs;
   const loadAfter = (need?.load ?? 0) / (have - 1);
   const easy = input.rules.loadOfReplica * surplusShare;
   if (loadAfter > easy) return (inFlight / (have - 1)) * atWorkMs;
   const model = input.models.get(name);
-  const idleMs = Math.max(leastIdleMs, need?.idleMs ?? neverAskedMs);
+  const idleMs = idleOf(input, need);
   return inFlight * surplusMs + ((model?.fromDiskMs ?? 0) * surplusHorizonMs) / idleMs;
 }
--- a/packages/weight-plan/src/plan.ts
+++ b/packages/weight-plan/src/plan.ts
@@ -1,6 +1,6 @@
 /** Plans which models engines swap: what is missed most comes in, what is missed least goes. */
 import type { DeclaredModel, Milliseconds } from "@linkfall/types";
-import { copyLoss, countCopies } from "./copies.js";
+import { copyLoss, countCopies, lastCopyLoss } from "./copies.js";
 import { type EngineView, loadTimeMs, type ModelNeed, sourceOf, usedMb } from "./engine-view.js";
 
 /** One swap on one engine: the victims go, then the model comes. */
@@ -9,8 +9,9 @@
   readonly load: string;
   readonly victims: readonly string[];
   readonly source: "memory" | "disk" | "store";
-  /** Requests wait for it; its replicas are too few; or no engine has it at hand. */
-  readonly reason: "waiting" | "demand" | "unreachable";
+  /** Requests wait for it; its replicas are too few; its next requests could not wait for a load; or no
+   * engine has it at hand. */
+  readonly reason: "waiting" | "demand" | "standby" | "unreachable";
 }
 
 /** Settings of the plan. */
@@ -25,6 +26,8 @@
   readonly engines: readonly EngineView[];
   readonly needs: ReadonlyMap<string, ModelNeed>;
   readonly models: ReadonlyMap<string, DeclaredModel>;
+  /** Time for which demand has been watched. */
+  readonly watchedMs: Milliseconds;
   /** Loads that the weight store's rate still permits now. */
   readonly storeLoadsLeft: number;
   readonly rules: PlanRules;
@@ -47,6 +50,10 @@
 const crowdMs: Milliseconds = 20;
 /** What bringing a model that no engine has at hand is worth. */
 const unreachableGainMs: Milliseconds = 150;
+/** A model that nobody waits for yet comes after those that somebody waits for. */
+const standbyWeight = 0.1;
+/** What a model on standby displaces has to be worth this much less, so that two do not take turns. */
+const standbyMargin = 2;
 /** An engine with no more requests at work can be held up by a load for nobody yet. */
 const quietRequests = 6;
 /** Loads from the weight store that are kept for models that requests wait for. */
@@ -97,6 +104,9 @@
     const carried = (atWork * input.rules.loadOfReplica) / load;
     return { model, reason: "demand", weight: atWork - carried, carried };
   }
+  if (have === 0 && need && need.objectiveMs < model.fromDiskMs) {
+    return { model, reason: "standby", weight: standbyWeight, carried: 0 };
+  }
   if (have === 0 && !atHand.has(model.name)) {
     return { model, reason: "unreachable", weight: 0, carried: 0 };
   }
@@ -149,12 +159,14 @@
 }
 
 /** Whether the load earns what its victims lose. */
-function isWorth(wish: Wish, place: Place): boolean {
+function isWorth(input: PlanInput, wish: Wish, place: Place): boolean {
   switch (wish.reason) {
     case "waiting":
       return true;
     case "demand":
       return place.loss < (wish.weight + wish.carried / 2) * replicaGainMs;
+    case "standby":
+      return place.loss * standbyMargin < lastCopyLoss(input, wish.model.name);
     case "unreachable":
       return place.loss < unreachableGainMs && place.engine.inFlight <= quietRequests;
   }
@@ -174,7 +186,7 @@
 ): Place | undefined {
   const places = input.engines.flatMap((engine) => {
     const place = placeOn(input, copies, engine, wish.model);
-    if (!place || !isWorth(wish, place)) return [];
+    if (!place || !isWorth(input, wish, place)) return [];
     const fromStore = sourceOf(engine, wish.model.name) === "store";
     const reserved = wish.reason === "waiting" ? 0 : storeLoadsReserved;
     return fromStore && storeLoadsLeft <= reserved ? [] : [place];
--- a/packages/weight-plan/src/weight-plan.feature
+++ b/packages/weight-plan/src/weight-plan.feature
@@ -81,3 +81,17 @@
     Given engine "1" holds "a b c" and adapters "a/1 a/2 b/3 b/4"
     When 1 request waits for adapter "a/5"
     Then an idle adapter is unloaded on engine "1"
+
+  Scenario: A model whose callers cannot wait for a load is brought back before they ask again
+    Given engine "1" holds "a b c" with "e" on disk
+    When "e" was asked for 4000 ms ago, to begin within 400 ms
+    And "a" was asked for 1000 ms ago, to begin within 400 ms
+    And "b" was asked for 3000 ms ago, to begin within 5000 ms
+    And "c" was asked for 1000 ms ago, to begin within 400 ms
+    Then engine "1" swaps in "e" from disk for "b"
+
+  Scenario: A model whose callers can wait for a load is left where it is
+    Given engine "1" holds "a b c" with "d e f" on disk
+    When "e" was asked for 4000 ms ago, to begin within 5000 ms
+    And "b" was asked for 3000 ms ago, to begin within 5000 ms
+    Then nothing is planned
--- a/packages/weight-plan/src/weight-plan.steps.ts
+++ b/packages/weight-plan/src/weight-plan.steps.ts
@@ -70,7 +70,7 @@
 const words = (text: string) => text.split(" ");
 
 function input({ models, engines, needs, storeLoadsLeft }: Scene): PlanInput {
-  return { models, engines, needs, storeLoadsLeft, rules };
+  return { models, engines, needs, watchedMs: 120_000, storeLoadsLeft, rules };
 }
 
 const planOf = (world: object): readonly WeightMove[] => planMoves(input(sceneOf(world)));
@@ -262,7 +262,14 @@
         const needs = new Map(
           wanted.map(({ name, ...part }) => [name, { model: model(name), ...part }]),
         );
-        const moves = planMoves({ engines: placed, needs, models, storeLoadsLeft, rules });
+        const moves = planMoves({
+          engines: placed,
+          needs,
+          models,
+          watchedMs: 10_000,
+          storeLoadsLeft,
+          rules,
+        });
         const loads = moves.filter((move) => move.source === "store");
         assert.ok(loads.length <= storeLoadsLeft);
         const left = placed.map((view) => {
