A load that an engine has taken is not ordered again; demand counts refusals and growth; queues end at the objective

Demand did not count what boxes refused, so the more a model was refused, the less it seemed to be asked for. A queue of up to 1.8 s was joined although a reply is due after 0.4 s, and its prompts held up the streams at work. Ruled out: the answer 'conflict' for orders ahead of an unload (taken back within 60 ms, as meant). Changes: an order that was taken is pending until the engine shows it; prompts count as demand on arrival; load is taken to grow as lately; a stream joins no queue beyond its objective and is told when that will have passed.

--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -94,6 +94,7 @@
       againMs: forwarding.again_ms,
       replicaGainMs: forwarding.replica_gain_ms,
       hopelessShare: forwarding.hopeless_share,
+      queueObjectives: forwarding.queue_objectives,
       comeBackMs: forwarding.come_back_ms,
     },
   };
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -111,6 +111,7 @@
       again_ms: milliseconds(120),
       replica_gain_ms: milliseconds(150),
       hopeless_share: number(0.1, 10, 0.9),
+      queue_objectives: number(0.1, 100, 1),
       deadline_margin_ms: milliseconds(5),
       least_time_ms: milliseconds(15),
       most_sends: wholeNumber(1, 20, 5),
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -1,11 +1,11 @@
 /** The way of one request: pick a target or wait for weights, send, and go on while that may help. */
 import { type Random, sleep } from "@linkfall/kernel";
-import type { Wanted } from "@linkfall/model-demand";
+import type { DemandMeter, Wanted } from "@linkfall/model-demand";
 import type { RetryBudget } from "@linkfall/retry-budget";
 import type { Milliseconds, Route } from "@linkfall/types";
 import { type AttemptEnd, ownHeaders } from "./attempt.js";
 import { type ForwardedRequest, type RequestEnd, wantedOf } from "./forwarded-request.js";
-import { pickTarget } from "./pick.js";
+import { pickTarget, probablyUnread } from "./pick.js";
 import { type PickedTarget, type SendContext, sendToTarget } from "./send-to-target.js";
 import type { ChangeWaiter } from "./wait-for-change.js";
 
@@ -19,6 +19,8 @@
   readonly replicaGainMs: Milliseconds;
   /** A request is refused where its answer would begin after this share of the time left. */
   readonly hopelessShare: number;
+  /** A stream is refused where it would begin later than so many objectives from now. */
+  readonly queueObjectives: number;
   /** Pause before targets that failed are tried again. */
   readonly againMs: Milliseconds;
   /** When a refused caller may come back, where nothing better is known. */
@@ -26,6 +28,7 @@
 }
 
 export interface ForwardContext extends SendContext {
+  readonly demand: DemandMeter;
   readonly random: Random;
   readonly budget: RetryBudget;
   readonly waiter: ChangeWaiter;
@@ -220,6 +223,17 @@
   return context.expectedWeightsMs({ service: request.service.name, model });
 }
 
+/**
+ * Longest queue that a request joins. A stream that begins late is worth little, and its prompt holds up
+ * the streams that are at work there.
+ */
+function longestQueueMs(context: ForwardContext, request: ForwardedRequest): Milliseconds {
+  const { hopelessShare, queueObjectives } = context.forwardLimits;
+  const hopelessMs = timeLeft(context, request) * hopelessShare;
+  const { streaming, objectiveMs } = request.route;
+  return streaming ? Math.min(hopelessMs, objectiveMs * queueObjectives) : hopelessMs;
+}
+
 /** Sends the request, holds it for a replica that will answer sooner, or refuses what is hopeless. */
 async function admit(
   context: ForwardContext,
@@ -233,8 +247,9 @@
     await context.waiter.next(coming + forwardLimits.replicaGainMs, request.sink);
     return on;
   }
-  if (expectedMs > timeLeft(context, request) * forwardLimits.hopelessShare) {
-    return refuse(request, refusedStatus, "the queue is too long", forwardLimits.comeBackMs);
+  if (expectedMs > longestQueueMs(context, request)) {
+    const comeBackMs = Math.max(forwardLimits.comeBackMs, expectedMs);
+    return refuse(request, refusedStatus, "the queue is too long", comeBackMs);
   }
   return sendPicked(context, request, picked);
 }
@@ -263,6 +278,12 @@
   }
 }
 
+/** What the request asks of an engine, as far as that is known on its arrival. */
+function demandOf({ costs }: ForwardContext, { route, service, terms }: ForwardedRequest) {
+  const { perTokenMs } = costs.of(service.name, "");
+  return { objectiveMs: route.objectiveMs, readingMs: probablyUnread(terms) * perTokenMs };
+}
+
 /** Takes a request to its end; the caller has its final answer when this resolves. */
 export async function forwardRequest(
   context: ForwardContext,
@@ -272,7 +293,7 @@
   context.budget.request(service.name);
   const asksForWeights = terms.model !== undefined && service.engine !== undefined;
   const endDemand = asksForWeights
-    ? context.demand.begins(wantedOf(request), request.route.objectiveMs)
+    ? context.demand.begins(wantedOf(request), demandOf(context, request))
     : () => undefined;
   let taken = await step(context, request);
   while (taken.go === "on") taken = await step(context, request);
--- a/packages/forwarding/src/forwarding.feature
+++ b/packages/forwarding/src/forwarding.feature
@@ -26,3 +26,13 @@
     And the box takes nothing more after 300 ms
     When a caller asks for "m2"
     Then it is refused with 503 before 600 ms have passed
+
+  Scenario: A stream that would begin late is refused before it holds up those at work
+    Given the engine has 1000 ms of prompts to read
+    When a caller asks for "m1"
+    Then it is refused at once with 503, to come back after the queue
+
+  Scenario: A stream that can begin in time joins the queue
+    Given the engine has 200 ms of prompts to read
+    When a caller asks for "m1"
+    Then it is sent to the engine
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -39,6 +39,8 @@
   route: Route;
   /** From then on the box takes nothing, for a planned stop. */
   stopsAt: Milliseconds;
+  /** Prompts that the engine has to read for others. */
+  queueMs: Milliseconds;
   answer?: Answer;
   end?: RequestEnd;
   request?: ForwardedRequest;
@@ -122,6 +124,7 @@
       againMs: 120,
       replicaGainMs: 150,
       hopelessShare: 0.9,
+      queueObjectives: 1,
       comeBackMs: 500,
     },
   };
@@ -144,7 +147,7 @@
     { id: "e1", service: "engines", address, domain: "d1", slots: 8, leaving: false, models },
   ]);
   const route = { name: "none" } as Route;
-  scenes.set(this, { clock, fleet, context, expected, route, stopsAt: Infinity });
+  scenes.set(this, { clock, fleet, context, expected, route, stopsAt: Infinity, queueMs: 0 });
 });
 
 Given(
@@ -244,6 +247,25 @@
   },
 );
 
+/** What the engine of the scenes reads in a millisecond. */
+const tokensPerMs = 50;
+
+Given("the engine has {int} ms of prompts to read", function (this: object, ms: number) {
+  const { fleet } = sceneOf(this);
+  fleet.takeOthers(new Map([["e1", { inFlight: 4, promptTokens: ms * tokensPerMs }]]));
+  sceneOf(this).queueMs = ms;
+});
+
+Then(
+  "it is refused at once with {int}, to come back after the queue",
+  function (this: object, status: number) {
+    const { answer, queueMs } = sceneOf(this);
+    assert.equal(answer?.status, status);
+    const retryAfter = answer.headers[answer.headers.indexOf("Retry-After") + 1];
+    assert.ok(Number(retryAfter) * 1000 >= queueMs);
+  },
+);
+
 Then("it is held for {int} ms", async function (this: object, ms: number) {
   const scene = sceneOf(this);
   await scene.clock.runUntil(ms);
--- a/packages/forwarding/src/pick.ts
+++ b/packages/forwarding/src/pick.ts
@@ -2,7 +2,7 @@
 import { type Fleet, holds, type TargetBelief } from "@linkfall/fleet";
 import type { Random } from "@linkfall/kernel";
 import { topNodes } from "@linkfall/rendezvous";
-import type { Milliseconds } from "@linkfall/types";
+import type { Milliseconds, RequestTerms } from "@linkfall/types";
 import { type Candidate, type Choice, chooseTarget } from "@linkfall/target-choice";
 import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
 import type { StreamPace } from "./stream-pace.js";
@@ -38,6 +38,12 @@
 /** What a target is taken to keep of shared parts that other boxes have probably sent there. */
 const homeShare = 0.8;
 
+/** Tokens of a prompt that a target has to read, before one is chosen. */
+export function probablyUnread({ promptTokens, parts }: RequestTerms): number {
+  const shared = parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+  return Math.max(0, promptTokens - shared * homeShare);
+}
+
 /** Boxes that know only their own sends meet at the same target for the same shared parts. */
 function homeOf(
   { terms }: ForwardedRequest,
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -2,12 +2,11 @@
 import type { Fleet, TargetLoad } from "@linkfall/fleet";
 import type { Clock } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
-import type { DemandMeter } from "@linkfall/model-demand";
 import type { RequestCodec } from "@linkfall/ports";
 import type { Milliseconds } from "@linkfall/types";
 import { type AttemptEnd, sendAttempt } from "./attempt.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
-import { type ForwardedRequest, wantedOf, weightsOf } from "./forwarded-request.js";
+import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
 import type { Pick, TargetMeters } from "./pick.js";
 
 /** Limits of one send. */
@@ -31,7 +30,6 @@
   readonly codec: RequestCodec;
   readonly fleet: Fleet;
   readonly logger: Logger;
-  readonly demand: DemandMeter;
   readonly limits: SendLimits;
   readonly metrics: ForwardMetrics;
 }
@@ -114,10 +112,6 @@
   target.prefixes.note(query);
   request.tried.add(listed.id);
   request.sends += 1;
-  if (request.service.engine && terms.model !== undefined) {
-    const { perTokenMs } = context.costs.of(request.service.name, listed.id);
-    context.demand.reads(wantedOf(request), unread * perTokenMs);
-  }
   const endReading = () => {
     if (!reading) return;
     reading = false;
--- a/packages/model-demand/src/index.ts
+++ b/packages/model-demand/src/index.ts
@@ -9,15 +9,27 @@
   readonly adapter?: string;
 }
 
+/** What one request asks of an engine, whether or not it gets there. */
+export interface RequestDemand {
+  /** Time in which its answer is to begin. */
+  readonly objectiveMs: Milliseconds;
+  /** Time for which an engine has to read its prompt. */
+  readonly readingMs: Milliseconds;
+}
+
 /** Demand for the weights of one model, as one box or all boxes see it. */
 export interface ModelDemand {
   readonly service: string;
   readonly model: string;
   /** Requests at work or waiting, averaged over the last second or so. */
   readonly inFlight: number;
-  /** Time in which engines read prompts for it, per time that passes, averaged likewise: 1 is one
-   * engine that does nothing else. */
+  /** Time in which engines have to read the prompts of its requests, per time that passes, averaged
+   * likewise: 1 is one engine that does nothing else. Requests that were refused count as well. */
   readonly reading: number;
+  /** Requests a second, averaged over the last second or so. */
+  readonly rate: number;
+  /** Requests a second, averaged over a longer time: demand that grows is below `rate` here. */
+  readonly earlierRate: number;
   /** Shortest objective of the requests that asked for it. */
   readonly objectiveMs: Milliseconds;
   /** Requests that wait for the model. */
@@ -29,10 +41,8 @@
 }
 
 export interface DemandMeter {
-  /** Notes a request and the time in which it is to begin; the returned function notes its end. */
-  begins(wanted: Wanted, objectiveMs: Milliseconds): () => void;
-  /** Notes that an engine reads a prompt for so long. */
-  reads(wanted: Wanted, ms: Milliseconds): void;
+  /** Notes a request; the returned function notes its end. */
+  begins(wanted: Wanted, request: RequestDemand): () => void;
   /** Notes that a request waits for weights; the returned function ends the wait. */
   waits(wanted: Wanted): () => void;
   /** Demand of now, without models that nobody has asked for lately. */
@@ -41,6 +51,9 @@
 
 /** Time over which requests in flight are averaged. */
 const averageMs: Milliseconds = 1_000;
+/** Time over which the rate before is averaged: longer than a load from disk, so that growth shows before it. */
+const earlierMs: Milliseconds = 3_000;
+const millisecondsPerSecond = 1_000;
 /** Models that were not asked for in this time are left out. */
 const forgetMs: Milliseconds = 120_000;
 const shownDigits = 100;
@@ -51,6 +64,8 @@
   inFlight: number;
   average: number;
   reading: number;
+  rate: number;
+  earlierRate: number;
   objectiveMs: Milliseconds;
   averagedAt: Milliseconds;
   lastAt: Milliseconds;
@@ -63,6 +78,8 @@
   const kept = Math.exp(-(now - entry.averagedAt) / averageMs);
   entry.average = entry.average * kept + entry.inFlight * (1 - kept);
   entry.reading *= kept;
+  entry.rate *= kept;
+  entry.earlierRate *= Math.exp(-(now - entry.averagedAt) / earlierMs);
   entry.averagedAt = now;
 }
 
@@ -89,6 +106,8 @@
       inFlight: 0,
       average: 0,
       reading: 0,
+      rate: 0,
+      earlierRate: 0,
       objectiveMs: Infinity,
       averagedAt: now,
       lastAt: now,
@@ -123,6 +142,8 @@
       model: entry.model,
       inFlight: Math.round(entry.average * shownDigits) / shownDigits,
       reading: Math.round(entry.reading * shownDigits) / shownDigits,
+      rate: Math.round(entry.rate * shownDigits) / shownDigits,
+      earlierRate: Math.round(entry.earlierRate * shownDigits) / shownDigits,
       objectiveMs: entry.objectiveMs,
       waiting: entry.waiting,
       waitingAdapters: Object.fromEntries(entry.adapters),
@@ -131,17 +152,15 @@
   };
 
   return {
-    begins(wanted, objectiveMs) {
+    begins(wanted, { objectiveMs, readingMs }) {
       const entry = entryOf(wanted);
       entry.objectiveMs = Math.min(entry.objectiveMs, objectiveMs);
       countInFlight(entry, 1);
+      entry.reading += readingMs / averageMs;
+      entry.rate += millisecondsPerSecond / averageMs;
+      entry.earlierRate += millisecondsPerSecond / earlierMs;
       return once(() => countInFlight(entry, -1));
     },
-    reads(wanted, ms) {
-      const entry = entryOf(wanted);
-      settle(entry, clock.now());
-      entry.reading += ms / averageMs;
-    },
     waits(wanted) {
       const entry = entryOf(wanted);
       countWaiting(entry, wanted.adapter, 1);
@@ -177,6 +196,8 @@
     ...left,
     inFlight: left.inFlight + right.inFlight,
     reading: left.reading + right.reading,
+    rate: left.rate + right.rate,
+    earlierRate: left.earlierRate + right.earlierRate,
     objectiveMs: Math.min(left.objectiveMs, right.objectiveMs),
     waiting: left.waiting + right.waiting,
     waitingAdapters: adapters,
--- a/packages/model-demand/src/model-demand.feature
+++ b/packages/model-demand/src/model-demand.feature
@@ -17,3 +17,11 @@
     Given two meters in which 4 requests for m begin each
     When 3 s pass
     Then together m has between 7 and 8 requests in flight
+
+  Scenario: Requests that are refused are demand as well
+    Given a meter in which 25 requests a second for m are refused
+    Then its prompts would take between 0.4 and 0.6 of an engine
+
+  Scenario: Demand that grows shows before it has grown
+    Given a meter in which requests for m come at 2 a second for 5 s and then at 40
+    Then its rate is more than 1 times that of before
--- a/packages/model-demand/src/model-demand.steps.ts
+++ b/packages/model-demand/src/model-demand.steps.ts
@@ -26,6 +26,8 @@
   return scene;
 }
 
+const requestDemand = { objectiveMs: 400, readingMs: 20 };
+
 function demandOf(world: object): ModelDemand {
   const [demand] = sumDemand(sceneOf(world).meters.map((meter) => meter.read()));
   return demand;
@@ -33,7 +35,7 @@
 
 Given("a meter in which {int} requests for m begin", function (this: object, count: number) {
   const { meters, ends } = begin(this, 1);
-  for (let index = 0; index < count; index++) ends.push(meters[0].begins(wanted, 400));
+  for (let index = 0; index < count; index++) ends.push(meters[0].begins(wanted, requestDemand));
 });
 
 Given(
@@ -41,7 +43,7 @@
   function (this: object, count: number) {
     const { meters, ends } = begin(this, 2);
     for (const meter of meters) {
-      for (let index = 0; index < count; index++) ends.push(meter.begins(wanted, 400));
+      for (let index = 0; index < count; index++) ends.push(meter.begins(wanted, requestDemand));
     }
   },
 );
@@ -57,6 +59,46 @@
   },
 );
 
+Given(
+  "a meter in which {int} requests a second for m are refused",
+  async function (this: object, count: number) {
+    const { meters, clock } = begin(this, 1);
+    const seconds = 5;
+    for (let index = 0; index < count * seconds; index++) {
+      meters[0].begins(wanted, requestDemand)();
+      await clock.runUntil(clock.now() + 1_000 / count);
+    }
+  },
+);
+
+Given(
+  "a meter in which requests for m come at {int} a second for {int} s and then at {int}",
+  async function (this: object, before: number, seconds: number, after: number) {
+    const { meters, clock } = begin(this, 1);
+    const come = async (perSecond: number, count: number) => {
+      for (let index = 0; index < count; index++) {
+        meters[0].begins(wanted, requestDemand)();
+        await clock.runUntil(clock.now() + 1_000 / perSecond);
+      }
+    };
+    await come(before, before * seconds);
+    await come(after, after);
+  },
+);
+
+Then("its rate is more than {int} times that of before", function (this: object, times: number) {
+  const { rate, earlierRate } = demandOf(this);
+  assert.ok(rate > earlierRate * times, `${rate} against ${earlierRate}`);
+});
+
+Then(
+  "its prompts would take between {float} and {float} of an engine",
+  function (this: object, least: number, most: number) {
+    const { reading } = demandOf(this);
+    assert.ok(reading >= least && reading <= most, String(reading));
+  },
+);
+
 When("{int} s pass", function (this: object, seconds: number) {
   const { clock } = sceneOf(this);
   return clock.runUntil(clock.now() + seconds * 1_000);
--- a/packages/weight-orders/src/engine-work.ts
+++ b/packages/weight-orders/src/engine-work.ts
@@ -18,6 +18,8 @@
 export interface SentOrder {
   readonly order: FencedOrder;
   readonly at: Milliseconds;
+  /** The engine has said that it carries the order out. */
+  taken: boolean;
 }
 
 /** What the engine last said that it holds. */
@@ -66,5 +68,7 @@
   if (!sent) return false;
   // The engine has taken an order since: this one is done, or can no longer be taken.
   if (word.sequence > sent.order.expectedSequence) return false;
+  // Reports are older than the answer, and a load may take longer than a lost order is waited for.
+  if (sent.taken) return true;
   return now - sent.at < resendMs;
 }
--- a/packages/weight-orders/src/give-order.ts
+++ b/packages/weight-orders/src/give-order.ts
@@ -115,7 +115,7 @@
   }
   const work = state.work.get(id);
   if (!work) return;
-  work.sent = { order, at: now };
+  work.sent = { order, at: now, taken: false };
   if (work.move.source === "store" && order.action === "load") state.loads.began(now);
 }
 
@@ -129,7 +129,13 @@
   work.aheadFrom = context.clock.now() + aheadFirstMs;
 }
 
-/** Gives the order under the epoch, and asks for the engine's state after its answer. */
+/** Notes that the engine carries the order out. */
+function noteTaken({ state }: GiverContext, id: string, order: FencedOrder): void {
+  const sent = state.work.get(id)?.sent;
+  if (sent?.order === order) sent.taken = true;
+}
+
+/** Gives the order under the epoch; an engine that does not take it is asked for its state. */
 export async function giveOrder(
   context: GiverContext,
   belief: TargetBelief,
@@ -154,5 +160,7 @@
   if (work && wasAhead && answer === "conflict") takeBack(context, work, before);
   else takeAnswer(context, id, order, answer);
   if (answer === "under_way" || answer === "in_force") lookAhead(context, belief, order);
+  if (answer === "under_way") return noteTaken(context, id, order);
+  // Anything else says that the engine is not as it was believed to be.
   void askEngine(context, belief);
 }
--- a/packages/weight-orders/src/views.ts
+++ b/packages/weight-orders/src/views.ts
@@ -6,6 +6,9 @@
 import type { EngineWork } from "./engine-work.js";
 import type { LastAsked } from "./giver-context.js";
 
+/** Time left of an order that another box has given. */
+const unknownMoveMs: Milliseconds = 1_000;
+
 /** The planner's view of one engine; undefined before its `state` is known. */
 export function toEngineView(
   belief: TargetBelief,
@@ -26,13 +29,24 @@
     adaptersComing: state.adaptersComing,
     inMemory: state.inMemory,
     onDisk: state.onDisk,
-    freeInMs: work ? Math.max(1, workLeftMs) : state.busy ? 1 : 0,
+    freeInMs: work ? Math.max(1, workLeftMs) : state.busy ? unknownMoveMs : 0,
     incoming: work?.move.load,
     outgoing: work?.move.victims[0],
     inFlight,
   };
 }
 
+/** Growth by less than this is chance. */
+const leastGrowth = 1.3;
+/** Demand is not taken to grow more than this before a load that is ordered now has ended. */
+const mostGrowth = 3;
+
+/** By how much demand is taken to grow while a load is under way: as much as it has grown lately. */
+function growthOf({ rate, earlierRate }: ModelDemand): number {
+  const growth = earlierRate > 0 ? rate / earlierRate : 1;
+  return growth < leastGrowth ? 1 : Math.min(mostGrowth, growth);
+}
+
 /** The need of each model of a service; `lastAsked` tells of models that nobody asks for now. */
 export function toNeeds(
   demand: readonly ModelDemand[],
@@ -55,7 +69,7 @@
     const forAdapters = Object.values(entry.waitingAdapters).reduce((sum, n) => sum + n, 0);
     const waiting = entry.waiting + forAdapters;
     const { inFlight, reading, objectiveMs, idleMs } = entry;
-    const load = reading + inFlight / shape.slots;
+    const load = (reading + inFlight / shape.slots) * growthOf(entry);
     needs.set(entry.model, { model, inFlight, load, objectiveMs, waiting, idleMs });
   }
   return needs;
--- a/packages/weight-orders/src/weight-orders.feature
+++ b/packages/weight-orders/src/weight-orders.feature
@@ -17,6 +17,13 @@
     Then one engine holds "b" and one holds "a"
     And nothing was overfilled
 
+  Scenario: A long load that an engine has taken is not ordered again while it runs
+    Given loads take 5000 ms and reports of engines are 200 ms old
+    When requests wait for "b"
+    And 7000 ms go by in the giver
+    Then one engine holds "b" and one holds "a"
+    And no load was ordered after one was taken
+
   Scenario: Orders that are carried out late find another count and change nothing
     Given the next 3 orders are carried out 2500 ms late and not answered
     When requests wait for "b"
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -28,7 +28,7 @@
 const service = "s";
 const modelMb = 100;
 const promptAnswerMs = 5;
-const loadMs = 200;
+const shortLoadMs = 200;
 
 type Fate = "taken" | "lost" | { readonly lateMs: number };
 
@@ -40,6 +40,12 @@
   busyUntil: number;
   seenEpoch: number;
   overfilled: boolean;
+  /** What it was before its last order, which came at `until`. */
+  before?: {
+    readonly sequence: number;
+    readonly models: readonly string[];
+    readonly until: number;
+  };
 }
 
 interface Scene {
@@ -54,6 +60,10 @@
   epoch: number | undefined;
   demand: readonly ModelDemand[];
   perSecond: number;
+  /** Time that a load takes, as declared and in truth. */
+  loadMs: number;
+  /** Age of what engines report of themselves. */
+  reportAgeMs: number;
   /** Time that engines take to answer. */
   answerMs: number;
   names: readonly string[];
@@ -71,7 +81,7 @@
 
 const words = (text: string) => text.split(" ");
 
-function model(name: string): DeclaredModel {
+function model(name: string, loadMs: number): DeclaredModel {
   return {
     name,
     memoryMb: modelMb,
@@ -82,14 +92,14 @@
   };
 }
 
-function configurationOf({ names, perSecond }: Scene): RoutedConfiguration {
+function configurationOf({ names, perSecond, loadMs }: Scene): RoutedConfiguration {
   const engine = {
     slots: 8,
     cacheTokens: 1_000,
     memoryMb: 150,
     adapterSlots: 2,
     storeLoadsPerSecond: perSecond,
-    models: new Map(names.map((name) => [name, model(name)])),
+    models: new Map(names.map((name) => [name, model(name, loadMs)])),
   };
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
   const services = new Map([
@@ -104,8 +114,10 @@
   if (order.epoch < engine.seenEpoch) return "fenced";
   engine.seenEpoch = order.epoch;
   if (now < engine.busyUntil || order.expectedSequence !== engine.sequence) return "conflict";
+  const tookMs = order.action === "load" ? scene.loadMs : shortLoadMs;
+  engine.before = { sequence: engine.sequence, models: [...engine.models], until: now };
   engine.sequence += 1;
-  engine.busyUntil = now + loadMs;
+  engine.busyUntil = now + tookMs;
   if (order.action === "unload") {
     engine.models = engine.models.filter((name) => name !== order.model);
     return "under_way";
@@ -130,11 +142,14 @@
       if (!engine) {
         return Left({ kind: "target_unreachable", reason: "gone", mayHaveArrived: false });
       }
-      const models = engine.models.map((name) => ({ name, version: 1, adapters: [] }));
+      const seenAt = clock.now() - scene.reportAgeMs;
+      const { before } = engine;
+      const seen = before && seenAt < before.until ? before : engine;
+      const models = seen.models.map((name) => ({ name, version: 1, adapters: [] }));
       return Right({
-        sequence: engine.sequence,
+        sequence: seen.sequence,
         models,
-        busy: clock.now() < engine.busyUntil,
+        busy: seen === engine && seenAt < engine.busyUntil,
         waiting: 0,
         running: 0,
         cacheTokensUsed: 0,
@@ -214,6 +229,8 @@
     epoch: 4,
     demand: [],
     perSecond: 100,
+    loadMs: shortLoadMs,
+    reportAgeMs: 0,
     answerMs: promptAnswerMs,
     names,
     onDisk: names,
@@ -282,6 +299,20 @@
   },
 );
 
+Given(
+  "loads take {int} ms and reports of engines are {int} ms old",
+  function (this: object, loadMs: number, ageMs: number) {
+    sceneOf(this).loadMs = loadMs;
+    sceneOf(this).reportAgeMs = ageMs;
+  },
+);
+
+Then("no load was ordered after one was taken", function (this: object) {
+  const { orders, storeLoads } = sceneOf(this);
+  const later = orders.filter(({ at, order }) => order.action === "load" && at > storeLoads[0]);
+  assert.deepEqual(later, []);
+});
+
 Given("engines answer after {int} ms", function (this: object, ms: number) {
   sceneOf(this).answerMs = ms;
 });
@@ -313,6 +344,8 @@
     model: name,
     inFlight,
     reading: 0,
+    rate: 0,
+    earlierRate: 0,
     objectiveMs: 500,
     waiting: 1,
     waitingAdapters: {},
@@ -431,5 +464,5 @@
   const expected = scene.giver?.expected()[`${service} ${name}`];
   const first = Math.min(...scene.orders.map(({ at }) => at));
   assert.ok(expected !== undefined && expected <= ms);
-  assert.ok(expected <= Math.ceil(first + loadMs - scene.clock.now()));
+  assert.ok(expected <= Math.ceil(first + scene.loadMs - scene.clock.now()));
 });
