--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -165,6 +165,12 @@
   });
 }
 
+/** Whether the request's objective has passed while nothing was known of its weights. */
+function hopedLongEnough(context: ForwardContext, request: ForwardedRequest): boolean {
+  const { arrivedAt, route, sink } = request;
+  return !sink.begun() && context.clock.now() - arrivedAt >= route.objectiveMs;
+}
+
 /** Waits for the fleet to change, as long as that may still help the request. */
 async function waitForWeights(context: ForwardContext, request: ForwardedRequest): Promise<Step> {
   const { forwardLimits } = context;
@@ -174,6 +180,10 @@
   if (expected !== undefined && expected > left) {
     return refuse(request, refusedStatus, "weights will not be there in time", expected);
   }
+  // Without a load on its way a hold is a hope: past the objective the caller does better elsewhere.
+  if (expected === undefined && hopedLongEnough(context, request)) {
+    return refuse(request, refusedStatus, "no weights on their way", nextReplicaMs(context, request));
+  }
   if (left <= 0) return outOfTime(request);
   const endWait = context.demand.waits(wanted);
   noteHeld(context, request, expected);
@@ -213,6 +223,13 @@
   return afterSend(context, request, await sendToTarget(context, request, picked));
 }
 
+/** The soonest that a replica which nobody has ordered yet could serve the request. */
+function nextReplicaMs({ forwardLimits }: ForwardContext, request: ForwardedRequest): Milliseconds {
+  const { model = "" } = request.terms;
+  const loadMs = request.service.engine?.models.get(model)?.fromDiskMs ?? 0;
+  return Math.max(forwardLimits.comeBackMs, loadMs);
+}
+
 /** Time until a further replica of the request's model is there, if one is on its way. */
 function replicaComingMs(
   context: ForwardContext,
@@ -248,7 +265,7 @@
     return on;
   }
   if (expectedMs > longestQueueMs(context, request)) {
-    const comeBackMs = Math.max(forwardLimits.comeBackMs, expectedMs);
+    const comeBackMs = Math.max(expectedMs, coming ?? 0, nextReplicaMs(context, request));
     return refuse(request, refusedStatus, "the queue is too long", comeBackMs);
   }
   return sendPicked(context, request, picked);
--- a/packages/forwarding/src/forwarding.feature
+++ b/packages/forwarding/src/forwarding.feature
@@ -36,3 +36,8 @@
     Given the engine has 200 ms of prompts to read
     When a caller asks for "m1"
     Then it is sent to the engine
+
+  Scenario: With no load on its way a request is not held beyond its objective
+    When a caller asks for "m2"
+    Then it is held for 350 ms
+    And it is refused with 503 before 700 ms have passed
--- a/packages/weight-orders/src/views.ts
+++ b/packages/weight-orders/src/views.ts
@@ -30,6 +30,7 @@
     inMemory: state.inMemory,
     onDisk: state.onDisk,
     freeInMs: work ? Math.max(1, workLeftMs) : state.busy ? unknownMoveMs : 0,
+    loadsFromStore: work?.move.source === "store",
     incoming: work?.move.load,
     outgoing: work?.move.victims[0],
     inFlight,
--- a/packages/weight-plan/src/copies.ts
+++ b/packages/weight-plan/src/copies.ts
@@ -3,8 +3,12 @@
 import type { EngineView, ModelNeed } from "./engine-view.js";
 import type { PlanInput } from "./plan.js";
 
-/** Before any demand is known, several copies of a model tell that much will be asked of it. */
+/** Several copies of a model that was not asked for yet tell that much will be asked of it. */
 const unknownSurplusMs: Milliseconds = 400;
+/** Before any demand is known, the single copy of a model gives way to one that no engine has at hand. */
+const unknownLastMs: Milliseconds = 100;
+/** The longer it is not asked for beyond this, the less they tell. */
+const unknownFromMs: Milliseconds = 10_000;
 /** Time over which a further copy of a model that has fallen silent is still worth something. */
 const surplusHorizonMs: Milliseconds = 1_000;
 /** Requests that come closer together than this are taken to come that often. */
@@ -47,6 +51,7 @@
 export function lastCopyLoss(input: PlanInput, name: string): Milliseconds {
   const model = input.models.get(name);
   if (!model) return 0;
+  if (input.needs.size === 0) return unknownLastMs;
   const need = input.needs.get(name);
   const idleMs = idleOf(input, need);
   const { fromDiskMs } = model;
@@ -69,6 +74,7 @@
     return lastCopyLoss(input, name) + inFlight * atWorkMs;
   }
   if (input.needs.size === 0) return unknownSurplusMs;
+  if (!need) return (unknownSurplusMs * unknownFromMs) / Math.max(unknownFromMs, input.watchedMs);
   const loadAfter = (need?.load ?? 0) / (have - 1);
   const easy = input.rules.loadOfReplica * surplusShare;
   if (loadAfter > easy) return (inFlight / (have - 1)) * atWorkMs;
--- a/packages/weight-plan/src/engine-view.ts
+++ b/packages/weight-plan/src/engine-view.ts
@@ -14,6 +14,8 @@
   readonly onDisk: readonly string[];
   /** Time until a move that is under way is expected to end; 0 where nothing is under way. */
   readonly freeInMs: Milliseconds;
+  /** Whether the move under way brings its model from the weight store. */
+  readonly loadsFromStore: boolean;
   /** The model that the move under way brings in, if any. */
   readonly incoming?: string;
   /** The model that the move under way drops, if any. */
--- a/packages/weight-plan/src/plan.ts
+++ b/packages/weight-plan/src/plan.ts
@@ -177,6 +177,30 @@
   return place.readyMs + risk + place.loss + place.engine.inFlight * crowdMs;
 }
 
+/** Engines that may load from the store at once for callers who get their answer late in any case, or for
+ * nobody yet. */
+const lateShare = 0.25;
+
+/** Whether a load from the store is for nobody yet, or for callers for whom only one from disk comes in time. */
+function isLate({ reason, model }: Wish, needs: PlanInput["needs"]): boolean {
+  if (reason === "unreachable") return true;
+  const need = needs.get(model.name);
+  if (!need) return false;
+  return need.objectiveMs > model.fromDiskMs && need.objectiveMs < model.fromStoreMs;
+}
+
+/** Loads from the store that may begin: one takes all orders of an engine for seconds, so most engines stay
+ * free for what is urgent. */
+function storeLoadsFor(input: PlanInput, wish: Wish, storeLoadsLeft: number): number {
+  const reserved = wish.reason === "waiting" ? 0 : storeLoadsReserved;
+  const allowed = storeLoadsLeft - reserved;
+  // Before there is demand nothing is urgent.
+  if (input.needs.size === 0 || !isLate(wish, input.needs)) return allowed;
+  const loading = input.engines.filter((engine) => engine.loadsFromStore).length;
+  const share = Math.max(1, Math.floor(input.engines.length * lateShare));
+  return Math.min(allowed, share - loading);
+}
+
 /** The best place, which may be an engine that is not free yet. */
 function bestPlace(
   input: PlanInput,
@@ -184,12 +208,12 @@
   wish: Wish,
   storeLoadsLeft: number,
 ): Place | undefined {
+  const allowed = storeLoadsFor(input, wish, storeLoadsLeft);
   const places = input.engines.flatMap((engine) => {
     const place = placeOn(input, copies, engine, wish.model);
     if (!place || !isWorth(input, wish, place)) return [];
     const fromStore = sourceOf(engine, wish.model.name) === "store";
-    const reserved = wish.reason === "waiting" ? 0 : storeLoadsReserved;
-    return fromStore && storeLoadsLeft <= reserved ? [] : [place];
+    return fromStore && allowed <= 0 ? [] : [place];
   });
   return places.sort((left, right) => costOf(left) - costOf(right))[0];
 }
@@ -216,7 +240,11 @@
     });
     copies.set(model.name, (copies.get(model.name) ?? 0) + 1);
     for (const victim of place.victims) copies.set(victim, (copies.get(victim) ?? 0) - 1);
-    const occupied = { freeInMs: Math.max(1, place.readyMs), incoming: model.name };
+    const occupied = {
+      freeInMs: Math.max(1, place.readyMs),
+      incoming: model.name,
+      loadsFromStore: source === "store",
+    };
     engines = engines.map((engine) => (engine.id === id ? { ...engine, ...occupied } : engine));
   }
   return moves;
--- a/packages/weight-plan/src/weight-plan.feature
+++ b/packages/weight-plan/src/weight-plan.feature
@@ -95,3 +95,19 @@
     When "e" was asked for 4000 ms ago, to begin within 5000 ms
     And "b" was asked for 3000 ms ago, to begin within 5000 ms
     Then nothing is planned
+
+  Scenario: Loads that come too late for their callers leave most engines free for others
+    Given engine "1" holds "a b c" and loads from the store for 4000 ms
+    And engine "2" holds "a b c"
+    And engine "3" holds "a b d"
+    When 1 request waits for "e", to begin within 3000 ms
+    Then nothing is planned
+    When 1 request waits for "f", to begin within 400 ms
+    Then "f" is planned and "e" is not
+
+  Scenario: As traffic begins, copies that were placed for it stand
+    Given engine "1" holds "a b c"
+    And engine "2" holds "a b d"
+    And demand was watched for 10000 ms
+    When "c" was asked for 0 ms ago, to begin within 400 ms
+    Then nothing is planned
--- a/packages/weight-plan/src/weight-plan.steps.ts
+++ b/packages/weight-plan/src/weight-plan.steps.ts
@@ -46,6 +46,7 @@
     inMemory: [],
     onDisk: residents,
     freeInMs: 0,
+    loadsFromStore: false,
     inFlight: 0,
     ...more,
   };
@@ -57,6 +58,7 @@
   needs: Map<string, ModelNeed>;
   adapterNeeds: AdapterNeed[];
   storeLoadsLeft: number;
+  watchedMs: number;
 }
 
 const scenes = new WeakMap<object, Scene>();
@@ -69,8 +71,8 @@
 
 const words = (text: string) => text.split(" ");
 
-function input({ models, engines, needs, storeLoadsLeft }: Scene): PlanInput {
-  return { models, engines, needs, watchedMs: 120_000, storeLoadsLeft, rules };
+function input({ models, engines, needs, watchedMs, storeLoadsLeft }: Scene): PlanInput {
+  return { models, engines, needs, watchedMs, storeLoadsLeft, rules };
 }
 
 const planOf = (world: object): readonly WeightMove[] => planMoves(input(sceneOf(world)));
@@ -82,6 +84,7 @@
     needs: new Map(),
     adapterNeeds: [],
     storeLoadsLeft: 10,
+    watchedMs: 120_000,
   });
 });
 
@@ -105,6 +108,13 @@
   },
 );
 
+Given(
+  "engine {string} holds {string} and loads from the store for {int} ms",
+  function (this: object, id: string, held: string, freeInMs: number) {
+    sceneOf(this).engines.push(engine(id, words(held), { freeInMs, loadsFromStore: true }));
+  },
+);
+
 Given(
   "engine {string} holds {string} and is free in {int} ms",
   function (this: object, id: string, held: string, freeInMs: number) {
@@ -150,6 +160,13 @@
   need(this, name, { waiting: Number(waiting), inFlight: Number(waiting) });
 });
 
+When(
+  "{int} request(s) wait(s) for {string}, to begin within {int} ms",
+  function (this: object, waiting: number, name: string, objective: number) {
+    need(this, name, { waiting, inFlight: waiting, objectiveMs: objective });
+  },
+);
+
 When(
   "{int} requests are at work on {string}",
   function (this: object, inFlight: number, name: string) {
@@ -186,6 +203,18 @@
   assert.ok(!planOf(this).some((move) => move.engine === id));
 });
 
+Given("demand was watched for {int} ms", function (this: object, ms: number) {
+  sceneOf(this).watchedMs = ms;
+});
+
+Then(
+  "{string} is planned and {string} is not",
+  function (this: object, planned: string, left: string) {
+    const loads = planOf(this).map((move) => move.load);
+    assert.ok(loads.includes(planned) && !loads.includes(left), loads.join(" "));
+  },
+);
+
 Then("nothing is planned", function (this: object) {
   assert.deepEqual(planOf(this), []);
 });
