Before demand every model comes in; beside a slow load one that is there much sooner is begun

Ruled out: more store loads (eight engines were at them for 234 of 272 s). The scenario of single copies giving way before demand is replaced by two that ask for the contrary: every model resident.

--- a/packages/weight-plan/src/copies.ts
+++ b/packages/weight-plan/src/copies.ts
@@ -5,8 +5,11 @@
 
 /** Several copies of a model that was not asked for yet tell that much will be asked of it. */
 const unknownSurplusMs: Milliseconds = 400;
-/** Before any demand is known, the single copy of a model gives way to one that no engine has at hand. */
-const unknownLastMs: Milliseconds = 100;
+/** Before any demand is known: what the single copy of a model is worth. */
+export const unknownLastMs: Milliseconds = 100;
+/** Before any demand is known, further copies go first, those of the model with most copies before others:
+ * their weights stay in the engine's memory, and come back far sooner than what no engine has. */
+const unknownFurtherMs: Milliseconds = 180;
 /** The longer it is not asked for beyond this, the less they tell. */
 const unknownFromMs: Milliseconds = 10_000;
 /** Time over which a further copy of a model that has fallen silent is still worth something. */
@@ -73,7 +76,7 @@
     if (need && need.waiting > 0) return Infinity;
     return lastCopyLoss(input, name) + inFlight * atWorkMs;
   }
-  if (input.needs.size === 0) return unknownSurplusMs;
+  if (input.needs.size === 0) return unknownFurtherMs / have;
   if (!need) return (unknownSurplusMs * unknownFromMs) / Math.max(unknownFromMs, input.watchedMs);
   const loadAfter = (need?.load ?? 0) / (have - 1);
   const easy = input.rules.loadOfReplica * surplusShare;
--- a/packages/weight-plan/src/plan.ts
+++ b/packages/weight-plan/src/plan.ts
@@ -1,6 +1,6 @@
 /** Plans which models engines swap: what is missed most comes in, what is missed least goes. */
 import type { DeclaredModel, Milliseconds } from "@linkfall/types";
-import { copyLoss, countCopies, lastCopyLoss } from "./copies.js";
+import { copyLoss, countCopies, lastCopyLoss, unknownLastMs } from "./copies.js";
 import { type EngineView, loadTimeMs, type ModelNeed, sourceOf, usedMb } from "./engine-view.js";
 
 /** One swap on one engine: the victims go, then the model comes. */
@@ -38,6 +38,8 @@
   readonly reason: WeightMove["reason"];
   /** Requests that it would help; higher comes first. */
   readonly weight: number;
+  /** The load has to be there within this time. */
+  readonly withinMs?: Milliseconds;
   /** Requests at work that the replicas there carry as they should, each. */
   readonly carried: number;
 }
@@ -58,6 +60,9 @@
 const quietRequests = 6;
 /** Loads from the weight store that are kept for models that requests wait for. */
 const storeLoadsReserved = 3;
+/** A load beside one that is on its way has to be there this much sooner: about what a load from disk takes
+ * of its engine. */
+const leastSoonerMs: Milliseconds = 1_500;
 /** Replicas of one model that may be on their way at once. */
 const mostComing = 2;
 /** Wishes of one plan: the others come with the next ones, some tens of milliseconds later. */
@@ -71,18 +76,28 @@
   /** Models that some engine has at hand, or that are on their way. */
   readonly atHand: ReadonlySet<string>;
   /** Loads on their way, by model. */
-  readonly coming: ReadonlyMap<string, number>;
+  readonly coming: ReadonlyMap<string, ComingLoads>;
 }
 
+/** Loads of one model that are on their way. */
+interface ComingLoads {
+  readonly count: number;
+  /** Time until the first of them is there. */
+  readonly firstMs: Milliseconds;
+}
+
+const nothingComing: ComingLoads = { count: 0, firstMs: Infinity };
+
 function locate(engines: readonly EngineView[]): Whereabouts {
   const atHand = new Set<string>();
-  const coming = new Map<string, number>();
-  for (const { inMemory, onDisk, incoming } of engines) {
+  const coming = new Map<string, ComingLoads>();
+  for (const { inMemory, onDisk, incoming, freeInMs } of engines) {
     for (const name of inMemory) atHand.add(name);
     for (const name of onDisk) atHand.add(name);
     if (incoming === undefined) continue;
     atHand.add(incoming);
-    coming.set(incoming, (coming.get(incoming) ?? 0) + 1);
+    const { count, firstMs } = coming.get(incoming) ?? nothingComing;
+    coming.set(incoming, { count: count + 1, firstMs: Math.min(firstMs, freeInMs) });
   }
   return { copies: countCopies(engines), atHand, coming };
 }
@@ -94,16 +109,23 @@
 ): Wish | undefined {
   const need = input.needs.get(model.name);
   const have = copies.get(model.name) ?? 0;
-  if (have === 0 && need && need.waiting > 0) {
-    return { model, reason: "waiting", weight: need.waiting * waitingWeight, carried: 0 };
+  const { count: loading, firstMs } = coming.get(model.name) ?? nothingComing;
+  if (need && need.waiting > 0 && have <= loading) {
+    // While a slow load is on its way, one that is there much sooner is worth as much as the first.
+    const withinMs = firstMs - leastSoonerMs;
+    const weight = need.waiting * waitingWeight;
+    return { model, reason: "waiting", weight, carried: 0, withinMs };
   }
   const load = need && have > 0 ? need.load / have : 0;
   // Requests that pile up during loads are no demand for ever more replicas.
-  if (need && load > input.rules.loadOfReplica && (coming.get(model.name) ?? 0) < mostComing) {
+  if (need && load > input.rules.loadOfReplica && loading < mostComing) {
     const atWork = need.inFlight / have;
     const carried = (atWork * input.rules.loadOfReplica) / load;
     return { model, reason: "demand", weight: atWork - carried, carried };
   }
+  if (have === 0 && input.needs.size === 0 && atHand.has(model.name)) {
+    return { model, reason: "standby", weight: standbyWeight, carried: 0 };
+  }
   if (have === 0 && need && need.objectiveMs < model.fromDiskMs) {
     return { model, reason: "standby", weight: standbyWeight, carried: 0 };
   }
@@ -115,7 +137,7 @@
 
 function wishesOf(input: PlanInput, where: Whereabouts): readonly Wish[] {
   const wishes = [...input.models.values()].flatMap((model) => wishFor(input, where, model) ?? []);
-  const pressing = wishes.filter((wish) => wish.reason !== "unreachable");
+  const pressing = wishes.filter((wish) => wish.reason !== "unreachable" || input.needs.size === 0);
   // A slow load for nobody yet must not hold an engine that others need soon.
   const chosen = pressing.length > 0 ? pressing : wishes;
   const sorted = [...chosen].sort((left, right) => right.weight - left.weight);
@@ -166,6 +188,7 @@
     case "demand":
       return place.loss < (wish.weight + wish.carried / 2) * replicaGainMs;
     case "standby":
+      if (input.needs.size === 0) return place.loss < unknownLastMs;
       return place.loss * standbyMargin < lastCopyLoss(input, wish.model.name);
     case "unreachable":
       return place.loss < unreachableGainMs && place.engine.inFlight <= quietRequests;
@@ -212,6 +235,7 @@
   const places = input.engines.flatMap((engine) => {
     const place = placeOn(input, copies, engine, wish.model);
     if (!place || !isWorth(input, wish, place)) return [];
+    if (place.readyMs > (wish.withinMs ?? Infinity)) return [];
     const fromStore = sourceOf(engine, wish.model.name) === "store";
     return fromStore && allowed <= 0 ? [] : [place];
   });
--- a/packages/weight-plan/src/weight-plan.feature
+++ b/packages/weight-plan/src/weight-plan.feature
@@ -50,11 +50,16 @@
     When 1 request waits for "e"
     Then nothing is planned
 
-  Scenario: Before demand is known, further copies stand and what is at hand nowhere takes a single copy's place
+  Scenario: Before demand is known, every model comes in before any has a further copy
     Given engine "1" holds "a b d"
     And engine "2" holds "a b e"
     And engine "3" holds "a b c"
-    Then "f" takes the place of one of "c d e"
+    Then "f" takes the place of one of "a b"
+
+  Scenario: Before demand is known, single copies stand
+    Given engine "1" holds "a b c" with "d" on disk
+    And engine "2" holds "e f a"
+    Then "d" takes the place of one of "a"
 
   Scenario: What is at hand nowhere waits while something presses
     Given engine "1" holds "a b c" with "d" on disk
@@ -111,3 +116,15 @@
     And demand was watched for 10000 ms
     When "c" was asked for 0 ms ago, to begin within 400 ms
     Then nothing is planned
+
+  Scenario: While a slow load is on its way, an engine with the weights at hand brings them sooner
+    Given engine "1" holds "a b" and loads "e" from the store for 3500 ms
+    And engine "2" holds "a b c" with "e" on disk
+    When 4 requests wait for "e"
+    Then engine "2" swaps in "e" from disk for one model
+
+  Scenario: While a load is about to end, no other is begun for those who wait
+    Given engine "1" holds "a b" and loads "e" from the store for 700 ms
+    And engine "2" holds "a b c" with "e" on disk
+    When 4 requests wait for "e"
+    Then nothing is planned
--- a/packages/weight-plan/src/weight-plan.steps.ts
+++ b/packages/weight-plan/src/weight-plan.steps.ts
@@ -115,6 +115,14 @@
   },
 );
 
+Given(
+  "engine {string} holds {string} and loads {string} from the store for {int} ms",
+  function (this: object, id: string, held: string, incoming: string, freeInMs: number) {
+    const more = { freeInMs, loadsFromStore: true, incoming };
+    sceneOf(this).engines.push(engine(id, words(held), more));
+  },
+);
+
 Given(
   "engine {string} holds {string} and is free in {int} ms",
   function (this: object, id: string, held: string, freeInMs: number) {
