--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -172,17 +172,27 @@
 }
 
 /** Waits for the fleet to change, as long as that may still help the request. */
-async function waitForWeights(context: ForwardContext, request: ForwardedRequest): Promise<Step> {
+async function waitForWeights(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  adapterOnly: boolean,
+): Promise<Step> {
   const { forwardLimits } = context;
   const wanted = wantedOf(request);
-  const expected = context.expectedWeightsMs(wanted);
+  // A further replica on its way says nothing of an adapter of the replicas there: adapters come soon.
+  const expected = adapterOnly ? undefined : context.expectedWeightsMs(wanted);
   const left = timeLeft(context, request) - forwardLimits.leastTimeMs;
   if (expected !== undefined && expected > left) {
     return refuse(request, refusedStatus, "weights will not be there in time", expected);
   }
   // Without a load on its way a hold is a hope: past the objective the caller does better elsewhere.
   if (expected === undefined && hopedLongEnough(context, request)) {
-    return refuse(request, refusedStatus, "no weights on their way", nextReplicaMs(context, request));
+    return refuse(
+      request,
+      refusedStatus,
+      "no weights on their way",
+      nextReplicaMs(context, request),
+    );
   }
   if (left <= 0) return outOfTime(request);
   const endWait = context.demand.waits(wanted);
@@ -287,7 +297,7 @@
     case "target":
       return admit(context, request, pick);
     case "weights_missing":
-      return waitForWeights(context, request);
+      return waitForWeights(context, request, pick.adapterOnly);
     case "all_tried":
       return tryAgain(context, request);
     case "no_target":
--- a/packages/forwarding/src/forwarding.feature
+++ b/packages/forwarding/src/forwarding.feature
@@ -41,3 +41,9 @@
     When a caller asks for "m2"
     Then it is held for 350 ms
     And it is refused with 503 before 700 ms have passed
+
+  Scenario: A slow load of a further replica is no reason to refuse a request for an adapter
+    Given the weights of "m1" are expected in 6000 ms
+    When a caller asks for "m1/x"
+    And the engine holds the adapter "m1/x" after 150 ms
+    Then it is sent to the engine
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -199,7 +199,8 @@
 /** Lets a request that is decided at once come to its end. */
 const settleMs = 1;
 
-When("a caller asks for {string}", async function (this: object, model: string) {
+When("a caller asks for {string}", async function (this: object, weights: string) {
+  const [model, adapter] = weights.split("/");
   const scene = sceneOf(this);
   const { route, clock, context } = scene;
   const request: ForwardedRequest = {
@@ -209,7 +210,7 @@
     path: "/",
     headers: [],
     body: Buffer.alloc(0),
-    terms: { id: "r1", model, promptTokens: 100, maxOutputTokens: 10, parts: [] },
+    terms: { id: "r1", model, adapter, promptTokens: 100, maxOutputTokens: 10, parts: [] },
     sink: sinkOf(scene),
     arrivedAt: clock.now(),
     awaitedUntil: clock.now() + (route.patienceMs ?? route.timeoutMs),
@@ -226,6 +227,18 @@
   await clock.runUntil(settleMs);
 });
 
+When(
+  "the engine holds the adapter {string} after {int} ms",
+  async function (this: object, weights: string, ms: number) {
+    const [name, adapter] = weights.split("/");
+    const { clock, fleet } = sceneOf(this);
+    await clock.runUntil(ms);
+    const models = [{ name, version: 1, adapters: [adapter] }];
+    fleet.takeHoldings("e1", { sequence: 1, models });
+    await clock.runUntil(ms + settleMs);
+  },
+);
+
 When(
   "the engine holds {string} after {int} ms",
   async function (this: object, model: string, ms: number) {
--- a/packages/forwarding/src/pick.ts
+++ b/packages/forwarding/src/pick.ts
@@ -23,7 +23,11 @@
       readonly others: number;
     }
   /** No target holds the weights now. */
-  | { readonly kind: "weights_missing" }
+  | {
+      readonly kind: "weights_missing";
+      /** Some target holds the model, and only the adapter is missing. */
+      readonly adapterOnly: boolean;
+    }
   /** Every target that could serve it has been tried. */
   | { readonly kind: "all_tried" }
   | { readonly kind: "no_target" };
@@ -89,6 +93,12 @@
   return holds(belief, model, adapter, now);
 }
 
+/** Whether a target holds the model of a request for one of its adapters. */
+function holdsModel(belief: TargetBelief, { terms }: ForwardedRequest, now: Milliseconds): boolean {
+  const { model, adapter } = terms;
+  return model !== undefined && adapter !== undefined && holds(belief, model, undefined, now);
+}
+
 /** Picks a target for the request. */
 export function pickTarget(
   fleet: Fleet,
@@ -101,7 +111,12 @@
   const usable = fleet.usable(request.service.name);
   if (usable.length === 0) return { kind: "no_target" };
   const holding = usable.filter((belief) => holdsWeights(belief, request, now));
-  if (holding.length === 0) return { kind: "weights_missing" };
+  if (holding.length === 0) {
+    return {
+      kind: "weights_missing",
+      adapterOnly: usable.some((one) => holdsModel(one, request, now)),
+    };
+  }
   const untried = holding.filter((belief) => !request.tried.has(belief.listed.id));
   const home = homeOf(request, holding);
   const candidates = untried.map((belief) => toCandidate(belief, request, domain, meters, home));
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -34,6 +34,8 @@
   readonly metrics: ForwardMetrics;
 }
 
+/** How long a refusal for want of an adapter counts: most are there by then. */
+const adapterUnderWayMs: Milliseconds = 100;
 /** How long a refusal over an order that seems to be under way counts. */
 const orderUnderWayMs: Milliseconds = 500;
 /** What the system calls a port where nobody listens. */
@@ -83,7 +85,10 @@
       if (request.terms.model === undefined) return;
       // A target that is not full and refuses all the same is about to drop the weights, or has yet
       // to bring them in: it may say so before anybody else does.
-      if (end.misdirected) fleet.deny(id, weightsOf(request.terms));
+      // An adapter on its way is told of before it is there for certain.
+      if (end.misdirected && request.terms.adapter === undefined) {
+        fleet.deny(id, weightsOf(request.terms));
+      } else if (end.misdirected) fleet.deny(id, weightsOf(request.terms), adapterUnderWayMs);
       else if (!isFull(context, id)) fleet.deny(id, weightsOf(request.terms), orderUnderWayMs);
       return;
     case "gone":
--- a/packages/weight-orders/src/give-order.ts
+++ b/packages/weight-orders/src/give-order.ts
@@ -17,6 +17,8 @@
 
 /** An unload of a model that nobody uses is done about so long after it was taken. */
 const aheadFirstMs: Milliseconds = 20;
+/** Time after which an adapter's load is taken to be done; most take some milliseconds. */
+const adapterLoadMs: Milliseconds = 30;
 /** Pause after an order ahead of the engine's word was too early. */
 const aheadAgainMs: Milliseconds = 60;
 
@@ -135,6 +137,26 @@
   if (sent?.order === order) sent.taken = true;
 }
 
+/**
+ * Takes an adapter whose load was taken to be there soon: an engine's reports show it only after they have
+ * grown old, and its callers cannot wait for that. Where it is not there yet, the engine refuses, and its next
+ * report counts.
+ */
+function assumeAdapter(context: GiverContext, id: string, order: FencedOrder): void {
+  const { fleet, clock, announce } = context;
+  const { adapter, model, expectedSequence } = order;
+  if (adapter === undefined || order.action !== "load") return;
+  clock.after(adapterLoadMs, () => {
+    const holdings = fleet.find(id)?.holdings;
+    if (!holdings || holdings.sequence !== expectedSequence) return;
+    const models = holdings.models.map((held) =>
+      held.name === model ? { ...held, adapters: [...held.adapters, adapter] } : held,
+    );
+    fleet.takeHoldings(id, { sequence: expectedSequence + 1, models });
+    announce();
+  });
+}
+
 /** Gives the order under the epoch; an engine that does not take it is asked for its state. */
 export async function giveOrder(
   context: GiverContext,
@@ -160,7 +182,10 @@
   if (work && wasAhead && answer === "conflict") takeBack(context, work, before);
   else takeAnswer(context, id, order, answer);
   if (answer === "under_way" || answer === "in_force") lookAhead(context, belief, order);
-  if (answer === "under_way") return noteTaken(context, id, order);
+  if (answer === "under_way") {
+    assumeAdapter(context, id, order);
+    return noteTaken(context, id, order);
+  }
   // Anything else says that the engine is not as it was believed to be.
   void askEngine(context, belief);
 }
--- a/packages/weight-orders/src/views.ts
+++ b/packages/weight-orders/src/views.ts
@@ -62,16 +62,16 @@
     if (!last) continue;
     const { at, objectiveMs } = last;
     const idleMs = now - at;
-    needs.set(name, { model, inFlight: 0, load: 0, objectiveMs, waiting: 0, idleMs });
+    needs.set(name, { model, inFlight: 0, load: 0, rate: 0, objectiveMs, waiting: 0, idleMs });
   }
   for (const entry of demand) {
     const model = shape.models.get(entry.model);
     if (entry.service !== service || !model) continue;
     const forAdapters = Object.values(entry.waitingAdapters).reduce((sum, n) => sum + n, 0);
     const waiting = entry.waiting + forAdapters;
-    const { inFlight, reading, objectiveMs, idleMs } = entry;
+    const { inFlight, reading, rate, objectiveMs, idleMs } = entry;
     const load = (reading + inFlight / shape.slots) * growthOf(entry);
-    needs.set(entry.model, { model, inFlight, load, objectiveMs, waiting, idleMs });
+    needs.set(entry.model, { model, inFlight, load, rate, objectiveMs, waiting, idleMs });
   }
   return needs;
 }
--- a/packages/weight-orders/src/weight-orders.feature
+++ b/packages/weight-orders/src/weight-orders.feature
@@ -70,3 +70,12 @@
 
   Scenario: Through lost, late and refused orders no engine is overfilled and no load goes on a guess
     Then for 25 seeds of lost and late orders nothing is overfilled
+
+  Scenario: An adapter counts as there soon after its load was taken, before reports show it
+    Given loads take 200 ms and reports of engines are 300 ms old
+    When 500 ms go by in the giver
+    And a request waits for adapter "a/x"
+    And 150 ms go by in the giver
+    Then one engine is believed to hold adapter "a/x"
+    When 1000 ms go by in the giver
+    Then one engine is believed to hold adapter "a/x"
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { createFleet, type Fleet } from "@linkfall/fleet";
+import { createFleet, type Fleet, holds } from "@linkfall/fleet";
 import {
   clockName,
   createKernel,
@@ -37,6 +37,8 @@
   readonly id: string;
   sequence: number;
   models: string[];
+  /** Adapters, as `model/adapter`. */
+  adapters: string[];
   busyUntil: number;
   seenEpoch: number;
   overfilled: boolean;
@@ -114,6 +116,12 @@
   if (order.epoch < engine.seenEpoch) return "fenced";
   engine.seenEpoch = order.epoch;
   if (now < engine.busyUntil || order.expectedSequence !== engine.sequence) return "conflict";
+  if (order.adapter !== undefined) {
+    engine.before = { sequence: engine.sequence, models: [...engine.models], until: now };
+    engine.sequence += 1;
+    engine.adapters.push(`${order.model}/${order.adapter}`);
+    return "under_way";
+  }
   const tookMs = order.action === "load" ? scene.loadMs : shortLoadMs;
   engine.before = { sequence: engine.sequence, models: [...engine.models], until: now };
   engine.sequence += 1;
@@ -145,7 +153,13 @@
       const seenAt = clock.now() - scene.reportAgeMs;
       const { before } = engine;
       const seen = before && seenAt < before.until ? before : engine;
-      const models = seen.models.map((name) => ({ name, version: 1, adapters: [] }));
+      const adaptersOf = (name: string) =>
+        seen === engine
+          ? engine.adapters
+              .filter((one) => one.startsWith(`${name}/`))
+              .map((one) => one.split("/")[1])
+          : [];
+      const models = seen.models.map((name) => ({ name, version: 1, adapters: adaptersOf(name) }));
       return Right({
         sequence: seen.sequence,
         models,
@@ -218,6 +232,7 @@
       id,
       sequence: 0,
       models: [...held],
+      adapters: [],
       busyUntil: 0,
       seenEpoch: 0,
       overfilled: false,
@@ -307,6 +322,26 @@
   },
 );
 
+When("a request waits for adapter {string}", function (this: object, weights: string) {
+  const [name, adapter] = weights.split("/");
+  const scene = sceneOf(this);
+  waitFor(scene, name);
+  scene.demand = scene.demand.map((entry) => ({
+    ...entry,
+    waiting: 0,
+    waitingAdapters: { [adapter]: 1 },
+  }));
+});
+
+Then("one engine is believed to hold adapter {string}", function (this: object, weights: string) {
+  const [name, adapter] = weights.split("/");
+  const now = sceneOf(this).clock.now();
+  const holding = sceneOf(this)
+    .fleet.all()
+    .filter((belief) => holds(belief, name, adapter, now));
+  assert.equal(holding.length, 1);
+});
+
 Then("no load was ordered after one was taken", function (this: object) {
   const { orders, storeLoads } = sceneOf(this);
   const later = orders.filter(({ at, order }) => order.action === "load" && at > storeLoads[0]);
--- a/packages/weight-plan/src/engine-view.ts
+++ b/packages/weight-plan/src/engine-view.ts
@@ -33,6 +33,8 @@
   readonly load: number;
   /** Shortest objective of the requests that asked for it. */
   readonly objectiveMs: Milliseconds;
+  /** Requests a second that ask for it, those that are refused included. */
+  readonly rate: number;
   /** Requests that wait for the model. */
   readonly waiting: number;
   /** Time since the last request; Infinity where none was seen. */
--- a/packages/weight-plan/src/plan.ts
+++ b/packages/weight-plan/src/plan.ts
@@ -60,6 +60,10 @@
 const quietRequests = 6;
 /** Loads from the weight store that are kept for models that requests wait for. */
 const storeLoadsReserved = 3;
+/** Requests that come within this time count as those that wait: about what a load from disk takes. */
+const askingSeconds = 1;
+/** Fewer than this are a request that has just been served. */
+const leastAsking = 1;
 /** A load beside one that is on its way has to be there this much sooner: about what a load from disk takes
  * of its engine. */
 const leastSoonerMs: Milliseconds = 1_500;
@@ -110,10 +114,12 @@
   const need = input.needs.get(model.name);
   const have = copies.get(model.name) ?? 0;
   const { count: loading, firstMs } = coming.get(model.name) ?? nothingComing;
-  if (need && need.waiting > 0 && have <= loading) {
+  // Boxes refuse what cannot wait, so that those who wait are the fewer the more urgent a model is.
+  const asking = need ? need.waiting + need.rate * askingSeconds : 0;
+  if (asking >= leastAsking && have <= loading) {
     // While a slow load is on its way, one that is there much sooner is worth as much as the first.
     const withinMs = firstMs - leastSoonerMs;
-    const weight = need.waiting * waitingWeight;
+    const weight = asking * waitingWeight;
     return { model, reason: "waiting", weight, carried: 0, withinMs };
   }
   const load = need && have > 0 ? need.load / have : 0;
@@ -237,6 +243,8 @@
     if (!place || !isWorth(input, wish, place)) return [];
     if (place.readyMs > (wish.withinMs ?? Infinity)) return [];
     const fromStore = sourceOf(engine, wish.model.name) === "store";
+    // What nobody asks for yet is not worth an engine's orders for seconds.
+    if (fromStore && wish.reason === "standby") return [];
     return fromStore && allowed <= 0 ? [] : [place];
   });
   return places.sort((left, right) => costOf(left) - costOf(right))[0];
--- a/packages/weight-plan/src/weight-plan.feature
+++ b/packages/weight-plan/src/weight-plan.feature
@@ -128,3 +128,9 @@
     And engine "2" holds "a b c" with "e" on disk
     When 4 requests wait for "e"
     Then nothing is planned
+
+  Scenario: A model whose callers are refused comes before one whose few callers wait
+    Given engine "1" holds "a b c" with "e f" on disk
+    When 12 requests a second for "e" are refused
+    And 2 requests wait for "f"
+    Then "e" is planned and "f" is not
--- a/packages/weight-plan/src/weight-plan.steps.ts
+++ b/packages/weight-plan/src/weight-plan.steps.ts
@@ -157,6 +157,7 @@
     model: declared,
     inFlight: 0,
     load,
+    rate: 0,
     objectiveMs,
     waiting: 0,
     idleMs: 0,
@@ -200,6 +201,13 @@
   },
 );
 
+When(
+  "{int} requests a second for {string} are refused",
+  function (this: object, rate: number, name: string) {
+    need(this, name, { rate, objectiveMs: 400 });
+  },
+);
+
 When(
   "{string} was asked for {int} ms ago, to begin within {int} ms",
   function (this: object, name: string, idleMs: number, objective: number) {
@@ -268,6 +276,7 @@
   inFlight: fc.nat(60),
   load: fc.double({ min: 0, max: 8, noNaN: true }),
   objectiveMs: fc.constantFrom(400, 5_000),
+  rate: fc.nat(30),
   waiting: fc.nat(5),
   idleMs: fc.nat(20_000),
 });
