--- a/packages/weight-orders/src/ask-engines.ts
+++ b/packages/weight-orders/src/ask-engines.ts
@@ -38,8 +38,11 @@
   if (work?.sent?.order.action === "load") {
     return Math.max(rules.busyStateMs, moveLeftMs(context, work) * askShare);
   }
+  const behind = (belief.state?.sequence ?? 0) < belief.holdings.sequence;
   const adaptersMove =
-    pendingAdapter(context, belief) !== undefined || (belief.state?.adaptersComing.length ?? 0) > 0;
+    behind ||
+    pendingAdapter(context, belief) !== undefined ||
+    (belief.state?.adaptersComing.length ?? 0) > 0;
   return work || adaptersMove ? rules.busyStateMs : stillMs;
 }
 
--- a/packages/weight-orders/src/give-order.ts
+++ b/packages/weight-orders/src/give-order.ts
@@ -13,7 +13,7 @@
 import { adaptersTaken, usedMb } from "@linkfall/weight-plan";
 import { askEngine } from "./ask-engines.js";
 import { type EngineWord, type EngineWork, type SentOrder, wordAfter } from "./engine-work.js";
-import { type GiverContext, shapeOf } from "./giver-context.js";
+import { type GiverContext, shapeOf, stateInTenure } from "./giver-context.js";
 
 /** An unload of a model that nobody uses is done about so long after it was taken. */
 const aheadFirstMs: Milliseconds = 20;
@@ -137,22 +137,31 @@
   if (sent?.order === order) sent.taken = true;
 }
 
+/** What an engine holds of a model after an order about one of its adapters. */
+function withAdapter(held: ResidentModel, { action, model, adapter }: FencedOrder): ResidentModel {
+  if (held.name !== model || adapter === undefined) return held;
+  const others = held.adapters.filter((name) => name !== adapter);
+  return { ...held, adapters: action === "load" ? [...others, adapter] : others };
+}
+
 /**
- * Takes an adapter whose load was taken to be there soon: an engine's reports show it only after they have
- * grown old, and its callers cannot wait for that. Where it is not there yet, the engine refuses, and its next
- * report counts.
+ * Takes what an order about an adapter does to be done after `afterMs`: an engine's reports show it only when
+ * they have grown old, and callers cannot wait for that. Where it is not done yet, the engine refuses, and its
+ * next report counts.
  */
-function assumeAdapter(context: GiverContext, id: string, order: FencedOrder): void {
+function assumeAdapter(
+  context: GiverContext,
+  id: string,
+  order: FencedOrder,
+  afterMs: Milliseconds,
+): void {
   const { fleet, clock, announce } = context;
-  const { adapter, model, expectedSequence } = order;
-  if (adapter === undefined || order.action !== "load") return;
-  clock.after(adapterLoadMs, () => {
-    const holdings = fleet.find(id)?.holdings;
-    if (!holdings || holdings.sequence !== expectedSequence) return;
-    const models = holdings.models.map((held) =>
-      held.name === model ? { ...held, adapters: [...held.adapters, adapter] } : held,
-    );
-    fleet.takeHoldings(id, { sequence: expectedSequence + 1, models });
+  clock.after(afterMs, () => {
+    const belief = fleet.find(id);
+    const state = belief && stateInTenure(context, belief);
+    if (!state || belief.holdings.sequence !== order.expectedSequence) return;
+    const models = belief.holdings.models.map((held) => withAdapter(held, order));
+    fleet.takeState(id, { ...state, sequence: order.expectedSequence + 1, models }, 0);
     announce();
   });
 }
@@ -182,10 +191,11 @@
   if (work && wasAhead && answer === "conflict") takeBack(context, work, before);
   else takeAnswer(context, id, order, answer);
   if (answer === "under_way" || answer === "in_force") lookAhead(context, belief, order);
-  if (answer === "under_way") {
-    assumeAdapter(context, id, order);
-    return noteTaken(context, id, order);
+  if (order.adapter !== undefined && answer === "in_force") assumeAdapter(context, id, order, 0);
+  if (order.adapter !== undefined && answer === "under_way") {
+    assumeAdapter(context, id, order, adapterLoadMs);
   }
+  if (answer === "under_way") return noteTaken(context, id, order);
   // Anything else says that the engine is not as it was believed to be.
   void askEngine(context, belief);
 }
--- a/packages/weight-orders/src/plan-service.ts
+++ b/packages/weight-orders/src/plan-service.ts
@@ -87,6 +87,11 @@
   }
 }
 
+/** An engine that has yet to answer an order can be given a move soon. */
+function afterOrder(view: EngineView): EngineView {
+  return { ...view, freeInMs: Math.max(view.freeInMs, leastLeftMs) };
+}
+
 /** What was not asked for in so short a time may still be: it takes this long to tell. */
 const leastWatchedMs: Milliseconds = 10_000;
 
@@ -103,8 +108,11 @@
   const adapterNeeds = noteDemand(context, demand);
   const lastAsked = (model: string) => state.lastAsked.get(`${service} ${model}`);
   const views = viewsOf(context, service, shape);
+  // An adapter takes milliseconds of an engine, a move takes all of its orders for a second or more.
+  const free = views.filter((view) => !state.ordering.has(view.id));
+  giveAdapterOrders(context, free, adapterNeeds, shape, epoch);
   const moves = planMoves({
-    engines: views,
+    engines: views.map((view) => (state.ordering.has(view.id) ? afterOrder(view) : view)),
     needs: toNeeds(demand, service, shape, lastAsked, clock.now()),
     models: shape.models,
     watchedMs: Math.max(leastWatchedMs, clock.now() - (state.watchedSince ?? clock.now())),
@@ -113,7 +121,4 @@
   });
   for (const move of moves) beginMove(context, move);
   if (moves.length > 0) context.announce();
-  const moving = new Set(moves.map((move) => move.engine));
-  const still = views.filter((view) => !moving.has(view.id) && !state.ordering.has(view.id));
-  giveAdapterOrders(context, still, adapterNeeds, shape, epoch);
 }
--- a/packages/weight-orders/src/weight-orders.feature
+++ b/packages/weight-orders/src/weight-orders.feature
@@ -79,3 +79,11 @@
     Then one engine is believed to hold adapter "a/x"
     When 1000 ms go by in the giver
     Then one engine is believed to hold adapter "a/x"
+
+  Scenario: An adapter that makes way is taken to be gone as soon as the engine says so
+    Given loads take 200 ms and reports of engines are 300 ms old
+    And every engine holds the adapters "a/1 a/2"
+    When 1000 ms go by in the giver
+    And a request waits for adapter "a/x"
+    And 200 ms go by in the giver
+    Then one engine is believed to hold adapter "a/x"
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -119,8 +119,13 @@
   if (order.adapter !== undefined) {
     engine.before = { sequence: engine.sequence, models: [...engine.models], until: now };
     engine.sequence += 1;
-    engine.adapters.push(`${order.model}/${order.adapter}`);
-    return "under_way";
+    const key = `${order.model}/${order.adapter}`;
+    if (order.action === "load") {
+      engine.adapters.push(key);
+      return "under_way";
+    }
+    engine.adapters = engine.adapters.filter((held) => held !== key);
+    return "in_force";
   }
   const tookMs = order.action === "load" ? scene.loadMs : shortLoadMs;
   engine.before = { sequence: engine.sequence, models: [...engine.models], until: now };
@@ -322,6 +327,10 @@
   },
 );
 
+Given("every engine holds the adapters {string}", function (this: object, keys: string) {
+  for (const engine of sceneOf(this).engines) engine.adapters = words(keys);
+});
+
 When("a request waits for adapter {string}", function (this: object, weights: string) {
   const [name, adapter] = weights.split("/");
   const scene = sceneOf(this);
