--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -150,6 +150,8 @@
       lines_per_second: wholeNumber(1, 10_000, 40),
       /** Bytes that may wait for standard output. */
       buffer_bytes: wholeNumber(1_024, 64_000_000, 1_000_000),
+      /** Lines of this time are written together. A box that is killed loses those that wait. */
+      gather_ms: milliseconds(100),
     })
     .prefault({}),
 });
--- a/packages/logger/src/bounded-logger.feature
+++ b/packages/logger/src/bounded-logger.feature
@@ -16,3 +16,18 @@
     Given a bounded logger with 40 lines a second
     When 100 ejections are logged within a second
     Then 100 lines are written
+
+  Scenario: Lines of a short time are written together
+    Given a bounded logger with 40 lines a second
+    When 30 requests are logged as ended within a second
+    Then the output was written to 0 times
+    When the time to gather lines passes
+    Then the output was written to 1 time
+    And 30 lines are written
+
+  Scenario: A warning does not wait, and takes the lines before it along
+    Given a bounded logger with 40 lines a second
+    When 3 requests are logged as ended
+    And 1 ejections are logged within a second
+    Then the output was written to 1 time
+    And 4 lines are written
--- a/packages/logger/src/bounded-logger.steps.ts
+++ b/packages/logger/src/bounded-logger.steps.ts
@@ -8,11 +8,13 @@
   readonly clock: VirtualClock;
   readonly logger: BoundedLogger;
   readonly out: Writable;
-  readonly lines: string[];
+  /** Texts as they were written, each of one line or more. */
+  readonly writes: string[];
 }
 
 const scenes = new WeakMap<object, Scene>();
 const bufferBytes = 100_000;
+const gatherMs = 100;
 
 function sceneOf(world: object): Scene {
   const scene = scenes.get(world);
@@ -20,13 +22,20 @@
   return scene;
 }
 
+/** All lines that have been written, once those that wait are. */
+function linesOf(world: object): readonly string[] {
+  const { logger, writes } = sceneOf(world);
+  logger.flush();
+  return writes.flatMap((text) => text.trimEnd().split("\n"));
+}
+
 function begin(world: object, linesPerSecond: number, reads: boolean): void {
   const clock = createVirtualClock();
-  const lines: string[] = [];
+  const writes: string[] = [];
   const out = new Writable({
     decodeStrings: false,
-    write(line: string, _encoding, done) {
-      lines.push(line);
+    write(text: string, _encoding, done) {
+      writes.push(text);
       // An output that nobody reads never says that it is done.
       if (reads) done();
     },
@@ -35,8 +44,9 @@
     level: "info",
     linesPerSecond,
     bufferBytes,
+    gatherMs,
   });
-  scenes.set(world, { clock, logger, out, lines });
+  scenes.set(world, { clock, logger, out, writes });
 }
 
 Given("a bounded logger on an output that nobody reads", function (this: object) {
@@ -83,10 +93,18 @@
 );
 
 Then("{int} lines are written", function (this: object, count: number) {
-  assert.equal(sceneOf(this).lines.length, count);
+  assert.equal(linesOf(this).length, count);
+});
+
+When("the time to gather lines passes", async function (this: object) {
+  await sceneOf(this).clock.runUntil(gatherMs + 1);
+});
+
+Then("the output was written to {int} time(s)", function (this: object, count: number) {
+  assert.equal(sceneOf(this).writes.length, count);
 });
 
 Then("the last line tells of {int} left out", function (this: object, count: number) {
-  const last = JSON.parse(sceneOf(this).lines.at(-1) ?? "{}") as { leftOut?: number };
+  const last = JSON.parse(linesOf(this).at(-1) ?? "{}") as { leftOut?: number };
   assert.equal(last.leftOut, count);
 });
