Prompts that go to one target are spread by the pause that its streams bear

Change: each box takes turns at a target: a turn is the reading time of the prompt over the box's share of the requests there and over 0.8; what fills 0.7 of the route's longest pause may go at once, the rest is held for its turn or refused where that would be too late.

--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -5,6 +5,7 @@
   type ChangeWaiter,
   createChangeWaiter,
   createForwardMetrics,
+  createReadingPace,
   createStreamPace,
   createWorkCostMeter,
   type ForwardContext,
@@ -75,6 +76,7 @@
       windowMs: retries.window_ms,
     }),
     pace: createStreamPace(clock),
+    reading: createReadingPace(clock),
     costs: createWorkCostMeter({
       perTokenMs: forwarding.first_token_cost_us / microsecondsPerMillisecond,
       perRequestMs: forwarding.first_request_cost_ms,
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -7,7 +7,7 @@
 import { type ForwardContext, timeLeft } from "./forward-context.js";
 import { type ForwardedRequest, type RequestEnd, wantedOf } from "./forwarded-request.js";
 import { nextReplicaMs, waitForWeights } from "./hold-for-weights.js";
-import { pickTarget, probablyUnread } from "./pick.js";
+import { canServe, pacedPrompt, pickTarget, probablyUnread } from "./pick.js";
 import { type PickedTarget, sendToTarget } from "./send-to-target.js";
 import {
   ended,
@@ -91,6 +91,19 @@
   return on;
 }
 
+/** Holds the request until its prompt may go to the target; returns whether it was held. */
+async function holdForTurn(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  { target, choice }: PickedTarget,
+): Promise<boolean> {
+  const prompt = pacedPrompt(target, request, choice.readingMs);
+  const waitMs = prompt ? context.reading.take(target.listed.id, prompt) : 0;
+  if (waitMs <= 0) return false;
+  await sleep(context.clock, waitMs);
+  return true;
+}
+
 async function sendPicked(
   context: ForwardContext,
   request: ForwardedRequest,
@@ -126,6 +139,9 @@
     const comeBackMs = Math.max(expectedMs, coming ?? 0, nextReplicaMs(context, request));
     return refuse(request, refusedStatus, "the queue is too long", comeBackMs);
   }
+  const held = await holdForTurn(context, request, picked);
+  if (held && request.sink.gone()) return ended({ outcome: "gone" });
+  if (held && !canServe(context.fleet, picked.target, request, context.clock.now())) return on;
   return sendPicked(context, request, picked);
 }
 
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -18,6 +18,7 @@
   type AnswerSink,
   createChangeWaiter,
   createForwardMetrics,
+  createReadingPace,
   createStreamPace,
   createWorkCostMeter,
   type ForwardContext,
@@ -105,6 +106,7 @@
     },
     budget: createRetryBudget(clock, { ratio: 0.2, slack: 10, windowMs: 10_000 }),
     pace: createStreamPace(clock),
+    reading: createReadingPace(clock),
     costs: createWorkCostMeter({
       perTokenMs: 0.02,
       perRequestMs: 30,
@@ -177,6 +179,21 @@
   },
 );
 
+Given("its events may be {int} ms apart", function (this: object, pauseMs: number) {
+  const scene = sceneOf(this);
+  scene.route = { ...scene.route, pauseMs };
+});
+
+Given(
+  "the box has just sent prompts of {int} ms to the engine",
+  function (this: object, ms: number) {
+    const scene = sceneOf(this);
+    const pauseMs = scene.route.pauseMs ?? 0;
+    scene.context.reading.take("e1", { readingMs: ms, share: 1, pauseMs });
+    scene.queueMs = ms - pauseMs;
+  },
+);
+
 Given("the box takes nothing more after {int} ms", function (this: object, ms: number) {
   sceneOf(this).stopsAt = ms;
 });
@@ -294,6 +311,16 @@
   },
 );
 
+Then(
+  "it is sent to the engine before {int} ms have passed",
+  async function (this: object, ms: number) {
+    const { clock, request } = sceneOf(this);
+    assert.equal(request?.sends, 0);
+    await clock.runUntil(ms);
+    assert.ok(request.sends > 0);
+  },
+);
+
 Then("it is sent to the engine", function (this: object) {
   assert.ok((sceneOf(this).request?.sends ?? 0) > 0);
 });
--- a/packages/forwarding/src/pick.ts
+++ b/packages/forwarding/src/pick.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds, RequestTerms } from "@linkfall/types";
 import { type Candidate, type Choice, chooseTarget } from "@linkfall/target-choice";
 import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
+import type { PacedPrompt, ReadingPace } from "./reading-pace.js";
 import type { StreamPace } from "./stream-pace.js";
 import type { WorkCostMeter } from "./work-costs.js";
 
@@ -12,6 +13,7 @@
 export interface TargetMeters {
   readonly costs: WorkCostMeter;
   readonly pace: StreamPace;
+  readonly reading: ReadingPace;
 }
 
 export type Pick =
@@ -65,25 +67,43 @@
   return { target, tokens };
 }
 
+/** The prompt as the target's pace sees it; undefined where no streams could be held up by it. */
+export function pacedPrompt(
+  { own, others }: TargetBelief,
+  { route }: ForwardedRequest,
+  readingMs: Milliseconds,
+): PacedPrompt | undefined {
+  if (!route.streaming || route.pauseMs === undefined) return undefined;
+  const ownCount = own.inFlight + 1;
+  // Each other box may be about to send one more as well, and is taken to have as many there as this one.
+  const othersCount = others.inFlight + others.inFlight / Math.max(1, own.inFlight);
+  const share = ownCount / (ownCount + othersCount);
+  return { readingMs, share, pauseMs: route.pauseMs };
+}
+
 function toCandidate(
   belief: TargetBelief,
   request: ForwardedRequest,
   domain: string,
-  { costs, pace }: TargetMeters,
+  { costs, pace, reading }: TargetMeters,
   home: PrefixHome | undefined,
 ): Candidate {
   const { terms } = request;
   const known = belief.prefixes.kept({ weights: weightsOf(terms), parts: terms.parts });
   const kept = belief.listed.id === home?.target ? Math.max(known, home.tokens) : known;
+  const unreadTokens = Math.max(0, terms.promptTokens - kept);
+  const costsThere = costs.of(request.service.name, belief.listed.id);
+  const prompt = pacedPrompt(belief, request, unreadTokens * costsThere.perTokenMs);
   return {
     id: belief.listed.id,
     slots: belief.listed.slots,
     inFlight: belief.own.inFlight + belief.others.inFlight,
     queuedTokens: belief.own.promptTokens + belief.others.promptTokens,
-    unreadTokens: Math.max(0, terms.promptTokens - kept),
+    unreadTokens,
+    holdMs: prompt ? reading.waitMs(belief.listed.id, prompt) : 0,
     pauseMs: pace.recentMs(belief.listed.id),
     sameDomain: belief.listed.domain === domain,
-    costs: costs.of(request.service.name, belief.listed.id),
+    costs: costsThere,
   };
 }
 
@@ -99,6 +119,16 @@
   return model !== undefined && adapter !== undefined && holds(belief, model, undefined, now);
 }
 
+/** Whether the target may be sent the request. */
+export function canServe(
+  fleet: Fleet,
+  target: TargetBelief,
+  request: ForwardedRequest,
+  now: Milliseconds,
+): boolean {
+  return fleet.usable(request.service.name).includes(target) && holdsWeights(target, request, now);
+}
+
 /** Picks a target for the request. */
 export function pickTarget(
   fleet: Fleet,
--- a/packages/target-choice/src/target-choice.steps.ts
+++ b/packages/target-choice/src/target-choice.steps.ts
@@ -23,6 +23,7 @@
       queuedTokens: queued,
       unreadTokens: unread,
       pauseMs: 0,
+      holdMs: 0,
       sameDomain: true,
       costs,
     });
