The store is read as often as its bounds need, by two boxes of different failure domains

Three boxes read the list after each change, 0.6 s apart, though a leaving target binds after 4 s there; all three and the holder stood in one failure domain. Ruled out: readers with longer reads only (each change wakes them). Small deployments read as before.

--- /dev/null
+++ b/packages/entry-box/src/box-ranking.steps.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { Given, Then } from "@cucumber/cucumber";
+import { notes } from "@linkfall/test-support";
+import { chooseReaders, type PlacedBox } from "./box-ranking.js";
+
+const placed = (names: string, domain: string, capacity: number): readonly PlacedBox[] =>
+  names.split(" ").map((box) => ({ box, domain, capacity }));
+
+const boxesOf = (world: object) => notes(world).get<readonly PlacedBox[]>("boxes");
+
+Given(
+  "boxes {string} of domain {string} with capacity {int}, and {string} of domain {string} with capacity {int}",
+  function (
+    this: object,
+    names: string,
+    domain: string,
+    capacity: number,
+    otherNames: string,
+    otherDomain: string,
+    otherCapacity: number,
+  ) {
+    const others = placed(otherNames, otherDomain, otherCapacity);
+    notes(this).set("boxes", [...placed(names, domain, capacity), ...others]);
+  },
+);
+
+Then(
+  "of {int} readers one stands in {string} and one in {string}",
+  function (this: object, count: number, one: string, other: string) {
+    const boxes = boxesOf(this);
+    const domains = chooseReaders(boxes, count).map(
+      (name) => boxes.find(({ box }) => box === name)?.domain,
+    );
+    assert.deepEqual([...domains].sort(), [one, other]);
+  },
+);
+
+Then("{int} readers are {int} boxes", function (this: object, count: number, different: number) {
+  assert.equal(new Set(chooseReaders(boxesOf(this), count)).size, different);
+});
+
+Then(
+  "of {int} readers all are among {string}",
+  function (this: object, count: number, names: string) {
+    const readers = chooseReaders(boxesOf(this), count);
+    assert.equal(readers.length, count);
+    for (const name of readers) assert.ok(names.split(" ").includes(name), name);
+  },
+);
--- a/packages/entry-box/src/provide-state.ts
+++ b/packages/entry-box/src/provide-state.ts
@@ -7,6 +7,12 @@
 import type { BoxParts } from "./box-parts.js";
 import { createStoreReaders } from "./store-readers.js";
 
+/**
+ * Changes of targets of this share of the time in which all boxes have to know of them are read together;
+ * the rest is left for telling the others. Targets change several times a second, so that this sets how
+ * often the store is read.
+ */
+const gatherShare = 0.3;
 const lapseCheckMs: Milliseconds = 250;
 
 export function provideFleet({ kernel, settings }: BoxParts): Fleet {
@@ -24,7 +30,7 @@
 
 export function provideFeed(parts: BoxParts, fleet: Fleet): DesiredFeed {
   const { kernel, settings, ports } = parts;
-  const { store } = settings;
+  const { store, targets } = settings;
   const feed = createDesiredFeed(kernel, {
     configurationStream: ports.configurationStream,
     targetStream: ports.targetStream,
@@ -37,7 +43,7 @@
       firstPauseMs: store.first_pause_ms,
       longestPauseMs: store.longest_pause_ms,
     },
-    gatherTargetsMs: store.gather_targets_ms,
+    gatherTargetsMs: store.gather_targets_ms ?? targets.leaving_ms * gatherShare,
     configurationKey: ports.configurationKey,
     settleMs: store.settle_ms,
   });
--- a/packages/entry-box/src/store-readers.ts
+++ b/packages/entry-box/src/store-readers.ts
@@ -3,7 +3,7 @@
 import type { FeedPeers } from "@linkfall/desired-feed";
 import { orderLeaseName } from "@linkfall/order-lease";
 import type { Milliseconds } from "@linkfall/types";
-import { rankBoxes } from "./box-ranking.js";
+import { chooseReaders } from "./box-ranking.js";
 import type { BoxParts } from "./box-parts.js";
 
 /** The decision is taken at most this often. */
@@ -21,10 +21,10 @@
     if (readers.length === 0) return true;
     // A reader that the store refuses is no use to the others: the next one takes its place.
     const failing = new Set(readers.filter((one) => !one.reachesStore).map(({ box }) => box));
-    const { name, processor_share, processor_speed } = settings.box;
+    const { name, domain, processor_share, processor_speed } = settings.box;
     const able = peers.alive().filter((one) => !one.leaving && !failing.has(one.box));
-    const self = { box: name, capacity: processor_share * processor_speed };
-    return rankBoxes([self, ...able]).indexOf(name) < settings.store.readers;
+    const self = { box: name, domain, capacity: processor_share * processor_speed };
+    return chooseReaders([self, ...able], settings.store.readers).includes(name);
   };
 
   return {
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -43,12 +43,13 @@
     timeout_ms: milliseconds(1_500),
     /** How long one read waits for a change. */
     wait_ms: milliseconds(20_000),
-    /** Pause after a change of targets, so that the next ones come together. */
-    gather_targets_ms: milliseconds(600),
+    /** Pause after a change of targets, so that the next ones come together; where it is left out, a share
+     * of `targets.leaving_ms`. */
+    gather_targets_ms: z.coerce.number().int().min(1).max(600_000).optional(),
     first_pause_ms: milliseconds(150),
     longest_pause_ms: milliseconds(1_000),
     /** In a large deployment, boxes that read the store for all. */
-    readers: wholeNumber(1, 64, 3),
+    readers: wholeNumber(1, 64, 2),
     /** How long after its return the store's list may lack targets that live. */
     settle_ms: milliseconds(2_200),
   }),
@@ -124,6 +125,8 @@
     .prefault({}),
   targets: z
     .strictObject({
+      /** Time after which a target that says that it leaves may get nothing new from any box. */
+      leaving_ms: milliseconds(2_000),
       lapse_grace_ms: milliseconds(1_600),
       lapse_share: number(0, 1, 0.3),
       failures_in_a_row: wholeNumber(1, 100, 3),
