A stream that waits for its turn is refused when its box begins to stop

Cause, found by reading the diff: a hold for a turn may last as long as the route's objective (5 s on some), and a planned stop that began meanwhile was not looked at before the send, so that the stream could be cut off by it. The scenario fails without the change (the stream is sent) and passes with it. Change: after a hold the box looks again whether it takes the route and whether the target still serves the request; if not the request goes through its steps anew.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -103,6 +103,18 @@
   return waitMs;
 }
 
+/** Whether the target may still be sent the request after a hold: it may have lost the weights, or the box may have
+ * begun to stop. */
+function maySendStill(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  { target }: PickedTarget,
+): boolean {
+  const { fleet, clock } = context;
+  if (!request.sink.begun() && !context.takes(request.route)) return false;
+  return canServe(fleet, target, request, clock.now());
+}
+
 async function sendPicked(
   context: ForwardContext,
   request: ForwardedRequest,
@@ -142,8 +154,7 @@
   }
   const heldMs = await holdForTurn(context, request, picked);
   if (request.sink.gone()) return ended({ outcome: "gone" });
-  const { fleet, clock } = context;
-  if (heldMs > 0 && !canServe(fleet, picked.target, request, clock.now())) return on;
+  if (heldMs > 0 && !maySendStill(context, request, picked)) return on;
   return sendPicked(context, request, picked, heldMs);
 }
 
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -331,3 +331,7 @@
 Then("it is sent to the engine", function (this: object) {
   assert.ok((sceneOf(this).request?.sends ?? 0) > 0);
 });
+
+Then("it was never sent to the engine", function (this: object) {
+  assert.equal(sceneOf(this).request?.sends, 0);
+});
--- a/packages/forwarding/src/reading-pace.feature
+++ b/packages/forwarding/src/reading-pace.feature
@@ -54,3 +54,14 @@
     And the box has just sent 7 prompts of 100 ms to the engine
     When a caller asks for "m1"
     Then it is sent to the engine
+
+  Scenario: A stream that waits for its turn is refused when its box begins to stop
+    Given an engine that holds "m1"
+    And a stream that is due after 400 ms, is awaited for 2000 ms and may take 12000 ms
+    And its events may be 250 ms apart
+    And streams were held up there
+    And the box has just sent 3 prompts of 100 ms to the engine
+    And the box takes nothing more after 100 ms
+    When a caller asks for "m1"
+    Then it is refused with 503 before 400 ms have passed
+    And it was never sent to the engine
