Prompts are no longer spread over time

Reverted: reading-pace.ts, the hold in forward.ts, the longest pause of stream-pace.ts, pauseMs of routes, holdMs of the choice, and their scenarios, which tested nothing else (the hold that a planned stop ends goes with the hold).

--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -5,7 +5,6 @@
   type ChangeWaiter,
   createChangeWaiter,
   createForwardMetrics,
-  createReadingPace,
   createStreamPace,
   createWorkCostMeter,
   type ForwardContext,
@@ -76,7 +75,6 @@
       windowMs: retries.window_ms,
     }),
     pace: createStreamPace(clock),
-    reading: createReadingPace(clock),
     costs: createWorkCostMeter({
       perTokenMs: forwarding.first_token_cost_us / microsecondsPerMillisecond,
       perRequestMs: forwarding.first_request_cost_ms,
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -7,7 +7,7 @@
 import { type ForwardContext, timeLeft } from "./forward-context.js";
 import { type ForwardedRequest, type RequestEnd, wantedOf } from "./forwarded-request.js";
 import { nextReplicaMs, waitForWeights } from "./hold-for-weights.js";
-import { canServe, pacedPrompt, pickTarget, probablyUnread } from "./pick.js";
+import { pickTarget, probablyUnread } from "./pick.js";
 import { type PickedTarget, sendToTarget } from "./send-to-target.js";
 import {
   ended,
@@ -91,35 +91,10 @@
   return on;
 }
 
-/** Holds the request until its prompt may go to the target; returns for how long. */
-async function holdForTurn(
-  context: ForwardContext,
-  request: ForwardedRequest,
-  { target, choice }: PickedTarget,
-): Promise<Milliseconds> {
-  const prompt = pacedPrompt(target, request, choice.readingMs, context.pace);
-  const waitMs = prompt ? context.reading.take(target.listed.id, prompt) : 0;
-  if (waitMs > 0) await sleep(context.clock, waitMs);
-  return waitMs;
-}
-
-/** Whether the target may still be sent the request after a hold: it may have lost the weights, or the box may have
- * begun to stop. */
-function maySendStill(
-  context: ForwardContext,
-  request: ForwardedRequest,
-  { target }: PickedTarget,
-): boolean {
-  const { fleet, clock } = context;
-  if (!request.sink.begun() && !context.takes(request.route)) return false;
-  return canServe(fleet, target, request, clock.now());
-}
-
 async function sendPicked(
   context: ForwardContext,
   request: ForwardedRequest,
   picked: PickedTarget,
-  heldMs: Milliseconds,
 ): Promise<Step> {
   const { target, choice, others } = picked;
   context.logger.event("targetChosen", {
@@ -130,7 +105,6 @@
     ofOthers: target.others.inFlight,
     alternatives: others,
     send: request.sends + 1,
-    heldMs: heldMs > 0 ? Math.round(heldMs) : undefined,
   });
   return afterSend(context, request, await sendToTarget(context, request, picked));
 }
@@ -152,10 +126,7 @@
     const comeBackMs = Math.max(expectedMs, coming ?? 0, nextReplicaMs(context, request));
     return refuse(request, refusedStatus, "the queue is too long", comeBackMs);
   }
-  const heldMs = await holdForTurn(context, request, picked);
-  if (request.sink.gone()) return ended({ outcome: "gone" });
-  if (heldMs > 0 && !maySendStill(context, request, picked)) return on;
-  return sendPicked(context, request, picked, heldMs);
+  return sendPicked(context, request, picked);
 }
 
 async function step(context: ForwardContext, request: ForwardedRequest): Promise<Step> {
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -18,7 +18,6 @@
   type AnswerSink,
   createChangeWaiter,
   createForwardMetrics,
-  createReadingPace,
   createStreamPace,
   createWorkCostMeter,
   type ForwardContext,
@@ -106,7 +105,6 @@
     },
     budget: createRetryBudget(clock, { ratio: 0.2, slack: 10, windowMs: 10_000 }),
     pace: createStreamPace(clock),
-    reading: createReadingPace(clock),
     costs: createWorkCostMeter({
       perTokenMs: 0.02,
       perRequestMs: 30,
@@ -179,28 +177,6 @@
   },
 );
 
-Given("its events may be {int} ms apart", function (this: object, pauseMs: number) {
-  const scene = sceneOf(this);
-  scene.route = { ...scene.route, pauseMs };
-});
-
-Given("streams were held up there", function (this: object) {
-  const { context, route } = sceneOf(this);
-  context.pace.observe("e1", route.pauseMs ?? 0);
-});
-
-Given(
-  "the box has just sent {int} prompts of {int} ms to the engine",
-  function (this: object, count: number, readingMs: number) {
-    const scene = sceneOf(this);
-    const pauseMs = scene.route.pauseMs ?? 0;
-    for (let index = 0; index < count; index++) {
-      scene.context.reading.take("e1", { readingMs, share: 1, pauseMs });
-    }
-    scene.queueMs = count * readingMs - pauseMs;
-  },
-);
-
 Given("the box takes nothing more after {int} ms", function (this: object, ms: number) {
   sceneOf(this).stopsAt = ms;
 });
@@ -318,20 +294,6 @@
   },
 );
 
-Then(
-  "it is sent to the engine before {int} ms have passed",
-  async function (this: object, ms: number) {
-    const { clock, request } = sceneOf(this);
-    assert.equal(request?.sends, 0);
-    await clock.runUntil(ms);
-    assert.ok(request.sends > 0);
-  },
-);
-
 Then("it is sent to the engine", function (this: object) {
   assert.ok((sceneOf(this).request?.sends ?? 0) > 0);
 });
-
-Then("it was never sent to the engine", function (this: object) {
-  assert.equal(sceneOf(this).request?.sends, 0);
-});
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,7 +6,6 @@
 export * from "./forwarded-request.js";
 export * from "./pick.js";
 export * from "./send-to-target.js";
-export * from "./reading-pace.js";
 export * from "./stream-pace.js";
 export * from "./wait-for-change.js";
 export * from "./work-costs.js";
--- a/packages/forwarding/src/meters.feature
+++ b/packages/forwarding/src/meters.feature
@@ -17,16 +17,3 @@
     Then its recent pause is 200 ms
     When 500 ms have passed
     Then its recent pause is 0 ms
-
-  Scenario: The longest pause of the last seconds is known for longer, and then forgotten
-    When a target's streams wait 200 ms between events
-    And a target's streams wait 20 ms between events
-    Then its longest pause of late is 200 ms
-    When 6000 ms have passed
-    And a target's streams wait 30 ms between events
-    Then its longest pause of late is 200 ms
-    When 6000 ms have passed
-    And a target's streams wait 10 ms between events
-    Then its longest pause of late is 30 ms
-    When 11000 ms have passed
-    Then its longest pause of late is 0 ms
--- a/packages/forwarding/src/meters.steps.ts
+++ b/packages/forwarding/src/meters.steps.ts
@@ -59,7 +59,3 @@
 Then("its recent pause is {int} ms", (ms: number) => {
   assert.equal(pace.recentMs("t"), ms);
 });
-
-Then("its longest pause of late is {int} ms", (ms: number) => {
-  assert.equal(pace.longestMs("t"), ms);
-});
--- a/packages/forwarding/src/pick.ts
+++ b/packages/forwarding/src/pick.ts
@@ -5,7 +5,6 @@
 import type { Milliseconds, RequestTerms } from "@linkfall/types";
 import { type Candidate, type Choice, chooseTarget } from "@linkfall/target-choice";
 import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
-import type { PacedPrompt, ReadingPace } from "./reading-pace.js";
 import type { StreamPace } from "./stream-pace.js";
 import type { WorkCostMeter } from "./work-costs.js";
 
@@ -13,7 +12,6 @@
 export interface TargetMeters {
   readonly costs: WorkCostMeter;
   readonly pace: StreamPace;
-  readonly reading: ReadingPace;
 }
 
 export type Pick =
@@ -67,50 +65,25 @@
   return { target, tokens };
 }
 
-/** A target whose streams were held up for this share of the pause that they bear is sent prompts in turns. Where
- * pauses are rare turns only cost: turns at all targets lowered the mean credit of three such days from 0.701 to
- * 0.670 (two seeds each). */
-const heldUpShare = 0.7;
-
-/** The prompt as the target's turns see it; undefined where no streams were held up there lately. */
-export function pacedPrompt(
-  { own, others, listed }: TargetBelief,
-  { route }: ForwardedRequest,
-  readingMs: Milliseconds,
-  pace: StreamPace,
-): PacedPrompt | undefined {
-  if (!route.streaming || route.pauseMs === undefined) return undefined;
-  if (pace.longestMs(listed.id) < route.pauseMs * heldUpShare) return undefined;
-  const ownCount = own.inFlight + 1;
-  // Each other box may be about to send one more as well, and is taken to have as many there as this one.
-  const othersCount = others.inFlight + others.inFlight / Math.max(1, own.inFlight);
-  const share = ownCount / (ownCount + othersCount);
-  return { readingMs, share, pauseMs: route.pauseMs };
-}
-
 function toCandidate(
   belief: TargetBelief,
   request: ForwardedRequest,
   domain: string,
-  { costs, pace, reading }: TargetMeters,
+  { costs, pace }: TargetMeters,
   home: PrefixHome | undefined,
 ): Candidate {
   const { terms } = request;
   const known = belief.prefixes.kept({ weights: weightsOf(terms), parts: terms.parts });
   const kept = belief.listed.id === home?.target ? Math.max(known, home.tokens) : known;
-  const unreadTokens = Math.max(0, terms.promptTokens - kept);
-  const costsThere = costs.of(request.service.name, belief.listed.id);
-  const prompt = pacedPrompt(belief, request, unreadTokens * costsThere.perTokenMs, pace);
   return {
     id: belief.listed.id,
     slots: belief.listed.slots,
     inFlight: belief.own.inFlight + belief.others.inFlight,
     queuedTokens: belief.own.promptTokens + belief.others.promptTokens,
-    unreadTokens,
-    holdMs: prompt ? reading.waitMs(belief.listed.id, prompt) : 0,
+    unreadTokens: Math.max(0, terms.promptTokens - kept),
     pauseMs: pace.recentMs(belief.listed.id),
     sameDomain: belief.listed.domain === domain,
-    costs: costsThere,
+    costs: costs.of(request.service.name, belief.listed.id),
   };
 }
 
@@ -126,16 +99,6 @@
   return model !== undefined && adapter !== undefined && holds(belief, model, undefined, now);
 }
 
-/** Whether the target may be sent the request. */
-export function canServe(
-  fleet: Fleet,
-  target: TargetBelief,
-  request: ForwardedRequest,
-  now: Milliseconds,
-): boolean {
-  return fleet.usable(request.service.name).includes(target) && holdsWeights(target, request, now);
-}
-
 /** Picks a target for the request. */
 export function pickTarget(
   fleet: Fleet,
--- a/packages/forwarding/src/stream-pace.ts
+++ b/packages/forwarding/src/stream-pace.ts
@@ -10,36 +10,19 @@
   observe(target: string, gapMs: Milliseconds): void;
   /** Recent time between two arrivals; 0 where nothing was seen lately. */
   recentMs(target: string): Milliseconds;
-  /** Longest time between two arrivals in the last while; 0 where nothing was seen. */
-  longestMs(target: string): Milliseconds;
 }
 
 interface Pace {
-  readonly gapMs: Milliseconds;
-  readonly at: Milliseconds;
-  /** When the present span began. */
-  readonly spanFrom: Milliseconds;
-  /** Longest gap of the present span, and of the one before. */
-  readonly longestMs: Milliseconds;
-  readonly longestBeforeMs: Milliseconds;
+  gapMs: Milliseconds;
+  at: Milliseconds;
 }
 
 /** Part of a new observation in the average: about the last five count. */
 const newShare = 0.2;
 /** Prompts that are read come and go within this time: what is older says nothing of now. */
 const freshMs: Milliseconds = 400;
-/** The longest gap is kept for one to two spans: bursts of prompts come again within seconds. */
-const spanMs: Milliseconds = 5_000;
 const mostTargets = 5_000;
 
-/** The longest gaps once a gap has been seen. */
-function longestAfter(known: Pace | undefined, gapMs: Milliseconds, now: Milliseconds) {
-  const age = known ? now - known.spanFrom : Infinity;
-  if (known && age < spanMs) return { ...known, longestMs: Math.max(known.longestMs, gapMs) };
-  const longestBeforeMs = known && age < spanMs * 2 ? known.longestMs : 0;
-  return { spanFrom: now, longestMs: gapMs, longestBeforeMs };
-}
-
 /** Creates a meter without observations. */
 export function createStreamPace(clock: Clock): StreamPace {
   const paces = new Map<string, Pace>();
@@ -49,18 +32,12 @@
       const known = paces.get(target);
       const from = known && now - known.at <= freshMs ? known.gapMs : gapMs;
       paces.delete(target);
-      const averageMs = from + newShare * (gapMs - from);
-      paces.set(target, { ...longestAfter(known, gapMs, now), gapMs: averageMs, at: now });
+      paces.set(target, { gapMs: from + newShare * (gapMs - from), at: now });
       if (paces.size > mostTargets) paces.delete(paces.keys().next().value ?? "");
     },
     recentMs(target) {
       const known = paces.get(target);
       return known && clock.now() - known.at <= freshMs ? known.gapMs : 0;
     },
-    longestMs(target) {
-      const known = paces.get(target);
-      if (!known || clock.now() - known.spanFrom >= spanMs * 2) return 0;
-      return Math.max(known.longestMs, known.longestBeforeMs);
-    },
   };
 }
--- a/packages/target-choice/src/index.ts
+++ b/packages/target-choice/src/index.ts
@@ -14,8 +14,6 @@
   readonly unreadTokens: number;
   /** Time that its streams wait from one event to the next now; 0 where this is not known. */
   readonly pauseMs: Milliseconds;
-  /** Time for which this box holds the request back before it sends it there. */
-  readonly holdMs: Milliseconds;
   readonly sameDomain: boolean;
   readonly costs: WorkCosts;
 }
@@ -35,8 +33,6 @@
 /** A target with the time until it is expected to begin its answer. */
 export interface Choice {
   readonly id: string;
-  /** Time for which the target reads the request's own prompt. */
-  readonly readingMs: Milliseconds;
   readonly expectedMs: Milliseconds;
 }
 
@@ -48,9 +44,7 @@
 /** Time until the target is expected to begin its answer. */
 export function expectedMs(candidate: Candidate): Milliseconds {
   const { costs } = candidate;
-  // While the request is held back, the target reads on.
-  const queue = Math.max(candidate.holdMs, candidate.queuedTokens * costs.perTokenMs);
-  const reading = queue + candidate.unreadTokens * costs.perTokenMs;
+  const reading = (candidate.queuedTokens + candidate.unreadTokens) * costs.perTokenMs;
   const free = Math.max(0, candidate.slots - candidate.inFlight);
   // With no place free, places become free one by one while answers end.
   const rounds = free > 0 ? 0 : (candidate.inFlight - candidate.slots + 1) / candidate.slots;
@@ -65,11 +59,10 @@
   // Pauses tell of prompts that the target reads for other boxes, and each further prompt lengthens them.
   const timed = candidates.map((candidate) => {
     const expected = expectedMs(candidate);
-    const readingMs = candidate.unreadTokens * candidate.costs.perTokenMs;
-    const costMs = expected + candidate.pauseMs;
-    return { choice: { id: candidate.id, readingMs, expectedMs: expected }, costMs };
+    return { id: candidate.id, expectedMs: expected, costMs: expected + candidate.pauseMs };
   });
   const best = Math.min(...timed.map(({ costMs }) => costMs));
   const near = timed.filter(({ costMs }) => costMs <= best + tieMs);
-  return near[random.below(near.length)].choice;
+  const { id, expectedMs: chosenMs } = near[random.below(near.length)];
+  return { id, expectedMs: chosenMs };
 }
--- a/packages/target-choice/src/target-choice.steps.ts
+++ b/packages/target-choice/src/target-choice.steps.ts
@@ -23,7 +23,6 @@
       queuedTokens: queued,
       unreadTokens: unread,
       pauseMs: 0,
-      holdMs: 0,
       sameDomain: true,
       costs,
     });
--- a/packages/types/src/routes.ts
+++ b/packages/types/src/routes.ts
@@ -30,8 +30,6 @@
   /** Longest time that callers wait for the next event of a stream, the first one included; absent
    * where they wait until their deadline. */
   readonly patienceMs?: Milliseconds;
-  /** Longest time between two events of a stream that is on time; absent where any is. */
-  readonly pauseMs?: Milliseconds;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Most targets that one request may be sent to. */
