Client accounts: keys, names and token limits over all boxes

Cause: boxes that forward opaque requests knew nothing of client accounts. The key reached the targets, every request was run without its account's name, keys that nobody holds were served, and no account was limited.

Change: the configuration's accounts are decoded once into types; a request is identified by the digest of its key before anything else (401 without one or with one that nobody holds; 503 while there is no configuration); the key never leaves the box and the account's name is linkfall's word alone; the account's priority goes before the route's. Limits: one box hands out the limit of each account (rendezvous over the strong boxes), the others ask it when a request finds nothing at hand and ahead of need for busy accounts; a box that is not answered, or hears no other, decides alone on a small part. What did not run is given back, what ran twice is taken twice. Token counts of another form are answered 400.

Ruled out: decisions at the store (each call is priced and takes 4 ms), plain parts of the limit (a part of a sixtieth is one request in 19 s), rates above the limit within its tolerance.

--- /dev/null
+++ b/packages/account-quota/src/account-quota.feature
@@ -0,0 +1,50 @@
+Feature: The limit of a client account over all boxes
+
+  Scenario: What is refused is told to come back one after the other
+    Given an allocator of 1000 units a second and 1000 at once
+    When 10 requests of 500 units come at once
+    Then 2 are granted
+    And those refused are told to come back 500 ms apart, the last after 3501 ms
+
+  Scenario: A request that is larger than what is left goes, and the rest is owed
+    Given an allocator of 1000 units a second and 1000 at once
+    When a request of 3000 units comes
+    Then it is granted
+    When 1900 ms go by and a request of 10 units comes
+    Then it is refused for 101 ms
+    When 200 ms go by and a request of 10 units comes
+    Then it is granted
+
+  Scenario: An allocator that nobody asked for a while does not begin with a full burst
+    Given an allocator of 1000 units a second and 1000 at once, of which 200 at first
+    When 5 requests of 100 units come at once
+    Then 2 are granted
+    When 5000 ms go by and 5 requests of 100 units come at once
+    Then 2 are granted
+
+  Scenario: A limit that is older than the known one is not taken
+    Given an allocator of 1000 units a second and 1000 at once
+    When version 2 lowers the limit to 100 units a second and 100 at once
+    And 5 requests of 100 units come at once under version 1
+    Then 1 is granted
+
+  Scenario: A box without an answer from any allocator decides alone, by its part
+    Given a box whose allocators are silent, with a tenth of what all boxes carry
+    When an account of 10000 units a second sends 20 requests of 100 units there
+    Then it lets through between 1 and 6
+    And each decision took at most 240 ms
+
+  Scenario: What did not run is given back
+    Given a box that allocates for itself
+    When an account of 1000 units a second uses up what it has there
+    And 300 units are given back
+    Then a request of 300 units is let through
+
+  Scenario Outline: A request with <terms> counts <units>
+    Then a request with "<terms>" counts <units> under a limit of "<unit>"
+
+    Examples:
+      | terms        | unit     | units |
+      | 1460 and 80  | tokens   | 1540  |
+      | nothing told | tokens   | 200   |
+      | 1460 and 80  | requests | 1     |
--- /dev/null
+++ b/packages/account-quota/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./account-quota.js";
+export { createQuotaAllocator, type QuotaAllocator } from "./allocator.js";
+export * from "./messages.js";
+export { unitsOf } from "./units.js";
--- /dev/null
+++ b/packages/bench/src/quota-load.ts
@@ -0,0 +1,89 @@
+/** Loads under which ways to keep one account's limit over many boxes are compared. */
+import { type Random, seededRandom } from "@linkfall/kernel";
+import type { Milliseconds } from "@linkfall/types";
+
+/** A span of time. */
+export interface Span {
+  readonly from: Milliseconds;
+  readonly until: Milliseconds;
+}
+
+export interface QuotaLoad {
+  readonly name: string;
+  /** Boxes that callers use. */
+  readonly boxes: number;
+  /** Limit of the account, in tokens a second; as much may come at once. */
+  readonly perSecond: number;
+  /** The account sends so many times its usual in this span. */
+  readonly hot?: Span & { readonly times: number };
+  /** All callers use the first boxes only in this span. */
+  readonly gathered?: Span & { readonly boxes: number };
+  /** The first boxes are cut off from all others in this span; callers reach them still. */
+  readonly cut?: Span & { readonly boxes: number };
+  /** All boxes lose what they know. */
+  readonly restartAt?: Milliseconds;
+}
+
+/** One request of the account. */
+export interface QuotaArrival {
+  readonly at: Milliseconds;
+  readonly box: number;
+  readonly units: number;
+}
+
+export const loadMs: Milliseconds = 30_000;
+/** A limit is this much above the usual, so that only an unusual load meets it. */
+const limitOverUsual = 1.8;
+const meanUnits = 9_200;
+const largestUnits = 45_000;
+const millisecondsPerSecond = 1000;
+
+const hot = { from: 8_000, until: 18_000, times: 7.5 };
+
+/** A small account and a large one under each kind of trouble. */
+export const quotaLoads: readonly QuotaLoad[] = [29_000, 417_000].flatMap((perSecond) => [
+  { name: "usual", boxes: 8, perSecond },
+  { name: "hot", boxes: 8, perSecond, hot },
+  { name: "hot, 60 boxes", boxes: 60, perSecond, hot },
+  {
+    name: "gathered at one box",
+    boxes: 8,
+    perSecond,
+    gathered: { from: 8e3, until: 18e3, boxes: 1 },
+  },
+  { name: "one box cut off", boxes: 8, perSecond, cut: { from: 8e3, until: 16e3, boxes: 1 } },
+  {
+    name: "hot, one box cut off",
+    boxes: 8,
+    perSecond,
+    hot,
+    cut: { from: 9e3, until: 17e3, boxes: 1 },
+  },
+  { name: "all restarted", boxes: 8, perSecond, restartAt: 12_000 },
+  { name: "hot, all restarted", boxes: 8, perSecond, hot, restartAt: 12_000 },
+]);
+
+const isWithin = (at: Milliseconds, span: Span | undefined): boolean =>
+  span !== undefined && at >= span.from && at < span.until;
+
+export function isCut({ cut }: QuotaLoad, box: number, at: Milliseconds): boolean {
+  return cut !== undefined && box < cut.boxes && isWithin(at, cut);
+}
+
+function exponential(random: Random, mean: number): number {
+  return -Math.log(1 - random.fraction()) * mean;
+}
+
+/** Requests of a load, in the order of time. */
+export function arrivalsOf(load: QuotaLoad, seed: number): readonly QuotaArrival[] {
+  const random = seededRandom(seed);
+  const usualGapMs = (meanUnits * millisecondsPerSecond * limitOverUsual) / load.perSecond;
+  const arrivals: QuotaArrival[] = [];
+  for (let at = 0; at < loadMs;) {
+    at += exponential(random, usualGapMs / (isWithin(at, load.hot) ? (load.hot?.times ?? 1) : 1));
+    const boxes = isWithin(at, load.gathered) ? (load.gathered?.boxes ?? 1) : load.boxes;
+    const units = Math.ceil(Math.min(largestUnits, exponential(random, meanUnits)));
+    arrivals.push({ at, box: random.below(boxes), units });
+  }
+  return arrivals;
+}
--- a/packages/box-peers/src/box-peers.steps.ts
+++ b/packages/box-peers/src/box-peers.steps.ts
@@ -106,6 +106,7 @@
       if (!other || other.stopped || scene.boxes[index].stopped) return unreachable;
       return Right(other.peers.receive(heartbeat));
     },
+    quota: async () => Left({ kind: "peer_unreachable", reason: "none", mayHaveArrived: false }),
     configuration: async () => unreachable,
     close: () => undefined,
   };
--- a/packages/box-peers/src/peers.ts
+++ b/packages/box-peers/src/peers.ts
@@ -43,6 +43,8 @@
   sightings(): readonly Sighting[];
   /** Time since the box itself was heard. */
   heardMs(incarnation: Incarnation): Milliseconds | undefined;
+  /** Time since any other box was heard; 0 where none is known. */
+  silentMs(): Milliseconds;
   find(incarnation: Incarnation): BoxStatus | undefined;
   /** Most boxes that were known at once, this one included. */
   most(): number;
@@ -169,6 +171,10 @@
       const member = table.find(incarnation);
       return member && clock.now() - member.heardAt;
     },
+    silentMs() {
+      const heardAt = table.all().map((member) => member.heardAt);
+      return heardAt.length === 0 ? 0 : clock.now() - Math.max(...heardAt);
+    },
     find: (incarnation) => table.find(incarnation)?.status,
     most: table.most,
     mesh: table.mesh,
--- a/packages/box-peers/src/transport.ts
+++ b/packages/box-peers/src/transport.ts
@@ -11,6 +11,7 @@
   type ServerDuplexStream,
   type UntypedServiceImplementation,
 } from "@grpc/grpc-js";
+import type { QuotaAsk, QuotaGrant } from "@linkfall/account-quota";
 import { type AskStream, createAskStream, type Numbered } from "@linkfall/ask-stream";
 import type { PeerUnreachable } from "@linkfall/errors";
 import type { Clock } from "@linkfall/kernel";
@@ -22,12 +23,15 @@
 export interface PeerHandler {
   exchange(heartbeat: Heartbeat): Heartbeat;
   configuration(): ConfigurationCopy;
+  /** Allots a part of an account's limit. */
+  quota(ask: QuotaAsk): QuotaGrant;
 }
 
 /** Asks other boxes. */
 export interface PeerClient {
   exchange(address: string, heartbeat: Heartbeat): Promise<Either<PeerUnreachable, Heartbeat>>;
   configuration(address: string): Promise<Either<PeerUnreachable, ConfigurationCopy>>;
+  quota(address: string, ask: QuotaAsk): Promise<Either<PeerUnreachable, QuotaGrant>>;
   close(): void;
 }
 
@@ -39,10 +43,12 @@
 /** One message; its answer has the same kind. */
 type Ask =
   | { readonly kind: "heartbeat"; readonly heartbeat: Heartbeat }
-  | { readonly kind: "configuration" };
+  | { readonly kind: "configuration" }
+  | { readonly kind: "quota"; readonly ask: QuotaAsk };
 type Answer =
   | { readonly kind: "heartbeat"; readonly heartbeat: Heartbeat }
-  | { readonly kind: "configuration"; readonly copy: ConfigurationCopy };
+  | { readonly kind: "configuration"; readonly copy: ConfigurationCopy }
+  | { readonly kind: "quota"; readonly grant: QuotaGrant };
 
 const toBytes = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
 const fromBytes = (bytes: Buffer): never => JSON.parse(bytes.toString("utf8")) as never;
@@ -128,6 +134,12 @@
         answer.kind === "configuration" ? Right(answer.copy) : Left(otherKind(answer)),
       );
     },
+    async quota(address, ask) {
+      const answered = await streamTo(address).ask({ kind: "quota", ask });
+      return answered.chain((answer) =>
+        answer.kind === "quota" ? Right(answer.grant) : Left(otherKind(answer)),
+      );
+    },
     close() {
       for (const { stream } of streams.values()) stream.close();
       streams.clear();
@@ -136,8 +148,14 @@
 }
 
 function answerTo(handler: PeerHandler, ask: Ask): Answer {
-  if (ask.kind === "configuration") return { kind: ask.kind, copy: handler.configuration() };
-  return { kind: ask.kind, heartbeat: handler.exchange(ask.heartbeat) };
+  switch (ask.kind) {
+    case "configuration":
+      return { kind: ask.kind, copy: handler.configuration() };
+    case "quota":
+      return { kind: ask.kind, grant: handler.quota(ask.ask) };
+    case "heartbeat":
+      return { kind: ask.kind, heartbeat: handler.exchange(ask.heartbeat) };
+  }
 }
 
 /** Creates a server that answers other boxes. */
--- a/packages/desired-feed/src/configuration-holder.ts
+++ b/packages/desired-feed/src/configuration-holder.ts
@@ -1,4 +1,5 @@
 /** Holds the newest configuration. A version never goes back, and a broken record changes nothing. */
+import { createKeyTable, type KeyTable } from "@linkfall/account-keys";
 import type { ConfigurationCopy } from "@linkfall/box-peers";
 import type { Fleet } from "@linkfall/fleet";
 import type { Clock } from "@linkfall/kernel";
@@ -11,6 +12,8 @@
 export interface ConfigurationInForce {
   readonly configuration: RoutedConfiguration;
   readonly routes: RouteTable;
+  /** Absent where callers need no keys. */
+  readonly keys?: KeyTable;
   readonly since: Milliseconds;
 }
 
@@ -42,7 +45,12 @@
 
   const putInForce = (configuration: RoutedConfiguration, text: string, from: string) => {
     if (configuration.version <= version()) return;
-    inForce = { configuration, routes: createRouteTable(configuration), since: clock.now() };
+    inForce = {
+      configuration,
+      routes: createRouteTable(configuration),
+      keys: configuration.accounts && createKeyTable(configuration.accounts),
+      since: clock.now(),
+    };
     inForceText = text;
     const shapes = [...configuration.services.values()].map(
       (service) => [service.name, service.engine] as const,
@@ -51,6 +59,7 @@
     logger.event("configurationInForce", {
       version: configuration.version,
       routes: configuration.routes.length,
+      accounts: configuration.accounts?.length,
       from,
     });
   };
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -6,6 +6,7 @@
 import { orderLeaseName } from "@linkfall/order-lease";
 import type { Milliseconds } from "@linkfall/types";
 import { type BoxParts, createBoxParts } from "./box-parts.js";
+import { createBoundedLabel } from "./bounded-label.js";
 import type { EntryBoxPorts } from "./box-ports.js";
 import { chooseEntries, type EntryOfBox } from "./entries.js";
 import { createFleetWaiter, createForwardContext } from "./forward-context.js";
@@ -13,6 +14,7 @@
 import { registerGauges } from "./gauges.js";
 import { handleRequest } from "./handle-request.js";
 import { provideGiver, provideLease } from "./provide-orders.js";
+import { accountQuotaName, provideQuota } from "./provide-quota.js";
 import { provideFeed, provideFleet, providePeers } from "./provide-state.js";
 import { followRegistry } from "./registry.js";
 import { createHeartbeatSource } from "./heartbeat-source.js";
@@ -37,6 +39,8 @@
   metricsText(): string;
 }
 
+/** Accounts that have a series of their own in metrics. */
+const mostAccountLabels = 64;
 const readyCheckMs: Milliseconds = 100;
 
 /** Services in the order in which they need each other; returns where callers connect. */
@@ -54,7 +58,9 @@
   const waiter = createFleetWaiter(parts);
   const forward = createForwardContext(parts, waiter, receiveHeartbeats(parts, knowledge, waiter));
   const metrics = kernel.find(metricsName);
-  const context = { feed, codec: ports.requests, forward, metrics };
+  const quota = provideQuota(parts);
+  const accountLabel = createBoundedLabel(mostAccountLabels);
+  const context = { feed, codec: ports.requests, forward, quota, metrics, accountLabel };
   return createFront({
     address: settings.box.front_address,
     maxHeaderBytes: settings.callers.max_header_bytes,
@@ -101,6 +107,7 @@
   const peerServer = createPeerServer({
     exchange: peers.receive,
     configuration: feed.configurationCopy,
+    quota: kernel.find(accountQuotaName).allocate,
   });
   registerGauges(parts, front);
   const ready = () => feed.ready() && !stop.begun();
--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -1,4 +1,5 @@
 /** From a request as it was read to its way through the box. */
+import type { AccountQuota } from "@linkfall/account-quota";
 import type { ConfigurationInForce, DesiredFeed } from "@linkfall/desired-feed";
 import {
   type ForwardContext,
@@ -9,22 +10,30 @@
 import type { Metrics } from "@linkfall/metrics";
 import type { RequestCodec } from "@linkfall/ports";
 import { shareFor } from "@linkfall/route-table";
-import type { Milliseconds, RequestTerms, Route } from "@linkfall/types";
+import type { ClientAccount, Milliseconds, RequestTerms, Route } from "@linkfall/types";
+import { admitToQuota, settleQuota } from "./account-admission.js";
 import { answerOwn, type FrontRequest } from "./front.js";
+import { identify } from "./identify.js";
 
 export interface HandleContext {
   readonly feed: DesiredFeed;
   readonly codec: RequestCodec;
   readonly forward: ForwardContext;
+  readonly quota: AccountQuota;
   readonly metrics: Metrics;
+  /** Name of an account in metrics. */
+  accountLabel(account: string | undefined): string;
 }
 
 const notReadyMs: Milliseconds = 500;
+/** The account has used up its limit. */
+const overLimitStatus = 429;
 
 function toForwarded(
   request: FrontRequest,
   terms: RequestTerms,
   route: Route,
+  account: ClientAccount | undefined,
   { configuration }: ConfigurationInForce,
 ): ForwardedRequest | undefined {
   const service = configuration.services.get(shareFor(route, terms.id).service);
@@ -35,6 +44,8 @@
     route,
     service,
     terms,
+    account: account?.name,
+    priority: account?.priority ?? route.priority,
     awaitedUntil: request.arrivedAt + Math.min(heldMs, route.patienceMs ?? heldMs),
     endsAt: request.arrivedAt + heldMs,
     position: { lastId: terms.resumeAfter },
@@ -59,6 +70,7 @@
   logger.event("requestEnded", {
     request: request.terms.id,
     route: request.route.name,
+    account: request.account,
     model: request.terms.model,
     outcome: end.outcome,
     status: "status" in end ? end.status : undefined,
@@ -80,17 +92,35 @@
 export async function handleRequest(context: HandleContext, request: FrontRequest): Promise<void> {
   const { feed, codec, forward } = context;
   const terms = codec.readTerms(request.headers);
-  const refused = (status: number, why: string, retryAfterMs?: Milliseconds) => {
-    forward.logger.event("requestRefused", { request: terms.id, status, why, path: request.path });
+  const refused = (status: number, why: string, retryAfterMs?: Milliseconds, more?: object) => {
+    const { path } = request;
+    forward.logger.event("requestRefused", { request: terms.id, status, why, path, ...more });
     answerOwn(request.sink, status, retryAfterMs);
   };
-  const contradictory = codec.contradictory(request.headers);
-  if (contradictory !== undefined) return refused(400, `more than one ${contradictory}`);
+  const unreadable = codec.unreadable(request.headers);
+  if (unreadable !== undefined) return refused(400, unreadable);
   const inForce = feed.inForce();
   if (!inForce || !feed.ready()) return refused(503, "no configuration yet", notReadyMs);
   const route = inForce.routes.find(request.host, request.path);
   if (!route) return refused(404, `no route in version ${inForce.configuration.version}`);
-  const forwarded = toForwarded(request, terms, route, inForce);
+  const { version } = inForce.configuration;
+  const caller = identify(inForce.keys, route, codec.readKey(request.headers));
+  if (caller.kind === "unknown") {
+    return refused(401, caller.why, undefined, { version, key: caller.fingerprint });
+  }
+  const forwarded = toForwarded(request, terms, route, caller.account, inForce);
   if (!forwarded) return refused(503, "no such service", notReadyMs);
-  record(context, forwarded, await forwardRequest(forward, forwarded));
+  const admission = await admitToQuota(context.quota, caller.account, terms, version);
+  if (admission.kind === "refused") {
+    const more = { account: forwarded.account, version, retryAfterMs: admission.retryAfterMs };
+    context.metrics.count(
+      "linkfall_account_refusals_total",
+      "Requests over the limit of their account; accounts beyond the first 64 are summed.",
+      { account: context.accountLabel(forwarded.account) },
+    );
+    return refused(overLimitStatus, "the account's limit is used up", admission.retryAfterMs, more);
+  }
+  const end = await forwardRequest(forward, forwarded);
+  settleQuota(context.quota, admission.use, forwarded, end);
+  record(context, forwarded, end);
 }
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -103,6 +103,16 @@
       window_ms: milliseconds(10_000),
     })
     .prefault({}),
+  accounts: z
+    .strictObject({
+      /** Any span of so many seconds may see what an account's limit lets through in it, and the overage. */
+      window_s: number(0, 3_600, 8),
+      /** Share of the limit that may be let through beyond it. */
+      overage: number(0, 10, 0.1),
+      /** Units beside that share, over all boxes. */
+      slack: number(0, 1_000_000_000, 0),
+    })
+    .prefault({}),
   forwarding: z
     .strictObject({
       connect_ms: milliseconds(400),
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -14,6 +14,10 @@
   readonly headers: RawHeaders;
   readonly body: Buffer;
   readonly terms: RequestTerms;
+  /** Name of the client account; absent where no key was needed. */
+  readonly account?: string;
+  /** Of the client account where it has one, else of the route; 0 is the most urgent. */
+  readonly priority: number;
   readonly sink: AnswerSink;
   readonly arrivedAt: Milliseconds;
   /** Until then the caller waits for the answer to begin. */
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -64,8 +64,15 @@
 const address = "127.0.0.1:1";
 
 const codec: RequestCodec = {
-  readTerms: () => ({ id: "r", promptTokens: 0, maxOutputTokens: 0, parts: [] }),
-  contradictory: () => undefined,
+  readTerms: () => ({
+    id: "r",
+    tokensTold: false,
+    promptTokens: 0,
+    maxOutputTokens: 0,
+    parts: [],
+  }),
+  readKey: () => undefined,
+  unreadable: () => undefined,
   forSend: () => [],
   forCaller: () => [],
   readAnswer: () => ({ notRun: false, misdirected: false }),
@@ -166,6 +173,7 @@
       patienceMs,
       priority: 0,
       maxAttempts: 1,
+      anonymous: false,
     };
   },
 );
@@ -210,7 +218,16 @@
     path: "/",
     headers: [],
     body: Buffer.alloc(0),
-    terms: { id: "r1", model, adapter, promptTokens: 100, maxOutputTokens: 10, parts: [] },
+    terms: {
+      id: "r1",
+      model,
+      adapter,
+      tokensTold: true,
+      promptTokens: 100,
+      maxOutputTokens: 10,
+      parts: [],
+    },
+    priority: 1,
     sink: sinkOf(scene),
     arrivedAt: clock.now(),
     awaitedUntil: clock.now() + (route.patienceMs ?? route.timeoutMs),
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -38,6 +38,8 @@
 const adapterUnderWayMs: Milliseconds = 100;
 /** How long a refusal over an order that seems to be under way counts. */
 const orderUnderWayMs: Milliseconds = 500;
+/** Least urgent rank that an engine's queue knows. */
+const lowestRank = 9;
 /** What the system calls a port where nobody listens. */
 const refusedConnection = "ECONNREFUSED";
 
@@ -140,7 +142,8 @@
       headers: codec.forSend(request.headers, {
         targetId: listed.id,
         remainingMs: Math.max(1, remainingMs),
-        rank: Math.min(9, route.priority),
+        account: request.account,
+        rank: Math.min(lowestRank, request.priority),
         resumeAfter: request.position.lastId,
       }),
       body: request.body,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -100,6 +100,12 @@
   targetChosen: event(5006, "info", "A target was chosen for a request."),
   sendEnded: event(5007, "info", "A send of a request to a target has ended."),
   requestEnded: event(5008, "info", "A request has its final answer."),
+  quotaAlone: event(
+    5009,
+    "warn",
+    "No box that hands out the account's limit answers; this box lets through a small part of it.",
+    "Check the network between boxes; see operators/accounts.md.",
+  ),
   outcomeUnknown: event(
     5004,
     "warn",
--- a/packages/ports/src/routed-ports.ts
+++ b/packages/ports/src/routed-ports.ts
@@ -26,6 +26,8 @@
   readonly remainingMs: Milliseconds;
   /** Rank for the engine's own queue, 0 first. */
   readonly rank?: number;
+  /** The client account that the request belongs to; absent where no key was needed. */
+  readonly account?: string;
   /** Position after which a stream goes on; as the caller sent it when absent. */
   readonly resumeAfter?: string;
 }
@@ -42,8 +44,10 @@
 /** Translates between requests on the wire and their terms. */
 export interface RequestCodec {
   readTerms(headers: RawHeaders): RequestTerms;
-  /** The name of a term that comes with more than one value; such a request reaches no target. */
-  contradictory(headers: RawHeaders): string | undefined;
+  /** The key of the caller's account. It is kept out of the terms, which are logged. */
+  readKey(headers: RawHeaders): string | undefined;
+  /** Why the terms cannot be read, such as one that comes with two values; such a request reaches no target. */
+  unreadable(headers: RawHeaders): string | undefined;
   /** The caller's end-to-end headers with those that linkfall sets itself. */
   forSend(headers: RawHeaders, terms: SendTerms): string[];
   /** The target's end-to-end headers. */
--- a/packages/route-table/src/route-table.steps.ts
+++ b/packages/route-table/src/route-table.steps.ts
@@ -18,6 +18,7 @@
     objectiveMs: 100,
     priority: 1,
     maxAttempts: 2,
+    anonymous: false,
   };
 }
 
--- a/packages/types/src/routed-targets.ts
+++ b/packages/types/src/routed-targets.ts
@@ -80,6 +80,8 @@
   readonly deadlineMs?: Milliseconds;
   readonly model?: string;
   readonly adapter?: string;
+  /** Whether the caller told its tokens; where not, both counts are 0. */
+  readonly tokensTold: boolean;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
   readonly parts: readonly PromptPart[];
--- a/packages/types/src/routes.ts
+++ b/packages/types/src/routes.ts
@@ -34,6 +34,32 @@
   readonly priority: number;
   /** Most targets that one request may be sent to. */
   readonly maxAttempts: number;
+  /** Requests need no key. */
+  readonly anonymous: boolean;
+}
+
+/** What the limit of a client account counts. */
+export type QuotaUnit = "requests" | "tokens";
+
+/** How much a client account may have run, over all boxes together. */
+export interface AccountLimit {
+  readonly unit: QuotaUnit;
+  /** Units a second. */
+  readonly perSecond: number;
+  /** Units beside the steady rate that may come at once. */
+  readonly burst: number;
+  /** What a request counts that says nothing of its tokens. */
+  readonly plainTokens: number;
+}
+
+/** A client account as operators declare it. */
+export interface ClientAccount {
+  readonly name: string;
+  readonly keys: readonly string[];
+  /** Goes before the priority of the route; 0 is the most urgent. */
+  readonly priority?: number;
+  /** Absent where the account may send as much as it likes. */
+  readonly limit?: AccountLimit;
 }
 
 /** Weights that engines can hold. */
@@ -87,4 +113,6 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, RoutedService>;
   readonly limits: CallerLimits;
+  /** Absent where callers need no keys at all. */
+  readonly accounts?: readonly ClientAccount[];
 }
