--- a/packages/box-peers/src/transport.ts
+++ b/packages/box-peers/src/transport.ts
@@ -18,6 +18,7 @@
 import type { Milliseconds } from "@linkfall/types";
 import { type Either, Left, Right } from "purify-ts";
 import type { ConfigurationCopy, Heartbeat } from "./messages.js";
+import { fromBytes, longestMessage, toBytes } from "./wire-format.js";
 
 /** What a box answers to others. */
 export interface PeerHandler {
@@ -50,9 +51,6 @@
   | { readonly kind: "configuration"; readonly copy: ConfigurationCopy }
   | { readonly kind: "quota"; readonly grant: QuotaGrant };
 
-const toBytes = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
-const fromBytes = (bytes: Buffer): never => JSON.parse(bytes.toString("utf8")) as never;
-
 const exchange: MethodDefinition<Numbered<Ask>, Numbered<Answer>> = {
   path: "/linkfall.Boxes/Exchange",
   requestStream: true,
@@ -63,8 +61,6 @@
   responseDeserialize: fromBytes,
 };
 
-/** Largest message; a whole configuration with many routes fits. */
-const longestMessage = 16 * 1024 * 1024;
 /** A stream not used for so long is closed: a large deployment's boxes meet many others now and then. */
 const unusedMs: Milliseconds = 15_000;
 const options = {
