Limits of accounts hold while boxes are cut off from each other

The boxes that were cut off still heard each other, so that the first of them in rank handed out the whole limit a second time.

Change: only the better part of all boxes hands out whole limits: a box that hears most, or the holder of the order lease that does. The others decline to hand out and let through their own parts, which add up to one by capacity; and what is the part of a silent box is not handed out meanwhile.

--- a/packages/account-quota/src/account-quota.feature
+++ b/packages/account-quota/src/account-quota.feature
@@ -31,9 +31,26 @@
   Scenario: A box without an answer from any allocator decides alone, by its part
     Given a box whose allocators are silent, with a tenth of what all boxes carry
     When an account of 10000 units a second sends 20 requests of 100 units there
-    Then it lets through between 1 and 6
+    Then it lets through between 9 and 12
     And each decision took at most 240 ms
 
+  Scenario: A box that is cut off from most others serves by its own part, and allocates for nobody
+    Given a box that is cut off from most others
+    When an account of 10000 units a second sends 20 requests of 100 units there
+    Then it lets through between 9 and 12
+    And it declines to allocate for others
+
+  Scenario Outline: What is the part of <silent> silent boxes in 100 is not handed out to the others
+    Given a box that allocates while <silent> in 100 of all boxes are silent
+    When 10 s go by while an account of 10000 units a second sends 100 units each 5 ms
+    Then it lets through between <least> and <most>
+
+    Examples:
+      | silent | least | most |
+      | 0      | 1000  | 1110 |
+      | 30     | 700   | 780  |
+      | 90     | 500   | 560  |
+
   Scenario: What did not run is given back
     Given a box that allocates for itself
     When an account of 1000 units a second uses up what it has there
--- a/packages/account-quota/src/account-quota.steps.ts
+++ b/packages/account-quota/src/account-quota.steps.ts
@@ -3,7 +3,7 @@
 import { createVirtualClock, type VirtualClock } from "@linkfall/kernel";
 import { notes } from "@linkfall/test-support";
 import type { AccountLimit, ClientAccount, RequestTerms } from "@linkfall/types";
-import { Left } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import {
   type AccountQuota,
   createAccountQuota,
@@ -133,6 +133,7 @@
 }
 
 const boxOf = (world: object) => notes(world).get<BoxScene>("box");
+const alike = { connected: () => true, ownPart: () => 1, silentPart: () => 0 };
 const tolerance = { windowSeconds: 8, overage: 0.1, slack: 0 };
 
 function setUpBox(world: object, peers: Omit<QuotaPeers, "self">, clock: VirtualClock): void {
@@ -166,7 +167,7 @@
     const silent = async (): Promise<never> => new Promise(() => undefined);
     setUpBox(
       this,
-      { allocators: () => ["x", "y", "z"], ask: silent, silentMs: () => 0, ownPart: () => 0.1 },
+      { ...alike, allocators: () => ["x", "y", "z"], ask: silent, ownPart: () => 0.1 },
       clock,
     );
   },
@@ -175,10 +176,42 @@
 Given("a box that allocates for itself", function (this: object) {
   const failure = { kind: "peer_unreachable", reason: "none", mayHaveArrived: false } as const;
   const ask = async () => Left(failure);
-  const peers = { allocators: () => ["self"], ask, silentMs: () => 0, ownPart: () => 1 };
-  setUpBox(this, peers, createVirtualClock());
+  setUpBox(this, { ...alike, allocators: () => ["self"], ask }, createVirtualClock());
 });
 
+Given("a box that is cut off from most others", function (this: object) {
+  const ask = async () => Right({ granted: 0, waitMs: 0, declined: true });
+  const peers = { ...alike, allocators: () => ["x", "self"], ask, connected: () => false };
+  setUpBox(this, { ...peers, ownPart: () => 0.1 }, createVirtualClock());
+});
+
+Then("it declines to allocate for others", function (this: object) {
+  const rate = { perSecond: 1000, burst: 1000 };
+  const ask = { account: "a", rate, version: 1, needed: 10, ahead: 0 };
+  assert.deepEqual(boxOf(this).quota.allocate(ask), { granted: 0, waitMs: 0, declined: true });
+});
+
+Given(
+  "a box that allocates while {int} in 100 of all boxes are silent",
+  function (this: object, silent: number) {
+    const ask = async () => Right({ granted: 0, waitMs: 0, declined: true });
+    const peers = { ...alike, allocators: () => ["self"], ask, silentPart: () => silent / 100 };
+    setUpBox(this, peers, createVirtualClock());
+  },
+);
+
+When(
+  "{int} s go by while an account of {int} units a second sends {int} units each {int} ms",
+  async function (this: object, seconds: number, perSecond: number, units: number, eachMs: number) {
+    const { clock } = boxOf(this);
+    const until = clock.now() + seconds * 1000;
+    while (clock.now() < until) {
+      await send(this, perSecond, units);
+      await clock.runUntil(clock.now() + eachMs);
+    }
+  },
+);
+
 When(
   "an account of {int} units a second sends {int} requests of {int} units there",
   async function (this: object, perSecond: number, count: number, units: number) {
--- a/packages/account-quota/src/account-quota.ts
+++ b/packages/account-quota/src/account-quota.ts
@@ -37,10 +37,12 @@
   readonly self: string;
   /** Resolves with a failure where the box does not answer. */
   ask(address: string, ask: QuotaAsk): Promise<Either<PeerUnreachable, QuotaGrant>>;
-  /** Time since any other box was heard; 0 where there is no other box. */
-  silentMs(): Milliseconds;
-  /** This box's part of what all boxes can carry. */
+  /** Whether this box belongs to the better part of all boxes, which allocates together. */
+  connected(): boolean;
+  /** Part of each limit that is this box's own while it is cut off. */
   ownPart(): number;
+  /** Parts of the boxes that are silent, and may be serving callers by their own parts. */
+  silentPart(): number;
   /** Hears that this box has decided alone on a part of an account's limit. */
   onAlone?(account: string): void;
 }
@@ -76,18 +78,19 @@
 const mostAsked = 2;
 /**
  * Part of the tolerance that a new allocator starts with: the one before it, units at hand at the boxes, and boxes
- * that are cut off share the rest.
+ * that do not know yet that they are cut off share the rest.
  */
 const firstShare = 0.22;
 
 /**
- * A box that has heard no other for so long is cut off, or was stopped for a while, and another one may allocate
- * in its place: a round and a half of heartbeats, each of which goes to more than one box.
+ * Share of the tolerated units that boxes that are cut off may save up beside their parts of the burst: a small
+ * account's part of the burst is less than one of its requests.
  */
-const cutOffMs: Milliseconds = 600;
-/** What a box that is cut off allots itself of its part: the others may use up the whole limit meanwhile. */
-const aloneShare = 0.4;
+const aloneSlackShare = 0.5;
+/** However many boxes are silent, this part of a limit is left to those that are not. */
+const leastConnectedPart = 0.5;
 
+const declined: QuotaGrant = { granted: 0, waitMs: 0, declined: true };
 const admitted: QuotaDecision = { kind: "admitted" };
 
 function toleranceOf(rate: QuotaRate, tolerance: QuotaTolerance): number {
@@ -95,6 +98,10 @@
   return limit * tolerance.overage + tolerance.slack;
 }
 
+function partOfRate({ perSecond, burst }: QuotaRate, part: number): QuotaRate {
+  return { perSecond: perSecond * part, burst: burst * part };
+}
+
 /** Resolves with undefined when the answer does not come in time. */
 function within<T>(
   clock: Clock,
@@ -131,35 +138,35 @@
     return created;
   };
 
-  let askedAt = -Infinity;
-
   const allocateAlone = (ask: QuotaAsk): QuotaGrant => {
     peers.onAlone?.(ask.account);
-    const part = peers.ownPart() * aloneShare;
-    const rate = {
-      perSecond: ask.rate.perSecond * part,
-      burst: Math.max(1, firstLevel(ask.rate) * part),
-    };
+    const { perSecond, burst } = ask.rate;
+    const saved = burst + tolerance.slack * aloneSlackShare;
+    const rate = partOfRate({ perSecond, burst: saved }, peers.ownPart());
     return alone.grant({ ...ask, ahead: 0, rate });
   };
 
-  const isCutOff = () => Math.min(peers.silentMs(), clock.now() - askedAt) > cutOffMs;
-  const allocateHere = (ask: QuotaAsk) => (isCutOff() ? allocateAlone(ask) : shared.grant(ask));
+  /** Boxes that are silent may serve callers by their own parts, so that these are not to be had here. */
+  const allocateShared = (ask: QuotaAsk): QuotaGrant => {
+    const part = Math.max(leastConnectedPart, 1 - peers.silentPart());
+    return shared.grant({ ...ask, rate: partOfRate(ask.rate, part) });
+  };
 
   const askOther = async (address: string, ask: QuotaAsk): Promise<QuotaGrant | undefined> => {
     const answer = await within(clock, answerMs, peers.ask(address, ask));
     const grant = answer?.toMaybe().extract();
-    if (!grant) silentUntil.set(address, clock.now() + passOverMs);
-    return grant;
+    if (!grant || grant.declined) silentUntil.set(address, clock.now() + passOverMs);
+    return grant?.declined ? undefined : grant;
   };
 
   /** Asks the first allocator that answers; this box decides alone where none does. */
   const obtain = async (ask: QuotaAsk): Promise<QuotaGrant> => {
+    if (!peers.connected()) return allocateAlone(ask);
     const answering = peers
       .allocators(ask.account)
       .filter((address) => (silentUntil.get(address) ?? 0) <= clock.now());
     for (const address of answering.slice(0, mostAsked)) {
-      if (address === peers.self) return allocateHere(ask);
+      if (address === peers.self) return allocateShared(ask);
       const grant = await askOther(address, ask);
       if (grant) return grant;
     }
@@ -214,9 +221,6 @@
     ranToo({ account, units }) {
       if (account.limit) stockOf(account.name).units -= units;
     },
-    allocate(ask) {
-      askedAt = clock.now();
-      return shared.grant(ask);
-    },
+    allocate: (ask) => (peers.connected() ? allocateShared(ask) : declined),
   };
 }
--- a/packages/account-quota/src/messages.ts
+++ b/packages/account-quota/src/messages.ts
@@ -27,4 +27,6 @@
   readonly granted: number;
   /** Time until `needed` will be there, for all who were refused before as well; 0 where it was granted. */
   readonly waitMs: Milliseconds;
+  /** The box may not allocate now: it is cut off from most others itself. */
+  readonly declined?: boolean;
 }
--- a/packages/bench/src/quota-load.ts
+++ b/packages/bench/src/quota-load.ts
@@ -18,7 +18,7 @@
   readonly hot?: Span & { readonly times: number };
   /** All callers use the first boxes only in this span. */
   readonly gathered?: Span & { readonly boxes: number };
-  /** The first boxes are cut off from all others in this span; callers reach them still. */
+  /** The first boxes are cut off from the rest in this span, not from each other; callers reach them still. */
   readonly cut?: Span & { readonly boxes: number };
   /** All boxes lose what they know. */
   readonly restartAt?: Milliseconds;
@@ -40,6 +40,8 @@
 
 const hot = { from: 8_000, until: 18_000, times: 7.5 };
 
+const threeCut = { from: 7_000, until: 19_000, boxes: 3 };
+
 /** A small account and a large one under each kind of trouble. */
 export const quotaLoads: readonly QuotaLoad[] = [29_000, 417_000].flatMap((perSecond) => [
   { name: "usual", boxes: 8, perSecond },
@@ -59,6 +61,14 @@
     hot,
     cut: { from: 9e3, until: 17e3, boxes: 1 },
   },
+  { name: "three boxes cut off, in touch with each other", boxes: 8, perSecond, cut: threeCut },
+  {
+    name: "hot, three boxes cut off, in touch with each other",
+    boxes: 8,
+    perSecond,
+    hot,
+    cut: threeCut,
+  },
   { name: "all restarted", boxes: 8, perSecond, restartAt: 12_000 },
   { name: "hot, all restarted", boxes: 8, perSecond, hot, restartAt: 12_000 },
 ]);
--- a/packages/bench/src/quota-ways.ts
+++ b/packages/bench/src/quota-ways.ts
@@ -27,6 +27,8 @@
 const wireMs: Milliseconds = 1.4;
 /** Time between two exchanges of a box with the one that hears all. */
 const roundMs: Milliseconds = 400;
+/** A box that is cut off knows it after this time. */
+const cutOffMs: Milliseconds = 750;
 /** A box that is cut off is known to be silent after this time. */
 const noticedMs: Milliseconds = 1_500;
 const useMs: Milliseconds = 1_000;
@@ -125,6 +127,8 @@
   let sent = 0;
   const cutFor = (box: number, ms: Milliseconds) =>
     isCut(load, box, clock.now()) && isCut(load, box, clock.now() - ms);
+  const isApart = (one: number, other: number) =>
+    isCut(load, one, clock.now()) !== isCut(load, other, clock.now());
   const create = (): AccountQuota[] =>
     boxesOf(load).map((box) =>
       createAccountQuota(
@@ -133,21 +137,22 @@
           self: String(box),
           allocators: () =>
             boxesOf(load)
-              .filter((other) => other === box || !cutFor(other, noticedMs))
+              .filter((other) => !isApart(box, other) || !cutFor(Math.min(box, other), noticedMs))
               .map(String),
           async ask(address, ask) {
             sent += 2;
             const other = Number(address);
             await wait(clock, wireMs);
-            if (isCut(load, box, clock.now()) || isCut(load, other, clock.now())) {
+            if (isApart(box, other)) {
               return Left({ kind: "peer_unreachable", reason: "cut", mayHaveArrived: false });
             }
             const grant = boxes[other].allocate(ask);
             await wait(clock, wireMs);
             return Right(grant);
           },
-          silentMs: () => (cutFor(box, 0) ? clock.now() - (load.cut?.from ?? 0) : 0),
+          connected: () => !cutFor(box, cutOffMs),
           ownPart: () => 1 / load.boxes,
+          silentPart: () => (cutFor(0, noticedMs) ? (load.cut?.boxes ?? 0) / load.boxes : 0),
         },
         tolerance,
       ),
--- a/packages/box-peers/src/box-peers.steps.ts
+++ b/packages/box-peers/src/box-peers.steps.ts
@@ -84,7 +84,7 @@
       return {
         status,
         sightings,
-        report: { engines: [], members, followed, withheld: {}, expected: {} },
+        report: { engines: [], members, followed, hearsMost: true, withheld: {}, expected: {} },
       };
     },
   };
--- a/packages/box-peers/src/messages.ts
+++ b/packages/box-peers/src/messages.ts
@@ -70,6 +70,8 @@
   readonly members?: readonly Sighting[];
   /** How far the reader has followed once it has taken this. */
   readonly followed: FollowedReport;
+  /** The holder hears most of the boxes that it ever knew. */
+  readonly hearsMost: boolean;
   readonly withheld: Readonly<Record<string, readonly string[]>>;
   /** Time until models are there, by `service model`. */
   readonly expected: Readonly<Record<string, Milliseconds>>;
--- a/packages/box-peers/src/peers.ts
+++ b/packages/box-peers/src/peers.ts
@@ -45,6 +45,8 @@
   heardMs(incarnation: Incarnation): Milliseconds | undefined;
   /** Time since any other box was heard; 0 where none is known. */
   silentMs(): Milliseconds;
+  /** Silence after which a box is suspected. */
+  suspectMs(): Milliseconds;
   find(incarnation: Incarnation): BoxStatus | undefined;
   /** Most boxes that were known at once, this one included. */
   most(): number;
@@ -175,6 +177,7 @@
       const heardAt = table.all().map((member) => member.heardAt);
       return heardAt.length === 0 ? 0 : clock.now() - Math.max(...heardAt);
     },
+    suspectMs: table.suspectMs,
     find: (incarnation) => table.find(incarnation)?.status,
     most: table.most,
     mesh: table.mesh,
--- a/packages/entry-box/src/accounts.feature
+++ b/packages/entry-box/src/accounts.feature
@@ -6,15 +6,26 @@
     And each of those hands out for 10 accounts or more
     And a box that goes moves only its own accounts
 
-  Scenario Outline: A box of <own> beside <others>, with <most> known in all, is <part> of all
-    Then a box of <own> beside boxes of "<others>" with <most> known in all is <part> of all
+  Scenario Outline: Boxes of capacity <capacities> have parts that add up to one
+    Then boxes of capacity "<capacities>" have the parts "<parts>"
 
     Examples:
-      | own | others | most | part |
-      | 1   | 1 1 1  | 4    | 0.25 |
-      | 2   | 1 1    | 3    | 0.5  |
-      | 1   |        | 4    | 0.25 |
-      | 1   |        | 1    | 1    |
+      | capacities | parts                |
+      | 2 2        | 0.5 0.5              |
+      | 3 1        | 0.75 0.25            |
+      | 4 4 1 1    | 0.375 0.375 0.125 0.125 |
+      | 1          | 1                    |
+
+  Scenario Outline: A box that knows <most> boxes and hears <heard> hears most: <answer>
+    Then a box that knew <most> boxes at once and hears <heard> others hears most: "<answer>"
+
+    Examples:
+      | most | heard | answer |
+      | 7    | 6     | yes    |
+      | 7    | 3     | yes    |
+      | 7    | 2     | no     |
+      | 60   | 20    | no     |
+      | 60   | 30    | yes    |
 
   Scenario: Accounts beyond the first ones share a series
     Then of accounts "a b c a d b" the labels for 2 series are "a b other a other b"
--- a/packages/entry-box/src/accounts.steps.ts
+++ b/packages/entry-box/src/accounts.steps.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import { Given, Then } from "@cucumber/cucumber";
-import type { BoxProfile } from "@linkfall/box-peers";
+import type { BoxProfile, BoxStatus } from "@linkfall/box-peers";
 import { notes } from "@linkfall/test-support";
 import { createBoundedLabel } from "./bounded-label.js";
-import { partOf, rankAllocators } from "./provide-quota.js";
+import { hearsMost } from "./connected.js";
+import { partsOf, rankAllocators } from "./provide-quota.js";
 
 function profileOf(capacity: number, index: number, leaving = false): BoxProfile {
   return {
@@ -62,11 +63,17 @@
   }
 });
 
+Then("boxes of capacity {string} have the parts {string}", (capacities: string, parts: string) => {
+  const boxes = numbers(capacities).map((capacity, index) => profileOf(capacity, index));
+  assert.deepEqual([...partsOf(boxes).values()], numbers(parts));
+});
+
 Then(
-  "a box of {float} beside boxes of {string} with {int} known in all is {float} of all",
-  (own: number, others: string, most: number, part: number) => {
-    const profiles = numbers(others).map((capacity, index) => profileOf(capacity, index));
-    assert.equal(partOf(profileOf(own, 9), profiles, most), part);
+  "a box that knew {int} boxes at once and hears {int} others hears most: {string}",
+  (most: number, heard: number, answer: string) => {
+    const statuses = Array.from({ length: heard }, () => ({}) as BoxStatus);
+    const peers = { statuses: () => statuses, most: () => most };
+    assert.equal(hearsMost(peers) ? "yes" : "no", answer);
   },
 );
 
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -46,7 +46,7 @@
 /** Services in the order in which they need each other; returns where callers connect. */
 function provideServices(parts: BoxParts): Front {
   const { kernel, settings, ports, stop } = parts;
-  const knowledge: HolderKnowledge = { expectedAt: new Map() };
+  const knowledge: HolderKnowledge = { hearsMost: false, expectedAt: new Map() };
   const fleet = provideFleet(parts);
   const feed = provideFeed(parts, fleet);
   providePeers(
@@ -58,7 +58,7 @@
   const waiter = createFleetWaiter(parts);
   const forward = createForwardContext(parts, waiter, receiveHeartbeats(parts, knowledge, waiter));
   const metrics = kernel.find(metricsName);
-  const quota = provideQuota(parts);
+  const quota = provideQuota(parts, knowledge);
   const accountLabel = createBoundedLabel(mostAccountLabels);
   const context = { feed, codec: ports.requests, forward, quota, metrics, accountLabel };
   return createFront({
--- a/packages/entry-box/src/entries.ts
+++ b/packages/entry-box/src/entries.ts
@@ -17,10 +17,8 @@
 /** With this share of the strong boxes strained, the others are needed too. */
 const helpShare = 0.5;
 
-type Carrier = Pick<EntryOfBox, "capacity" | "strained">;
-
 /** Capacity from which on a box counts as strong. */
-export function strongFrom(boxes: readonly Carrier[]): number {
+export function strongFrom(boxes: readonly Pick<EntryOfBox, "capacity">[]): number {
   return Math.max(0, ...boxes.map((box) => box.capacity)) * strongShare;
 }
 
--- a/packages/entry-box/src/heartbeat-receiver.ts
+++ b/packages/entry-box/src/heartbeat-receiver.ts
@@ -24,6 +24,8 @@
 /** What was taken of the order giver's reports. */
 export interface HolderKnowledge {
   followed?: FollowedReport;
+  /** The order giver hears most boxes. */
+  hearsMost: boolean;
   /** When models are expected, by `service model`, on this box's clock. */
   expectedAt: ReadonlyMap<string, Milliseconds>;
 }
@@ -77,6 +79,7 @@
   for (const { id, holdings } of report.engines) fleet.takeHoldings(id, holdings);
   if (report.othersLoads) fleet.takeOthers(new Map(Object.entries(report.othersLoads)));
   knowledge.followed = report.followed;
+  knowledge.hearsMost = report.hearsMost;
   const now = ports.clock.now();
   const expected = Object.entries(report.expected);
   knowledge.expectedAt = new Map(expected.map(([key, ms]) => [key, now + ms]));
--- a/packages/entry-box/src/holder-report.ts
+++ b/packages/entry-box/src/holder-report.ts
@@ -13,6 +13,7 @@
 import { orderGiverName } from "@linkfall/weight-orders";
 import { type Loads, ownLoads, sumLoads, withoutPart } from "./box-loads.js";
 import type { BoxParts } from "./box-parts.js";
+import { hearsMost } from "./connected.js";
 
 export type ReportMaker = (reader?: BoxStatus) => HolderReport;
 
@@ -83,6 +84,7 @@
       engines: engines.after(known?.engines ?? 0),
       ...boxes,
       followed: { holder: incarnation, engines: engines.newest(), members: members.newest() },
+      hearsMost: hearsMost(kernel.find(peersName)),
       withheld: Object.fromEntries(giver.withheld()),
       expected: giver.expected(),
     };
--- a/packages/entry-box/src/provide-quota.ts
+++ b/packages/entry-box/src/provide-quota.ts
@@ -3,15 +3,25 @@
 import { type BoxProfile, peersName } from "@linkfall/box-peers";
 import { serviceName } from "@linkfall/kernel";
 import { rankNodes } from "@linkfall/rendezvous";
+import type { Milliseconds } from "@linkfall/types";
 import type { BoxParts } from "./box-parts.js";
+import { isConnected } from "./connected.js";
 import { strongFrom } from "./entries.js";
+import type { HolderKnowledge } from "./heartbeat-receiver.js";
 import { ownProfile } from "./own-profile.js";
 
 export const accountQuotaName = serviceName<AccountQuota>("account-quota");
 
-type Carrier = Pick<BoxProfile, "capacity">;
+/** Part of a limit that strong boxes share while they are cut off; the others have the rest. */
+const strongPart = 0.75;
+/** Part of a box that does not know most others yet: what is one of several strong ones. */
+const unknownPart = 0.1;
+/** Who is silent changes within seconds; parts are worked out at most this often. */
+const partsMs: Milliseconds = 100;
 
-function capacityOf(boxes: readonly Carrier[]): number {
+type PartOwner = Pick<BoxProfile, "capacity" | "peerAddress">;
+
+function capacityOf(boxes: readonly PartOwner[]): number {
   return boxes.reduce((sum, { capacity }) => sum + capacity, 0);
 }
 
@@ -29,33 +39,66 @@
 }
 
 /**
- * This box's part of what all boxes that were ever known can carry. Boxes of which nothing is known but their
- * address count like the others in the mean.
- *
- * @param others boxes of which more is known
- * @param most boxes that were known at once, this one included
+ * Parts of each limit that are the boxes' own while they are cut off, by peer address; they add up to one. Callers
+ * are sent to strong boxes first, so that these have most of it.
  */
-export function partOf(own: Carrier, others: readonly Carrier[], most: number): number {
-  const known = [own, ...others];
-  const whole = capacityOf(known) * (Math.max(most, known.length) / known.length);
-  return own.capacity / whole;
+export function partsOf(boxes: readonly PartOwner[]): ReadonlyMap<string, number> {
+  const from = strongFrom(boxes);
+  const strong = boxes.filter((box) => box.capacity >= from);
+  const weak = boxes.filter((box) => box.capacity < from);
+  const ofStrong = weak.length === 0 ? 1 : strongPart;
+  const partIn = (box: PartOwner): number => {
+    if (strong.includes(box)) return (ofStrong * box.capacity) / capacityOf(strong);
+    return ((1 - ofStrong) * box.capacity) / capacityOf(weak);
+  };
+  return new Map(boxes.map((box) => [box.peerAddress, partIn(box)]));
+}
+
+interface Parts {
+  readonly own: number;
+  /** Of boxes that are taken for silent, without those that leave by plan. */
+  readonly silent: number;
 }
 
-export function provideQuota(parts: BoxParts): AccountQuota {
+function partsNow(parts: BoxParts): Parts {
+  const peers = parts.kernel.find(peersName);
+  const own = ownProfile(parts);
+  const known = peers.sightings();
+  const all = partsOf([own, ...known]);
+  const partIn = (box: PartOwner) => all.get(box.peerAddress) ?? 0;
+  const silent = known.filter((box) => box.silent && !box.leaving);
+  return {
+    own: (known.length + 1) * 2 > peers.most() ? partIn(own) : unknownPart,
+    silent: silent.reduce((sum, box) => sum + partIn(box), 0),
+  };
+}
+
+export function provideQuota(parts: BoxParts, knowledge: HolderKnowledge): AccountQuota {
   const { kernel, settings, ports, peerClient } = parts;
   const { accounts, box } = settings;
   const peers = kernel.find(peersName);
   const inSight = (): readonly BoxProfile[] => [ownProfile(parts), ...peers.alive()];
 
+  let worked: Parts = { own: unknownPart, silent: 0 };
+  let workedAt = -Infinity;
+  const current = (): Parts => {
+    const now = ports.clock.now();
+    if (now - workedAt < partsMs) return worked;
+    workedAt = now;
+    worked = partsNow(parts);
+    return worked;
+  };
+
   const quota = createAccountQuota(
     ports.clock,
     {
       self: box.peer_address,
       allocators: (account) => rankAllocators(account, inSight()),
       ask: (address, ask) => peerClient.quota(address, ask),
-      silentMs: peers.silentMs,
+      connected: () => isConnected(parts, knowledge),
       onAlone: (account) => ports.logger.event("quotaAlone", { account }),
-      ownPart: () => partOf(ownProfile(parts), peers.sightings(), peers.most()),
+      ownPart: () => current().own,
+      silentPart: () => current().silent,
     },
     {
       windowSeconds: accounts.window_s,
