Boxes hear of leaving targets from readers that the store serves

A box asks the readers of the store by turns, also those that the store refuses, and the holder of the order lease, which has no news either then.

Change: the turns go to readers that were served when last heard, and to two of them while the holder is refused.

--- a/packages/box-peers/src/box-peers.feature
+++ b/packages/box-peers/src/box-peers.feature
@@ -44,3 +44,11 @@
 
   Scenario: A round lengthens with the deployment
     Then with 7, 86 and 429 others a round of 400 ms and 4 ms a box takes 400, 400 and 1716 ms
+
+  Scenario: Boxes ask readers that the store serves, and two of them while it refuses the holder
+    Given a holder and the readers "r1 r2 r3", of which the store refuses "r2"
+    Then rounds 0 to 3 go to the holder and "r1", "r3", "r1", "r3"
+    Given the store refuses the holder as well
+    Then rounds 0 to 3 go to the holder and "r1 r3", "r1 r3", "r1 r3", "r1 r3"
+    Given the store refuses all readers
+    Then rounds 0 to 2 go to the holder and "r1 r2", "r3 r1", "r2 r3"
--- a/packages/box-peers/src/box-peers.steps.ts
+++ b/packages/box-peers/src/box-peers.steps.ts
@@ -18,7 +18,8 @@
   type PeerClient,
   type Peers,
 } from "./index.js";
-import { roundMs } from "./partners.js";
+import { createMember, type Member, takeStatus } from "./member.js";
+import { partnersOfRound, roundMs } from "./partners.js";
 
 interface SceneBox {
   readonly address: string;
@@ -223,3 +224,48 @@
     assert.ok(boxes[resting].sent < boxes[busy].sent);
   },
 );
+
+const partnerScenes = new WeakMap<object, Map<string, boolean>>();
+
+/** Members by name, each with whether the store serves it. */
+function membersOf(world: object): readonly Member[] {
+  return [...(partnerScenes.get(world) ?? [])].map(([box, reachesStore]) => {
+    const member = createMember({ box, peerAddress: box }, 0);
+    const status = { box, incarnation: box, beat: 1, reading: true, reachesStore };
+    takeStatus(member, status as BoxStatus, 0);
+    return member;
+  });
+}
+
+Given(
+  "a holder and the readers {string}, of which the store refuses {string}",
+  function (this: object, readers: string, refused: string) {
+    const served = ["holder", ...readers.split(" ")].map((box) => [box, box !== refused] as const);
+    partnerScenes.set(this, new Map(served));
+  },
+);
+
+Given("the store refuses the holder as well", function (this: object) {
+  partnerScenes.get(this)?.set("holder", false);
+});
+
+Given("the store refuses all readers", function (this: object) {
+  const known = partnerScenes.get(this) ?? new Map<string, boolean>();
+  for (const box of known.keys()) known.set(box, false);
+});
+
+Then(/^rounds 0 to \d+ go to the holder and (.+)$/, function (this: object, listed: string) {
+  const expected = [...listed.matchAll(/"([^"]+)"/g)].map(([, boxes]) => boxes);
+  const rules = { fanout: 1, searchFanout: 1, randomEvery: 1_000 };
+  const rounds = expected.map((_, round) => {
+    // Round 0 asks one at random as well; the same turns come again later.
+    const input = { members: membersOf(this), holder: "holder", holderHeard: true };
+    const turn = { ...input, round: round + 12 };
+    const asked = partnersOfRound(turn, rules, seededRandom(1));
+    return asked.slice(1).map(({ address }) => address.box);
+  });
+  assert.deepEqual(
+    rounds.map((boxes) => boxes.join(" ")),
+    expected,
+  );
+});
--- a/packages/box-peers/src/partners.ts
+++ b/packages/box-peers/src/partners.ts
@@ -40,9 +40,21 @@
   return others <= rules.fanout;
 }
 
+/** Whether the store served the box when it was last heard. */
+const reachesStore = ({ status }: Member): boolean => status?.reachesStore !== false;
+
+/** Up to `count` members, other ones each round until all have had their turn. */
+function byTurns(members: readonly Member[], count: number, round: number): readonly Member[] {
+  if (members.length <= count) return members;
+  return Array.from({ length: count }, (_, index) => {
+    return members[(round * count + index) % members.length];
+  });
+}
+
 /**
  * Boxes of this round: all of a small deployment. In a large one the holder of the order lease, which
- * hears everybody; by turns one of the others that read the store; and now and then one at random.
+ * hears everybody; by turns one of the others that read the store, of those that it serves while there are some;
+ * and now and then one at random.
  */
 export function partnersOfRound(
   { members, holder, holderHeard, round }: PartnerInput,
@@ -53,7 +65,10 @@
   const hub = members.filter((member) => member.profile?.incarnation === holder);
   if (!holderHeard) return [...new Set([...hub, ...sample(members, rules.searchFanout, random)])];
   const readers = members.filter((member) => !hub.includes(member) && member.profile?.reading);
-  const reader = readers.length > 0 ? [readers[round % readers.length]] : [];
+  const able = readers.filter(reachesStore);
+  // A holder that the store refuses has no news: boxes hear of changes half as often unless they ask two readers.
+  const count = hub.some(reachesStore) ? 1 : 2;
+  const reader = byTurns(able.length > 0 ? able : readers, count, round);
   const extra = round % rules.randomEvery === 0 ? sample(members, 1, random) : [];
   return [...new Set([...hub, ...reader, ...extra])];
 }
