Limits hold while the boxes have no leader, and when they have one again

Without a holder every box let through its own part, with its part of the burst, while the bucket of the account's allocator filled up again.

Change: a box that decides alone saves up no more than its part of what a new allocator begins with, and an allocator that was not connected begins again with that. Each change of connection is logged (event 3008).

--- a/packages/account-quota/src/account-quota.feature
+++ b/packages/account-quota/src/account-quota.feature
@@ -31,13 +31,13 @@
   Scenario: A box without an answer from any allocator decides alone, by its part
     Given a box whose allocators are silent, with a tenth of what all boxes carry
     When an account of 10000 units a second sends 20 requests of 100 units there
-    Then it lets through between 9 and 12
+    Then it lets through between 1 and 5
     And each decision took at most 240 ms
 
   Scenario: A box that is cut off from most others serves by its own part, and allocates for nobody
     Given a box that is cut off from most others
     When an account of 10000 units a second sends 20 requests of 100 units there
-    Then it lets through between 9 and 12
+    Then it lets through between 1 and 5
     And it declines to allocate for others
 
   Scenario Outline: What is the part of <silent> silent boxes in 100 is not handed out to the others
--- a/packages/account-quota/src/account-quota.ts
+++ b/packages/account-quota/src/account-quota.ts
@@ -82,11 +82,6 @@
  */
 const firstShare = 0.22;
 
-/**
- * Share of the tolerated units that boxes that are cut off may save up beside their parts of the burst: a small
- * account's part of the burst is less than one of its requests.
- */
-const aloneSlackShare = 0.5;
 /** However many boxes are silent, this part of a limit is left to those that are not. */
 const leastConnectedPart = 0.5;
 
@@ -129,6 +124,7 @@
   const shared = createQuotaAllocator(clock, firstLevel);
   /** Used while this box is cut off; its rates are a part of the limits. */
   const alone = createQuotaAllocator(clock, (rate) => rate.burst);
+  let wasConnected = true;
 
   const stockOf = (account: string): QuotaStock => {
     const known = stocks.get(account);
@@ -140,10 +136,17 @@
 
   const allocateAlone = (ask: QuotaAsk): QuotaGrant => {
     peers.onAlone?.(ask.account);
-    const { perSecond, burst } = ask.rate;
-    const saved = burst + tolerance.slack * aloneSlackShare;
-    const rate = partOfRate({ perSecond, burst: saved }, peers.ownPart());
-    return alone.grant({ ...ask, ahead: 0, rate });
+    // The burst itself may have been used by the box that allocated until now.
+    const whole = { perSecond: ask.rate.perSecond, burst: firstLevel(ask.rate) };
+    return alone.grant({ ...ask, ahead: 0, rate: partOfRate(whole, peers.ownPart()) });
+  };
+
+  /** Whether this box may allocate; what it knows of before it was cut off says little afterwards. */
+  const isConnected = (): boolean => {
+    const connected = peers.connected();
+    if (connected && !wasConnected) shared.restart();
+    wasConnected = connected;
+    return connected;
   };
 
   /** Boxes that are silent may serve callers by their own parts, so that these are not to be had here. */
@@ -161,7 +164,7 @@
 
   /** Asks the first allocator that answers; this box decides alone where none does. */
   const obtain = async (ask: QuotaAsk): Promise<QuotaGrant> => {
-    if (!peers.connected()) return allocateAlone(ask);
+    if (!isConnected()) return allocateAlone(ask);
     const answering = peers
       .allocators(ask.account)
       .filter((address) => (silentUntil.get(address) ?? 0) <= clock.now());
@@ -221,6 +224,6 @@
     ranToo({ account, units }) {
       if (account.limit) stockOf(account.name).units -= units;
     },
-    allocate: (ask) => (peers.connected() ? allocateShared(ask) : declined),
+    allocate: (ask) => (isConnected() ? allocateShared(ask) : declined),
   };
 }
--- a/packages/account-quota/src/allocator.ts
+++ b/packages/account-quota/src/allocator.ts
@@ -23,6 +23,8 @@
 
 export interface QuotaAllocator {
   grant(ask: QuotaAsk): QuotaGrant;
+  /** Begins again with first levels: others have let requests through meanwhile, by parts of their own. */
+  restart(): void;
 }
 
 const millisecondsPerSecond = 1000;
@@ -94,5 +96,11 @@
       allowance.level -= ahead;
       return { granted: ask.needed + ahead, waitMs: 0 };
     },
+    restart() {
+      for (const allowance of allowances.values()) {
+        fill(allowance, clock.now());
+        allowance.level = Math.min(allowance.level, firstLevel(allowance.rate));
+      }
+    },
   };
 }
--- a/packages/bench/src/quota-load.ts
+++ b/packages/bench/src/quota-load.ts
@@ -20,6 +20,8 @@
   readonly gathered?: Span & { readonly boxes: number };
   /** The first boxes are cut off from the rest in this span, not from each other; callers reach them still. */
   readonly cut?: Span & { readonly boxes: number };
+  /** From then on no box takes itself for connected, until a new one leads them. */
+  readonly unledFrom?: Milliseconds;
   /** All boxes lose what they know. */
   readonly restartAt?: Milliseconds;
 }
@@ -69,6 +71,7 @@
     hot,
     cut: threeCut,
   },
+  { name: "hot, no box connected for a while", boxes: 8, perSecond, hot, unledFrom: 10_000 },
   { name: "all restarted", boxes: 8, perSecond, restartAt: 12_000 },
   { name: "hot, all restarted", boxes: 8, perSecond, hot, restartAt: 12_000 },
 ]);
@@ -76,6 +79,13 @@
 const isWithin = (at: Milliseconds, span: Span | undefined): boolean =>
   span !== undefined && at >= span.from && at < span.until;
 
+/** Time without a box that leads the others: its silence has to be noticed, and its lease to run out. */
+const unledMs: Milliseconds = 2_000;
+
+export function isUnled({ unledFrom }: QuotaLoad, at: Milliseconds): boolean {
+  return unledFrom !== undefined && at >= unledFrom && at < unledFrom + unledMs;
+}
+
 export function isCut({ cut }: QuotaLoad, box: number, at: Milliseconds): boolean {
   return cut !== undefined && box < cut.boxes && isWithin(at, cut);
 }
--- a/packages/bench/src/quota-ways.ts
+++ b/packages/bench/src/quota-ways.ts
@@ -9,7 +9,7 @@
 import { createTokenBucket } from "@linkfall/token-bucket";
 import type { Milliseconds } from "@linkfall/types";
 import { Left, Right } from "purify-ts";
-import { isCut, type QuotaLoad } from "./quota-load.js";
+import { isCut, isUnled, type QuotaLoad } from "./quota-load.js";
 
 export interface QuotaWay {
   /** Decides on a request that came to a box. */
@@ -28,7 +28,7 @@
 /** Time between two exchanges of a box with the one that hears all. */
 const roundMs: Milliseconds = 400;
 /** A box that is cut off knows it after this time. */
-const cutOffMs: Milliseconds = 750;
+const cutOffMs: Milliseconds = 1_000;
 /** A box that is cut off is known to be silent after this time. */
 const noticedMs: Milliseconds = 1_500;
 const useMs: Milliseconds = 1_000;
@@ -150,7 +150,7 @@
             await wait(clock, wireMs);
             return Right(grant);
           },
-          connected: () => !cutFor(box, cutOffMs),
+          connected: () => !cutFor(box, cutOffMs) && !isUnled(load, clock.now()),
           ownPart: () => 1 / load.boxes,
           silentPart: () => (cutFor(0, noticedMs) ? (load.cut?.boxes ?? 0) / load.boxes : 0),
         },
--- a/packages/entry-box/src/connected.ts
+++ b/packages/entry-box/src/connected.ts
@@ -1,29 +1,66 @@
 /** Whether a box belongs to the better part of all boxes, of which there can be only one. */
-import { orderLeaseName } from "@linkfall/order-lease";
 import { type Peers, peersName } from "@linkfall/box-peers";
+import { orderLeaseName } from "@linkfall/order-lease";
+import type { Milliseconds } from "@linkfall/types";
 import type { BoxParts } from "./box-parts.js";
 import type { HolderKnowledge } from "./heartbeat-receiver.js";
 
-/** Silence, as a share of the one that makes a box suspected, after which a box takes itself for cut off. */
-const cutOffShare = 0.5;
+/**
+ * Silence, as a share of the one that makes a box suspected, after which a box takes itself for cut off: longer than a
+ * round of a box that has no callers yet.
+ */
+const cutOffShare = 0.65;
+
+/** What a box goes by. */
+interface Contact {
+  /** Other boxes that it has heard lately. */
+  readonly heard: number;
+  readonly holds: boolean;
+  /** Time since it heard the holder of the order lease; absent where it knows none, or never heard it. */
+  readonly holderHeardMs?: Milliseconds;
+}
 
 /** Whether this box itself hears most of the boxes that it ever knew. */
 export function hearsMost(peers: Pick<Peers, "statuses" | "most">): boolean {
   return (peers.statuses().length + 1) * 2 > peers.most();
 }
 
+function contactOf({ kernel }: BoxParts): Contact {
+  const peers = kernel.find(peersName);
+  const lease = kernel.find(orderLeaseName);
+  const holder = lease.known()?.holder;
+  return {
+    heard: peers.statuses().length,
+    holds: lease.epoch() !== undefined,
+    holderHeardMs: holder === undefined ? undefined : peers.heardMs(holder),
+  };
+}
+
 /**
  * Whether this box is connected: it hears most boxes itself, or, where boxes do not all hear each other, the
  * holder of the order lease who does. That is known sooner than who is silent.
  */
-export function isConnected({ kernel }: BoxParts, knowledge: HolderKnowledge): boolean {
-  const peers = kernel.find(peersName);
-  const lease = kernel.find(orderLeaseName);
+function isConnected(peers: Peers, contact: Contact, holderHearsMost: boolean): boolean {
   const lateMs = peers.suspectMs() * cutOffShare;
   if (peers.most() === 1) return true;
   if (peers.mesh()) return hearsMost(peers) && peers.silentMs() < lateMs;
-  if (lease.epoch() !== undefined) return hearsMost(peers);
-  const holder = lease.known()?.holder;
-  const heardMs = holder === undefined ? undefined : peers.heardMs(holder);
-  return heardMs !== undefined && heardMs < lateMs && knowledge.hearsMost;
+  if (contact.holds) return hearsMost(peers);
+  return (contact.holderHeardMs ?? Infinity) < lateMs && holderHearsMost;
+}
+
+/** Creates a look at the connection of this box, which logs each change. */
+export function createConnectionCheck(parts: BoxParts, knowledge: HolderKnowledge): () => boolean {
+  let before: boolean | undefined;
+  return () => {
+    const peers = parts.kernel.find(peersName);
+    const contact = contactOf(parts);
+    const connected = isConnected(peers, contact, knowledge.hearsMost);
+    if (connected !== before) {
+      const { hearsMost: holderHearsMost } = knowledge;
+      const facts = { connected, most: peers.most(), ...contact, holderHearsMost };
+      parts.ports.logger.event("connectionChanged", facts);
+    }
+    before = connected;
+    return connected;
+  };
 }
--- a/packages/entry-box/src/provide-quota.ts
+++ b/packages/entry-box/src/provide-quota.ts
@@ -5,7 +5,7 @@
 import { rankNodes } from "@linkfall/rendezvous";
 import type { Milliseconds } from "@linkfall/types";
 import type { BoxParts } from "./box-parts.js";
-import { isConnected } from "./connected.js";
+import { createConnectionCheck } from "./connected.js";
 import { strongFrom } from "./entries.js";
 import type { HolderKnowledge } from "./heartbeat-receiver.js";
 import { ownProfile } from "./own-profile.js";
@@ -95,7 +95,7 @@
       self: box.peer_address,
       allocators: (account) => rankAllocators(account, inSight()),
       ask: (address, ask) => peerClient.quota(address, ask),
-      connected: () => isConnected(parts, knowledge),
+      connected: createConnectionCheck(parts, knowledge),
       onAlone: (account) => ports.logger.event("quotaAlone", { account }),
       ownPart: () => current().own,
       silentPart: () => current().silent,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -67,6 +67,12 @@
   memberJoined: event(3001, "info", "A box has been seen for the first time."),
   memberSuspected: event(3002, "warn", "A box's heartbeat stands still.", "Check that box."),
   memberGone: event(3003, "info", "A box was forgotten, or replaced by a later start."),
+  connectionChanged: event(
+    3008,
+    "info",
+    "This box takes itself for connected to most others, or for cut off from them.",
+    "While it lasts on a box: check its network; limits of accounts hold by parts there.",
+  ),
   leaseTaken: event(4001, "info", "This box holds the lease of a pool."),
   leaseLost: event(4002, "warn", "This box no longer holds the lease of a pool."),
   leaseReleased: event(4003, "info", "This box gave up the lease of a pool."),
