What a box was told of targets it tells on

The holder hears of them from another reader, takes that reader's end for its own, and tells the others what its own log holds since: nothing.

Change: changes that were told are kept in the log of changes, at the last offset of what was told. The scenario failed before ("What a box was told, it tells on").

--- a/packages/desired-feed/src/desired-feed.feature
+++ b/packages/desired-feed/src/desired-feed.feature
@@ -67,3 +67,11 @@
     And 500 ms go by in the feed
     Then a box that was told of all before is told of "t3" changed and "t1" gone
     And a box that has read up to the start is told of "t2 t3", the whole list
+
+  Scenario: What a box was told, it tells on
+    Given another box has been told of all
+    When the store refuses the feed
+    And another box tells of "t3" changed and "t1" gone
+    Then a box that was told of all before is told of "t3" changed and "t1" gone
+    When another box tells of "t4" changed and "t2" gone
+    Then a box that was told of all before is told of "t3 t4" changed and "t1 t2" gone
--- a/packages/desired-feed/src/desired-feed.ts
+++ b/packages/desired-feed/src/desired-feed.ts
@@ -119,16 +119,30 @@
   }
 }
 
+/**
+ * Takes single changes that another box has told of, and keeps them to be told on: the holder of the order lease
+ * tells all boxes, also while the store refuses it. Without them in its log the others took its end for theirs, and
+ * missed targets that leave.
+ */
+function takeToldChanges(context: FeedContext, { changed, gone, end }: TargetChanges): void {
+  const { fleet } = context.input;
+  const lastOffset = end - 1;
+  for (const target of changed) {
+    context.log.changed(target, lastOffset);
+    fleet.takeEntry(target);
+  }
+  for (const id of gone) {
+    context.log.gone(id, lastOffset);
+    fleet.dropEntry(id);
+  }
+  context.targetsEnd = end;
+}
+
 /** Takes changes that another box has told of. */
 function takeTold(context: FeedContext, changes: TargetChanges, follower: StreamFollower): void {
   if (changes.end <= context.targetsEnd) return;
-  const { fleet } = context.input;
   if (changes.whole) takeWholeList(context, changes.changed, changes.end);
-  else {
-    for (const target of changes.changed) fleet.takeEntry(target);
-    for (const id of changes.gone) fleet.dropEntry(id);
-    context.targetsEnd = changes.end;
-  }
+  else takeToldChanges(context, changes);
   // What was told lacks the models; the next read of this box's own takes everything anew.
   follower.restart();
 }
