--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -94,7 +94,7 @@
   const terms = codec.readTerms(request.headers);
   const refused = (status: number, why: string, retryAfterMs?: Milliseconds, more?: object) => {
     const { path } = request;
-    forward.logger.event("requestRefused", { request: terms.id, status, why, path, ...more });
+    forward.logger.event("requestRejected", { request: terms.id, status, why, path, ...more });
     answerOwn(request.sink, status, retryAfterMs);
   };
   const unreadable = codec.unreadable(request.headers);
--- a/packages/explain-request/src/explain-request.steps.ts
+++ b/packages/explain-request/src/explain-request.steps.ts
@@ -29,6 +29,22 @@
   },
 );
 
+Given(
+  "the logs of two boxes in which {string} of the account {string} was over its limit",
+  function (this: object, request: string, account: string) {
+    const lines = [
+      line(0, "b1", "configurationInForce", { version: 4 }),
+      line(500, "b1", "connectionChanged", { connected: false }),
+      line(600, "b2", "connectionChanged", { connected: true }),
+      line(900, "b1", "quotaAlone", { account }),
+      line(950, "b1", "quotaAlone", { account: "another" }),
+      line(960, "b2", "quotaAlone", { account }),
+      line(1_000, "b1", "requestRejected", { request, account, status: 429, version: 4 }),
+    ];
+    notes(this).set("lines", lines);
+  },
+);
+
 Given("a line {string}", function (this: object, text: string) {
   notes(this).get<string[]>("lines").push(text);
 });
--- a/packages/explain-request/src/index.ts
+++ b/packages/explain-request/src/index.ts
@@ -21,6 +21,7 @@
   "logReachable",
   "boxReady",
   "boxDraining",
+  "connectionChanged",
 ]);
 
 /** Changes of a target that a request was sent to. */
@@ -34,6 +35,9 @@
   "orderAnswered",
 ]);
 
+/** A limit of which the box let through a part of its own. */
+const quotaEvent = "quotaAlone";
+
 /** How long before a request changes of its targets are shown, in milliseconds. */
 const beforeMs = 5_000;
 
@@ -65,6 +69,11 @@
   );
 }
 
+/** Whether a line concerns the account of the request, by the request's own lines. */
+function isOfAccount(line: LogLine, own: readonly LogLine[]): boolean {
+  return own.some(({ detail }) => detail.account === line.detail.account);
+}
+
 /** What the box of the request believed when it came: the newest line of each kind before it. */
 function beliefsBefore(lines: readonly LogLine[], first: LogLine): readonly LogLine[] {
   const newest = new Map<string, LogLine>();
@@ -90,6 +99,7 @@
   const around = lines.filter((line) => {
     if (timeOf(line) < from || timeOf(line) > until || own.includes(line)) return false;
     if (beliefs.has(line.name)) return line.box === own[0].box;
+    if (line.name === quotaEvent) return line.box === own[0].box && isOfAccount(line, own);
     if (!targetEvents.has(line.name)) return false;
     return targets.has(line.detail.target) || models.has(line.detail.model);
   });
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -112,6 +112,11 @@
     "No box that hands out the account's limit answers; this box lets through a small part of it.",
     "Check the network between boxes; see operators/accounts.md.",
   ),
+  requestRejected: event(
+    5010,
+    "info",
+    "A request was rejected before it was forwarded: for its terms, its route, its key or its account's limit.",
+  ),
   outcomeUnknown: event(
     5004,
     "warn",
