--- a/packages/entry-box/src/accounts.steps.ts
+++ b/packages/entry-box/src/accounts.steps.ts
@@ -4,7 +4,8 @@
 import { notes } from "@linkfall/test-support";
 import { createBoundedLabel } from "./bounded-label.js";
 import { hearsMost } from "./connected.js";
-import { partsOf, rankAllocators } from "./provide-quota.js";
+import { partsOf } from "./limit-parts.js";
+import { rankAllocators } from "./provide-quota.js";
 
 function profileOf(capacity: number, index: number, leaving = false): BoxProfile {
   return {
