Process soak: callers of accounts, keys that nobody holds, forged accounts

The new check: a target gets requests of accounts only, under the right name, and never a key; each way to break it has a scenario with a planted fault.

--- a/packages/process-soak/src/process-soak.steps.ts
+++ b/packages/process-soak/src/process-soak.steps.ts
@@ -5,6 +5,7 @@
 import {
   type ArrivedOrder,
   type Begun,
+  checkAccounts,
   checkAllAnswered,
   checkAtMostOnce,
   checkDraining,
@@ -67,6 +68,24 @@
   },
 );
 
+Given(
+  "a request {string} of the account {string}",
+  function (this: object, id: string, account: string) {
+    sceneOf(this).outcomes.push({ ...answeredWhole, id, account });
+  },
+);
+
+Given("a request {string} with a key that nobody holds", function (this: object, id: string) {
+  sceneOf(this).outcomes.push({ ...answeredWhole, id });
+});
+
+Given(
+  "{string} began at {string} as a request of {string}, with a header of {string}",
+  function (this: object, id: string, target: string, account: string, value: string) {
+    sceneOf(this).begun.push({ id, target, at: 0, account, headerValues: [value] });
+  },
+);
+
 When(
   "{int} ms later {string} began at {string}",
   function (this: object, ms: number, id: string, target: string) {
@@ -91,12 +110,22 @@
   },
 );
 
+const answeredWhole = {
+  repeatable: true,
+  sentAt: 0,
+  endedAt: 1,
+  status: 200,
+  whole: true,
+  own: true,
+  box: "b1",
+} as const;
 const leftAt = 5;
 const checks: Readonly<Record<string, (scene: Scene) => readonly Finding[]>> = {
   "at most once": ({ outcomes, begun }) => checkAtMostOnce(outcomes, begun),
   "not run is true": ({ outcomes, begun }) => checkNotRun(outcomes, begun),
   "whole and own answers": ({ outcomes }) => checkWholeAndOwn(outcomes),
   "callers do not steer targets": ({ begun }) => checkNoForgery(begun, "forged"),
+  "requests belong to accounts": ({ outcomes, begun }) => checkAccounts(outcomes, begun, ["key"]),
   "one order giver": ({ orders }) => checkOneHolder(orders),
   "a configuration does not revert": ({ probes }) => checkNoReversal(probes, () => Infinity),
   "a leaving target gets nothing new": ({ begun }) => checkDraining(begun, "p1", leftAt),
--- a/packages/process-soak/src/promises.feature
+++ b/packages/process-soak/src/promises.feature
@@ -19,6 +19,20 @@
     Given "r2" began at "p1" with a header of "forged"
     Then the check of "callers do not steer targets" finds "r2"
 
+  Scenario Outline: A target that gets <what>
+    Given a request "r1" of the account "a"
+    And "r1" began at "p1" as a request of "a", with a header of "x"
+    Then the check of "requests belong to accounts" is silent
+    Given a request "r2" <whose>
+    And "r2" began at "p1" as a request of "<told>", with a header of "<value>"
+    Then the check of "requests belong to accounts" finds "r2"
+
+    Examples:
+      | what                                 | whose                        | told | value |
+      | a request under another name         | of the account "a"           | b    | x     |
+      | a key                                | of the account "a"           | a    | key   |
+      | a request of a key that nobody holds | with a key that nobody holds | a    | x     |
+
   Scenario: Another's answer as whole
     Given a request "r1" that may be repeated, answered whole with 200
     Then the check of "whole and own answers" is silent
--- a/packages/process-soak/src/tests/promises.ts
+++ b/packages/process-soak/src/tests/promises.ts
@@ -13,6 +13,8 @@
   /** The answer is the one that a target made for this request. */
   readonly own: boolean;
   readonly box: string;
+  /** Account that holds the key that was sent; absent where nobody holds it. */
+  readonly account?: string;
 }
 
 /** A target has begun to work on a request. */
@@ -22,6 +24,8 @@
   readonly at: number;
   /** Values of the request's headers as they reached the target. */
   readonly headerValues?: readonly string[];
+  /** Account that the target was told. */
+  readonly account?: string;
 }
 
 /** An order that reached an engine. */
@@ -97,6 +101,27 @@
     }));
 }
 
+/** Targets get requests of accounts only, under the right name, and never a key. */
+export function checkAccounts(
+  outcomes: readonly Outcome[],
+  begun: readonly Begun[],
+  keys: readonly string[],
+): readonly Finding[] {
+  const accounts = new Map(outcomes.map(({ id, account }) => [id, account]));
+  return begun
+    .filter(({ id }) => accounts.has(id))
+    .filter(({ id, account, headerValues = [] }) => {
+      const holder = accounts.get(id);
+      return (
+        holder === undefined || holder !== account || keys.some((key) => headerValues.includes(key))
+      );
+    })
+    .map(({ id, target, account }) => ({
+      promise: "requests belong to accounts",
+      detail: `${id} of ${accounts.get(id) ?? "nobody"} reached ${target} as ${account ?? "nobody"}'s, or with a key`,
+    }));
+}
+
 /** An answer that looks whole is the caller's own, to its end. */
 export function checkWholeAndOwn(outcomes: readonly Outcome[]): readonly Finding[] {
   return outcomes
