--- /dev/null
+++ b/packages/entry-box/src/accept-watch.ts
@@ -0,0 +1,80 @@
+/**
+ * Watches how connections come out of the listen queue. The runtime takes one connection in each turn of its event loop, so
+ * connections that are taken in turns that follow each other have waited for those before them.
+ */
+import type { Clock } from "@linkfall/kernel";
+import type { Logger } from "@linkfall/logger";
+import type { Metrics } from "@linkfall/metrics";
+import type { Milliseconds } from "@linkfall/types";
+
+export interface AcceptWatch {
+  /** Notes that a connection was taken. */
+  accepted(): void;
+}
+
+export interface AcceptWatchInput {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Turns of the event loop since the process began. */
+  loopTurns(): number;
+}
+
+/** Connections that were taken one a turn, without a turn between them. */
+interface AcceptRun {
+  readonly since: Milliseconds;
+  lastAt: Milliseconds;
+  lastTurn: number;
+  connections: number;
+  /** A wait that is told next; each line doubles it. */
+  tellFromMs: Milliseconds;
+}
+
+/** A wait that callers notice: they give up what is unread after a second, or sooner. */
+const longWaitMs: Milliseconds = 250;
+
+/** Creates a watch. */
+export function createAcceptWatch({
+  clock,
+  logger,
+  metrics,
+  loopTurns,
+}: AcceptWatchInput): AcceptWatch {
+  let run: AcceptRun | undefined;
+
+  const tell = (current: AcceptRun, waitedMs: Milliseconds) => {
+    if (waitedMs < current.tellFromMs) return;
+    current.tellFromMs = waitedMs * 2;
+    logger.event("connectionsWaited", {
+      connections: current.connections,
+      waitedMs: Math.round(waitedMs),
+    });
+  };
+
+  return {
+    accepted() {
+      const now = clock.now();
+      const turn = loopTurns();
+      if (run === undefined || turn > run.lastTurn + 1) {
+        run = { since: now, lastAt: now, lastTurn: turn, connections: 1, tellFromMs: longWaitMs };
+        return;
+      }
+      const turnMs = now - run.lastAt;
+      const waitedMs = now - run.since;
+      run.lastAt = now;
+      run.lastTurn = turn;
+      run.connections += 1;
+      metrics.observe(
+        "linkfall_accept_turn_ms",
+        "Length of a turn of the event loop that took a connection after one that did.",
+        Math.round(turnMs),
+      );
+      metrics.observe(
+        "linkfall_connection_wait_ms",
+        "How long a connection may have waited in the listen queue for those before it.",
+        Math.round(waitedMs),
+      );
+      tell(run, waitedMs);
+    },
+  };
+}
--- a/packages/entry-box/src/box-ports.ts
+++ b/packages/entry-box/src/box-ports.ts
@@ -25,4 +25,6 @@
   readonly engines: RoutedEnginePort;
   /** Share of the time since the last call in which this process was at work, from 0 to 1. */
   busyShare(): number;
+  /** Turns of this process's event loop since its start. */
+  loopTurns(): number;
 }
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -5,6 +5,7 @@
 import { metricsName } from "@linkfall/metrics";
 import { orderLeaseName } from "@linkfall/order-lease";
 import type { Milliseconds } from "@linkfall/types";
+import { createAcceptWatch } from "./accept-watch.js";
 import { type BoxParts, createBoxParts } from "./box-parts.js";
 import { createBoundedLabel } from "./bounded-label.js";
 import type { EntryBoxPorts } from "./box-ports.js";
@@ -65,6 +66,7 @@
     address: settings.box.front_address,
     maxHeaderBytes: settings.callers.max_header_bytes,
     now: ports.clock.now,
+    onConnection: createAcceptWatch({ ...ports, metrics }).accepted,
     limits: () => feed.inForce()?.configuration.limits,
     closing: stop.begun,
     handle(request) {
--- a/packages/entry-box/src/front.ts
+++ b/packages/entry-box/src/front.ts
@@ -21,6 +21,8 @@
   readonly address: string;
   readonly maxHeaderBytes: number;
   now(): Milliseconds;
+  /** Called for each connection that is taken. */
+  onConnection(): void;
   limits(): CallerLimits | undefined;
   /** Whether connections are to be closed after their answer. */
   closing(): boolean;
@@ -108,6 +110,7 @@
   server.requestTimeout = 0;
   applyLimits(server, defaultLimits);
   server.on("clientError", answerMalformed);
+  server.on("connection", input.onConnection);
 
   const mark = input.address.lastIndexOf(":");
   return {
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -8,6 +8,7 @@
   type Exchange,
   type ExchangeRequest,
   openExchange,
+  type SendProgress,
 } from "@linkfall/raw-exchange";
 import type { Milliseconds } from "@linkfall/types";
 import type { AnswerSink } from "./answer-sink.js";
@@ -47,6 +48,8 @@
   readonly endsAt: Milliseconds;
   /** Longest time without a byte before another target is tried; absent where none may be. */
   readonly silentMs?: Milliseconds;
+  /** Called when the caller has left, with how far the send had come. */
+  onLeft(progress: SendProgress): void;
   /** Called with the first byte of the body. */
   onFirstBytes(): void;
   /** Called with the time between the bytes of a stream. */
@@ -171,7 +174,10 @@
     onWhole: takeWhole,
     onFailure: takeFailure,
   });
-  sink.onGone(() => settle({ kind: "gone" }));
+  sink.onGone(() => {
+    if (!settled) input.onLeft(exchange.progress());
+    settle({ kind: "gone" });
+  });
   watchSilence();
 }
 
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -149,6 +149,16 @@
       body: request.body,
       connectMs: limits.connectMs,
     },
+    onLeft: ({ connected, unsentBytes }) =>
+      context.logger.event("callerLeft", {
+        request: terms.id,
+        target: listed.id,
+        sinceReadMs: Math.round(clock.now() - request.arrivedAt),
+        sinceSendMs: Math.round(clock.now() - sentAt),
+        connected,
+        unsentBytes,
+        begun: request.sink.begun(),
+      }),
     onGap: (ms) => {
       request.longestGapMs = Math.max(request.longestGapMs, ms);
       context.pace.observe(listed.id, ms);
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -117,6 +117,13 @@
     "info",
     "A request was rejected before it was forwarded: for its terms, its route, its key or its account's limit.",
   ),
+  connectionsWaited: event(
+    5011,
+    "warn",
+    "Connections of callers waited in the listen queue: the box took one a turn, and its turns were long.",
+    "Look at linkfall_accept_turn_ms and at what the box does beside its callers.",
+  ),
+  callerLeft: event(5012, "info", "A caller left while its request was being sent or answered."),
   outcomeUnknown: event(
     5004,
     "warn",
--- a/packages/raw-exchange/src/index.ts
+++ b/packages/raw-exchange/src/index.ts
@@ -35,7 +35,15 @@
   onFailure(failure: TargetUnreachable): void;
 }
 
+/** How far the request has gone. */
+export interface SendProgress {
+  readonly connected: boolean;
+  /** Bytes of it that the system has not taken yet. */
+  readonly unsentBytes: number;
+}
+
 export interface Exchange {
+  progress(): SendProgress;
   /** Closes the connection; the listener hears nothing more. */
   abort(): void;
   pause(): void;
@@ -121,6 +129,7 @@
   sent.end(request.body);
 
   return {
+    progress: () => ({ connected, unsentBytes: sent.socket?.writableLength ?? 0 }),
     abort() {
       if (done) return;
       done = true;
--- a/packages/weight-orders/src/order-giver.ts
+++ b/packages/weight-orders/src/order-giver.ts
@@ -93,6 +93,11 @@
     const before = clock.now();
     look(context, epoch);
     const tookMs = clock.now() - before;
+    context.metrics.observe(
+      "linkfall_order_look_ms",
+      "Time in which the box that gives orders does nothing else.",
+      Math.round(tookMs),
+    );
     notBefore = before + tookMs / mostLookShare;
   };
   const tick = () => {
