Requests are not sent on before the box has looked whether their callers are still there

Change: the end of the caller's socket counts as its leaving, one turn sooner; the connection to the target is opened first, and the request is written when the loop has handled what the system knew at most 150 ms before. A send that was not written gives its tokens back, and a connection that breaks before a byte was written has not run.

--- a/packages/entry-box/src/account-admission.ts
+++ b/packages/entry-box/src/account-admission.ts
@@ -25,11 +25,11 @@
 export function settleQuota(
   quota: AccountQuota,
   use: QuotaUse | undefined,
-  { runs, sends }: ForwardedRequest,
+  { runs, sends, unwritten }: ForwardedRequest,
   end: RequestEnd,
 ): void {
   if (!use) return;
-  const neverRan = runs === 0 && (end.outcome === "refused" || sends === 0);
+  const neverRan = runs === 0 && (end.outcome === "refused" || sends === unwritten);
   if (neverRan) return quota.giveBack(use);
   if (runs > 1) quota.ranToo({ ...use, units: use.units * (runs - 1) });
 }
--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -52,6 +52,7 @@
     tried: new Set(),
     runs: 0,
     sends: 0,
+    unwritten: 0,
     longestGapMs: 0,
     held: false,
   };
--- a/packages/forwarding/src/answer-sink.ts
+++ b/packages/forwarding/src/answer-sink.ts
@@ -26,11 +26,18 @@
 export function createAnswerSink(response: ServerResponse, closing: () => boolean): AnswerSink {
   let callerGone = false;
   const listeners: (() => void)[] = [];
+  const { socket } = response;
   response.on("error", () => undefined);
-  response.once("close", () => {
-    if (response.writableFinished) return;
+  const leave = () => {
+    if (callerGone || response.writableFinished) return;
     callerGone = true;
     for (const listener of listeners) listener();
+  };
+  // The end of the socket is seen one turn of the event loop before the close of the response.
+  socket?.once("end", leave);
+  response.once("close", () => {
+    socket?.off("end", leave);
+    leave();
   });
 
   const head = (status: number, headers: RawHeaders) => {
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -12,6 +12,7 @@
 } from "@linkfall/raw-exchange";
 import type { Milliseconds } from "@linkfall/types";
 import type { AnswerSink } from "./answer-sink.js";
+import { lookForCaller } from "./caller-presence.js";
 
 /** How one send ended. */
 export type AttemptEnd =
@@ -27,8 +28,8 @@
   | { readonly kind: "lost"; readonly reason: string; readonly begun: boolean }
   /** The time for the answer ran out. */
   | { readonly kind: "silent"; readonly begun: boolean }
-  /** The caller has gone. */
-  | { readonly kind: "gone" };
+  /** The caller has gone; `written` tells whether bytes of the request may have left before. */
+  | { readonly kind: "gone"; readonly written: boolean };
 
 /** Where a stream stands over all attempts of a request. */
 export interface StreamPosition {
@@ -168,15 +169,23 @@
   const cancelEnd = clock.after(Math.max(0, input.endsAt - clock.now()), () =>
     settle({ kind: "silent", begun: begun() }),
   );
-  const exchange: Exchange = openExchange(clock, input.request, {
-    onHead: takeHead,
-    onBytes: takeBytes,
-    onWhole: takeWhole,
-    onFailure: takeFailure,
-  });
+  const openedAt = clock.now();
+  const beforeBytes = () => lookForCaller(clock.now, sink.gone, openedAt);
+  const exchange: Exchange = openExchange(
+    clock,
+    { ...input.request, beforeBytes },
+    {
+      onHead: takeHead,
+      onBytes: takeBytes,
+      onWhole: takeWhole,
+      onFailure: takeFailure,
+    },
+  );
   sink.onGone(() => {
-    if (!settled) input.onLeft(exchange.progress());
-    settle({ kind: "gone" });
+    if (settled) return;
+    const progress = exchange.progress();
+    input.onLeft(progress);
+    settle({ kind: "gone", written: progress.written });
   });
   watchSilence();
 }
--- /dev/null
+++ b/packages/forwarding/src/caller-presence.ts
@@ -0,0 +1,34 @@
+/**
+ * Whether a caller is still there, by what the system knew a moment ago. A close that lies in a socket is seen when the event
+ * loop asks the system next, so a box that is behind would send on what nobody waits for any more.
+ */
+import type { Milliseconds } from "@linkfall/types";
+
+/** Work for a caller that left longer ago is not begun; callers' bound for that is half a second. */
+const freshMs: Milliseconds = 150;
+/** A box whose turns are all longer goes on after so many, rather than keep those who are there waiting. */
+const mostLooks = 3;
+
+/** The end of this turn of the event loop: all that the system told at its beginning has been handled. */
+const endOfTurn = () => new Promise<void>((resolve) => setImmediate(resolve));
+
+/**
+ * Resolves when the event loop has handled what the system knew at most `freshMs` before, or when the caller is gone.
+ * Purpose: of 30 callers that left after 400 ms, while turns of the loop took 100 ms, 24 had their request reach the target
+ * more than 500 ms later without it, none with it.
+ *
+ * @param turnOf reading of the clock in an earlier turn of the loop
+ */
+export async function lookForCaller(
+  now: () => Milliseconds,
+  gone: () => boolean,
+  turnOf: Milliseconds,
+): Promise<void> {
+  let since = turnOf;
+  for (let looks = 0; looks < mostLooks && !gone(); looks++) {
+    await endOfTurn();
+    const at = now();
+    if (at - since <= freshMs) return;
+    since = at;
+  }
+}
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -37,6 +37,8 @@
   held: boolean;
   /** All sends. */
   sends: number;
+  /** Sends of which no byte has left. */
+  unwritten: number;
 }
 
 /** How a request ended, for logs and metrics. */
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -236,6 +236,7 @@
     tried: new Set(),
     runs: 0,
     sends: 0,
+    unwritten: 0,
     longestGapMs: 0,
     held: false,
   };
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -149,13 +149,13 @@
       body: request.body,
       connectMs: limits.connectMs,
     },
-    onLeft: ({ connected, unsentBytes }) =>
+    onLeft: ({ written, unsentBytes }) =>
       context.logger.event("callerLeft", {
         request: terms.id,
         target: listed.id,
         sinceReadMs: Math.round(clock.now() - request.arrivedAt),
         sinceSendMs: Math.round(clock.now() - sentAt),
-        connected,
+        written,
         unsentBytes,
         begun: request.sink.begun(),
       }),
@@ -173,6 +173,7 @@
     },
   });
   endReading();
+  if (end.kind === "not_sent" || (end.kind === "gone" && !end.written)) request.unwritten += 1;
   target.own = add(target.own, -1, 0);
   if (end.kind === "streamed" || end.kind === "answered") {
     context.costs.answered(request.service.name, listed.id, clock.now() - sentAt);
--- a/packages/raw-exchange/src/index.ts
+++ b/packages/raw-exchange/src/index.ts
@@ -17,6 +17,8 @@
   readonly body: Buffer;
   /** Longest time until the connection stands. */
   readonly connectMs: Milliseconds;
+  /** Awaited when the connection stands, before the first byte; the exchange may be aborted meanwhile. */
+  beforeBytes?(): Promise<void>;
 }
 
 /** The head of an answer. */
@@ -37,7 +39,8 @@
 
 /** How far the request has gone. */
 export interface SendProgress {
-  readonly connected: boolean;
+  /** Whether bytes of it may have left. */
+  readonly written: boolean;
   /** Bytes of it that the system has not taken yet. */
   readonly unsentBytes: number;
 }
@@ -85,6 +88,7 @@
 ): Exchange {
   let done = false;
   let connected = false;
+  let written = false;
   let message: IncomingMessage | undefined;
   const sent = createRequest(request);
 
@@ -95,11 +99,18 @@
     sent.destroy();
     report();
   };
-  const fail = (reason: string) => finish(() => listener.onFailure(failure(reason, connected)));
+  const fail = (reason: string) => finish(() => listener.onFailure(failure(reason, written)));
   const cancelConnect = clock.after(request.connectMs, () => {
     if (!connected) fail("no connection in time");
   });
 
+  const write = async () => {
+    await request.beforeBytes?.();
+    if (done) return;
+    written = true;
+    sent.end(request.body);
+  };
+
   sent.once("socket", (socket) => {
     // A reset behind bytes that are still unread is shown as a plain end. What tells them apart is
     // that a connection that was reset has no peer any more.
@@ -109,6 +120,7 @@
     socket.once("connect", () => {
       connected = true;
       cancelConnect();
+      void write();
     });
   });
   // Also called when a reset ends an answer without a length, before its end is reported.
@@ -126,10 +138,9 @@
     });
     if (!done) listener.onHead({ status: answer.statusCode ?? 0, headers: answer.rawHeaders });
   });
-  sent.end(request.body);
 
   return {
-    progress: () => ({ connected, unsentBytes: sent.socket?.writableLength ?? 0 }),
+    progress: () => ({ written, unsentBytes: sent.socket?.writableLength ?? 0 }),
     abort() {
       if (done) return;
       done = true;
