One place tells when a caller has left; linkfall's own interface looks as well

Change: package caller-presence, used by both fronts; the own interface looks once after a request is read. Seen first: 'A request whose caller left before it was read is not handled' fails on the code before (the request is handled), passes now. Not measured: the turn of the loop that this adds to a request of the own interface.

--- /dev/null
+++ b/packages/caller-presence/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./look-for-caller.js";
+export * from "./on-caller-left.js";
--- a/packages/forwarding/src/caller-presence.ts
+++ b/packages/caller-presence/src/look-for-caller.ts
@@ -32,3 +32,10 @@
     since = at;
   }
 }
+
+/** As `lookForCaller`, for a request that was read in this turn: what came behind it is read in the next one. */
+export async function lookInNextTurn(now: () => Milliseconds, gone: () => boolean): Promise<void> {
+  const turnOf = now();
+  await endOfTurn();
+  await lookForCaller(now, gone, turnOf);
+}
--- a/packages/forwarding/src/answer-sink.ts
+++ b/packages/forwarding/src/answer-sink.ts
@@ -1,5 +1,6 @@
 /** Writes the answer to one caller: a head once, bytes in order, and an end that shows whether it is whole. */
 import type { ServerResponse } from "node:http";
+import { onCallerLeft } from "@linkfall/caller-presence";
 import type { RawHeaders } from "@linkfall/ports";
 
 export interface AnswerSink {
@@ -26,18 +27,10 @@
 export function createAnswerSink(response: ServerResponse, closing: () => boolean): AnswerSink {
   let callerGone = false;
   const listeners: (() => void)[] = [];
-  const { socket } = response;
   response.on("error", () => undefined);
-  const leave = () => {
-    if (callerGone || response.writableFinished) return;
+  onCallerLeft(response, () => {
     callerGone = true;
     for (const listener of listeners) listener();
-  };
-  // The end of the socket is seen one turn of the event loop before the close of the response.
-  socket?.once("end", leave);
-  response.once("close", () => {
-    socket?.off("end", leave);
-    leave();
   });
 
   const head = (status: number, headers: RawHeaders) => {
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,4 +1,5 @@
 /** Sends a request to one target once, and passes a stream on while it comes. */
+import { lookForCaller } from "@linkfall/caller-presence";
 import type { TargetUnreachable } from "@linkfall/errors";
 import { createEventSplitter, type StreamEvent } from "@linkfall/event-stream";
 import type { Clock } from "@linkfall/kernel";
@@ -12,7 +13,6 @@
 } from "@linkfall/raw-exchange";
 import type { Milliseconds } from "@linkfall/types";
 import type { AnswerSink } from "./answer-sink.js";
-import { lookForCaller } from "./caller-presence.js";
 
 /** How one send ended. */
 export type AttemptEnd =
--- a/packages/http-front/src/http-front.feature
+++ b/packages/http-front/src/http-front.feature
@@ -18,3 +18,8 @@
   Scenario: A cut answer never looks like an end
     When the answer to a caller is cut after its first part
     Then the caller's connection breaks before the end marker of the answer
+
+  Scenario: A request whose caller left before it was read is not handled
+    When a caller sends a request and leaves before the front can read it
+    Then the front has handled nothing
+    And the front still answers others
--- a/packages/http-front/src/http-front.steps.ts
+++ b/packages/http-front/src/http-front.steps.ts
@@ -11,6 +11,8 @@
   readonly clock: VirtualClock;
   readonly front: HttpFront;
   readonly address: string;
+  /** Paths of the requests that were handled. */
+  readonly handled: string[];
 }
 
 const bodyTimeoutMs = 5_000;
@@ -25,17 +27,26 @@
   "a front that takes bodies of 100 bytes, heads of 1000 bytes, within 5 s",
   async function (this: object) {
     const clock = createVirtualClock();
+    const handled: string[] = [];
     const whole: CallerResponse = { status: 200, headers: {}, body: Buffer.from("fine") };
     const front = createHttpFront({
       clock,
       address: "127.0.0.1:0",
       limits: { maxBodyBytes: 100, maxHeaderBytes: 1_000, bodyTimeoutMs },
-      handle: async (request) => (request.path === "/cut" ? { ...whole, body: cutBody() } : whole),
+      async handle({ path }) {
+        handled.push(path);
+        return path === "/cut" ? { ...whole, body: cutBody() } : whole;
+      },
       defect(problem) {
         throw problem;
       },
     });
-    notes(this).set("front", { clock, front, address: (await front.listen()).unsafeCoerce() });
+    notes(this).set("front", {
+      clock,
+      front,
+      address: (await front.listen()).unsafeCoerce(),
+      handled,
+    });
   },
 );
 
@@ -116,3 +127,22 @@
   assert.match(answer, /first part/);
   assert.doesNotMatch(answer, /\r\n0\r\n\r\n$/);
 });
+
+When(
+  "a caller sends a request and leaves before the front can read it",
+  async function (this: object) {
+    const [host, port] = frontOf(this).address.split(":");
+    await new Promise<void>((resolve) => {
+      const socket = connect(Number(port), host, () => {
+        socket.end("GET /left HTTP/1.1\r\nhost: x\r\n\r\n");
+      });
+      socket.on("data", () => undefined);
+      socket.on("error", () => undefined);
+      socket.on("close", () => resolve());
+    });
+  },
+);
+
+Then("the front has handled nothing", function (this: object) {
+  assert.deepEqual(frontOf(this).handled, []);
+});
--- a/packages/http-front/src/http-front.ts
+++ b/packages/http-front/src/http-front.ts
@@ -2,6 +2,7 @@
 import { createServer as createPlain, type IncomingMessage, type ServerResponse } from "node:http";
 import { createServer as createTls } from "node:https";
 import type { AddressInfo, Socket } from "node:net";
+import { lookInNextTurn, onCallerLeft } from "@linkfall/caller-presence";
 import type { AddressUnavailable } from "@linkfall/errors";
 import type { Clock } from "@linkfall/kernel";
 import type { CallerRequest, CallerResponse } from "@linkfall/ports";
@@ -61,11 +62,11 @@
 export function createHttpFront(input: HttpFrontInput): HttpFront {
   const serve = async (message: IncomingMessage, sink: ServerResponse) => {
     const gone = new AbortController();
-    sink.once("close", () => {
-      if (!sink.writableFinished) gone.abort();
-    });
+    onCallerLeft(sink, () => gone.abort());
     sink.on("error", () => gone.abort());
     const body = await readBody(input.clock, message, input.limits);
+    await lookInNextTurn(input.clock.now, () => gone.signal.aborted);
+    if (gone.signal.aborted) return;
     const response = await body.caseOf({
       Left: async (refusal) => {
         const refused = refusalResponse(refusal);
