A target may start again under its id; an entry that can't be read names no target to use

Cause: holdings of a lower sequence were dropped, so that a target that started again was believed to hold what it had lost, and its own word did not count until it had taken as many orders as in its earlier life. Weighed: birth as part of every key, or one place that begins a new belief (fleet/lives.ts). The second: sends and orders under way hold the old belief, and what they learn no longer reaches the new one. Not measured: what a restart of a target costs callers on the platform.

--- a/packages/box-peers/src/messages.ts
+++ b/packages/box-peers/src/messages.ts
@@ -87,6 +87,8 @@
   readonly whole: boolean;
   readonly changed: readonly ListedTarget[];
   readonly gone: readonly string[];
+  /** Targets whose entries can't be read: they are left alone. */
+  readonly unreadable?: readonly string[];
 }
 
 /** Where another box can be asked. */
--- a/packages/desired-feed/src/desired-feed.feature
+++ b/packages/desired-feed/src/desired-feed.feature
@@ -75,3 +75,21 @@
     Then a box that was told of all before is told of "t3" changed and "t1" gone
     When another box tells of "t4" changed and "t2" gone
     Then a box that was told of all before is told of "t3 t4" changed and "t1 t2" gone
+
+  Scenario: An entry that cannot be read takes no other with it, and is used again when it is good
+    When "{" is written as the entry of "t1"
+    And the target "t3" is written
+    And 500 ms go by in the feed
+    Then the targets "t2 t3" are known
+    And a box that has read up to the start is told of "t2 t3", the whole list, and that "t1" can't be read
+    When the target "t1" is written
+    And 500 ms go by in the feed
+    Then the targets "t1 t2 t3" are known
+
+  Scenario: What another box could not read is left alone here as well
+    Given another box has been told of all
+    When the feed leaves reading to other boxes
+    And 500 ms go by in the feed
+    And another box tells that "t1" can't be read
+    Then the targets "t2" are known
+    And a box that was told of all before is told that "t1" can't be read
--- a/packages/desired-feed/src/desired-feed.steps.ts
+++ b/packages/desired-feed/src/desired-feed.steps.ts
@@ -2,6 +2,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { createFleet, type Fleet } from "@linkfall/fleet";
 import { clockName, createKernel, createVirtualClock, type VirtualClock } from "@linkfall/kernel";
+import { createMetrics, metricsName } from "@linkfall/metrics";
 import { loggerName, recordingLogger } from "@linkfall/logger";
 import type { RecordCodec } from "@linkfall/ports";
 import { createKeyedStore, type KeyedStore } from "@linkfall/test-support";
@@ -44,7 +45,9 @@
       ? Right(configuration(Number(text)))
       : Left({ kind: "invalid_input", problems: [{ field: "version", reason: "no number" }] }),
   target: (id, text) =>
-    Right({ id, service: text, address: "10.0.0.1:1", domain: "d", slots: 1, leaving: false }),
+    text === "{"
+      ? Left({ kind: "invalid_input", problems: [{ field: "", reason: "no JSON" }] })
+      : Right({ id, service: text, address: "10.0.0.1:1", domain: "d", slots: 1, leaving: false }),
 };
 
 const words = (text: string) => text.split(" ");
@@ -61,6 +64,7 @@
     const events: string[] = [];
     const kernel = createKernel();
     kernel.provide(clockName, clock);
+    kernel.provide(metricsName, createMetrics());
     kernel.provide(
       loggerName,
       recordingLogger((name) => void events.push(name)),
@@ -231,3 +235,34 @@
 Then("the target {string} is not known", function (this: object, id: string) {
   assert.equal(sceneOf(this).fleet.find(id), undefined);
 });
+
+When(
+  "{string} is written as the entry of {string}",
+  function (this: object, text: string, id: string) {
+    sceneOf(this).targets.write(id, text);
+  },
+);
+
+When("another box tells that {string} can't be read", function (this: object, id: string) {
+  const { feed } = sceneOf(this);
+  const end = feed.targetsEnd() + 1;
+  feed.takeTargets({ end, whole: false, changed: [], gone: [], unreadable: [id] });
+});
+
+Then(
+  "a box that has read up to the start is told of {string}, the whole list, and that {string} can't be read",
+  function (this: object, ids: string, bad: string) {
+    const changes = sceneOf(this).feed.targetsSince(0);
+    assert.ok(changes.whole);
+    assert.deepEqual(changes.changed.map(({ id }) => id).sort(), words(ids));
+    assert.deepEqual(changes.unreadable, [bad]);
+  },
+);
+
+Then(
+  "a box that was told of all before is told that {string} can't be read",
+  function (this: object, bad: string) {
+    const changes = sceneOf(this).feed.targetsSince(sceneOf(this).toldEnd);
+    assert.deepEqual([changes.changed, changes.gone, changes.unreadable], [[], [], [bad]]);
+  },
+);
--- a/packages/desired-feed/src/desired-feed.ts
+++ b/packages/desired-feed/src/desired-feed.ts
@@ -4,6 +4,7 @@
 import type { Fleet } from "@linkfall/fleet";
 import { clockName, type Kernel, type Service, serviceName } from "@linkfall/kernel";
 import { type Logger, loggerName } from "@linkfall/logger";
+import { type Metrics, metricsName } from "@linkfall/metrics";
 import type { KeyedBatch, KeyedRecord, KeyedStreamPort, RecordCodec } from "@linkfall/ports";
 import type { ListedTarget, Milliseconds, Offset } from "@linkfall/types";
 import {
@@ -60,10 +61,14 @@
 
 export const desiredFeedName = serviceName<DesiredFeed>("desired-feed");
 
+/** Other writers may leave entries under any key; log lines show no more of it. */
+const longestId = 64;
+
 /** What the steps of the feed share. */
 interface FeedContext {
   readonly input: DesiredFeedInput;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly configuration: ConfigurationHolder;
   readonly reach: StoreReach;
   readonly log: TargetChangeLog;
@@ -71,19 +76,55 @@
   targetsEnd: Offset;
 }
 
-function readTarget({ input, logger }: FeedContext, id: string, text: string) {
+/** Entries of targets as they were read; those of other writers may be anything. */
+interface ReadEntries {
+  readonly targets: readonly ListedTarget[];
+  /** Ids of the targets whose entries name none to use. */
+  readonly unreadable: readonly string[];
+}
+
+/** Reads the entry of one target; what can't be read is logged and counted, and never used. */
+function readTarget({ input, logger, metrics }: FeedContext, id: string, text: string) {
   return input.codec
     .target(id, text)
-    .ifLeft(({ problems }) => logger.event("badRecord", { key: id, problem: problems[0]?.reason }))
+    .ifLeft(({ problems }) => {
+      const [problem] = problems;
+      metrics.count("linkfall_bad_entries_total", "Entries of targets that could not be read.");
+      logger.event("badTargetEntry", {
+        target: id.slice(0, longestId),
+        field: problem?.field,
+        problem: problem?.reason,
+      });
+    })
     .toMaybe()
     .extract();
 }
 
-function takeWholeList(context: FeedContext, targets: readonly ListedTarget[], end: Offset): void {
+function readEntries(context: FeedContext, records: readonly KeyedRecord[]): ReadEntries {
+  const targets: ListedTarget[] = [];
+  const unreadable: string[] = [];
+  for (const { key, value } of records) {
+    if (value === undefined) continue;
+    const target = readTarget(context, key, value);
+    if (target) targets.push(target);
+    else unreadable.push(key);
+  }
+  return { targets, unreadable };
+}
+
+function takeWholeList(context: FeedContext, entries: ReadEntries, end: Offset): void {
+  const { targets, unreadable } = entries;
+  const { fleet } = context.input;
   context.targetsKnown = true;
   context.targetsEnd = end;
-  context.log.replace(targets, end);
-  context.input.fleet.takeList(targets);
+  context.log.replace(targets, unreadable, end);
+  for (const id of unreadable) fleet.leaveAlone(id);
+  fleet.takeList(targets);
+}
+
+function takeUnreadable(context: FeedContext, id: string, offset: Offset): void {
+  context.log.unreadable(id, offset);
+  context.input.fleet.leaveAlone(id);
 }
 
 function takeTargetRecord(context: FeedContext, { key, value, offset }: KeyedRecord): void {
@@ -95,17 +136,14 @@
     return;
   }
   const target = readTarget(context, key, value);
-  if (!target) return;
+  if (!target) return takeUnreadable(context, key, offset);
   context.log.changed(target, offset);
   context.input.fleet.takeEntry(target);
 }
 
 function takeNewestTargets(context: FeedContext, batch: KeyedBatch): void {
   if (batch.end < context.targetsEnd) return;
-  const targets = batch.records.flatMap(({ key, value }) =>
-    value === undefined ? [] : (readTarget(context, key, value) ?? []),
-  );
-  takeWholeList(context, targets, batch.end);
+  takeWholeList(context, readEntries(context, batch.records), batch.end);
 }
 
 function takeTargetBatch(context: FeedContext, batch: KeyedBatch): void {
@@ -124,9 +162,11 @@
  * tells all boxes, also while the store refuses it. Without them in its log the others took its end for theirs, and
  * missed targets that leave.
  */
-function takeToldChanges(context: FeedContext, { changed, gone, end }: TargetChanges): void {
+function takeToldChanges(context: FeedContext, changes: TargetChanges): void {
+  const { changed, gone, unreadable = [], end } = changes;
   const { fleet } = context.input;
   const lastOffset = end - 1;
+  for (const id of unreadable) takeUnreadable(context, id, lastOffset);
   for (const target of changed) {
     context.log.changed(target, lastOffset);
     fleet.takeEntry(target);
@@ -141,7 +181,8 @@
 /** Takes changes that another box has told of. */
 function takeTold(context: FeedContext, changes: TargetChanges, follower: StreamFollower): void {
   if (changes.end <= context.targetsEnd) return;
-  if (changes.whole) takeWholeList(context, changes.changed, changes.end);
+  const { changed: targets, unreadable = [] } = changes;
+  if (changes.whole) takeWholeList(context, { targets, unreadable }, changes.end);
   else takeToldChanges(context, changes);
   // What was told lacks the models; the next read of this box's own takes everything anew.
   follower.restart();
@@ -153,6 +194,7 @@
   return {
     input,
     logger,
+    metrics: kernel.find(metricsName),
     configuration: createConfigurationHolder(clock, logger, input),
     reach: createStoreReach(clock, logger, input.peers, input.settleMs),
     log: createTargetChangeLog(),
--- a/packages/desired-feed/src/target-change-log.ts
+++ b/packages/desired-feed/src/target-change-log.ts
@@ -4,9 +4,10 @@
 
 export interface TargetChangeLog {
   /** Takes the whole list as of `end`. */
-  replace(targets: readonly ListedTarget[], end: Offset): void;
+  replace(targets: readonly ListedTarget[], unreadable: readonly string[], end: Offset): void;
   changed(target: ListedTarget, offset: Offset): void;
   gone(id: string, offset: Offset): void;
+  unreadable(id: string, offset: Offset): void;
   /** What changed from `since` on, up to `end`. */
   since(since: Offset, end: Offset): TargetChanges;
 }
@@ -14,8 +15,9 @@
 interface Entry {
   /** The record that brought the last change. */
   readonly offset: Offset;
-  /** Absent where the target has gone. */
+  /** Absent where the target has gone, or its entry can't be read. */
   readonly target?: ListedTarget;
+  readonly unreadable?: boolean;
 }
 
 /** Targets that are gone and still remembered. */
@@ -29,6 +31,8 @@
 const isSame = (left: ListedTarget | undefined, right: ListedTarget): boolean =>
   left !== undefined && JSON.stringify(left) === JSON.stringify(right);
 
+const isGone = ({ target, unreadable }: Entry): boolean => !target && !unreadable;
+
 /** Creates a log that knows of nothing. */
 export function createTargetChangeLog(): TargetChangeLog {
   const entries = new Map<string, Entry>();
@@ -36,7 +40,7 @@
   let first: Offset = 0;
 
   const forgetOldest = () => {
-    const gone = [...entries].filter(([, entry]) => entry.target === undefined);
+    const gone = [...entries].filter(([, entry]) => isGone(entry));
     for (const [id, { offset }] of gone.slice(0, Math.max(0, gone.length - mostGone))) {
       entries.delete(id);
       first = Math.max(first, offset + 1);
@@ -44,12 +48,13 @@
   };
 
   return {
-    replace(targets, end) {
+    replace(targets, unreadable, end) {
       entries.clear();
       first = end;
       for (const target of targets) {
         entries.set(target.id, { offset: end - 1, target: withoutModels(target) });
       }
+      for (const id of unreadable) entries.set(id, { offset: end - 1, unreadable: true });
     },
     changed(target, offset) {
       const told = withoutModels(target);
@@ -61,6 +66,10 @@
       entries.set(id, { offset });
       forgetOldest();
     },
+    unreadable(id, offset) {
+      if (entries.get(id)?.unreadable) return;
+      entries.set(id, { offset, unreadable: true });
+    },
     since(since, end) {
       const whole = since < first;
       const told = [...entries].filter(([, entry]) => whole || entry.offset >= since);
@@ -68,7 +77,8 @@
         end,
         whole,
         changed: told.flatMap(([, entry]) => entry.target ?? []),
-        gone: whole ? [] : told.flatMap(([id, entry]) => (entry.target ? [] : [id])),
+        gone: whole ? [] : told.flatMap(([id, entry]) => (isGone(entry) ? [id] : [])),
+        unreadable: told.flatMap(([id, entry]) => (entry.unreadable ? [id] : [])),
       };
     },
   };
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -101,7 +101,7 @@
 export function createEntryBox(settings: EntrySettings, ports: EntryBoxPorts): EntryBox {
   const parts = createBoxParts(settings, ports);
   const { kernel, incarnation, stop, peerClient } = parts;
-  const { clock, logger } = ports;
+  const { logger } = ports;
   const front = provideServices(parts);
   const feed = kernel.find(desiredFeedName);
   const peers = kernel.find(peersName);
@@ -122,7 +122,7 @@
       await front.listen();
       await kernel.start();
       const self = { box: settings.box.name, peerAddress: settings.box.peer_address };
-      void followRegistry(clock, ports.boxStream, self, peers, stop.begun);
+      void followRegistry(ports, ports.boxStream, self, peers, stop.begun);
       announceReady(parts, feed);
     },
     async drain() {
--- a/packages/entry-box/src/registry.ts
+++ b/packages/entry-box/src/registry.ts
@@ -1,8 +1,9 @@
 /** Finds the other boxes through a stream of the store in which each box leaves its address. */
 import type { BoxAddress, Peers } from "@linkfall/box-peers";
 import { type Clock, sleep } from "@linkfall/kernel";
+import type { Logger } from "@linkfall/logger";
 import type { KeyedStreamPort } from "@linkfall/ports";
-import type { Milliseconds } from "@linkfall/types";
+import { isEndpoint, type Milliseconds } from "@linkfall/types";
 
 /** Pause after the registry could not be read or written. */
 const retryMs: Milliseconds = 500;
@@ -11,13 +12,17 @@
 /** The same where one box hears all others and tells of them. */
 const readSeldomMs: Milliseconds = 60_000;
 
+/** Other writers may leave records under any key; log lines show no more of it. */
+const longestKey = 64;
+
+/** What another writer left in place of an address is passed over: it names no box to ask. */
 function parseAddress(box: string, text: string): BoxAddress | undefined {
-  return /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(text) ? { box, peerAddress: text } : undefined;
+  return isEndpoint(text) ? { box, peerAddress: text } : undefined;
 }
 
 /** Registers this box, and learns of others until `stopped` tells to end. */
 export async function followRegistry(
-  clock: Clock,
+  { clock, logger }: { readonly clock: Clock; readonly logger: Logger },
   stream: KeyedStreamPort,
   self: BoxAddress,
   peers: Peers,
@@ -29,8 +34,10 @@
     const read = await stream.newest();
     read.ifRight(({ records }) => {
       for (const { key, value } of records) {
-        const address = value === undefined ? undefined : parseAddress(key, value);
+        if (value === undefined) continue;
+        const address = parseAddress(key, value);
         if (address) peers.learn(address);
+        else logger.event("badRecord", { key: key.slice(0, longestKey), problem: "no address" });
       }
     });
     const againMs = peers.mesh() ? readAgainMs : readSeldomMs;
--- a/packages/fleet/src/belief.ts
+++ b/packages/fleet/src/belief.ts
@@ -33,6 +33,8 @@
 /** One target; changed in place by the fleet that owns it. */
 export interface TargetBelief {
   listed: ListedTarget;
+  /** Start of the life that is believed in, as far as it is known. */
+  born?: Milliseconds;
   /** Since when the list lacks it, while that may be a lapse of the list. */
   missingSince?: Milliseconds;
   /** Newest word of what it holds, by the number of orders that it has taken. */
@@ -56,13 +58,15 @@
 
 export function createBelief(
   listed: ListedTarget,
+  born: Milliseconds | undefined,
   engine: EngineShape | undefined,
   now: Milliseconds,
 ): TargetBelief {
   const cacheTokens = engine?.cacheTokens ?? defaultCacheTokens;
   return {
     listed,
-    holdings: { sequence: unknownSequence, models: listed.models ?? [] },
+    born,
+    holdings: { born, sequence: unknownSequence, models: listed.models ?? [] },
     holdingsAt: now,
     stateAt: -Infinity,
     own: noLoad,
@@ -90,24 +94,25 @@
   return adapter === undefined || resident.adapters.includes(adapter);
 }
 
-/** Takes newer holdings; returns whether anything changed. */
+/** Takes newer holdings of the life that is believed in; returns whether anything changed. */
 export function takeHoldings(belief: TargetBelief, holdings: Holdings, now: Milliseconds): boolean {
   const known = belief.holdings;
   if (holdings.sequence < known.sequence) return false;
   belief.holdingsAt = now;
+  belief.born ??= holdings.born;
   const changed =
     holdings.sequence !== known.sequence ||
     JSON.stringify(holdings.models) !== JSON.stringify(known.models);
   if (!changed) return false;
-  belief.holdings = { sequence: holdings.sequence, models: holdings.models };
+  belief.holdings = { born: belief.born, sequence: holdings.sequence, models: holdings.models };
   dropGone(belief, known, holdings);
   return true;
 }
 
 /** Takes what the list says of a target's models; its own word of the same sequence counts more. */
 export function takeListedModels(belief: TargetBelief, now: Milliseconds): boolean {
-  const { models } = belief.listed;
-  if (!models) return false;
+  const { models, born } = belief.listed;
+  if (!models || (born !== undefined && born !== belief.born)) return false;
   return takeHoldings(belief, { sequence: belief.holdings.sequence, models }, now);
 }
 
--- a/packages/fleet/src/fleet-state.ts
+++ b/packages/fleet/src/fleet-state.ts
@@ -23,9 +23,11 @@
   readonly logger: Logger;
   readonly rules: FleetRules;
   readonly beliefs: Map<string, TargetBelief>;
-  /** Holdings that were told of before their target was listed here. */
+  /** Holdings that were told of before their target, or its life, was listed here. */
   readonly early: Map<string, Holdings>;
   readonly listeners: (() => void)[];
+  /** Called with the id of a target that is gone or has started again. */
+  readonly lifeListeners: ((id: string) => void)[];
   engines: ReadonlyMap<string, EngineShape | undefined>;
   /** Whether engines' own word is fresh, so that the list is not believed about models. */
   ownWord: () => boolean;
--- a/packages/fleet/src/fleet.feature
+++ b/packages/fleet/src/fleet.feature
@@ -85,3 +85,48 @@
     Then "t1" is believed not to hold "a"
     When 600 ms pass
     Then "t1" is believed to hold "a" and not "b"
+
+  Scenario: A target that starts again holds nothing of before
+    Given "t1" of life 1000 says after 7 orders that it holds "m"
+    When "t1" is listed with life 2000
+    Then "t1" is believed not to hold "m"
+    When "t1" of life 1000 says after 8 orders that it holds "m"
+    Then "t1" is believed not to hold "m"
+    When "t1" of life 2000 says after 1 orders that it holds "n"
+    Then "t1" is believed to hold "n"
+
+  Scenario: A target's own word of a new life counts before the list does
+    Given "t1" of life 1000 says after 7 orders that it holds "m"
+    When "t1" answers with life 2000 and 0 orders that it holds "n"
+    Then "t1" is believed to hold "n"
+    And "t1" is believed not to hold "m"
+    When "t1" is listed with life 1000
+    Then "t1" is believed to hold "n"
+
+  Scenario: A target whose clock was set back is believed all the same
+    Given "t1" is listed with life 2000
+    And "t1" of life 2000 says after 7 orders that it holds "m"
+    When "t1" of life 1000 says after 0 orders that it holds "n"
+    Then "t1" is believed to hold "m"
+    When "t1" is listed with life 1000
+    Then "t1" is believed to hold "n"
+    And "t1" is believed not to hold "m"
+
+  Scenario: What kept a target from being used ends with its life
+    Given "t1" is listed with life 1000
+    And nobody listens at "t1"
+    And "t2" is listed with life 1000
+    And "t2" is listed as leaving with life 1000
+    Then "t3 t4 t5" may get requests
+    When "t1" is listed with life 2000
+    And "t2" is listed with life 2000
+    Then "t1 t2 t3 t4 t5" may get requests
+
+  Scenario: A target whose entry cannot be read gets nothing new, until its entry is good again
+    When the entries of "t1 t2 t3" can't be read
+    Then "t4 t5" may get requests
+    When "t2" is listed as ready
+    Then "t4 t5 t2" may get requests
+
+  Scenario: For random lives and words that come late or through other boxes the newest life counts
+    Then of 500 random histories each ends with what the last life of the target says
--- a/packages/fleet/src/fleet.steps.ts
+++ b/packages/fleet/src/fleet.steps.ts
@@ -2,7 +2,8 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { clockName, createKernel, createVirtualClock, type VirtualClock } from "@linkfall/kernel";
 import { loggerName, recordingLogger } from "@linkfall/logger";
-import type { ListedTarget } from "@linkfall/types";
+import type { EngineState, Holdings, ListedTarget, Milliseconds } from "@linkfall/types";
+import fc from "fast-check";
 import { createFleet, type Fleet, holds } from "./index.js";
 
 interface Scene {
@@ -20,13 +21,24 @@
   return scene;
 }
 
-function listed(id: string, leaving = false): ListedTarget {
-  return { id, service, address: `10.0.0.1:${id.length}`, domain: "d", slots: 4, leaving };
+function listed(id: string, leaving = false, born?: Milliseconds): ListedTarget {
+  return { id, born, service, address: `10.0.0.1:${id.length}`, domain: "d", slots: 4, leaving };
+}
+
+function holding(born: Milliseconds | undefined, sequence: number, model: string): Holdings {
+  return { born, sequence, models: [{ name: model, version: 1, adapters: [] }] };
+}
+
+function stateOf(holdings: Holdings): EngineState {
+  const idle = { busy: false, waiting: 0, running: 0, cacheTokensUsed: 0 };
+  return { ...holdings, ...idle, inMemory: new Set(), onDisk: new Set(), adaptersComing: [] };
 }
 
 const words = (text: string) => text.split(" ");
 
-Given("a fleet with targets {string} of one service", function (this: object, ids: string) {
+type Word = typeof randomWord extends fc.Arbitrary<infer Value> ? Value : never;
+
+function newFleet(): Scene {
   const clock = createVirtualClock();
   const kernel = createKernel();
   kernel.provide(clockName, clock);
@@ -38,8 +50,13 @@
     lapse: { graceMs: 1_600, share: 0.3 },
     ejection: { failuresInARow: 3, firstMs: 1_000, longestMs: 8_000 },
   });
-  fleet.takeList(words(ids).map((id) => listed(id)));
-  scenes.set(this, { clock, fleet });
+  return { clock, fleet };
+}
+
+Given("a fleet with targets {string} of one service", function (this: object, ids: string) {
+  const scene = newFleet();
+  scene.fleet.takeList(words(ids).map((id) => listed(id)));
+  scenes.set(this, scene);
 });
 
 When("{string} is listed as leaving", function (this: object, id: string) {
@@ -128,9 +145,93 @@
   },
 );
 
+Then("{string} is believed to hold {string}", function (this: object, id: string, model: string) {
+  assert.ok(believed(this, id, model));
+});
+
 Then(
   "{string} is believed not to hold {string}",
   function (this: object, id: string, model: string) {
     assert.ok(!believed(this, id, model));
   },
 );
+
+Given(
+  "{string} of life {int} says after {int} orders that it holds {string}",
+  function (this: object, id: string, born: number, sequence: number, model: string) {
+    sceneOf(this).fleet.takeHoldings(id, holding(born, sequence, model));
+  },
+);
+
+When(
+  "{string} answers with life {int} and {int} orders that it holds {string}",
+  function (this: object, id: string, born: number, sequence: number, model: string) {
+    sceneOf(this).fleet.takeState(id, stateOf(holding(born, sequence, model)), 0);
+  },
+);
+
+When("{string} is listed with life {int}", function (this: object, id: string, born: number) {
+  sceneOf(this).fleet.takeEntry(listed(id, false, born));
+});
+
+When(
+  "{string} is listed as leaving with life {int}",
+  function (this: object, id: string, born: number) {
+    sceneOf(this).fleet.takeEntry(listed(id, true, born));
+  },
+);
+
+When("the entries of {string} can't be read", function (this: object, ids: string) {
+  for (const id of words(ids)) sceneOf(this).fleet.leaveAlone(id);
+});
+
+/** One word about the target of a random history. */
+const randomWord = fc.record({
+  kind: fc.constantFrom("list", "own_word", "told"),
+  /** For a word that another box tells: how many lives and orders old it is at most. */
+  livesAgo: fc.nat(3),
+  ordersAgo: fc.nat(3),
+  /** What happens at the target before. */
+  before: fc.constantFrom("nothing", "order", "restart"),
+});
+
+/** Plays a history, later births counting as later lives; returns what is believed in the end and what is true. */
+async function playHistory(words: readonly Word[]): Promise<readonly [Holdings, Holdings]> {
+  const { fleet, clock } = newFleet();
+  const lives: Holdings[][] = [[holding(1_000, 0, "m0")]];
+  const last = () => lives[lives.length - 1][lives[lives.length - 1].length - 1];
+  fleet.takeList([listed("t", false, 1_000)]);
+  const say = ({ kind, livesAgo, ordersAgo }: Word) => {
+    if (kind === "list") return fleet.takeEntry(listed("t", false, last().born));
+    if (kind === "own_word") return fleet.takeState("t", stateOf(last()), 0);
+    const life = lives[Math.max(0, lives.length - 1 - livesAgo)];
+    fleet.takeHoldings("t", life[Math.max(0, life.length - 1 - ordersAgo)]);
+  };
+  for (const word of words) {
+    const { born = 0, sequence } = last();
+    if (word.before === "order") {
+      lives[lives.length - 1].push(holding(born, sequence + 1, `m${lives.length}-${sequence + 1}`));
+    }
+    if (word.before === "restart") lives.push([holding(born + 1_000, 0, `m${lives.length}`)]);
+    await clock.runUntil(clock.now() + 1);
+    const known = fleet.find("t")?.born ?? 0;
+    say(word);
+    assert.ok((fleet.find("t")?.born ?? 0) >= known, "an earlier life came back");
+  }
+  await clock.runUntil(clock.now() + 1);
+  fleet.takeState("t", stateOf(last()), 0);
+  const belief = fleet.find("t");
+  assert.ok(belief);
+  return [belief.holdings, last()];
+}
+
+Then(
+  "of {int} random histories each ends with what the last life of the target says",
+  async (numRuns: number) => {
+    const history = fc.asyncProperty(fc.array(randomWord, { maxLength: 12 }), async (words) => {
+      const [believedHoldings, truth] = await playHistory(words);
+      assert.deepEqual(believedHoldings, truth);
+    });
+    await fc.assert(history, { seed: 32, numRuns });
+  },
+);
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -10,11 +10,12 @@
 } from "@linkfall/types";
 import { noLoad, takeHoldings, type TargetBelief, type TargetLoad } from "./belief.js";
 import { type FleetRules, type FleetState, noteChange, targetsOf } from "./fleet-state.js";
+import { keepEarly, lifeOfOwnWord, lifeOfTold } from "./lives.js";
 import { afterFailure, afterRefusedConnection, afterSuccess, isEjected } from "./health.js";
 import {
   dropEntry,
   expireLapsed,
-  keepEarly,
+  leaveAlone,
   looksLikeLapse,
   takeEntry,
   takeList,
@@ -26,6 +27,8 @@
   takeEntry(target: ListedTarget): void;
   /** Takes that an entry has gone from the list. */
   dropEntry(id: string): void;
+  /** Takes that an entry can't be read: its target is left alone, and what runs there ends well. */
+  leaveAlone(id: string): void;
   takeState(id: string, state: EngineState, ageMs: Milliseconds): void;
   /** Takes what the holder of the order lease tells, also of a target that is not listed here yet. */
   takeHoldings(id: string, holdings: Holdings): void;
@@ -42,6 +45,8 @@
   all(): readonly TargetBelief[];
   /** Targets of a service that may get new requests. */
   usable(service: string): readonly TargetBelief[];
+  /** Calls the listener with the id of a target whose life has ended here: it is gone, or has started again. */
+  onLifeEnded(listener: (id: string) => void): void;
   /** Calls the listener after each change that may let a waiting request go on. */
   onChange(listener: () => void): void;
   setEngines(shapes: ReadonlyMap<string, EngineShape | undefined>): void;
@@ -67,19 +72,21 @@
 }
 
 function takeState(state: FleetState, id: string, read: EngineState, ageMs: Milliseconds): void {
-  const belief = state.beliefs.get(id);
+  const known = state.beliefs.get(id);
   const now = state.clock.now();
   const at = now - ageMs;
-  if (!belief || at <= belief.stateAt) return;
+  if (!known || at <= known.stateAt) return;
+  const belief = lifeOfOwnWord(state, known, read);
   belief.state = read;
   belief.stateAt = at;
   if (takeHoldings(belief, read, now)) noteChange(state);
 }
 
 function takeTold(state: FleetState, id: string, holdings: Holdings): void {
-  const belief = state.beliefs.get(id);
-  if (!belief) return keepEarly(state, id, holdings);
-  if (takeHoldings(belief, holdings, state.clock.now())) noteChange(state);
+  const known = state.beliefs.get(id);
+  if (!known) return keepEarly(state, id, holdings);
+  const belief = lifeOfTold(state, known, holdings);
+  if (belief && takeHoldings(belief, holdings, state.clock.now())) noteChange(state);
 }
 
 function withhold(state: FleetState, models: ReadonlyMap<string, readonly string[]>): void {
@@ -119,6 +126,7 @@
     beliefs: new Map(),
     early: new Map(),
     listeners: [],
+    lifeListeners: [],
     engines: new Map(),
     ownWord: () => false,
   };
@@ -127,6 +135,7 @@
     takeList: (list) => takeList(state, list),
     takeEntry: (target) => takeEntry(state, target),
     dropEntry: (id) => dropEntry(state, id),
+    leaveAlone: (id) => leaveAlone(state, id),
     takeState: (id, read, ageMs) => takeState(state, id, read, ageMs),
     takeHoldings: (id, holdings) => takeTold(state, id, holdings),
     takeOthers(loads) {
@@ -143,6 +152,7 @@
     find: (id) => beliefs.get(id),
     all: () => [...beliefs.values()],
     usable: (service) => usable(state, service),
+    onLifeEnded: (listener) => void state.lifeListeners.push(listener),
     onChange: (listener) => void listeners.push(listener),
     setEngines(shapes) {
       state.engines = shapes;
--- a/packages/fleet/src/listing.ts
+++ b/packages/fleet/src/listing.ts
@@ -1,18 +1,15 @@
 /** Takes the list of targets: who is there, who leaves, and who is missing from it. */
-import type { Holdings, ListedTarget } from "@linkfall/types";
-import { createBelief, takeHoldings, takeListedModels, type TargetBelief } from "./belief.js";
+import type { ListedTarget } from "@linkfall/types";
+import { createBelief, takeListedModels, type TargetBelief } from "./belief.js";
 import { type FleetState, noteChange, targetsOf } from "./fleet-state.js";
-
-/** Targets that were told of and never listed; the oldest are let go of first. */
-const mostEarly = 5_000;
+import { isSameLife, lifeOfEntry, noteLifeEnded, takeEarly } from "./lives.js";
 
 function add(state: FleetState, listed: ListedTarget): void {
-  const { beliefs, early, engines, clock, logger } = state;
-  const belief = createBelief(listed, engines.get(listed.service), clock.now());
+  const { beliefs, engines, clock, logger } = state;
+  const shape = engines.get(listed.service);
+  const belief = createBelief(listed, listed.born, shape, clock.now());
   beliefs.set(listed.id, belief);
-  const told = early.get(listed.id);
-  early.delete(listed.id);
-  if (told) takeHoldings(belief, told, clock.now());
+  takeEarly(state, belief);
   logger.event("targetSeen", {
     target: listed.id,
     service: listed.service,
@@ -20,28 +17,34 @@
   });
 }
 
-/** Keeps what was told of a target until the list brings it. */
-export function keepEarly({ early }: FleetState, id: string, holdings: Holdings): void {
-  early.delete(id);
-  early.set(id, holdings);
-  if (early.size > mostEarly) early.delete(early.keys().next().value ?? "");
-}
-
 function update(state: FleetState, listed: ListedTarget): void {
-  const belief = state.beliefs.get(listed.id);
-  if (!belief) return add(state, listed);
+  const known = state.beliefs.get(listed.id);
+  if (!known) return add(state, listed);
+  const belief = lifeOfEntry(state, known, listed);
+  belief.missingSince = undefined;
+  // The entry of a life that is over, read again, says nothing of the one that is known by now.
+  if (!isSameLife(listed.born, belief.born)) return;
   if (listed.leaving && !belief.listed.leaving) {
     state.logger.event("targetLeaving", { target: listed.id, service: listed.service });
   }
-  // A target that once said that it leaves does not come back under the same id.
-  belief.listed = { ...listed, leaving: listed.leaving || belief.listed.leaving };
-  belief.missingSince = undefined;
+  // A target that once said that it leaves does not come back in the same life.
+  const left = belief.listed.leaving && isSameLife(listed.born, belief.listed.born);
+  belief.listed = { ...listed, leaving: listed.leaving || left };
+  belief.born ??= listed.born;
   if (!state.ownWord()) takeListedModels(belief, state.clock.now());
 }
 
-function remove({ beliefs, logger }: FleetState, belief: TargetBelief, why: string): void {
-  beliefs.delete(belief.listed.id);
-  logger.event("targetGone", { target: belief.listed.id, why });
+function remove(state: FleetState, belief: TargetBelief, why: string): void {
+  const { id } = belief.listed;
+  state.beliefs.delete(id);
+  state.logger.event("targetGone", { target: id, why });
+  noteLifeEnded(state, id);
+}
+
+/** Takes that an entry can't be read: its target gets nothing new until its entry is good again. */
+export function leaveAlone(state: FleetState, id: string): void {
+  const belief = state.beliefs.get(id);
+  if (belief) remove(state, belief, "entry can't be read");
 }
 
 function miss({ clock, logger }: FleetState, belief: TargetBelief): void {
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -178,7 +178,8 @@
   if (end.kind === "streamed" || end.kind === "answered") {
     context.costs.answered(request.service.name, listed.id, clock.now() - sentAt);
   }
-  learn(context, request, listed.id, end);
+  // What an earlier life did says nothing of the one that is known by now.
+  if (context.fleet.find(listed.id) === target) learn(context, request, listed.id, end);
   context.metrics.sendEnded(request.service.name, end.kind);
   context.logger.event("sendEnded", {
     request: terms.id,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -100,6 +100,17 @@
   orderAnswered: event(4015, "info", "An engine answered an order, or did not answer in time."),
   moveBegun: event(4016, "info", "An engine is to swap models."),
   moveEnded: event(4017, "info", "A swap of models has ended."),
+  targetStartedAgain: event(
+    4018,
+    "warn",
+    "A target has started again under its id; nothing that was known of its earlier life counts.",
+  ),
+  badTargetEntry: event(
+    4019,
+    "warn",
+    "An entry of the list of targets can't be used; the target is left alone until its entry is good.",
+    "Find who writes it.",
+  ),
   targetEjected: event(5001, "warn", "A target that fails is left out for a while."),
   requestRefused: event(5002, "debug", "A request was refused."),
   requestHeld: event(5005, "info", "A request waits for weights."),
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./endpoint.js";
 export * from "./identifiers.js";
 export * from "./resources.js";
 export * from "./targets.js";
--- a/packages/types/src/routed-targets.ts
+++ b/packages/types/src/routed-targets.ts
@@ -10,15 +10,18 @@
 
 /** What an engine says that it holds. */
 export interface Holdings {
+  /** Start of the life that says so, in Unix milliseconds by the target's clock; absent where the platform does not tell. */
+  readonly born?: Milliseconds;
   /** Orders that the engine has taken since its start. */
   readonly sequence: number;
   readonly models: readonly ResidentModel[];
 }
 
-/** One start of a target, as the platform lists it. */
+/** A target, as the platform lists it. */
 export interface ListedTarget {
-  /** Names this start; the next start of the same target has another. */
   readonly id: string;
+  /** Start of its life, in Unix milliseconds by its own clock: it may start again under its id. Absent where not told. */
+  readonly born?: Milliseconds;
   readonly service: string;
   /** `host:port`. */
   readonly address: string;
--- a/packages/weight-orders/src/ask-engines.ts
+++ b/packages/weight-orders/src/ask-engines.ts
@@ -14,10 +14,12 @@
   state.asked.set(id, sentAt);
   const answer = await context.engines.state(belief.listed);
   state.asking.delete(id);
+  // An answer of a life that is over says nothing of the one that is known by now.
+  if (fleet.find(id) !== belief) return;
   answer.ifRight((read) => {
     const before = belief.holdings.sequence;
     fleet.takeState(id, read, clock.now() - sentAt);
-    if (belief.holdings.sequence !== before) context.announce();
+    if (fleet.find(id)?.holdings.sequence !== before) context.announce();
   });
 }
 
--- a/packages/weight-orders/src/give-order.ts
+++ b/packages/weight-orders/src/give-order.ts
@@ -97,8 +97,7 @@
 }
 
 function takeAnswer(context: GiverContext, id: string, order: FencedOrder, answer: OrderAnswer) {
-  const { lease, fleet, state } = context;
-  if (answer === "fenced") lease.refused(order.epoch);
+  const { fleet, state } = context;
   if (answer === "gone") fleet.unreachable(id, "another start has its address");
   if (answer !== "conflict" && answer !== "refused" && answer !== "gone") return;
   state.adapterOrders.delete(id);
@@ -156,8 +155,10 @@
   afterMs: Milliseconds,
 ): void {
   const { fleet, clock, announce } = context;
+  const known = fleet.find(id);
   clock.after(afterMs, () => {
     const belief = fleet.find(id);
+    if (belief !== known) return;
     const state = belief && stateInTenure(context, belief);
     if (!state || belief.holdings.sequence !== order.expectedSequence) return;
     const models = belief.holdings.models.map((held) => withAdapter(held, order));
@@ -186,6 +187,8 @@
   const answer = await engines.order(belief.listed, order);
   state.ordering.delete(id);
   logAnswer(context, id, order, answer);
+  if (answer === "fenced") context.lease.refused(order.epoch);
+  if (context.fleet.find(id) !== belief) return;
   const work = state.work.get(id);
   const wasAhead = expectedSequence > belief.holdings.sequence;
   if (work && wasAhead && answer === "conflict") takeBack(context, work, before);
--- a/packages/weight-orders/src/order-giver.ts
+++ b/packages/weight-orders/src/order-giver.ts
@@ -11,6 +11,7 @@
 import type { Epoch, Milliseconds } from "@linkfall/types";
 import { advanceMoves } from "./advance-moves.js";
 import { askDueEngines } from "./ask-engines.js";
+import { endMove } from "./give-order.js";
 import { createGiverState, type GiverContext, type OrderGiverInput } from "./giver-context.js";
 import { moveLeftMs } from "./move-time.js";
 import { planService } from "./plan-service.js";
@@ -83,6 +84,11 @@
     state: createGiverState(),
   };
   const { state } = context;
+  input.fleet.onLifeEnded((id) => {
+    endMove(context, id, "engine gone or started again");
+    state.adapterOrders.delete(id);
+    state.asked.delete(id);
+  });
   let stopped = false;
   let cancel: CancelTimer = () => undefined;
   /** The next look comes no sooner. */
