Changes that were read while another box told of later ones are not taken for the whole list

Cause: restart() forgets the end while a read of changes is under way; its batch came back to a follower without an end, which took it for the whole list. All targets without a change in it were missing, and gone 1.6 s later. Ruled out: the lives of targets (the box kept the one target whose entry had changed), other boxes (none missed a target). Change: the follower takes a batch for what was asked when the read began. Seen first: the new scenario of desired-feed.feature fails before (t1, t2 gone), passes now.

--- a/packages/desired-feed/src/desired-feed.feature
+++ b/packages/desired-feed/src/desired-feed.feature
@@ -93,3 +93,11 @@
     And another box tells that "t1" can't be read
     Then the targets "t2" are known
     And a box that was told of all before is told that "t1" can't be read
+
+  Scenario: A change that is read while another box tells of others takes no target away
+    When another box tells of "t3" changed and "t9" gone
+    And the target "t3" is written
+    And the target "t4" is written
+    And the target "t5" is written
+    And 4000 ms go by in the feed
+    Then the targets "t1 t2 t3 t4 t5" are known
--- a/packages/desired-feed/src/follow-stream.ts
+++ b/packages/desired-feed/src/follow-stream.ts
@@ -3,7 +3,6 @@
 import { type Clock, sleep } from "@linkfall/kernel";
 import type { KeyedBatch, KeyedStreamPort } from "@linkfall/ports";
 import type { Milliseconds, Offset } from "@linkfall/types";
-import type { Either } from "purify-ts";
 
 /** Times of the following. */
 export interface FollowTimes {
@@ -44,19 +43,18 @@
 export function createStreamFollower(input: FollowInput): StreamFollower {
   const { clock, port, times } = input;
   let end: Offset | undefined;
+  let restarts = 0;
   let stopped = false;
   let pauseMs = times.firstPauseMs;
 
-  const readOnce = async (): Promise<Either<LogFailure, KeyedBatch>> => {
-    if (end === undefined) return port.newest();
-    return port.changes(end, times.waitMs);
-  };
-
-  const take = (batch: KeyedBatch) => {
-    const whole = end === undefined;
-    end = batch.end;
+  /**
+   * Takes what a read that began at `from` has brought. It may have begun before a restart: its changes are no whole list, and
+   * the next read is of the newest records all the same. Taken for a whole list, they took away all targets that had not changed.
+   */
+  const take = (batch: KeyedBatch, from: Offset | undefined, restarted: boolean) => {
+    end = restarted ? undefined : batch.end;
     pauseMs = times.firstPauseMs;
-    if (whole) input.onWhole(batch);
+    if (from === undefined) input.onWhole(batch);
     else if (batch.records.length > 0) input.onChanges(batch);
     input.onRead();
   };
@@ -79,9 +77,14 @@
         await sleep(clock, idleMs);
         continue;
       }
-      const read = await readOnce();
+      const from = end;
+      const before = restarts;
+      const read = await (from === undefined ? port.newest() : port.changes(from, times.waitMs));
       if (stopped) return;
-      await read.caseOf<Promise<void> | void>({ Left: fail, Right: take });
+      await read.caseOf<Promise<void> | void>({
+        Left: fail,
+        Right: (batch) => take(batch, from, restarts !== before),
+      });
       const changed = read.map((batch) => batch.records.length > 0).orDefault(false);
       if (changed && times.gatherMs > 0) await sleep(clock, times.gatherMs);
     }
@@ -93,6 +96,7 @@
       stopped = true;
     },
     restart: () => {
+      restarts += 1;
       end = undefined;
     },
   };
