--- a/packages/daemon/src/processes.feature
+++ b/packages/daemon/src/processes.feature
@@ -23,6 +23,13 @@
     When a box is stopped while streams run through it
     Then every stream ends whole and the box exits with 0
 
+  Scenario: A box is told under load that its settings have changed
+    A box of this line had no handler for the signal that says so. Its default effect ended the process in the middle of all
+    streams through it.
+
+    When a box is told so while streams run through it
+    Then every stream ends whole and the box goes on serving
+
   Scenario: An engine is killed in the middle of a stream
     When the engine of a repeatable stream is killed
     Then the stream ends whole
--- a/packages/daemon/src/processes.steps.ts
+++ b/packages/daemon/src/processes.steps.ts
@@ -280,8 +280,9 @@
   },
 );
 
-When("a box is stopped while streams run through it", async function (this: object) {
-  const deployment = deploymentOf(this);
+/** Sends the signal to the first box while streams run through it, and waits for their ends. */
+async function signalUnderStreams(world: object, signal: NodeJS.Signals): Promise<RunningBox> {
+  const deployment = deploymentOf(world);
   const [box] = deployment.boxes;
   const prompts = Array.from({ length: 10 }, (_, index) => `stream ${index}`);
   const streams = prompts.map((prompt) =>
@@ -291,12 +292,28 @@
     () => prompts.every((prompt) => runsOf(deployment, prompt) > 0),
     () => "not all streams began",
   );
-  box.child.kill("SIGTERM");
-  notes(this).set("texts", await Promise.all(streams));
-  notes(this).set("prompts", prompts);
+  box.child.kill(signal);
+  notes(world).set("texts", await Promise.all(streams));
+  notes(world).set("prompts", prompts);
+  return box;
+}
+
+When("a box is stopped while streams run through it", async function (this: object) {
+  const box = await signalUnderStreams(this, "SIGTERM");
   notes(this).set("exit", await box.exited);
 });
 
+When("a box is told so while streams run through it", async function (this: object) {
+  notes(this).set("box", await signalUnderStreams(this, "SIGHUP"));
+});
+
+Then("every stream ends whole and the box goes on serving", async function (this: object) {
+  const prompts = notes(this).get<string[]>("prompts");
+  assert.deepEqual(notes(this).get("texts"), prompts.map(expectedText));
+  const answer = await complete(notes(this).get<RunningBox>("box"), { prompt: "afterwards" });
+  assert.equal(answer.status, 200);
+});
+
 Then("every stream ends whole and the box exits with 0", function (this: object) {
   const prompts = notes(this).get<string[]>("prompts");
   assert.deepEqual(notes(this).get("texts"), prompts.map(expectedText));
