--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,7 +4,10 @@
 import { parseArgs } from "node:util";
 import { readSettings, type Settings } from "@linkfall/config";
 import type { AddressUnavailable, InvalidInput } from "@linkfall/errors";
+import { systemClock, systemRandom } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
+import { changedKeys, followSettings } from "@linkfall/settings-watch";
+import type { Milliseconds } from "@linkfall/types";
 import { loggerFor, startDaemon } from "./run-daemon.js";
 
 const usage = `linkfalld: the daemon of a linkfall entry box
@@ -12,12 +15,16 @@
 usage: linkfalld --settings FILE.ini
 
 SIGTERM and SIGINT begin a planned stop; a second signal stops at once.
+The settings file is looked at every second; a change holds from the next start on. SIGHUP asks for a look at once.
 The settings are described in docs/SETTINGS.md and checked by: linkfall check-settings FILE.ini
 `;
 
 /** Exit codes, as sysexits.h numbers them. */
 const exitCodes = { usage: 64, noInput: 66, unavailable: 69, defect: 70, settings: 78 } as const;
 
+/** The settings file is looked at this often. */
+const settingsCheckMs: Milliseconds = 1_000;
+
 function leave(code: number, text: string): never {
   process.stderr.write(text);
   process.exit(code);
@@ -36,17 +43,48 @@
   leave(exitCodes.settings, `linkfalld: ${path} is not valid\n${lines.join("")}`);
 }
 
-function settingsFromArguments(): Settings {
+/** Settings with the file that they were read from. */
+interface SettingsFile {
+  readonly path: string;
+  readonly text: string;
+  readonly settings: Settings;
+}
+
+function settingsFromArguments(): SettingsFile {
   const { values } = parseArgs({
     options: { settings: { type: "string" }, help: { type: "boolean", short: "h" } },
   });
   if (values.help) leave(0, usage);
   if (values.settings === undefined) leave(exitCodes.usage, usage);
   const path = values.settings;
-  return readSettings(readFile(path)).caseOf({
+  const text = readFile(path);
+  return readSettings(text).caseOf({
     Left: (invalid) => leaveOverSettings(path, invalid),
-    Right: (settings) => settings,
+    Right: (settings) => ({ path, text, settings }),
+  });
+}
+
+/** Tells operators which changes of the settings file wait for the next start. */
+async function tellOfChanges({ path, text, settings }: SettingsFile, logger: Logger) {
+  let before = settings;
+  const watch = followSettings({
+    clock: systemClock(),
+    random: systemRandom(),
+    logger,
+    path,
+    text,
+    intervalMs: settingsCheckMs,
+    check: readSettings,
+    take(read) {
+      logger.event("settingsChanged", { atNextStart: changedKeys(before, read).join(" ") });
+      before = read;
+    },
+  });
+  process.on("SIGHUP", () => {
+    logger.event("settingsSignalled");
+    watch.look();
   });
+  await watch.start();
 }
 
 /** A defect is logged and stops the process; nothing is repaired after a broken invariant. */
@@ -66,8 +104,10 @@
 }
 
 async function main(): Promise<void> {
-  const settings = settingsFromArguments();
+  const file = settingsFromArguments();
+  const { settings } = file;
   const logger = loggerFor(settings);
+  await tellOfChanges(file, logger);
   const defect = stopOnDefect(logger);
   process.on("uncaughtException", defect);
   process.on("unhandledRejection", defect);
--- a/packages/desired-feed/src/configuration-holder.ts
+++ b/packages/desired-feed/src/configuration-holder.ts
@@ -3,6 +3,7 @@
 import type { ConfigurationCopy } from "@linkfall/box-peers";
 import type { Fleet } from "@linkfall/fleet";
 import type { Clock } from "@linkfall/kernel";
+import { describeProblems } from "@linkfall/errors";
 import type { Logger } from "@linkfall/logger";
 import type { RecordCodec } from "@linkfall/ports";
 import { createRouteTable, type RouteTable } from "@linkfall/route-table";
@@ -71,8 +72,8 @@
     take(text, from) {
       codec.configuration(text).caseOf({
         Left: (invalid) => {
-          const problem = invalid.problems.map(({ field, reason }) => `${field}: ${reason}`);
-          logger.event("badRecord", { key: configurationKey, problem: problem.join("; ") });
+          const problem = describeProblems(invalid);
+          logger.event("badRecord", { key: configurationKey, problem });
         },
         Right: (configuration) => putInForce(configuration, text, from),
       });
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -21,6 +21,7 @@
 import { createHeartbeatSource } from "./heartbeat-source.js";
 import { type HolderKnowledge, receiveHeartbeats } from "./heartbeat-receiver.js";
 import { ownProfile } from "./own-profile.js";
+import { createSettingsTaker, learnSeeds } from "./take-settings.js";
 
 /** Addresses that callers may use now. */
 export interface Entries {
@@ -32,8 +33,8 @@
   start(): Promise<void>;
   /** Planned stop; resolves when nothing depends on the process any more. */
   drain(): Promise<void>;
-  /** Notes that the settings file is said to have changed; what a box runs with stays until its next start. */
-  noteSettings(): void;
+  /** Takes settings that were read while the box runs: new seeds at once, the rest from its next start on. */
+  takeSettings(read: EntrySettings): void;
   ready(): boolean;
   /** Addresses for a caller in the given failure domain. */
   entries(domain?: string): Entries;
@@ -117,7 +118,7 @@
   return {
     async start() {
       logger.event("boxStarted", { incarnation });
-      for (const peerAddress of settings.box.seeds) peers.learn({ box: "seed", peerAddress });
+      learnSeeds(peers, settings.box.seeds);
       await peerServer.listen(settings.box.peer_listen_address ?? settings.box.peer_address);
       await front.listen();
       await kernel.start();
@@ -137,7 +138,7 @@
       peerClient.close();
       peerServer.close();
     },
-    noteSettings: () => logger.event("settingsSignalled"),
+    takeSettings: createSettingsTaker(settings, peers, logger),
     ready,
     entries: (domain) => ({
       addresses: chooseEntries(servingBoxes(parts), domain),
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -37,6 +37,8 @@
     metrics_address: address,
     /** Peer addresses of boxes that may be up, for when the store is not. */
     seeds: addresses,
+    /** The settings file is looked at this often. */
+    settings_check_ms: milliseconds(1_000),
   }),
   store: z.strictObject({
     address,
--- a/packages/errors/src/failures.ts
+++ b/packages/errors/src/failures.ts
@@ -32,6 +32,11 @@
   readonly problems: readonly FieldProblem[];
 }
 
+/** All problems of an input in one line, for people. */
+export function describeProblems({ problems }: InvalidInput): string {
+  return problems.map(({ field, reason }) => `${field}: ${reason}`).join("; ");
+}
+
 /** A write was based on a revision that is no longer current. */
 export interface RevisionConflict {
   readonly kind: "revision_conflict";
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -45,6 +45,18 @@
     "Find the process that listens there, or change the address in the settings.",
   ),
   settingsSignalled: event(1009, "info", "The settings file is said to have changed."),
+  settingsChanged: event(
+    1010,
+    "info",
+    "The settings file has changed; new seeds are in use.",
+    "Start the box again where `atNextStart` names keys that have to hold.",
+  ),
+  settingsUnusable: event(
+    1011,
+    "warn",
+    "The settings file can't be read or has problems; the box goes on with what it has.",
+    "Mend the file; `linkfall check-settings --forwarding FILE` names every problem.",
+  ),
   logUnreachable: event(
     2001,
     "warn",
--- /dev/null
+++ b/packages/settings-watch/src/follow-settings.ts
@@ -0,0 +1,41 @@
+/** Follows a settings file: what can be used is taken, what can't be is logged. */
+import { describeProblems, type InvalidInput } from "@linkfall/errors";
+import type { Clock, Random } from "@linkfall/kernel";
+import type { Logger } from "@linkfall/logger";
+import type { Milliseconds } from "@linkfall/types";
+import type { Either } from "purify-ts";
+import { readSettingsFile } from "./read-settings-file.js";
+import { createSettingsWatch, type SettingsWatch } from "./settings-watch.js";
+
+export interface FollowInput<Settings> {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly path: string;
+  /** The text that the process runs with. */
+  readonly text: string;
+  readonly intervalMs: Milliseconds;
+  /** Checks a text. */
+  check(text: string): Either<InvalidInput, Settings>;
+  /** Takes settings that were read while the process runs. */
+  take(settings: Settings): void;
+}
+
+/** Creates a watch of the file; the process keeps what it has while the file has problems. */
+export function followSettings<Settings>(input: FollowInput<Settings>): SettingsWatch {
+  const { clock, random, logger, path, text, intervalMs, check, take } = input;
+  const keepOld = (reason: string) => logger.event("settingsUnusable", { reason });
+  return createSettingsWatch({
+    clock,
+    random,
+    intervalMs,
+    text,
+    readText: () => readSettingsFile(path),
+    changed: (changed) =>
+      check(changed).caseOf({
+        Left: (invalid) => keepOld(describeProblems(invalid)),
+        Right: take,
+      }),
+    unreadable: keepOld,
+  });
+}
--- /dev/null
+++ b/packages/settings-watch/src/settings-watch.steps.ts
@@ -0,0 +1,73 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { createVirtualClock, seededRandom, type VirtualClock } from "@linkfall/kernel";
+import { type Either, Left, Right } from "purify-ts";
+import { createSettingsWatch, type SettingsWatch } from "./settings-watch.js";
+
+interface Scene {
+  readonly clock: VirtualClock;
+  readonly watch: SettingsWatch;
+  readonly taken: string[];
+  readonly failures: string[];
+  file: Either<string, string>;
+}
+
+const scenes = new WeakMap<object, Scene>();
+const intervalMs = 1_000;
+
+function sceneOf(world: object): Scene {
+  const scene = scenes.get(world);
+  assert.ok(scene);
+  return scene;
+}
+
+async function hold(world: object, file: Either<string, string>, ms: number): Promise<void> {
+  const scene = sceneOf(world);
+  scene.file = file;
+  await scene.clock.runUntil(scene.clock.now() + ms);
+}
+
+Given("a watched settings file that holds {string}", async function (this: object, text: string) {
+  const clock = createVirtualClock();
+  const taken: string[] = [];
+  const failures: string[] = [];
+  const watch = createSettingsWatch({
+    clock,
+    random: seededRandom(1),
+    intervalMs,
+    text,
+    readText: () => sceneOf(this).file,
+    changed: (changed) => void taken.push(changed),
+    unreadable: (reason) => void failures.push(reason),
+  });
+  scenes.set(this, { clock, watch, taken, failures, file: Right(text) });
+  await watch.start();
+});
+
+When(
+  "the file holds {string} and {int} ms pass",
+  function (this: object, text: string, ms: number) {
+    return hold(this, Right(text), ms);
+  },
+);
+
+When("the file can't be read and {int} ms pass", function (this: object, ms: number) {
+  return hold(this, Left("no such file"), ms);
+});
+
+When("the file holds {string} and somebody says so", async function (this: object, text: string) {
+  await hold(this, Right(text), 0);
+  sceneOf(this).watch.look();
+});
+
+When("the watch is stopped", function (this: object) {
+  return sceneOf(this).watch.stop();
+});
+
+Then("the texts taken are {string}", function (this: object, texts: string) {
+  assert.equal(sceneOf(this).taken.join(" "), texts);
+});
+
+Then("{int} row(s) of failed reads is/are told of", function (this: object, rows: number) {
+  assert.equal(sceneOf(this).failures.length, rows);
+});
