--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -57,6 +57,12 @@
     "The settings file can't be read or has problems; the box goes on with what it has.",
     "Mend the file; `linkfall check-settings --forwarding FILE` names every problem.",
   ),
+  loopHeldUp: event(
+    1012,
+    "info",
+    "The event loop was held up; what came meanwhile is read only now.",
+    "Where a box tells so again and again, give it more of a processor, or fewer callers.",
+  ),
   logUnreachable: event(
     2001,
     "warn",
