--- a/packages/raw-exchange/src/raw-exchange.steps.ts
+++ b/packages/raw-exchange/src/raw-exchange.steps.ts
@@ -83,6 +83,72 @@
   notes(this).set("outcome", outcome);
 });
 
+/** What a target that reads late has seen of its connection. */
+interface LateReader {
+  readonly socket: Socket;
+  bytes: number;
+  wasReset: boolean;
+}
+
+Given("a target that reads nothing until it is told to", async function (this: object) {
+  const server = createServer({ pauseOnConnect: true }, (socket) => {
+    const reader: LateReader = { socket, bytes: 0, wasReset: false };
+    socket.on("data", (chunk) => void (reader.bytes += chunk.length)).pause();
+    socket.on("error", () => void (reader.wasReset = true));
+    // A reset behind bytes that are still unread is shown as a plain end, of a connection without a peer.
+    socket.on("end", () => void (reader.wasReset ||= socket.remoteAddress === undefined));
+    notes(this).set("reader", reader);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  servers.push(server);
+  notes(this).set("port", (server.address() as AddressInfo).port);
+});
+
+const megabyte = 1_048_576;
+/** In which the system takes what it can of a request. */
+const takenMs = 300;
+const soon = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+const silent = {
+  onHead: () => undefined,
+  onBytes: () => undefined,
+  onWhole: () => undefined,
+  onFailure: () => undefined,
+};
+
+When(
+  "a request of {int} MB is sent there and given up on its way",
+  async function (this: object, megabytes: number) {
+    const exchange = openExchange(
+      systemClock(),
+      {
+        address: `127.0.0.1:${notes(this).get<number>("port")}`,
+        method: "POST",
+        path: "/",
+        headers: ["Host", "example"],
+        body: Buffer.alloc(megabytes * megabyte),
+        connectMs: 5_000,
+      },
+      silent,
+    );
+    await soon(takenMs);
+    assert.ok(exchange.progress().unsentBytes > 0, "the system took the whole request");
+    exchange.abort();
+    await soon(takenMs);
+  },
+);
+
+When("the target reads what has come", async function (this: object) {
+  const { socket } = notes(this).get<LateReader>("reader");
+  const closed = new Promise((resolve) => socket.once("close", resolve));
+  socket.resume();
+  await closed;
+});
+
+Then("the target sees that the connection was reset", function (this: object) {
+  const { wasReset, bytes } = notes(this).get<LateReader>("reader");
+  assert.ok(wasReset, `an orderly end after ${bytes} bytes`);
+});
+
 const outcomeOf = (world: object) => notes(world).get<Outcome>("outcome");
 
 Then("the answer is whole with {int} bytes", function (this: object, bytes: number) {
