A request that is given up resets its connection

Cause: a close goes out behind the bytes that the system holds for a link or a target that is slow, and takes none of them back. Change: where the connection stands, giving a request up resets it. A connection that does not stand yet is closed as before: its reset would wait until it stands.

--- a/packages/raw-exchange/src/index.ts
+++ b/packages/raw-exchange/src/index.ts
@@ -47,7 +47,7 @@
 
 export interface Exchange {
   progress(): SendProgress;
-  /** Closes the connection; the listener hears nothing more. */
+  /** Resets the connection; the listener hears nothing more. */
   abort(): void;
   pause(): void;
   resume(): void;
@@ -99,6 +99,11 @@
     sent.destroy();
     report();
   };
+  /** A reset also drops what the system still holds of the request; a close would go out behind it. */
+  const takeBack = () => {
+    if (connected) sent.socket?.resetAndDestroy();
+    sent.destroy();
+  };
   const fail = (reason: string) => finish(() => listener.onFailure(failure(reason, written)));
   const cancelConnect = clock.after(request.connectMs, () => {
     if (!connected) fail("no connection in time");
@@ -145,7 +150,7 @@
       if (done) return;
       done = true;
       cancelConnect();
-      sent.destroy();
+      takeBack();
     },
     pause: () => message?.pause(),
     resume: () => message?.resume(),
