A box that held the order lease takes it at once after its new start

Symptom: after all boxes were killed or lost power no order is given for 2.8 s, though they are ready after 0.1 s. Cause: the box that held the lease waits for the silence of its own earlier life (silent_ms), then for the time in which that life might still give orders, as for any other holder. But its process has ended: the box itself is the proof. Change: such a holder counts as gone, is not waited for, and its box claims without its turn by rank; the 300 ms in which a superseded holder would hear of the claim stay. Ruled out: taking the word of other boxes about a new life (a late heartbeat of an earlier one could end a lease that is held).

--- a/packages/order-lease/src/index.ts
+++ b/packages/order-lease/src/index.ts
@@ -170,6 +170,7 @@
   /** Until when the holder that this box has heard of may give orders. */
   const holderMayOrderUntil = (holder: Incarnation): Milliseconds => {
     if (holder === releasedHolder || holder === self) return clock.now();
+    if (peers.ownEarlierLife(holder)) return clock.now();
     const heard = peers.heardMs(holder);
     if (heard !== undefined && heard <= rules.silentMs) {
       return clock.now() + peers.ordersForMs(holder);
@@ -234,6 +235,8 @@
   const check = async () => {
     if (stopping) return;
     if (state.claim.holder === self) return keep();
+    // Nobody else knows for sure that the holder has ended, so that nobody else is to be waited for.
+    if (peers.ownEarlierLife(state.claim.holder)) return claim();
     if (!holderGone()) {
       state.silentSince = undefined;
       return;
