membership: the exchange with a peer, the platform's list, suspicion and the electorate stand in modules of their own

Cause: createMembership was one function of 229 lines whose state a newcomer had to hold in mind as a whole. Change: exchange.ts (heartbeats with one peer), platform-list.ts, suspicion.ts, electorate.ts and pages.ts, each with one job; the factory wires them in 110 lines.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -18,16 +18,19 @@
   peerPortName,
   type PeerState,
 } from "@linkfall/ports";
-import { parseState, serialiseState } from "@linkfall/state-fold";
+import { serialiseState } from "@linkfall/state-fold";
 import { stateStoreName } from "@linkfall/state-store";
-import type { Incarnation, ListedBox, MemberEntry, MemberSummary, Offset } from "@linkfall/types";
+import type { Incarnation, MemberEntry, MemberSummary, Offset } from "@linkfall/types";
+import { createElectorate } from "./electorate.js";
+import { createExchange } from "./exchange.js";
+import { createHeardWords, type HeardWords } from "./heard-words.js";
 import { isIsolated } from "./isolation.js";
-import { createHeardWords } from "./heard-words.js";
-import { createMemberTable, type Member } from "./member-table.js";
+import { createMemberTable, type Member, type MemberTable } from "./member-table.js";
+import { createPages } from "./pages.js";
+import { createPlatformList } from "./platform-list.js";
 import { peersOfRound } from "./round-peers.js";
+import { createSuspicion } from "./suspicion.js";
 
-/** Most records of the log passed on in one answer. */
-const recordsPerReply = 64;
 /** Rounds without word after which a peer no longer counts as heard. */
 const heardRounds = 5;
 
@@ -62,45 +65,91 @@
 
 export const membershipName = serviceName<Membership>("membership");
 
+/** What is known of other boxes, and the last word of those that are heard directly. */
+interface KnownBoxes {
+  readonly table: MemberTable;
+  readonly heard: HeardWords;
+  /** Logs each member whose heartbeat has come to stand still. */
+  noteSuspected(): void;
+}
+
+function createKnownBoxes(kernel: Kernel): KnownBoxes {
+  const clock = kernel.find(clockName);
+  const logger = kernel.find(loggerName);
+  const { heartbeat_ms, suspect_ms, forget_ms } = kernel.find(settingsName).membership;
+  const heard = createHeardWords(clock, heardRounds * heartbeat_ms);
+  const suspicion = createSuspicion(
+    () => table.known(),
+    (member) => logger.event("memberSuspected", { member }),
+  );
+  const limits = { suspectMs: suspect_ms, forgetMs: forget_ms };
+  const table = createMemberTable(kernel.find(incarnationName), limits, {
+    joined: ({ incarnation }) => logger.event("memberJoined", { member: incarnation }),
+    gone({ incarnation }) {
+      heard.forget(incarnation);
+      suspicion.forget(incarnation);
+      logger.event("memberGone", { member: incarnation });
+    },
+  });
+  const noteSuspected = () =>
+    suspicion.note(table.alive(clock.now()).map(({ incarnation }) => incarnation));
+  return { table, heard, noteSuspected };
+}
+
+/** How this box stands towards the log: read by itself, or by others that it hears. */
+function createLogContact(kernel: Kernel, heard: HeardWords) {
+  const clock = kernel.find(clockName);
+  const store = kernel.find(stateStoreName);
+  const follower = kernel.find(logFollowerName);
+
+  /** Time since anyone that this box hears read the log. */
+  const freshMs = () => {
+    const now = clock.now();
+    const ages = heard.lately().map((word) => word.summary.logSilentMs + now - word.at);
+    return Math.min(follower.silentFor(), ...ages);
+  };
+
+  const summary = (): MemberSummary => ({
+    offset: store.state().offset,
+    ready: store.ready(),
+    logSilentMs: Math.min(Number.MAX_SAFE_INTEGER, Math.round(freshMs())),
+  });
+
+  const readTo = (offset: Offset): ReadProgress => {
+    const words = heard.lately().map((word) => word.summary.offset);
+    const offsets = [store.state().offset, ...words];
+    return {
+      boxes: offsets.length,
+      reached: offsets.filter((reached) => reached >= offset).length,
+    };
+  };
+
+  /** Holders of leases, as the log names them: boxes find each other by it while the list is out. */
+  const holderAddresses = (): readonly string[] =>
+    [...store.state().leases.values()].flatMap((lease) => lease.holderAddress ?? []);
+
+  return { freshMs, summary, readTo, holderAddresses };
+}
+
 /** Creates the membership of one box; its life cycle is the rounds of heartbeats. */
 export function createMembership(kernel: Kernel): Membership & Service {
   const clock = kernel.find(clockName);
   const random = kernel.find(randomName);
   const logger = kernel.find(loggerName);
   const store = kernel.find(stateStoreName);
-  const follower = kernel.find(logFollowerName);
-  const peers = kernel.find(peerPortName);
-  const list = kernel.find(boxListPortName);
   const incarnation = kernel.find(incarnationName);
   const settings = kernel.find(settingsName);
-  const limits = {
-    suspectMs: settings.membership.suspect_ms,
-    forgetMs: settings.membership.forget_ms,
-  };
-  const heardMs = heardRounds * settings.membership.heartbeat_ms;
+  const { heartbeat_ms, entries_per_message, fanout, stale_serving_ms } = settings.membership;
+  const { list_poll_ms } = settings.platform;
+  const { table, heard, noteSuspected } = createKnownBoxes(kernel);
+  const log = createLogContact(kernel, heard);
+  const list = createPlatformList(clock, random, kernel.find(boxListPortName), list_poll_ms);
+  const electorate = createElectorate();
+  const pageOfEntries = createPages<MemberEntry>(entries_per_message);
 
-  let listed: readonly ListedBox[] = [];
-  let leavingTargets: ReadonlySet<string> = new Set();
   let heartbeat = 0;
   let leaving = false;
-  let entryCursor = 0;
   let wasIsolated = false;
-  /**
-   * Boxes that were known, or listed, when the log was last in reach. Those that fall silent after that still
-   * count: a box that forgets all others would otherwise take itself for the majority.
-   */
-  let electorate = 1;
-  const heard = createHeardWords(clock, heardMs);
-  const beating = new Set<string>();
-  const suspected = new Set<Incarnation>();
-  const table = createMemberTable(incarnation, limits, {
-    joined: (entry) => logger.event("memberJoined", { member: entry.incarnation }),
-    gone(entry) {
-      heard.forget(entry.incarnation);
-      suspected.delete(entry.incarnation);
-      logger.event("memberGone", { member: entry.incarnation });
-    },
-  });
 
   const self = (): MemberEntry => ({
     box: settings.box.name,
@@ -111,105 +160,54 @@
     heartbeat,
     leaving,
   });
+  const alive = () => [self(), ...table.alive(clock.now())];
 
-  /** Time since anyone that this box hears read the log. */
-  const freshMs = () => {
-    const now = clock.now();
-    const ages = heard.lately().map((word) => word.summary.logSilentMs + now - word.at);
-    return Math.min(follower.silentFor(), ...ages);
-  };
-
-  const summary = (): MemberSummary => ({
-    offset: store.state().offset,
-    ready: store.ready(),
-    logSilentMs: Math.min(Number.MAX_SAFE_INTEGER, Math.round(freshMs())),
+  const exchange = createExchange({
+    peers: kernel.find(peerPortName),
+    store,
+    logger,
+    message: () => ({
+      from: self(),
+      members: pageOfEntries(table.alive(clock.now())),
+      summary: log.summary(),
+    }),
+    hear(from, members, word) {
+      const now = clock.now();
+      table.hearDirectly(from, now);
+      table.merge(members, now);
+      heard.note(from.incarnation, word);
+    },
   });
 
-  /** A bounded, rotating part of the table, so that a message stays small in a large fleet. */
-  const someEntries = (): readonly MemberEntry[] => {
-    const entries = table.alive(clock.now());
-    const most = settings.membership.entries_per_message;
-    if (entries.length <= most) return entries;
-    entryCursor = (entryCursor + most) % entries.length;
-    return [...entries, ...entries].slice(entryCursor, entryCursor + most);
+  // Word of the others may come through others: in a large fleet a box hears few of them directly. Word of
+  // a read of the log comes the same way, so those that are heard have not read it either.
+  const isolated = () => {
+    const contact = {
+      freshMs: log.freshMs(),
+      aliveBoxes: alive().length,
+      knownBoxes: electorate.size(),
+    };
+    return isIsolated(contact, stale_serving_ms);
   };
 
-  const hear = (from: MemberEntry, members: readonly MemberEntry[], word: MemberSummary) => {
-    const now = clock.now();
-    table.hearDirectly(from, now);
-    table.merge(members, now);
-    heard.note(from.incarnation, word);
-  };
-
-  const takeStateFrom = async (address: string) => {
-    const fetched = await peers.fetchState(address);
-    fetched
-      .chain((answer) => parseState(answer.data))
-      .ifRight((state) => {
-        if (store.replace(state)) logger.event("restoredFromPeer", { offset: state.offset });
-      });
-  };
-
-  /** One message to a peer at a time; a peer that does not answer holds up nobody else's. */
-  const beat = async (address: string) => {
-    if (beating.has(address)) return;
-    beating.add(address);
-    await exchangeWith(address);
-    beating.delete(address);
+  const noteIsolation = () => {
+    const isolatedNow = isolated();
+    if (isolatedNow !== wasIsolated) logger.event(isolatedNow ? "boxIsolated" : "boxRejoined");
+    wasIsolated = isolatedNow;
   };
 
-  const exchangeWith = async (address: string) => {
-    const message = { from: self(), members: someEntries(), summary: summary() };
-    const sent = await peers.heartbeat(address, message);
-    if (sent.isLeft()) return;
-    const reply = sent.unsafeCoerce();
-    hear(reply.from, reply.members, reply.summary);
-    store.ingest(reply.records);
-    const { offset, ready } = reply.summary;
-    const isBehind = offset > store.state().offset;
-    if (isBehind && reply.records.length === 0) await takeStateFrom(address);
-    // As far as a peer that serves: this is the state, whether or not the log can be read.
-    if (ready && !isBehind && !store.ready()) {
-      store.markReady();
-      logger.event("restoredFromPeer", { offset: store.state().offset });
-    }
+  const noteElectorate = () => {
+    const names = new Set(table.known().map(({ entry }) => entry.box));
+    const boxes = Math.max(names.add(settings.box.name).size, list.boxes().length);
+    electorate.note(boxes, log.freshMs() <= heardRounds * heartbeat_ms);
   };
 
-  /** Holders of leases, as the log names them: boxes find each other by it while the list is out. */
-  const holderAddresses = (): readonly string[] =>
-    [...store.state().leases.values()].flatMap((lease) => lease.holderAddress ?? []);
-
   /** Some members, and boxes that the list or the log names. */
   const addressesOfRound = () => {
     const known = table.known().map((member) => member.entry.peerAddress);
-    const fromList = listed.map((line) => line.peerAddress);
-    const all = [...known, ...fromList, ...holderAddresses()];
-    return peersOfRound(random, all, settings.box.peer_address, settings.membership.fanout);
-  };
-
-  const noteIsolation = () => {
-    const isolated = membership.isolated();
-    if (isolated !== wasIsolated) logger.event(isolated ? "boxIsolated" : "boxRejoined");
-    wasIsolated = isolated;
-  };
-
-  /** Tells of each member once when its heartbeat stands still. */
-  const noteSuspected = () => {
-    const alive = new Set(table.alive(clock.now()).map((entry) => entry.incarnation));
-    for (const { entry } of table.known()) {
-      if (alive.has(entry.incarnation)) suspected.delete(entry.incarnation);
-      else if (!suspected.has(entry.incarnation)) {
-        suspected.add(entry.incarnation);
-        logger.event("memberSuspected", { member: entry.incarnation });
-      }
-    }
-  };
-
-  /** While the log is out of reach the number of boxes may grow, but not shrink. */
-  const noteElectorate = () => {
-    const names = new Set(table.known().map(({ entry }) => entry.box));
-    const boxes = Math.max(names.add(settings.box.name).size, listed.length);
-    electorate = freshMs() <= heardMs ? boxes : Math.max(electorate, boxes);
+    const listed = list.boxes().map((line) => line.peerAddress);
+    const all = [...known, ...listed, ...log.holderAddresses()];
+    return peersOfRound(random, all, settings.box.peer_address, fanout);
   };
 
   const round = () => {
@@ -218,78 +216,42 @@
     noteElectorate();
     noteIsolation();
     noteSuspected();
-    for (const address of addressesOfRound()) void beat(address);
-  };
-
-  const readList = async () => {
-    const read = await list.read();
-    read.ifRight((shown) => {
-      listed = shown.boxes;
-      leavingTargets = new Set(shown.leavingTargets);
-    });
+    for (const address of addressesOfRound()) void exchange.beat(address);
   };
+  const rounds = repeatEvery(clock, random, heartbeat_ms, round);
 
-  const rounds = repeatEvery(clock, random, settings.membership.heartbeat_ms, round);
-  const listReads = repeatEvery(clock, random, settings.platform.list_poll_ms, readList);
-
-  const membership: Membership & Service = {
+  return {
     self,
-    alive: () => [self(), ...table.alive(clock.now())],
+    alive,
     serving() {
-      const shownLeaving = new Set(
-        listed.filter((line) => line.state === "leaving").map((line) => line.peerAddress),
-      );
-      return membership
-        .alive()
-        .filter((entry) => !entry.leaving && !shownLeaving.has(entry.peerAddress));
+      const shownLeaving = list.leavingBoxes();
+      return alive().filter((entry) => !entry.leaving && !shownLeaving.has(entry.peerAddress));
     },
     known: table.known,
     find: (wanted) => (wanted === incarnation ? self() : table.find(wanted)?.entry),
-    leavingTargets: () => leavingTargets,
+    leavingTargets: list.leavingTargets,
     leave() {
       leaving = true;
     },
-    isolated() {
-      // Word of them may come through others: in a large fleet a box hears few of them directly. Word of
-      // a read of the log comes the same way, so those that are heard have not read it either.
-      const aliveBoxes = membership.alive().length;
-      const contact = { freshMs: freshMs(), aliveBoxes, knownBoxes: electorate };
-      return isIsolated(contact, settings.membership.stale_serving_ms);
-    },
-    readTo(offset) {
-      const words = heard.lately().map((word) => word.summary.offset);
-      const offsets = [store.state().offset, ...words];
-      return {
-        boxes: offsets.length,
-        reached: offsets.filter((reached) => reached >= offset).length,
-      };
-    },
+    isolated,
+    readTo: log.readTo,
     askBehind(offset) {
       for (const { start, summary: word } of heard.all()) {
         const address = table.find(start)?.entry.peerAddress;
-        if (address !== undefined && word.offset < offset) void beat(address);
+        if (address !== undefined && word.offset < offset) void exchange.beat(address);
       }
     },
-    receive(message) {
-      hear(message.from, message.members, message.summary);
-      return {
-        from: self(),
-        members: someEntries(),
-        summary: summary(),
-        records: store.recentAfter(message.summary.offset, recordsPerReply),
-      };
-    },
+    receive: exchange.receive,
     stateForPeer: () => ({ offset: store.state().offset, data: serialiseState(store.state()) }),
     async start() {
-      await readList();
+      await list.read();
       round();
       await rounds.start();
-      await listReads.start();
+      await list.start();
     },
     async stop() {
       await rounds.stop();
-      await listReads.stop();
+      await list.stop();
     },
   };
-  return membership;
 }
