--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -9,7 +9,7 @@
   type OrderLease,
   orderLeaseName,
 } from "@linkfall/order-lease";
-import { boxOf, type Milliseconds } from "@linkfall/types";
+import { boxOf } from "@linkfall/types";
 import { createOrderGiver, type OrderGiver, orderGiverName } from "@linkfall/weight-orders";
 import { hasWaiting } from "./box-loads.js";
 import type { BoxParts } from "./box-parts.js";
@@ -51,12 +51,8 @@
   return kernel.provide(orderLeaseName, lease, lease);
 }
 
-/** Twice the time over which demand is averaged: by then models that are asked for have been. */
-const demandShowsMs: Milliseconds = 2_000;
-
 export function provideGiver({ kernel, settings, ports, demand }: BoxParts): OrderGiver {
   const { placement } = settings;
-  const startedAt = ports.clock.now();
   const fleet = kernel.find(fleetName);
   const feed = kernel.find(desiredFeedName);
   const peers = kernel.find(peersName);
@@ -67,7 +63,6 @@
     lease: kernel.find(orderLeaseName),
     configuration: () => feed.inForce()?.configuration,
     demand: () => sumDemand([demand.read(), ...peers.statuses().map((status) => status.demand)]),
-    knowsDemand: () => ports.clock.now() - startedAt >= demandShowsMs,
     announce() {
       fleet.withhold(giver.withheld());
       // In a large deployment all others hear of it in their next round.
--- a/packages/weight-orders/src/giver-context.ts
+++ b/packages/weight-orders/src/giver-context.ts
@@ -39,8 +39,6 @@
   configuration(): RoutedConfiguration | undefined;
   /** Demand of all boxes together. */
   demand(): readonly ModelDemand[];
-  /** Whether demand has been watched for long enough to tell which models are not asked for. */
-  knowsDemand(): boolean;
   /** Called when other boxes should hear of a change at once. */
   announce(): void;
 }
--- a/packages/weight-orders/src/plan-service.ts
+++ b/packages/weight-orders/src/plan-service.ts
@@ -119,8 +119,6 @@
     storeLoadsLeft: storeLoadsLeft(context, shape),
     rules: rules.plan,
   });
-  // A box that has just started takes every model that was not asked for yet for one that nobody wants.
-  const begun = context.knowsDemand() ? moves : moves.filter(({ victims }) => victims.length === 0);
-  for (const move of begun) beginMove(context, move);
-  if (begun.length > 0) context.announce();
+  for (const move of moves) beginMove(context, move);
+  if (moves.length > 0) context.announce();
 }
--- a/packages/weight-orders/src/weight-orders.feature
+++ b/packages/weight-orders/src/weight-orders.feature
@@ -10,18 +10,6 @@
     Then one engine holds "b" and one holds "a"
     And nothing was overfilled
 
-  Scenario: A box that has just started drops no model for another
-    A box that was started again held the lease 0.3 s later and gave six orders to swap models within two seconds. It had
-    seen half a second of demand, and took every model that nobody had asked for in it for one that nobody wants.
-
-    Given demand has been watched for too short a time
-    When requests wait for "b"
-    And 3000 ms go by in the giver
-    Then no order was given
-    When demand has been watched for long enough
-    And 3000 ms go by in the giver
-    Then one engine holds "b" and one holds "a"
-
   Scenario: An order without an answer that is never carried out is given again
     Given the next 2 orders are lost
     When requests wait for "b"
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -61,7 +61,6 @@
   giver?: OrderGiver;
   epoch: number | undefined;
   demand: readonly ModelDemand[];
-  knowsDemand: boolean;
   perSecond: number;
   /** Time that a load takes, as declared and in truth. */
   loadMs: number;
@@ -249,7 +248,6 @@
     storeLoads: [],
     epoch: 4,
     demand: [],
-    knowsDemand: true,
     perSecond: 100,
     loadMs: shortLoadMs,
     reportAgeMs: 0,
@@ -264,7 +262,6 @@
     lease: leaseOf(scene),
     configuration: () => configurationOf(scene),
     demand: () => scene.demand,
-    knowsDemand: () => scene.knowsDemand,
     announce: () => undefined,
     rules: {
       plan: { loadOfReplica: 0.6, horizonMs: 10_000 },
@@ -304,10 +301,6 @@
   },
 );
 
-Given(/^demand has been watched for (too short a time|long enough)$/, function (this: object, how) {
-  sceneOf(this).knowsDemand = how === "long enough";
-});
-
 Given("the giver loses the lease", function (this: object) {
   sceneOf(this).epoch = undefined;
 });
