A planned stop that comes during a start is taken as one

Symptom: a request of a caller that connects as soon as a box listens ends without an answer when SIGTERM comes then. Cause: the signal was listened for only after the start; until then its default effect ends the process. Change: the handler stands before the box listens, and drains once the start is done. Before that nobody can connect, and the default effect is what is asked for.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -66,7 +66,6 @@
 
 /** Tells operators which changes of the settings file wait for the next start. */
 async function tellOfChanges({ path, text, settings }: SettingsFile, logger: Logger) {
-  let before = settings;
   const watch = followSettings({
     clock: systemClock(),
     random: systemRandom(),
@@ -75,10 +74,8 @@
     text,
     intervalMs: settingsCheckMs,
     check: readSettings,
-    take(read) {
-      logger.event("settingsChanged", { atNextStart: changedKeys(before, read).join(" ") });
-      before = read;
-    },
+    take: (read) =>
+      logger.event("settingsChanged", { atNextStart: changedKeys(settings, read).join(" ") }),
   });
   process.on("SIGHUP", () => {
     logger.event("settingsSignalled");
@@ -111,18 +108,20 @@
   const defect = stopOnDefect(logger);
   process.on("uncaughtException", defect);
   process.on("unhandledRejection", defect);
-  const started = await startDaemon(settings, logger, defect);
-  started.ifLeft((unavailable) => leaveOverAddress(logger, unavailable));
-  const daemon = started.unsafeCoerce();
-
+  // Callers can connect before the start is done: a stop that comes meanwhile is a planned one as well.
+  const starting = startDaemon(settings, logger, defect);
   let stopping = false;
   const stop = () => {
     if (stopping) process.exit(1);
     stopping = true;
-    void daemon.drain().then(() => process.exit(0));
+    void starting
+      .then((started) => started.map((daemon) => daemon.drain()).orDefault(Promise.resolve()))
+      .then(() => process.exit(0));
   };
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
+  const started = await starting;
+  started.ifLeft((unavailable) => leaveOverAddress(logger, unavailable));
 }
 
 void main();
--- a/packages/desired-feed/src/configuration-holder.ts
+++ b/packages/desired-feed/src/configuration-holder.ts
@@ -1,9 +1,9 @@
 /** Holds the newest configuration. A version never goes back, and a broken record changes nothing. */
 import { createKeyTable, type KeyTable } from "@linkfall/account-keys";
 import type { ConfigurationCopy } from "@linkfall/box-peers";
+import { describeProblems } from "@linkfall/errors";
 import type { Fleet } from "@linkfall/fleet";
 import type { Clock } from "@linkfall/kernel";
-import { describeProblems } from "@linkfall/errors";
 import type { Logger } from "@linkfall/logger";
 import type { RecordCodec } from "@linkfall/ports";
 import { createRouteTable, type RouteTable } from "@linkfall/route-table";
--- a/packages/entry-box/src/take-settings.ts
+++ b/packages/entry-box/src/take-settings.ts
@@ -4,40 +4,43 @@
 import type { Logger } from "@linkfall/logger";
 import { changedKeys } from "@linkfall/settings-watch";
 
-/** The difference between two readings of the settings, by what a running box can do about it. */
+/** What a new reading of the settings brings, by what a running box can do about it. */
 export interface SettingsChange {
-  /** Peer addresses that the earlier reading did not name. */
+  /** Peer addresses that no earlier reading named. */
   readonly newSeeds: readonly string[];
-  /** Other keys that differ, as `section.key`; they hold from the next start on. */
+  /** Other keys that differ from what the box runs with, as `section.key`; they hold from the next start on. */
   readonly atNextStart: readonly string[];
 }
 
 const seedsKey = "box.seeds";
 
-/** Compares two readings of the settings. */
-export function planSettingsChange(before: EntrySettings, after: EntrySettings): SettingsChange {
-  const known = new Set(before.box.seeds);
+/** Compares a reading with the settings of the start and the seeds that are known by now. */
+export function planSettingsChange(
+  atStart: EntrySettings,
+  knownSeeds: ReadonlySet<string>,
+  read: EntrySettings,
+): SettingsChange {
   return {
-    newSeeds: after.box.seeds.filter((seed) => !known.has(seed)),
-    atNextStart: changedKeys(before, after).filter((key) => key !== seedsKey),
+    newSeeds: read.box.seeds.filter((seed) => !knownSeeds.has(seed)),
+    atNextStart: changedKeys(atStart, read).filter((key) => key !== seedsKey),
   };
 }
 
 /** Tells the box of others that may be up; their names come with their first heartbeat. */
-export function learnSeeds(peers: Peers, addresses: readonly string[]): void {
+export function learnSeeds(peers: Pick<Peers, "learn">, addresses: readonly string[]): void {
   for (const peerAddress of addresses) peers.learn({ box: "seed", peerAddress });
 }
 
 /** Creates what takes each further reading of the settings, in their order. */
 export function createSettingsTaker(
   atStart: EntrySettings,
-  peers: Peers,
+  peers: Pick<Peers, "learn">,
   logger: Logger,
 ): (read: EntrySettings) => void {
-  let before = atStart;
+  const knownSeeds = new Set(atStart.box.seeds);
   return (read) => {
-    const { newSeeds, atNextStart } = planSettingsChange(before, read);
-    before = read;
+    const { newSeeds, atNextStart } = planSettingsChange(atStart, knownSeeds, read);
+    for (const seed of newSeeds) knownSeeds.add(seed);
     learnSeeds(peers, newSeeds);
     logger.event("settingsChanged", {
       newSeeds: newSeeds.join(" "),
