Sight: which content was lost, and whether its target is still there

Cause: two requests have nothing in common in the logs but their content, which no line names, and a lost send does not say whether its target ended or only a connection was lost, so the hypotheses of the incident (returns, our own attempts, blame on the target, victims) can't be told apart. Change: event 5013 sendLost gives the fingerprint of the request (account, method, host, path, body) and whether the address still takes connections; losses of one moment share one look. No decision depends on it yet.

--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -5,12 +5,14 @@
   type ChangeWaiter,
   createChangeWaiter,
   createForwardMetrics,
+  createLostTargets,
   createStreamPace,
   createWorkCostMeter,
   type ForwardContext,
 } from "@linkfall/forwarding";
 import { metricsName } from "@linkfall/metrics";
 import { orderLeaseName } from "@linkfall/order-lease";
+import { isListening } from "@linkfall/raw-exchange";
 import { createRetryBudget } from "@linkfall/retry-budget";
 import type { Milliseconds } from "@linkfall/types";
 import { orderGiverName } from "@linkfall/weight-orders";
@@ -20,6 +22,8 @@
 
 /** Requests that begin to wait within this time are told together: little against the time of a load. */
 const gatherMs: Milliseconds = 10;
+/** A target that ended refuses within a millisecond or two; one that is cut off does not answer. */
+const lookMs: Milliseconds = 100;
 const microsecondsPerMillisecond = 1000;
 
 /** Tells the box that gives orders of demand, several requests together. */
@@ -60,6 +64,7 @@
     random,
     logger,
     metrics: createForwardMetrics(kernel.find(metricsName)),
+    lostTargets: createLostTargets(clock, (address) => isListening(clock, address, lookMs)),
     codec: ports.requests,
     fleet: kernel.find(fleetName),
     demand,
--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -9,6 +9,7 @@
 } from "@linkfall/forwarding";
 import type { Metrics } from "@linkfall/metrics";
 import type { RequestCodec } from "@linkfall/ports";
+import { fingerprintOf, type RequestContent } from "@linkfall/request-fingerprint";
 import { shareFor } from "@linkfall/route-table";
 import type { ClientAccount, Milliseconds, RequestTerms, Route } from "@linkfall/types";
 import { admitToQuota, settleQuota } from "./account-admission.js";
@@ -29,6 +30,12 @@
 /** The account has used up its limit. */
 const overLimitStatus = 429;
 
+/** Works the fingerprint out when it is first asked for: most requests never need theirs. */
+function fingerprintLater(content: RequestContent): () => string {
+  let known: string | undefined;
+  return () => (known ??= fingerprintOf(content));
+}
+
 function toForwarded(
   request: FrontRequest,
   terms: RequestTerms,
@@ -45,6 +52,7 @@
     service,
     terms,
     account: account?.name,
+    fingerprint: fingerprintLater({ ...request, account: account?.name }),
     priority: account?.priority ?? route.priority,
     awaitedUntil: request.arrivedAt + Math.min(heldMs, route.patienceMs ?? heldMs),
     endsAt: request.arrivedAt + heldMs,
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -13,6 +13,8 @@
   readonly path: string;
   readonly headers: RawHeaders;
   readonly body: Buffer;
+  /** Names the request by its content; its returns have the same. */
+  fingerprint(): string;
   readonly terms: RequestTerms;
   /** Name of the client account; absent where no key was needed. */
   readonly account?: string;
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -18,6 +18,7 @@
   type AnswerSink,
   createChangeWaiter,
   createForwardMetrics,
+  createLostTargets,
   createStreamPace,
   createWorkCostMeter,
   type ForwardContext,
@@ -98,6 +99,7 @@
     random: seededRandom(1),
     logger,
     metrics: createForwardMetrics(createMetrics()),
+    lostTargets: createLostTargets(clock, async () => "listens"),
     codec,
     fleet,
     demand: createDemandMeter(clock),
@@ -218,6 +220,7 @@
     path: "/",
     headers: [],
     body: Buffer.alloc(0),
+    fingerprint: () => "f1",
     terms: {
       id: "r1",
       model,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./forward-context.js";
 export * from "./forward.js";
 export * from "./forwarded-request.js";
+export * from "./lost-targets.js";
 export * from "./pick.js";
 export * from "./send-to-target.js";
 export * from "./stream-pace.js";
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -153,6 +153,11 @@
     "Look at linkfall_accept_turn_ms and at what the box does beside its callers.",
   ),
   callerLeft: event(5012, "info", "A caller left while its request was being sent or answered."),
+  sendLost: event(
+    5013,
+    "info",
+    "The answer of a target was lost; whether the target still takes connections tells a lost connection from a target that ended.",
+  ),
   outcomeUnknown: event(
     5004,
     "warn",
--- /dev/null
+++ b/packages/raw-exchange/src/is-listening.ts
@@ -0,0 +1,32 @@
+/** Whether anybody listens at an address: what tells a process that ended from a connection that was lost. */
+import { connect } from "node:net";
+import type { Clock } from "@linkfall/kernel";
+import type { Milliseconds } from "@linkfall/types";
+
+/** `unknown` where the address did not answer in time. */
+export type Listening = "listens" | "refuses" | "unknown";
+
+/** What the system calls a port where nobody listens. */
+const refusedConnection = "ECONNREFUSED";
+
+/** Connects to `host:port` without sending anything, and closes the connection again. */
+export function isListening(
+  clock: Clock,
+  address: string,
+  limitMs: Milliseconds,
+): Promise<Listening> {
+  const mark = address.lastIndexOf(":");
+  const socket = connect(Number(address.slice(mark + 1)), address.slice(0, mark));
+  return new Promise((resolve) => {
+    const end = (listening: Listening) => {
+      cancel();
+      socket.destroy();
+      resolve(listening);
+    };
+    const cancel = clock.after(limitMs, () => end("unknown"));
+    socket.once("connect", () => end("listens"));
+    socket.on("error", (problem: NodeJS.ErrnoException) =>
+      end(problem.code === refusedConnection ? "refuses" : "unknown"),
+    );
+  });
+}
--- a/packages/raw-exchange/src/raw-exchange.feature
+++ b/packages/raw-exchange/src/raw-exchange.feature
@@ -20,6 +20,13 @@
     When a request is sent there
     Then the exchange fails and the request has not arrived
 
+  Scenario: A target that ended refuses connections, and one whose connection was lost does not
+    Given a target that answers without a length and resets its connection at once
+    When a request is sent there
+    Then the address listens
+    When the target ends
+    Then the address refuses
+
   Scenario: The second answer on a connection belongs to nobody
     Given a target that answers twice on one connection
     When a request is sent there
--- a/packages/raw-exchange/src/raw-exchange.steps.ts
+++ b/packages/raw-exchange/src/raw-exchange.steps.ts
@@ -4,7 +4,7 @@
 import type { TargetUnreachable } from "@linkfall/errors";
 import { systemClock } from "@linkfall/kernel";
 import { notes } from "@linkfall/test-support";
-import { openExchange } from "./index.js";
+import { isListening, openExchange } from "./index.js";
 
 type Outcome = { bytes: number } | { failure: TargetUnreachable };
 
@@ -168,3 +168,12 @@
 Then("the exchange fails and the request has not arrived", function (this: object) {
   assertFailed(this, false);
 });
+
+When("the target ends", () => {
+  for (const server of servers.splice(0)) server.close();
+});
+
+Then(/^the address (listens|refuses)$/, async function (this: object, expected: string) {
+  const address = `127.0.0.1:${notes(this).get<number>("port")}`;
+  assert.equal(await isListening(systemClock(), address, 1_000), expected);
+});
