A request that ends the targets that run it is held back at all boxes

Callers saw: answers cut and target after target gone, 24 and 36 under one request. Cause: nothing of a request outlived its answer; each return, at whatever box, was a new request with all attempts of its route, and the failures were put down to the targets. Class: a memory of failures that is kept by target and not by request, and by each box alone. Change: after a lost answer the box looks whether the target still takes connections. One that refuses has ended; what it ran is told to all boxes at once, by fingerprint. A pure judge weighs it: two ends that nothing else explains, or three, and it is held back, unless many targets end together; a good answer clears. What is held back is kept in a stream of the store, read before a box serves. A request with two ends gets no repeat within its try, and two of those are never at one target together, so that the third end tells which of them it was. Operators list and release (linkfall held, linkfall release). Why it holds: boxes exchange ends by numbered changes with every heartbeat and at once on news, a box that starts gets all of them.

--- a/packages/box-peers/src/messages.ts
+++ b/packages/box-peers/src/messages.ts
@@ -1,4 +1,5 @@
 /** What boxes tell each other in their heartbeats. */
+import type { BlameWord } from "@linkfall/crash-blame";
 import type { TargetLoad } from "@linkfall/fleet";
 import type { ModelDemand } from "@linkfall/model-demand";
 import type { LeaseWord } from "@linkfall/order-lease";
@@ -46,6 +47,8 @@
   /** Time for which the sender may go on giving orders, where it may. */
   readonly ordersForMs?: Milliseconds;
   readonly followed?: FollowedReport;
+  /** How far the sender has followed the reader in what boxes tell of requests that end targets. */
+  readonly blameFollowed?: number;
 }
 
 /** What one engine holds, as the holder of the order lease has read it. */
@@ -106,6 +109,8 @@
   readonly report?: HolderReport;
   /** Present where the sender reads the list and the reader does not. */
   readonly targets?: TargetChanges;
+  /** What the sender knows of requests that end targets; absent where the reader knows it. */
+  readonly blame?: BlameWord;
 }
 
 /** The configuration as one box has read it, in the form in which the store gave it. */
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -9,6 +9,7 @@
 import { ExplainCommand } from "./commands/explain/index.js";
 import { GetCommand } from "./commands/get/index.js";
 import { HashTokenCommand } from "./commands/hash-token/index.js";
+import { HeldCommand, ReleaseCommand } from "./commands/held/index.js";
 import { StatusCommand } from "./commands/status/index.js";
 import { WatchCommand } from "./commands/watch/index.js";
 
@@ -29,6 +30,8 @@
   ExplainCommand,
   GetCommand,
   HashTokenCommand,
+  HeldCommand,
+  ReleaseCommand,
   StatusCommand,
   WatchCommand,
 ];
--- /dev/null
+++ b/packages/crash-blame/src/held-store.ts
@@ -0,0 +1,102 @@
+/** Keeps the requests that are held back in a stream of the store, so that they are known after all boxes have ended at once. */
+import { type Clock, type Service, sleep } from "@linkfall/kernel";
+import type { Logger } from "@linkfall/logger";
+import type { KeyedStreamPort } from "@linkfall/ports";
+import type { Milliseconds } from "@linkfall/types";
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import type { CrashBlame } from "./index.js";
+import type { HeldRequest } from "./words.js";
+
+/** Pause after the stream could not be read or written. */
+const againMs: Milliseconds = 300;
+/**
+ * A box that can't read the stream serves after this time: what is held back is then known to it by other boxes' words, and
+ * callers are turned away meanwhile.
+ */
+const longestWaitMs: Milliseconds = 1_000;
+
+const wordSchema = z.object({
+  request: z.string(),
+  revision: z.int().positive(),
+  held: z.boolean(),
+  service: z.string(),
+  route: z.string(),
+  account: z.string().optional(),
+  targets: z.array(z.string()),
+  since: z.string(),
+});
+
+export interface HeldStore extends Service {
+  /** Whether the stream has been read, or waited for long enough. */
+  ready(): boolean;
+}
+
+function parseWord(text: string): Either<string, HeldRequest> {
+  try {
+    const checked = wordSchema.safeParse(JSON.parse(text));
+    return checked.success ? Right(checked.data) : Left(checked.error.issues[0].message);
+  } catch (problem) {
+    return Left(String(problem));
+  }
+}
+
+/** Reads what is kept when it starts, and writes what this box decides on. */
+export function createHeldStore(
+  blame: CrashBlame,
+  stream: KeyedStreamPort,
+  { clock, logger }: { readonly clock: Clock; readonly logger: Logger },
+): HeldStore {
+  /** Words that are not written yet, by request; a newer word takes the place of an older one. */
+  const unwritten = new Map<string, HeldRequest>();
+  let waited = false;
+  let stopped = false;
+  let writing = false;
+
+  const takeRecord = (key: string, value: string) =>
+    parseWord(value)
+      .ifLeft((problem) => logger.event("badRecord", { key, problem }))
+      .ifRight(blame.takeKept);
+
+  const read = async () => {
+    while (!stopped) {
+      const answered = await stream.newest();
+      answered.ifRight(({ records }) => {
+        for (const { key, value } of records) if (value !== undefined) takeRecord(key, value);
+        waited = true;
+      });
+      if (answered.isRight()) return;
+      await sleep(clock, againMs);
+    }
+  };
+
+  const writeOne = async (word: HeldRequest) => {
+    const written = await stream.put(word.request, JSON.stringify(word));
+    if (written.isLeft()) return sleep(clock, againMs);
+    if (unwritten.get(word.request) === word) unwritten.delete(word.request);
+  };
+  const write = async () => {
+    if (writing) return;
+    writing = true;
+    while (!stopped && unwritten.size > 0) {
+      for (const word of [...unwritten.values()]) await writeOne(word);
+    }
+    writing = false;
+  };
+
+  blame.onDecided((word) => {
+    unwritten.set(word.request, word);
+    void write();
+  });
+
+  return {
+    ready: () => waited,
+    async start() {
+      void read();
+      clock.after(longestWaitMs, () => (waited = true));
+    },
+    async stop() {
+      stopped = true;
+    },
+  };
+}
--- a/packages/entry-box/src/box-ports.ts
+++ b/packages/entry-box/src/box-ports.ts
@@ -18,6 +18,8 @@
   readonly boxStream: KeyedStreamPort;
   /** Where boxes claim the order lease. */
   readonly leaseStream: KeyedStreamPort;
+  /** Where boxes keep the requests that they hold back. */
+  readonly heldStream: KeyedStreamPort;
   /** Key of the record that holds the whole configuration. */
   readonly configurationKey: string;
   readonly records: RecordCodec;
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -1,5 +1,6 @@
 /** Wires the services of a box that forwards opaque requests. */
 import { createPeerServer, peersName } from "@linkfall/box-peers";
+import { crashBlameName, type HeldRequest } from "@linkfall/crash-blame";
 import { type DesiredFeed, desiredFeedName } from "@linkfall/desired-feed";
 import type { EntrySettings } from "@linkfall/entry-settings";
 import { metricsName } from "@linkfall/metrics";
@@ -14,6 +15,7 @@
 import { createFront, type Front } from "./front.js";
 import { registerGauges } from "./gauges.js";
 import { handleRequest } from "./handle-request.js";
+import { heldStoreName, provideBlame } from "./provide-blame.js";
 import { provideGiver, provideLease } from "./provide-orders.js";
 import { accountQuotaName, provideQuota } from "./provide-quota.js";
 import { provideFeed, provideFleet, providePeers } from "./provide-state.js";
@@ -39,6 +41,10 @@
   /** Addresses for a caller in the given failure domain. */
   entries(domain?: string): Entries;
   metricsText(): string;
+  /** Requests that are held back since targets ended under them. */
+  heldRequests(): readonly HeldRequest[];
+  /** Lets a request through again, at every box; false where it is not held back. */
+  releaseRequest(fingerprint: string): boolean;
 }
 
 /** Accounts that have a series of their own in metrics. */
@@ -50,6 +56,7 @@
   const { kernel, settings, ports, stop } = parts;
   const knowledge: HolderKnowledge = { hearsMost: false, expectedAt: new Map() };
   const fleet = provideFleet(parts);
+  provideBlame(parts);
   const feed = provideFeed(parts, fleet);
   providePeers(
     parts,
@@ -62,7 +69,8 @@
   const metrics = kernel.find(metricsName);
   const quota = provideQuota(parts, knowledge);
   const accountLabel = createBoundedLabel(mostAccountLabels);
-  const context = { feed, codec: ports.requests, forward, quota, metrics, accountLabel };
+  const ready = () => feed.ready() && kernel.find(heldStoreName).ready();
+  const context = { ready, feed, codec: ports.requests, forward, quota, metrics, accountLabel };
   return createFront({
     address: settings.box.front_address,
     maxHeaderBytes: settings.callers.max_header_bytes,
@@ -113,7 +121,9 @@
     quota: kernel.find(accountQuotaName).allocate,
   });
   registerGauges(parts, front);
-  const ready = () => feed.ready() && !stop.begun();
+  const blame = kernel.find(crashBlameName);
+  const heldStore = kernel.find(heldStoreName);
+  const ready = () => feed.ready() && heldStore.ready() && !stop.begun();
 
   return {
     async start() {
@@ -145,5 +155,7 @@
       lifetimeMs: settings.callers.entries_lifetime_ms,
     }),
     metricsText: kernel.find(metricsName).expose,
+    heldRequests: blame.held,
+    releaseRequest: blame.release,
   };
 }
--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -1,10 +1,12 @@
 /** What the forwarding of a box's requests is made of. */
 import { peersName } from "@linkfall/box-peers";
+import { crashBlameName } from "@linkfall/crash-blame";
 import { fleetName } from "@linkfall/fleet";
 import {
   type ChangeWaiter,
   createChangeWaiter,
   createForwardMetrics,
+  createLastTries,
   createLostTargets,
   createStreamPace,
   createWorkCostMeter,
@@ -64,6 +66,8 @@
     random,
     logger,
     metrics: createForwardMetrics(kernel.find(metricsName)),
+    blame: kernel.find(crashBlameName),
+    lastTries: createLastTries(),
     lostTargets: createLostTargets(clock, (address) => isListening(clock, address, lookMs)),
     codec: ports.requests,
     fleet: kernel.find(fleetName),
--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -17,6 +17,8 @@
 import { identify } from "./identify.js";
 
 export interface HandleContext {
+  /** Whether the box knows what it has to know before it serves. */
+  ready(): boolean;
   readonly feed: DesiredFeed;
   readonly codec: RequestCodec;
   readonly forward: ForwardContext;
@@ -63,6 +65,7 @@
     unwritten: 0,
     longestGapMs: 0,
     held: false,
+    lastTry: false,
   };
 }
 
@@ -109,7 +112,7 @@
   const unreadable = codec.unreadable(request.headers);
   if (unreadable !== undefined) return refused(400, unreadable);
   const inForce = feed.inForce();
-  if (!inForce || !feed.ready()) return refused(503, "no configuration yet", notReadyMs);
+  if (!inForce || !context.ready()) return refused(503, "no configuration yet", notReadyMs);
   const route = inForce.routes.find(request.host, request.path);
   if (!route) return refused(404, `no route in version ${inForce.configuration.version}`);
   const { version } = inForce.configuration;
--- a/packages/entry-box/src/heartbeat-receiver.ts
+++ b/packages/entry-box/src/heartbeat-receiver.ts
@@ -6,6 +6,7 @@
   type HolderReport,
   peersName,
 } from "@linkfall/box-peers";
+import { crashBlameName } from "@linkfall/crash-blame";
 import { desiredFeedName } from "@linkfall/desired-feed";
 import { fleetName } from "@linkfall/fleet";
 import type { ChangeWaiter } from "@linkfall/forwarding";
@@ -95,6 +96,7 @@
   const peers = kernel.find(peersName);
   const lease = kernel.find(orderLeaseName);
   const giver = kernel.find(orderGiverName);
+  const blame = kernel.find(crashBlameName);
   const catchUp = createCatchUp(parts);
   const sumHeardLoads = createLoadSummer(parts);
   kernel.find(fleetName).trustOwnWord(() => trustsHolder(parts));
@@ -105,6 +107,7 @@
     const givesOrders = lease.epoch() !== undefined;
     if (peers.mesh() || givesOrders) sumHeardLoads();
     takeTargets(parts, heartbeat);
+    if (heartbeat.blame) blame.take(status.incarnation, heartbeat.blame);
     void catchUp(status);
     if (report && lease.known()?.holder === status.incarnation) {
       takeReport(parts, knowledge, report);
--- a/packages/entry-box/src/heartbeat-source.ts
+++ b/packages/entry-box/src/heartbeat-source.ts
@@ -7,6 +7,7 @@
   peersName,
   type TargetChanges,
 } from "@linkfall/box-peers";
+import { type BlameWord, crashBlameName } from "@linkfall/crash-blame";
 import { desiredFeedName } from "@linkfall/desired-feed";
 import { fleetName } from "@linkfall/fleet";
 import { orderLeaseName } from "@linkfall/order-lease";
@@ -23,6 +24,12 @@
   return feed.targetsSince(reader.targetsEnd);
 }
 
+/** What this box knows of requests that end targets and the reader does not. */
+function blameFor({ kernel }: BoxParts, reader?: BoxStatus): BlameWord | undefined {
+  const word = kernel.find(crashBlameName).tell(reader?.blameFollowed ?? 0);
+  return word.records.length > 0 ? word : undefined;
+}
+
 /** Creates the source; it finds its services when the first heartbeat is made. */
 export function createHeartbeatSource(
   parts: BoxParts,
@@ -51,6 +58,7 @@
       lease: known,
       ordersForMs: lease.ordersForMs(),
       followed: followed(),
+      blameFollowed: reader && kernel.find(crashBlameName).followed(reader.incarnation),
     };
   };
 
@@ -65,6 +73,7 @@
         sightings,
         report: gives ? report(reader) : undefined,
         targets: reader && targetsFor(parts, reader),
+        blame: blameFor(parts, reader),
       };
     },
   };
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -1,9 +1,12 @@
 /** What the steps of a request share: services of its box, and the limits of its way. */
+import type { CrashBlame } from "@linkfall/crash-blame";
 import type { Random } from "@linkfall/kernel";
 import type { DemandMeter, Wanted } from "@linkfall/model-demand";
 import type { RetryBudget } from "@linkfall/retry-budget";
 import type { Milliseconds, Route } from "@linkfall/types";
 import type { ForwardedRequest } from "./forwarded-request.js";
+import type { LastTries } from "./crash-check.js";
+import type { LostTargets } from "./lost-targets.js";
 import type { SendContext } from "./send-to-target.js";
 import type { ChangeWaiter } from "./wait-for-change.js";
 
@@ -29,6 +32,9 @@
   readonly demand: DemandMeter;
   readonly random: Random;
   readonly budget: RetryBudget;
+  readonly blame: CrashBlame;
+  readonly lostTargets: LostTargets;
+  readonly lastTries: LastTries;
   readonly waiter: ChangeWaiter;
   readonly forwardLimits: ForwardLimits;
   /** This box's failure domain. */
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -1,9 +1,11 @@
 /** The way of one request: pick a target or wait for weights, send, and go on while that may help. */
+import type { TargetBelief } from "@linkfall/fleet";
 import { sleep } from "@linkfall/kernel";
 import type { RequestDemand } from "@linkfall/model-demand";
 import type { Milliseconds } from "@linkfall/types";
 import { longestQueueMs, replicaComingMs } from "./admission.js";
 import type { AttemptEnd } from "./attempt.js";
+import { mayGoOnAfterLoss, noteServed, refuseGuilty } from "./crash-check.js";
 import { type ForwardContext, timeLeft } from "./forward-context.js";
 import { type ForwardedRequest, type RequestEnd, wantedOf } from "./forwarded-request.js";
 import { nextReplicaMs, waitForWeights } from "./hold-for-weights.js";
@@ -21,6 +23,8 @@
 } from "./request-step.js";
 
 const comeBackElsewhereMs: Milliseconds = 0;
+/** From this status on a target tells of a failure of its own. */
+const failedStatus = 500;
 
 /** Whether the request may be sent once more after a send that may have run. */
 function mayRepeat(context: ForwardContext, request: ForwardedRequest): boolean {
@@ -35,17 +39,35 @@
   return granted;
 }
 
-function afterLoss(
+function repeatOr(
   context: ForwardContext,
   request: ForwardedRequest,
   status: number,
   reason: string,
 ): Step {
-  request.runs += 1;
   if (mayRepeat(context, request) && takeRetry(context, request)) return on;
   return refuse(request, status, reason);
 }
 
+async function afterLoss(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  target: TargetBelief,
+  reason: string,
+): Promise<Step> {
+  request.runs += 1;
+  // Each further target that it ends takes all requests at work there with it.
+  const mayGoOn = await mayGoOnAfterLoss(context, request, target);
+  return mayGoOn
+    ? repeatOr(context, request, lostStatus, reason)
+    : refuse(request, lostStatus, reason);
+}
+
+function afterSilence(context: ForwardContext, request: ForwardedRequest): Step {
+  request.runs += 1;
+  return repeatOr(context, request, lateStatus, "no answer in time");
+}
+
 function passOn(
   context: ForwardContext,
   request: ForwardedRequest,
@@ -53,25 +75,32 @@
 ): Step {
   request.runs += 1;
   const { head, body } = end;
-  const worthRetry = head.status >= 500 && mayRepeat(context, request);
+  const worthRetry = head.status >= failedStatus && mayRepeat(context, request);
   if (worthRetry && takeRetry(context, request)) return on;
+  if (head.status < failedStatus) noteServed(context, request);
   request.sink.whole(head.status, context.codec.forCaller(head.headers), body);
   return ended({ outcome: "answered", status: head.status });
 }
 
-function afterSend(context: ForwardContext, request: ForwardedRequest, end: AttemptEnd): Step {
+async function afterSend(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  target: TargetBelief,
+  end: AttemptEnd,
+): Promise<Step> {
   switch (end.kind) {
     case "answered":
       return passOn(context, request, end);
     case "streamed":
+      noteServed(context, request);
       request.sink.end();
       return ended({ outcome: "streamed" });
     case "gone":
       return ended({ outcome: "gone" });
     case "lost":
-      return afterLoss(context, request, lostStatus, end.reason);
+      return afterLoss(context, request, target, end.reason);
     case "silent":
-      return afterLoss(context, request, lateStatus, "no answer in time");
+      return afterSilence(context, request);
     case "not_sent":
       return on;
     case "not_run":
@@ -106,7 +135,10 @@
     alternatives: others,
     send: request.sends + 1,
   });
-  return afterSend(context, request, await sendToTarget(context, request, picked));
+  context.lastTries.begins(request, target.listed.id);
+  const end = await sendToTarget(context, request, picked);
+  context.lastTries.ends(request, target.listed.id);
+  return afterSend(context, request, target, end);
 }
 
 /** Sends the request, holds it for a replica that will answer sooner, or refuses what is hopeless. */
@@ -136,11 +168,11 @@
   if (!request.sink.begun() && !context.takes(request.route)) {
     return refuse(request, refusedStatus, "stopping", comeBackElsewhereMs);
   }
-  const { forwardLimits, fleet, random, domain } = context;
+  const { forwardLimits, fleet, random, domain, lastTries } = context;
   if (request.sends >= forwardLimits.mostSends) {
     return refuse(request, refusedStatus, "too many sends", forwardLimits.comeBackMs);
   }
-  const pick = pickTarget(fleet, request, context, domain, random, context.clock.now());
+  const pick = pickTarget(fleet, request, lastTries, context, domain, random, context.clock.now());
   switch (pick.kind) {
     case "target":
       return admit(context, request, pick);
@@ -169,6 +201,8 @@
 ): Promise<RequestEnd> {
   const { terms, service } = request;
   context.budget.request(service.name);
+  const guilty = refuseGuilty(context, request);
+  if (guilty?.go === "end") return guilty.end;
   const asksForWeights = terms.model !== undefined && service.engine !== undefined;
   const endDemand = asksForWeights
     ? context.demand.begins(wantedOf(request), demandOf(context, request))
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -35,6 +35,8 @@
   firstAt?: Milliseconds;
   /** Longest time between two arrivals of bytes of its stream. */
   longestGapMs: Milliseconds;
+  /** Two targets have ended under it, and others may be to blame: it is sent once more, without company of its kind. */
+  lastTry: boolean;
   /** It has waited for weights. */
   held: boolean;
   /** All sends. */
--- a/packages/forwarding/src/forwarding.feature
+++ b/packages/forwarding/src/forwarding.feature
@@ -47,3 +47,10 @@
     When a caller asks for "m1/x"
     And the engine holds the adapter "m1/x" after 150 ms
     Then it is sent to the engine
+
+  Scenario: Two requests under which targets have ended are never at one target together
+    Given "r1" and "r2" have their last try
+    When "r1" is at the engine
+    Then "r2" finds no target, and "r3" finds the engine
+    When "r1" has ended
+    Then "r2" finds the engine
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { createCrashBlame } from "@linkfall/crash-blame";
 import { createFleet, type Fleet } from "@linkfall/fleet";
 import {
   clockName,
@@ -18,12 +19,14 @@
   type AnswerSink,
   createChangeWaiter,
   createForwardMetrics,
+  createLastTries,
   createLostTargets,
   createStreamPace,
   createWorkCostMeter,
   type ForwardContext,
   type ForwardedRequest,
   forwardRequest,
+  pickTarget,
   type RequestEnd,
 } from "./index.js";
 
@@ -99,6 +102,8 @@
     random: seededRandom(1),
     logger,
     metrics: createForwardMetrics(createMetrics()),
+    blame: createCrashBlame(clock),
+    lastTries: createLastTries(),
     lostTargets: createLostTargets(clock, async () => "listens"),
     codec,
     fleet,
@@ -206,23 +211,18 @@
   };
 }
 
-/** Lets a request that is decided at once come to its end. */
-const settleMs = 1;
-
-When("a caller asks for {string}", async function (this: object, weights: string) {
-  const [model, adapter] = weights.split("/");
-  const scene = sceneOf(this);
-  const { route, clock, context } = scene;
-  const request: ForwardedRequest = {
+function requestOf(scene: Scene, id: string, model: string, adapter?: string): ForwardedRequest {
+  const { route, clock } = scene;
+  return {
     route,
     service,
     method: "POST",
     path: "/",
     headers: [],
     body: Buffer.alloc(0),
-    fingerprint: () => "f1",
+    fingerprint: () => id,
     terms: {
-      id: "r1",
+      id,
       model,
       adapter,
       tokensTold: true,
@@ -242,7 +242,18 @@
     unwritten: 0,
     longestGapMs: 0,
     held: false,
+    lastTry: false,
   };
+}
+
+/** Lets a request that is decided at once come to its end. */
+const settleMs = 1;
+
+When("a caller asks for {string}", async function (this: object, weights: string) {
+  const [model, adapter] = weights.split("/");
+  const scene = sceneOf(this);
+  const { clock, context } = scene;
+  const request = requestOf(scene, "r1", model, adapter);
   scene.request = request;
   void forwardRequest(context, request).then((end) => void (scene.end = end));
   await clock.runUntil(settleMs);
@@ -318,3 +329,47 @@
 Then("it is sent to the engine", function (this: object) {
   assert.ok((sceneOf(this).request?.sends ?? 0) > 0);
 });
+
+const lastTries = new WeakMap<object, Map<string, ForwardedRequest>>();
+
+/** A request by its name; one that has its last try is kept from step to step. */
+function triedOf(world: object, id: string): ForwardedRequest {
+  return lastTries.get(world)?.get(id) ?? requestOf(sceneOf(world), id, "m1");
+}
+
+function targetFor(world: object, id: string): string | undefined {
+  const { context, fleet, clock } = sceneOf(world);
+  const { domain, random } = context;
+  const request = triedOf(world, id);
+  const pick = pickTarget(fleet, request, context.lastTries, context, domain, random, clock.now());
+  return pick.kind === "target" ? pick.target.listed.id : undefined;
+}
+
+Given(
+  "{string} and {string} have their last try",
+  function (this: object, one: string, other: string) {
+    const requests = [one, other].map((id) => requestOf(sceneOf(this), id, "m1"));
+    for (const request of requests) request.lastTry = true;
+    lastTries.set(this, new Map(requests.map((request) => [request.terms.id, request])));
+  },
+);
+
+When("{string} is at the engine", function (this: object, id: string) {
+  sceneOf(this).context.lastTries.begins(triedOf(this, id), "e1");
+});
+
+When("{string} has ended", function (this: object, id: string) {
+  sceneOf(this).context.lastTries.ends(triedOf(this, id), "e1");
+});
+
+Then(
+  "{string} finds no target, and {string} finds the engine",
+  function (this: object, kept: string, free: string) {
+    assert.equal(targetFor(this, kept), undefined);
+    assert.equal(targetFor(this, free), "e1");
+  },
+);
+
+Then("{string} finds the engine", function (this: object, id: string) {
+  assert.equal(targetFor(this, id), "e1");
+});
--- a/packages/forwarding/src/pick.ts
+++ b/packages/forwarding/src/pick.ts
@@ -4,6 +4,7 @@
 import { topNodes } from "@linkfall/rendezvous";
 import type { Milliseconds, RequestTerms } from "@linkfall/types";
 import { type Candidate, type Choice, chooseTarget } from "@linkfall/target-choice";
+import type { LastTries } from "./crash-check.js";
 import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
 import type { StreamPace } from "./stream-pace.js";
 import type { WorkCostMeter } from "./work-costs.js";
@@ -103,6 +104,7 @@
 export function pickTarget(
   fleet: Fleet,
   request: ForwardedRequest,
+  lastTries: LastTries,
   meters: TargetMeters,
   domain: string,
   random: Random,
@@ -117,7 +119,9 @@
       adapterOnly: usable.some((one) => holdsModel(one, request, now)),
     };
   }
-  const untried = holding.filter((belief) => !request.tried.has(belief.listed.id));
+  const untried = holding.filter(
+    ({ listed }) => !request.tried.has(listed.id) && !lastTries.avoids(request, listed.id),
+  );
   const home = homeOf(request, holding);
   const candidates = untried.map((belief) => toCandidate(belief, request, domain, meters, home));
   const choice = chooseTarget(candidates, random);
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -1,12 +1,11 @@
 /** One send of a request to a picked target, with what it teaches about the target. */
-import type { Fleet, TargetBelief, TargetLoad } from "@linkfall/fleet";
+import type { Fleet, TargetLoad } from "@linkfall/fleet";
 import type { Clock } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
 import type { RequestCodec } from "@linkfall/ports";
 import type { Milliseconds } from "@linkfall/types";
 import { type AttemptEnd, sendAttempt } from "./attempt.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
-import type { LostTargets } from "./lost-targets.js";
 import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
 import type { Pick, TargetMeters } from "./pick.js";
 
@@ -33,7 +32,6 @@
   readonly logger: Logger;
   readonly limits: SendLimits;
   readonly metrics: ForwardMetrics;
-  readonly lostTargets: LostTargets;
 }
 
 /** How long a refusal for want of an adapter counts: most are there by then. */
@@ -100,22 +98,6 @@
   }
 }
 
-/** Tells of a lost answer what its target's own words cannot: which content was sent, and whether the target is there. */
-async function tellLoss(
-  { lostTargets, logger }: SendContext,
-  request: ForwardedRequest,
-  { listed }: TargetBelief,
-): Promise<void> {
-  const listening = await lostTargets.look(listed.address);
-  const { terms, fingerprint } = request;
-  logger.event("sendLost", {
-    request: terms.id,
-    fingerprint: fingerprint(),
-    target: listed.id,
-    listening,
-  });
-}
-
 /** Sends the request and resolves with how that ended. */
 export async function sendToTarget(
   context: SendContext,
@@ -208,6 +190,5 @@
     ms: Math.round(clock.now() - sentAt),
     unread,
   });
-  if (end.kind === "lost") void tellLoss(context, request, target);
   return end;
 }
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -158,6 +158,13 @@
     "info",
     "The answer of a target was lost; whether the target still takes connections tells a lost connection from a target that ended.",
   ),
+  requestHeldBack: event(
+    5014,
+    "warn",
+    "A request is held back at all boxes: target after target ended while it ran there.",
+    "Look at what it does to the engine; release it by its fingerprint once that is mended (operators/held-requests.md).",
+  ),
+  requestReleased: event(5015, "info", "A request that was held back may run again."),
   outcomeUnknown: event(
     5004,
     "warn",
--- a/packages/operator-client/src/index.ts
+++ b/packages/operator-client/src/index.ts
@@ -1,6 +1,7 @@
 /** Asks a box's operator interface. */
 import { request as plainRequest } from "node:http";
 import { request as tlsRequest } from "node:https";
+import { type HeldRequest, heldRequestsPath } from "@linkfall/crash-blame";
 import type {
   AuditAnswer,
   BoxLine,
@@ -36,6 +37,10 @@
   status(): Asked<StatusAnswer>;
   boxes(): Asked<readonly BoxLine[]>;
   audit(): Asked<AuditAnswer>;
+  /** Requests that are held back by boxes that forward opaque requests. */
+  heldRequests(): Asked<readonly HeldRequest[]>;
+  /** Lets one through again; false where it is not held back. */
+  releaseRequest(fingerprint: string): Asked<boolean>;
   /** Calls `take` for each event until the connection ends or `signal` is aborted. */
   watch(
     after: Revision | undefined,
@@ -52,6 +57,8 @@
 const unauthenticated = 401;
 /** Statuses by which a write is answered. */
 const writeStatuses = [200, 409, 422, 504];
+/** Statuses by which a release is answered. */
+const releaseStatuses = [200, 404];
 
 /** Creates a client for one box. */
 export function createOperatorClient(target: OperatorTarget): OperatorClient {
@@ -112,6 +119,15 @@
       return answer.map(({ boxes }) => boxes);
     },
     audit: () => get<AuditAnswer>("/v1/audit"),
+    async heldRequests() {
+      const answer = await get<{ held: readonly HeldRequest[] }>(heldRequestsPath);
+      return answer.map(({ held }) => held);
+    },
+    async releaseRequest(fingerprint) {
+      const path = `${heldRequestsPath}?request=${encodeURIComponent(fingerprint)}`;
+      const answer = await ask<{ released: boolean }>("DELETE", path, undefined, releaseStatuses);
+      return answer.map(({ released }) => released);
+    },
     async watch(after, take, signal) {
       const onEvent = (message: EventSourceMessage) => take(JSON.parse(message.data) as WatchEvent);
       const parser = createParser({ onEvent });
