Failing tests: a box whose machine was suspended goes on by rights that have run out

Seen in a model, not by callers: a holder that slept for 5 s may give orders at once after it wakes (epoch 1 where none was due), and counts as having just heard boxes that it heard before.

--- a/packages/box-peers/src/box-peers.feature
+++ b/packages/box-peers/src/box-peers.feature
@@ -42,6 +42,17 @@
     And 5000 ms go by among the boxes
     Then every box takes 58 others for alive
 
+  Scenario: A box that was suspended has heard nobody lately before it hears them again
+    A box whose machine had slept took what it had heard before for fresh: that the store was away for all, so that it went on giving orders, and that it was
+    connected, so that it went on allotting limits. The steady clock, by which it measured, does not count a suspension.
+    Given 5 boxes of which one holds the order lease
+    When 3000 ms go by among the boxes
+    Then every box has heard 4 others itself
+    When all machines are suspended for 5000 ms
+    Then every box has heard 0 others itself
+    When 1000 ms go by among the boxes
+    Then every box has heard 4 others itself
+
   Scenario: A round lengthens with the deployment
     Then with 7, 86 and 429 others a round of 400 ms and 4 ms a box takes 400, 400 and 1716 ms
 
--- a/packages/box-peers/src/box-peers.steps.ts
+++ b/packages/box-peers/src/box-peers.steps.ts
@@ -156,6 +156,10 @@
   await scene.clock.runUntil(scene.clock.now() + ms);
 });
 
+When("all machines are suspended for {int} ms", function (this: object, ms: number) {
+  sceneOf(this).clock.suspend(ms);
+});
+
 async function stopBox(scene: Scene, index: number): Promise<void> {
   scene.boxes[index].stopped = true;
   await scene.boxes[index].peers.stop();
--- a/packages/entry-box/src/loop-watch.steps.ts
+++ b/packages/entry-box/src/loop-watch.steps.ts
@@ -29,6 +29,7 @@
   let timers: Timer[] = [];
   return {
     now: () => now,
+    elapsed: () => now,
     wallTime: () => "",
     after(delay, action) {
       const timer = { dueAt: now + delay, action, cancelled: false };
--- a/packages/entry-box/src/loop-watch.ts
+++ b/packages/entry-box/src/loop-watch.ts
@@ -38,6 +38,7 @@
 
   return {
     now: clock.now,
+    elapsed: clock.elapsed,
     wallTime: clock.wallTime,
     after(delay, action) {
       const dueAt = clock.now() + delay;
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -8,12 +8,37 @@
 export interface Clock {
   /** Monotonic reading in milliseconds. */
   now(): Milliseconds;
+  /**
+   * As `now`, and beside it the time for which the machine may have been suspended, which the steady clock leaves out. What
+   * this box has a right to ends by it; a step of the wall clock ends it sooner than need be. The time for which another box
+   * may still act, and what callers wait for, go by `now`.
+   */
+  elapsed(): Milliseconds;
   /** Wall-clock time for people to read, ISO 8601. No decision depends on it. */
   wallTime(): string;
   /** Calls `action` once, `delay` milliseconds from now. */
   after(delay: Milliseconds, action: () => void): CancelTimer;
 }
 
+/** A wall clock that ran ahead of the steady one by less shows no suspension: it is read in whole milliseconds, and is corrected. */
+const leastSuspensionMs: Milliseconds = 20;
+
+/** Adds up by how much the wall clock has jumped ahead of the steady one: the only sign of a suspension that a process gets. */
+export function createElapsed(
+  steady: () => Milliseconds,
+  wall: () => Milliseconds,
+): () => Milliseconds {
+  let suspendedMs = 0;
+  let before = { steady: steady(), wall: wall() };
+  return () => {
+    const now = { steady: steady(), wall: wall() };
+    const aheadMs = now.wall - before.wall - (now.steady - before.steady);
+    before = now;
+    if (aheadMs > leastSuspensionMs) suspendedMs += aheadMs;
+    return now.steady + suspendedMs;
+  };
+}
+
 /** A timer that fires later than this shows that the event loop is behind. */
 const lateMs: Milliseconds = 20;
 
@@ -25,6 +50,7 @@
 export function systemClock(): Clock {
   return {
     now: () => performance.now(),
+    elapsed: createElapsed(() => performance.now(), Date.now),
     wallTime: () => new Date().toISOString(),
     after(delay, action) {
       const dueAt = performance.now() + delay;
--- a/packages/kernel/src/virtual-clock.ts
+++ b/packages/kernel/src/virtual-clock.ts
@@ -16,6 +16,8 @@
 export interface VirtualClock extends Clock {
   /** Runs all timers that are due up to `time`, letting promises settle between them. */
   runUntil(time: Milliseconds): Promise<void>;
+  /** Lets the machine sleep: the steady clock and its timers stand still meanwhile. */
+  suspend(time: Milliseconds): void;
 }
 
 /** Lets every promise that can settle now do so. */
@@ -68,10 +70,13 @@
 export function createVirtualClock(): VirtualClock {
   const timers = timerHeap();
   let now = 0;
+  let suspendedMs = 0;
   let created = 0;
   return {
     now: () => now,
-    wallTime: () => new Date(wallStart + now).toISOString(),
+    elapsed: () => now + suspendedMs,
+    suspend: (time) => void (suspendedMs += time),
+    wallTime: () => new Date(wallStart + now + suspendedMs).toISOString(),
     after(delay, action) {
       const timer = { due: now + Math.max(0, delay), order: created++, action, cancelled: false };
       timers.push(timer);
--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -45,6 +45,14 @@
     Then "a" may give no orders
     And within 8 s a box may give orders under a higher epoch
 
+  Scenario: A holder that was suspended gives no orders before it has proven its lease anew
+    Two boxes gave orders at once. The holder's machine slept for longer than its lease, and the steady clock does not count that
+    time: its lease had as much left as before, while another box had waited for it to run out, and claimed it.
+    Given "a" holds the lease
+    When "a" wakes after a suspension of 5000 ms
+    Then "a" may give no orders
+    And within 1 s "a" has proven its lease and may give orders
+
   Scenario: A box that leaves hands the lease on
     Given "a" holds the lease
     When "a" leaves
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -31,6 +31,8 @@
   silent: boolean;
   leaving: boolean;
   heardAt: number;
+  /** Time that its machine slept. */
+  suspendedMs: number;
   told: { ordersForMs: number };
 }
 
@@ -64,7 +66,7 @@
   const { clock, boxes, access } = scene;
   const rank = boxes.length;
   const kernel = createKernel();
-  kernel.provide(clockName, clock);
+  kernel.provide(clockName, { ...clock, elapsed: () => clock.now() + box.suspendedMs });
   kernel.provide(randomName, seededRandom(seed + rank));
   kernel.provide(
     loggerName,
@@ -85,9 +87,15 @@
       boxes.every((box) => box.silent || access.get(box.name) === "refuses") &&
       boxes.filter((box) => !box.silent).length * 2 > boxes.length,
   };
-  const lease = createOrderLease(kernel, name, port, peers, rules);
   const told = { ordersForMs: 0 };
-  const box = { name, lease, silent: false, leaving: false, heardAt: 0, told };
+  const state = { name, silent: false, leaving: false, heardAt: 0, suspendedMs: 0, told };
+  const box: LeaseBox = {
+    ...state,
+    get lease() {
+      return lease;
+    },
+  };
+  const lease = createOrderLease(kernel, name, port, peers, rules);
   boxes.push(box);
   return box;
 }
@@ -253,6 +261,21 @@
   },
 );
 
+When(
+  "{string} wakes after a suspension of {int} ms",
+  function (this: object, name: string, ms: number) {
+    boxOf(sceneOf(this), name).suspendedMs += ms;
+  },
+);
+
+Then(
+  "within {int} s {string} has proven its lease and may give orders",
+  async function (this: object, seconds: number, name: string) {
+    const holder = await passUntilHolder(sceneOf(this), seconds * 1_000, () => true);
+    assert.equal(holder.name, name);
+  },
+);
+
 When("{string} leaves", function (this: object, name: string) {
   const box = boxOf(sceneOf(this), name);
   box.leaving = true;
--- a/packages/soak/src/scenarios/gated-process.ts
+++ b/packages/soak/src/scenarios/gated-process.ts
@@ -32,6 +32,7 @@
   return {
     clock: {
       now: world.now,
+      elapsed: world.elapsed,
       wallTime: world.wallTime,
       after: (delay, action) => world.after(delay, () => deliver(action)),
     },
