Rights of a box end by a clock that counts suspensions

Callers would have seen models swapped under them by two boxes at once, and limits let through twice. Cause: leases, proofs and what was heard of others were measured by the steady clock, which leaves out the time of a suspension, so that a box woke with rights that had run out. Change: own rights (lease and proof of both lines, when another box was last heard) go by elapsed(), which adds each jump of the wall clock ahead of the steady one; a step by hand ends them sooner than need be, until one read or heartbeat. What others may still do, timers, and what callers wait for go by the steady clock as before, so that a step makes no box too early and cuts nobody off. Why it holds: both directions err to the safe side, whichever of the two it was. Two ways weighed: no service after a wake until a read, against rights only; the second, since a stepped clock would turn callers away for nothing.

--- a/packages/box-peers/src/box-peers.steps.ts
+++ b/packages/box-peers/src/box-peers.steps.ts
@@ -236,7 +236,7 @@
   return [...(partnerScenes.get(world) ?? [])].map(([box, reachesStore]) => {
     const member = createMember({ box, peerAddress: box }, 0);
     const status = { box, incarnation: box, beat: 1, reading: true, reachesStore };
-    takeStatus(member, status as BoxStatus, 0);
+    takeStatus(member, status as BoxStatus, 0, 0);
     return member;
   });
 }
--- a/packages/box-peers/src/member-table.ts
+++ b/packages/box-peers/src/member-table.ts
@@ -87,7 +87,7 @@
     if (now - member.seenAt <= mayRestMs(member)) return true;
     if (member.vouchedBy === undefined) return false;
     const holder = find(member.vouchedBy);
-    return holder !== undefined && now - holder.heardAt <= rules.vouchedMs;
+    return holder !== undefined && clock.elapsed() - holder.heardAt <= rules.vouchedMs;
   };
 
   const takeSightings = ({ status, sightings, report }: Heartbeat) => {
@@ -118,7 +118,7 @@
       const { status } = heartbeat;
       const member = learn(status);
       const before = member?.status?.incarnation;
-      if (!member || !takeStatus(member, status, clock.now())) return "old";
+      if (!member || !takeStatus(member, status, clock.now(), clock.elapsed())) return "old";
       member.suspected = false;
       if (before === status.incarnation) return "newer";
       if (before !== undefined) heard.delete(before);
--- a/packages/box-peers/src/member.ts
+++ b/packages/box-peers/src/member.ts
@@ -9,7 +9,7 @@
   profile?: BoxProfile;
   /** Newest status that came from the box itself. */
   status?: BoxStatus;
-  /** When that status came. */
+  /** When that status came, by the clock's `elapsed`: what this box heard before it slept gives it no right. */
   heardAt: Milliseconds;
   /** When any box last heard it, as far as sightings tell. */
   seenAt: Milliseconds;
@@ -24,12 +24,17 @@
 }
 
 /** Takes a status that came from the box itself; returns whether it is news. */
-export function takeStatus(member: Member, status: BoxStatus, now: Milliseconds): boolean {
+export function takeStatus(
+  member: Member,
+  status: BoxStatus,
+  now: Milliseconds,
+  elapsed: Milliseconds,
+): boolean {
   const before = member.status;
   if (before?.incarnation === status.incarnation && status.beat <= before.beat) return false;
   member.status = status;
   member.profile = status;
-  member.heardAt = now;
+  member.heardAt = elapsed;
   member.seenAt = now;
   return true;
 }
--- a/packages/box-peers/src/peers.ts
+++ b/packages/box-peers/src/peers.ts
@@ -137,12 +137,12 @@
   const partners = (): readonly Member[] => {
     const holder = source.holder();
     const heardAt = holder === undefined ? undefined : table.find(holder)?.heardAt;
-    const holderHeard = heardAt !== undefined && clock.now() - heardAt <= table.suspectMs();
+    const holderHeard = heardAt !== undefined && clock.elapsed() - heardAt <= table.suspectMs();
     return partnersOfRound({ members: table.all(), holder, holderHeard, round }, rules, random);
   };
 
   const isDue = (member: Member) =>
-    !calling.has(member) && clock.now() - member.heardAt > table.intervalMs() * heardShare;
+    !calling.has(member) && clock.elapsed() - member.heardAt > table.intervalMs() * heardShare;
 
   const runRound = () => {
     if (stopped) return;
@@ -166,16 +166,18 @@
       table
         .all()
         .flatMap((member) =>
-          member.status && clock.now() - member.heardAt <= table.suspectMs() ? member.status : [],
+          member.status && clock.elapsed() - member.heardAt <= table.suspectMs()
+            ? member.status
+            : [],
         ),
     sightings: () => table.all().flatMap(table.sightingOf),
     heardMs(incarnation) {
       const member = table.find(incarnation);
-      return member && clock.now() - member.heardAt;
+      return member && clock.elapsed() - member.heardAt;
     },
     silentMs() {
       const heardAt = table.all().map((member) => member.heardAt);
-      return heardAt.length === 0 ? 0 : clock.now() - Math.max(...heardAt);
+      return heardAt.length === 0 ? 0 : clock.elapsed() - Math.max(...heardAt);
     },
     suspectMs: table.suspectMs,
     find: (incarnation) => table.find(incarnation)?.status,
--- a/packages/lease-holder/src/lease-clock.ts
+++ b/packages/lease-holder/src/lease-clock.ts
@@ -1,6 +1,6 @@
 /**
- * How long leases last by this box's own monotonic clock. A holder counts from before it sent the
- * record, a rival from when it read it, so the holder always stops first.
+ * How long leases last by this box's own clock. A holder counts from before it sent the record, a rival from when it
+ * read it, so the holder always stops first. The holder's times count suspensions (`elapsed`), the rival's don't (`now`).
  */
 import type { Lease } from "@linkfall/state-fold";
 import type { Epoch, Milliseconds, Offset } from "@linkfall/types";
@@ -11,7 +11,7 @@
   /** Notes that a claim or a renewal was read. */
   read(lease: Lease, now: Milliseconds): void;
   /** Whether this box may still act under its own lease. */
-  heldNow(lease: Lease, now: Milliseconds): boolean;
+  heldNow(lease: Lease, elapsed: Milliseconds): boolean;
   /** Whether a rival may claim the lease of another box. */
   lapsed(lease: Lease, margin: Milliseconds, now: Milliseconds): boolean;
 }
@@ -33,9 +33,9 @@
       if (readAt.get(lease.pool)?.touched === lease.touched) return;
       readAt.set(lease.pool, { touched: lease.touched, at: now });
     },
-    heldNow(lease, now) {
+    heldNow(lease, elapsed) {
       const start = sentAt.get(lease.epoch);
-      return start !== undefined && !lease.released && now < start + lease.leaseMs;
+      return start !== undefined && !lease.released && elapsed < start + lease.leaseMs;
     },
     lapsed(lease, margin, now) {
       if (lease.released) return true;
--- a/packages/lease-holder/src/lease-holder.ts
+++ b/packages/lease-holder/src/lease-holder.ts
@@ -99,8 +99,8 @@
   const renew = async () => {
     const held = mine();
     if (held.length === 0) return;
-    const sentAt = clock.now();
-    renewedAt = sentAt;
+    const sentAt = clock.elapsed();
+    renewedAt = clock.now();
     const epochs = held.map((lease) => lease.epoch);
     const result = await writer.append(
       (id) => ({ type: "renew", id, holder: incarnation, epochs }),
@@ -114,7 +114,7 @@
   };
 
   const claim = async (pool: string) => {
-    const sentAt = clock.now();
+    const sentAt = clock.elapsed();
     const supersedes = store.state().leases.get(pool)?.touched ?? 0;
     const result = await writer.append(
       (id) => ({
@@ -174,7 +174,7 @@
   const toHeld = (lease: Lease): HeldLease => ({
     pool: lease.pool,
     epoch: lease.epoch,
-    valid: leases.heldNow(lease, clock.now()),
+    valid: leases.heldNow(lease, clock.elapsed()),
   });
 
   const loop = repeatEvery(clock, kernel.find(randomName), checkMs, check);
--- a/packages/order-lease/src/index.ts
+++ b/packages/order-lease/src/index.ts
@@ -87,7 +87,8 @@
   /** When this box heard of that claim. */
   claimHeardAt: Milliseconds;
   end: Offset | undefined;
-  /** Until when this box may give orders without another proof. */
+  /** Until when this box may give orders without another proof; as `provenAt`, by the clock's `elapsed`: a lease runs out while its
+   * holder sleeps. What other boxes may still do goes by `now`, so that a step of the wall clock never makes this box too early. */
   provenUntil: Milliseconds;
   /** When the last read that proved it was sent. */
   provenAt: Milliseconds;
@@ -157,7 +158,7 @@
   const prove = async () => {
     if (reading) return;
     reading = true;
-    const sentAt = clock.now();
+    const sentAt = clock.elapsed();
     const read =
       state.end === undefined ? await stream.newest() : await stream.changes(state.end, 0);
     reading = false;
@@ -189,7 +190,7 @@
     read.ifRight(takeBatch);
     // Somebody else was faster, as the read or another box has told meanwhile.
     if (state.claim.offset !== before && state.claim.holder !== releasedHolder) return;
-    const sentAt = clock.now();
+    const sentAt = clock.elapsed();
     const lastOrderBy = holderMayOrderUntil(state.claim.holder);
     const put = await stream.put(leaseKey, self, state.end);
     put.ifRight((offset) => {
@@ -209,7 +210,7 @@
 
   /** Keeps the right; after a refused order it is claimed anew unless another box has it. */
   const keep = async () => {
-    if (mine() && clock.now() - state.provenAt < rules.leaseMs / proofsOfLease) return;
+    if (mine() && clock.elapsed() - state.provenAt < rules.leaseMs / proofsOfLease) return;
     await prove();
     if (state.claim.holder === self && !mine()) await claim();
   };
@@ -254,7 +255,7 @@
     epoch() {
       const now = clock.now();
       if (!mine() || stopping || now < state.from) return undefined;
-      if (now >= state.provenUntil && !peers.allWithoutStore()) return undefined;
+      if (clock.elapsed() >= state.provenUntil && !peers.allWithoutStore()) return undefined;
       return epochOf(state.claim.offset);
     },
     known: () =>
@@ -269,7 +270,7 @@
     ordersForMs() {
       if (!mine() || stopping) return 0;
       if (peers.allWithoutStore()) return rules.leaseMs;
-      return Math.max(0, Math.round(state.provenUntil - clock.now()));
+      return Math.max(0, Math.round(state.provenUntil - clock.elapsed()));
     },
     async release() {
       const held = mine();
