--- a/packages/account-quota/src/account-quota.feature
+++ b/packages/account-quota/src/account-quota.feature
@@ -51,6 +51,16 @@
       | 30     | 700   | 780  |
       | 90     | 500   | 560  |
 
+  Scenario: What is handed out of a limit that runs short is told each second
+    Given a box that allocates while 0 in 100 of all boxes are silent
+    When 3 s go by while an account of 10000 units a second sends 100 units each 5 ms
+    Then what it tells of the limit adds up to what it lets through, but for the last second
+
+  Scenario: Nothing is told of a limit that does not run short
+    Given a box that allocates while 0 in 100 of all boxes are silent
+    When 3 s go by while an account of 100000 units a second sends 100 units each 5 ms
+    Then it tells nothing of that limit
+
   Scenario: What did not run is given back
     Given a box that allocates for itself
     When an account of 1000 units a second uses up what it has there
--- a/packages/account-quota/src/account-quota.steps.ts
+++ b/packages/account-quota/src/account-quota.steps.ts
@@ -5,6 +5,7 @@
 import type { AccountLimit, ClientAccount, RequestTerms } from "@linkfall/types";
 import { Left, Right } from "purify-ts";
 import {
+  type AllottedUnits,
   type AccountQuota,
   createAccountQuota,
   createQuotaAllocator,
@@ -129,6 +130,8 @@
   readonly clock: VirtualClock;
   readonly quota: AccountQuota;
   readonly decisions: QuotaDecision[];
+  /** What the box has told of limits that run short. */
+  readonly told: AllottedUnits[];
   readonly tookMs: number[];
 }
 
@@ -137,8 +140,10 @@
 const tolerance = { windowSeconds: 8, overage: 0.1, slack: 0 };
 
 function setUpBox(world: object, peers: Omit<QuotaPeers, "self">, clock: VirtualClock): void {
-  const quota = createAccountQuota(clock, { self: "self", ...peers }, tolerance);
-  notes(world).set("box", { clock, quota, decisions: [], tookMs: [] } satisfies BoxScene);
+  const told: AllottedUnits[] = [];
+  const onShort = (allotted: AllottedUnits) => void told.push(allotted);
+  const quota = createAccountQuota(clock, { self: "self", onShort, ...peers }, tolerance);
+  notes(world).set("box", { clock, quota, decisions: [], tookMs: [], told } satisfies BoxScene);
 }
 
 function accountOf(perSecond: number): ClientAccount {
@@ -246,6 +251,21 @@
   },
 );
 
+Then(
+  "what it tells of the limit adds up to what it lets through, but for the last second",
+  function (this: object) {
+    const { told, decisions } = boxOf(this);
+    const through = decisions.filter(({ kind }) => kind === "admitted").length * 100;
+    const units = told.reduce((sum, allotted) => sum + allotted.units, 0);
+    assert.ok(units >= through - 10_000 && units <= through + 10_000, `${units} of ${through}`);
+    assert.ok(told.every(({ refusals, part }) => refusals > 0 && part === 1));
+  },
+);
+
+Then("it tells nothing of that limit", function (this: object) {
+  assert.deepEqual(boxOf(this).told, []);
+});
+
 Then("each decision took at most {int} ms", function (this: object, ms: number) {
   assert.ok(Math.max(...boxOf(this).tookMs) <= ms);
 });
--- a/packages/account-quota/src/quota-source.ts
+++ b/packages/account-quota/src/quota-source.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
 import type { Either } from "purify-ts";
+import { type AllottedUnits, createAllotments } from "./allotments.js";
 import { createQuotaAllocator } from "./allocator.js";
 import type { QuotaAsk, QuotaGrant, QuotaRate } from "./messages.js";
 
@@ -29,8 +30,10 @@
   ownPart(): number;
   /** Parts of the boxes that are silent, and may be serving callers by their own parts. */
   silentPart(): number;
-  /** Hears that this box has decided alone on a part of an account's limit. */
-  onAlone?(account: string): void;
+  /** Hears of each decision that this box has taken alone, on a part of an account's limit. */
+  onAlone?(account: string, granted: number, part: number): void;
+  /** Hears, each second at most, what this box has allotted of an account's limit that runs short. */
+  onShort?(allotted: AllottedUnits): void;
 }
 
 export interface QuotaSource {
@@ -96,13 +99,16 @@
   const shared = createQuotaAllocator(clock, firstLevel);
   /** Used while this box is cut off; its rates are a part of the limits. */
   const alone = createQuotaAllocator(clock, (rate) => rate.burst);
+  const allotments = createAllotments(clock, (allotted) => peers.onShort?.(allotted));
   let wasConnected = true;
 
   const allocateAlone = (ask: QuotaAsk): QuotaGrant => {
-    peers.onAlone?.(ask.account);
     // The burst itself may have been used by the box that allocated until now.
     const whole = { perSecond: ask.rate.perSecond, burst: firstLevel(ask.rate) };
-    return alone.grant({ ...ask, ahead: 0, rate: partOfRate(whole, peers.ownPart()) });
+    const part = peers.ownPart();
+    const grant = alone.grant({ ...ask, ahead: 0, rate: partOfRate(whole, part) });
+    peers.onAlone?.(ask.account, grant.granted, part);
+    return grant;
   };
 
   /** Whether this box may allocate; what it knows of before it was cut off says little afterwards. */
@@ -116,7 +122,9 @@
   /** Boxes that are silent may serve callers by their own parts, so that these are not to be had here. */
   const allocateShared = (ask: QuotaAsk): QuotaGrant => {
     const part = Math.max(leastConnectedPart, 1 - peers.silentPart());
-    return shared.grant({ ...ask, rate: partOfRate(ask.rate, part) });
+    const grant = shared.grant({ ...ask, rate: partOfRate(ask.rate, part) });
+    allotments.note(ask.account, grant, part);
+    return grant;
   };
 
   const askOther = async (
--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -69,7 +69,12 @@
   };
 }
 
-function record(context: HandleContext, request: ForwardedRequest, end: RequestEnd): void {
+function record(
+  context: HandleContext,
+  request: ForwardedRequest,
+  end: RequestEnd,
+  units: number | undefined,
+): void {
   const { clock, logger } = context.forward;
   const tookMs = Math.round(clock.now() - request.arrivedAt);
   const reason = "reason" in end ? end.reason : "";
@@ -83,6 +88,7 @@
     request: request.terms.id,
     route: request.route.name,
     account: request.account,
+    units,
     model: request.terms.model,
     outcome: end.outcome,
     status: "status" in end ? end.status : undefined,
@@ -134,5 +140,5 @@
   }
   const end = await forwardRequest(forward, forwarded);
   settleQuota(context.quota, admission.use, forwarded, end);
-  record(context, forwarded, end);
+  record(context, forwarded, end, admission.use?.units);
 }
--- a/packages/entry-box/src/provide-quota.ts
+++ b/packages/entry-box/src/provide-quota.ts
@@ -25,6 +25,9 @@
   );
 }
 
+const partDigits = 3;
+const rounded = (part: number) => Number(part.toFixed(partDigits));
+
 export function provideQuota(parts: BoxParts, knowledge: HolderKnowledge): AccountQuota {
   const { kernel, settings, ports, peerClient } = parts;
   const { accounts, box } = settings;
@@ -40,7 +43,10 @@
       allocators: (account) => rankAllocators(account, inSight()),
       ask: (address, ask) => peerClient.quota(address, ask),
       connected: createConnectionCheck(parts, knowledge),
-      onAlone: (account) => ports.logger.event("quotaAlone", { account }),
+      onAlone: (account, granted, part) =>
+        ports.logger.event("quotaAlone", { account, granted, part: rounded(part) }),
+      onShort: (allotted) =>
+        ports.logger.event("quotaShort", { ...allotted, part: rounded(allotted.part) }),
       ownPart: () => limitParts().own,
       silentPart: () => limitParts().silent,
     },
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -141,6 +141,11 @@
     "No box that hands out the account's limit answers; this box lets through a small part of it.",
     "Check the network between boxes; see operators/accounts.md.",
   ),
+  quotaShort: event(
+    5016,
+    "info",
+    "What this box has handed out, in about a second, of an account's limit that runs short.",
+  ),
   requestRejected: event(
     5010,
     "info",
