--- a/packages/soak/src/scenarios/world-ports.ts
+++ b/packages/soak/src/scenarios/world-ports.ts
@@ -14,7 +14,7 @@
 } from "@linkfall/ports";
 import type { EngineCore, EngineRequest } from "@linkfall/stand-ins";
 import type { Milliseconds } from "@linkfall/types";
-import { type Either, Left, Right } from "purify-ts";
+import { type Either, Left, Maybe, Right } from "purify-ts";
 import { raceDeath, untilAborted, untilDead } from "./bodies.js";
 import type { GatedProcess } from "./gated-process.js";
 import { peerLost, targetLost } from "./network.js";
@@ -133,7 +133,9 @@
       const place = engine?.core.engine.name ?? request.address;
       const act = async () => {
         trace(`${name} sends ${place}: ${request.method} ${request.path}`);
-        if (service) return Right(await service.call(request));
+        if (service?.down) return Left(targetLost(false));
+        if (service)
+          return Maybe.fromNullable(await service.call(request)).toEither(targetLost(true));
         if (!engine || engine.down) return Left(targetLost(false));
         return Right(engineAnswer(engine.core, request.path, request));
       };
--- a/packages/soak/src/scenarios/world.ts
+++ b/packages/soak/src/scenarios/world.ts
@@ -32,6 +32,11 @@
 const undisturbedMs: Milliseconds = 5_000;
 const weightLoadsAtOnce = 8;
 const serviceWorkMs: Milliseconds = 30;
+/** From the start of a run to the end of its process, where it brings that about. */
+const crashAfterMs: Milliseconds = 20;
+/** How long such a process is away. */
+const awayMs: Milliseconds = 2_000;
+
 /** A box with the process that it runs in. */
 export interface WorldBox {
   readonly name: string;
@@ -67,6 +72,10 @@
   engineLostAt: Milliseconds;
   readonly services: readonly ServiceCore[];
   readonly boxes: WorldBox[];
+  /** A prompt, or a body of a service's call, that ends the process which runs it; it is back after a while. */
+  crashesOn?: string;
+  /** Targets that have ended by it. */
+  crashes: number;
   /** Starts of a prompt at engines, and of a body at services. */
   readonly runs: Map<string, number>;
   readonly violations: string[];
@@ -130,6 +139,19 @@
   };
   const checkEpoch = createEpochCheck(violation);
 
+  const crashSoon = (crash: () => void) => {
+    clock.after(crashAfterMs, () => {
+      world.crashes += 1;
+      crash();
+    });
+  };
+  const crashEngine = (engine: WorldEngine) => {
+    engine.down = true;
+    engine.core.restart();
+    world.engineLostAt = clock.now();
+    clock.after(awayMs, () => (engine.down = false));
+  };
+
   const engines: WorldEngine[] = targets.engines.map((declared) => {
     const engine: WorldEngine = {
       down: false,
@@ -141,18 +163,23 @@
         speeds: { ...targets.speeds, concurrency: declared.concurrency },
         reportLagMs,
         violation,
-        ran: (request) => checkStart(world, engine, request),
+        ran(request) {
+          checkStart(world, engine, request);
+          if (request.prompt === world.crashesOn) crashSoon(() => crashEngine(engine));
+        },
         takes: (order) => checkEpoch(declared, order),
         unloads: (artifact) => checkUnload(world, declared.name, artifact),
       }),
     };
     return engine;
   });
-  const services = targets.serviceAddresses.map((address) =>
-    createServiceCore(address, clock, serviceWorkMs, (path, body) =>
-      countRun(world, `${path} ${body}`),
-    ),
-  );
+  const services = targets.serviceAddresses.map((address): ServiceCore => {
+    const service = createServiceCore(address, clock, serviceWorkMs, (path, body) => {
+      countRun(world, `${path} ${body}`);
+      if (body === world.crashesOn) crashSoon(() => service.crash(awayMs));
+    });
+    return service;
+  });
 
   const noteInForceTimes = (worldBox: WorldBox) => {
     const store = worldBox.box.kernel.find(stateStoreName);
@@ -205,6 +232,7 @@
     engineLostAt: -Infinity,
     services,
     boxes,
+    crashes: 0,
     runs,
     violations,
     violation,
--- a/packages/stand-ins/src/http-stand-ins.ts
+++ b/packages/stand-ins/src/http-stand-ins.ts
@@ -145,6 +145,8 @@
       down = bodyOf<{ down: boolean }>(request).down;
       return json(200, { down });
     }
-    return down ? json(503, {}) : passed(await core.call(request));
+    if (down) return json(503, {});
+    const answered = await core.call(request);
+    return answered ? passed(answered) : json(502, {});
   });
 }
--- a/packages/stand-ins/src/service-core.ts
+++ b/packages/stand-ins/src/service-core.ts
@@ -7,9 +7,14 @@
 export interface ServiceCore {
   readonly address: string;
   leaving: boolean;
+  /** Its process does not run. */
+  readonly down: boolean;
+  /** Its process ends, and is back after `awayMs`. */
+  crash(awayMs: Milliseconds): void;
+  /** Runs a call; undefined where the process ended under it. */
   call(
     request: Pick<TargetRequest, "method" | "path" | "headers" | "body">,
-  ): Promise<TargetResponse>;
+  ): Promise<TargetResponse | undefined>;
 }
 
 /** Creates a target that takes `workMs` for each call. */
@@ -22,13 +27,25 @@
   async function* bodyOf(text: string): AsyncGenerator<BodyPart> {
     yield Right(Buffer.from(text));
   }
+  let down = false;
+  let lives = 1;
   return {
     address,
     leaving: false,
+    get down() {
+      return down;
+    },
+    crash(awayMs) {
+      down = true;
+      lives += 1;
+      clock.after(awayMs, () => (down = false));
+    },
     async call(request) {
       const text = Buffer.from(request.body).toString("utf8");
+      const life = lives;
       ran(request.path, text);
       await sleep(clock, workMs);
+      if (life !== lives) return undefined;
       const answer = JSON.stringify({ path: request.path, echo: text });
       const headers = {
         "content-type": "application/json",
