Process soak: a request that ends each server which runs it, beside all other faults

A caller sends one request again and again while boxes are killed, paused, cut and stopped; servers that run it end, their links refuse, and they come back in another life.

--- a/packages/process-soak/src/tests/link.ts
+++ b/packages/process-soak/src/tests/link.ts
@@ -12,7 +12,9 @@
   /** Holds up what the target answers. */
   | { readonly kind: "mute" }
   /** Resets connections, those that stand and new ones. */
-  | { readonly kind: "resetting" };
+  | { readonly kind: "resetting" }
+  /** As where no process runs: resets connections that stand, and takes no new ones. */
+  | { readonly kind: "refusing" };
 
 export interface Link {
   /** Where callers connect. */
@@ -104,17 +106,25 @@
     server.once("error", reject);
     server.listen(port, host, resolve);
   });
+  let closed = false;
+  const listenAgain = () => {
+    if (!closed && mode.kind !== "refusing" && !server.listening) server.listen(port, host);
+  };
 
   return {
     address,
     setMode(next) {
       mode = next;
-      if (next.kind === "resetting") for (const pair of [...pairs]) resetBoth(pair);
+      const resets = next.kind === "resetting" || next.kind === "refusing";
+      if (resets) for (const pair of [...pairs]) resetBoth(pair);
+      if (next.kind === "refusing") server.close(listenAgain);
+      else listenAgain();
       const woken = changed;
       changed = [];
       for (const wake of woken) wake();
     },
     close() {
+      closed = true;
       server.close();
       mode = open;
       for (const pair of [...pairs]) resetBoth(pair);
