Soak harness: a port that was taken while a stand-in was away does not end the soak

Cause: while a link refuses nobody listens at its port, which freeAddresses of another soak may give away; the error had no handler.

--- a/packages/process-soak/src/process-soak.steps.ts
+++ b/packages/process-soak/src/process-soak.steps.ts
@@ -257,3 +257,37 @@
     });
   while ((await open()) > 0) await new Promise((resolve) => setTimeout(resolve, 5));
 });
+
+When("the link is refusing", function (this: object) {
+  linkOf(this).link.setMode({ kind: "refusing" });
+});
+
+const splitPort = (address: string) => Number(address.slice(address.lastIndexOf(":") + 1));
+
+When(
+  "another process listens at its port until after the link is open again",
+  async function (this: object) {
+    const { link } = linkOf(this);
+    const other = createServer();
+    const port = splitPort(link.address);
+    await new Promise<void>((resolve) => other.listen(port, "127.0.0.1", resolve));
+    link.setMode({ kind: "open" });
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    await new Promise((resolve) => other.close(resolve));
+  },
+);
+
+Then("connections through it are taken again", async function (this: object) {
+  const port = splitPort(linkOf(this).link.address);
+  const connected = () =>
+    new Promise<boolean>((resolve) => {
+      const caller = connect(port, "127.0.0.1");
+      caller.once("connect", () => {
+        caller.destroy();
+        resolve(true);
+      });
+      caller.once("error", () => resolve(false));
+    });
+  // The scenario's own limit ends a wait in vain.
+  while (!(await connected())) await new Promise((resolve) => setTimeout(resolve, 20));
+});
--- a/packages/process-soak/src/promises.feature
+++ b/packages/process-soak/src/promises.feature
@@ -81,3 +81,11 @@
     Then bytes come back through it
     When its caller ends the connection
     Then the connection to the echo ends as well
+
+  Scenario: A link that refuses takes connections again, though another process took its port meanwhile
+    A soak ended in its ninth seed: "listen EADDRINUSE" at the port of a link whose server had crashed and was back. While the link
+    refused nobody listened there, and another soak on the machine had been given that port.
+    Given a link to an echo
+    When the link is refusing
+    And another process listens at its port until after the link is open again
+    Then connections through it are taken again
--- a/packages/process-soak/src/tests/link.ts
+++ b/packages/process-soak/src/tests/link.ts
@@ -26,6 +26,7 @@
 type Direction = "to_target" | "from_target";
 
 const open: LinkMode = { kind: "open" };
+const listenAgainMs = 100;
 
 function holdsUp(mode: LinkMode, direction: Direction): boolean {
   if (mode.kind === "silent") return true;
@@ -110,6 +111,8 @@
   const listenAgain = () => {
     if (!closed && mode.kind !== "refusing" && !server.listening) server.listen(port, host);
   };
+  // While nobody listens there, another process of this machine may take the port for a while.
+  server.on("error", () => void setTimeout(listenAgain, listenAgainMs));
 
   return {
     address,
