A failing test: targets that left one after the other are taken for a lapse of the list, and used again

Callers' requests reach a target 2.0 to 2.2 s after its entry went. The log lines that settled it stand in the scenario.

--- a/packages/fleet/src/fleet.feature
+++ b/packages/fleet/src/fleet.feature
@@ -18,6 +18,15 @@
     And the entry of "t3" goes
     Then "t1 t2 t3 t4 t5" may get requests
 
+  Scenario: Entries that go one after the other are no lapse, however long the first are missing
+    Requests reached a target 2.0 to 2.2 s after its entry had gone; 2 s are allowed. The box had left it out for 1.2 s, and then took it up again: "targetMissing" for
+    one target at 10.06 s, for it at 14.38 s and for a third at 15.59 s were taken together for a lapse of the list, 3 of 10, since the grace of the first began anew with
+    each look while the store was disturbed. From 15.59 s on it was chosen 22 times.
+    When the entry of "t1" goes
+    And 1700 ms pass without the store
+    And the entry of "t2" goes
+    Then "t3 t4 t5" may get requests
+
   Scenario: What is still missing after the grace is gone
     When the entry of "t1" goes
     And the entry of "t2" goes
--- a/scripts/hunt-with-logs.mjs
+++ b/scripts/hunt-with-logs.mjs
@@ -21,10 +21,17 @@
   const path = join(folder, `${day}-${ownSeed}-${number}.log.gz`);
   const why = `Hunt that keeps logs: ${day}, seed ${ownSeed}, play ${number} of ${plays}`;
   const args = ["run", site, day, "--seed", ownSeed, "--jobs", "1", "--log", "all", "--why", why];
-  const child = spawn(bench, args, { stdio: ["ignore", "pipe", "inherit"] });
-  const kept = child.stdout.pipe(createGzip()).pipe(createWriteStream(path));
+  const child = spawn(bench, args, { stdio: ["ignore", "pipe", "pipe"] });
+  const gzip = createGzip();
+  const kept = gzip.pipe(createWriteStream(path));
   let tail = "";
-  child.stdout.on("data", (bytes) => (tail = (tail + bytes).slice(-tailLength)));
+  // Logs of the boxes come on standard error, what the bench found on standard output.
+  child.stderr.on("data", (bytes) => gzip.write(bytes));
+  child.stdout.on("data", (bytes) => {
+    gzip.write(bytes);
+    tail = (tail + bytes).slice(-tailLength);
+  });
+  child.once("close", () => gzip.end());
   return new Promise((resolve) => {
     kept.on("finish", () => resolve({ path, tail, ownSeed }));
   });
@@ -33,8 +40,7 @@
 mkdirSync(folder, { recursive: true });
 for (let number = 1; number <= Number(plays); number++) {
   const { path, tail, ownSeed } = await play(number);
-  const summary = tail.split("\n").filter((line) => !/^\s*[\d.-]+ front-/.test(line));
-  const broken = summary.filter((line) => brokenRule.test(line));
+  const broken = tail.split("\n").filter((line) => brokenRule.test(line));
   console.log(
     `${day} seed ${ownSeed}: ${broken.length > 0 ? broken.join("; ") : "no rule broken"}`,
   );
