Only entries that went at about the same time count as a lapse of the list

Callers saw nothing: their requests were answered by a target that had left, 2.0 to 2.2 s after its entry went, where 2 s are allowed (a target may end any moment then). Cause: so many missing entries of a service count as a lapse, in which targets are used on, and they were counted whenever they had gone; the grace of the first began anew with each look while the store was disturbed, so that leavings 6 s apart made a lapse, and a target that had been left out for 1.2 s was chosen again. Change: an entry's going keeps its time, and only entries that went within the grace of each other make a lapse. Why it holds: no look moves that time; a real lapse shows in one read, or in a few within the grace.

--- a/packages/fleet/src/belief.ts
+++ b/packages/fleet/src/belief.ts
@@ -35,7 +35,9 @@
   listed: ListedTarget;
   /** Start of the life that is believed in, as far as it is known. */
   born?: Milliseconds;
-  /** Since when the list lacks it, while that may be a lapse of the list. */
+  /** When its entry went; absent while it is listed. */
+  wentAt?: Milliseconds;
+  /** From when on its absence counts: while the store is disturbed nobody can renew an entry. */
   missingSince?: Milliseconds;
   /** Newest word of what it holds, by the number of orders that it has taken. */
   holdings: Holdings;
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -16,9 +16,9 @@
   dropEntry,
   expireLapsed,
   leaveAlone,
-  looksLikeLapse,
   takeEntry,
   takeList,
+  wentInLapse,
 } from "./listing.js";
 
 export interface Fleet {
@@ -109,11 +109,11 @@
 
 function usable(state: FleetState, service: string): readonly TargetBelief[] {
   const now = state.clock.now();
-  const staying = targetsOf(state, service).filter((belief) => !belief.listed.leaving);
-  const lapse = looksLikeLapse(state, service);
-  const sound = staying.filter(
-    (belief) => (lapse || belief.missingSince === undefined) && !isEjected(belief.health, now),
-  );
+  const targets = targetsOf(state, service);
+  const staying = targets.filter((belief) => !belief.listed.leaving);
+  const isListed = (belief: TargetBelief) =>
+    belief.wentAt === undefined || wentInLapse(state, belief, targets);
+  const sound = staying.filter((belief) => isListed(belief) && !isEjected(belief.health, now));
   // With nothing else left, a target that was left out is better than none.
   return sound.length > 0 ? sound : staying;
 }
--- a/packages/fleet/src/listing.ts
+++ b/packages/fleet/src/listing.ts
@@ -1,9 +1,12 @@
 /** Takes the list of targets: who is there, who leaves, and who is missing from it. */
 import type { ListedTarget } from "@linkfall/types";
 import { createBelief, takeListedModels, type TargetBelief } from "./belief.js";
-import { type FleetState, noteChange, targetsOf } from "./fleet-state.js";
+import { type FleetState, noteChange } from "./fleet-state.js";
 import { isSameLife, lifeOfEntry, noteLifeEnded, takeEarly } from "./lives.js";
 
+/** One entry that goes alone is no lapse, however few there are. */
+const fewestInLapse = 2;
+
 function add(state: FleetState, listed: ListedTarget): void {
   const { beliefs, engines, clock, logger } = state;
   const shape = engines.get(listed.service);
@@ -21,6 +24,7 @@
   const known = state.beliefs.get(listed.id);
   if (!known) return add(state, listed);
   const belief = lifeOfEntry(state, known, listed);
+  belief.wentAt = undefined;
   belief.missingSince = undefined;
   // The entry of a life that is over, read again, says nothing of the one that is known by now.
   if (!isSameLife(listed.born, belief.born)) return;
@@ -49,7 +53,8 @@
 
 function miss({ clock, logger }: FleetState, belief: TargetBelief): void {
   if (belief.missingSince !== undefined) return;
-  belief.missingSince = clock.now();
+  belief.wentAt = clock.now();
+  belief.missingSince = belief.wentAt;
   logger.event("targetMissing", { target: belief.listed.id, service: belief.listed.service });
 }
 
@@ -76,11 +81,21 @@
   else miss(state, belief);
 }
 
-/** Whether so many entries of a service are missing that the list is to blame. */
-export function looksLikeLapse(state: FleetState, service: string): boolean {
-  const targets = targetsOf(state, service);
-  const missing = targets.filter((target) => target.missingSince !== undefined);
-  return missing.length >= 2 && missing.length >= targets.length * state.rules.lapse.share;
+/**
+ * Whether an entry went with so many others of its service that the list is to blame. Those that went at other times say
+ * nothing of it: targets that leave one after the other would be used again, long after their entries went.
+ */
+export function wentInLapse(
+  { rules }: FleetState,
+  { wentAt }: TargetBelief,
+  targets: readonly TargetBelief[],
+): boolean {
+  if (wentAt === undefined) return false;
+  const { graceMs, share } = rules.lapse;
+  const together = targets.filter(
+    (other) => other.wentAt !== undefined && Math.abs(other.wentAt - wentAt) <= graceMs,
+  );
+  return together.length >= fewestInLapse && together.length >= targets.length * share;
 }
 
 /** Removes targets whose lapse has lasted longer than the grace. */
