crash-blame: what is decided is reported by one function, and most requests are told from suspects by one look

Logging and gauge of decisions stood twice, in entry-box and crash-guard; reportDecisions has them now. A request under which no target ended is clear after one look at the ends, where all ends were filtered before for each request.

--- a/packages/crash-blame/src/blame-state.ts
+++ b/packages/crash-blame/src/blame-state.ts
@@ -101,6 +101,11 @@
   if (map.size > most) map.delete(map.keys().next().value);
 }
 
+/** Whether any target has ended under the request; most requests are told from suspects by this alone. */
+export function isSuspect({ ends }: BlameState, request: Fingerprint): boolean {
+  return ends.some(({ value }) => value.requests.has(request));
+}
+
 /** Ends that count against a request: those since it was last served, of which no request that is held back was part. */
 export function openEnds(state: BlameState, request: Fingerprint): readonly TargetEnd[] {
   const servedAt = state.served.get(request)?.value ?? -Infinity;
--- a/packages/crash-blame/src/held-store.ts
+++ b/packages/crash-blame/src/held-store.ts
@@ -37,7 +37,7 @@
 ): HeldStore {
   /** Words that are not written yet, by request; a newer word takes the place of an older one. */
   const unwritten = new Map<string, HeldRequest>();
-  let waited = false;
+  let ready = false;
   let stopped = false;
   let writing = false;
 
@@ -51,7 +51,7 @@
       const answered = await stream.newest();
       answered.ifRight(({ records }) => {
         for (const { key, value } of records) if (value !== undefined) takeRecord(key, value);
-        waited = true;
+        ready = true;
       });
       if (answered.isRight()) return;
       await sleep(clock, againMs);
@@ -78,10 +78,10 @@
   });
 
   return {
-    ready: () => waited,
+    ready: () => ready,
     async start() {
       void read();
-      clock.after(longestWaitMs, () => (waited = true));
+      clock.after(longestWaitMs, () => (ready = true));
     },
     async stop() {
       stopped = true;
--- a/packages/crash-blame/src/index.ts
+++ b/packages/crash-blame/src/index.ts
@@ -6,6 +6,7 @@
 import type { BlameWord, Fingerprint, HeldRequest, Incarnation } from "@linkfall/types";
 import {
   createBlameState,
+  isSuspect,
   openEnds,
   recordsAfter,
   takeEnd,
@@ -18,6 +19,7 @@
 export { heldRequestSchema } from "./held-request-schema.js";
 export { createHeldStore, type HeldStore } from "./held-store.js";
 export { settleMs, type Verdict } from "./judge.js";
+export { reportDecisions } from "./report-decisions.js";
 export { heldRequestsPath } from "./words.js";
 
 /** A request as operators are told of it. */
@@ -93,6 +95,7 @@
     judge(facts, targets) {
       const { request } = facts;
       if (isHeld(request)) return "guilty";
+      if (!isSuspect(state, request)) return "clear";
       const verdict = judge({
         request,
         ends: openEnds(state, request),
--- a/packages/crash-guard/src/index.ts
+++ b/packages/crash-guard/src/index.ts
@@ -6,6 +6,7 @@
   type CrashBlame,
   crashBlameName,
   createCrashBlame,
+  reportDecisions,
   type RequestFacts,
   settleMs,
 } from "@linkfall/crash-blame";
@@ -48,20 +49,9 @@
 
 /** Provides what the box knows of such requests, and says in its log what it decides. */
 export function provideCrashBlame(kernel: Kernel): CrashBlame {
-  const logger = kernel.find(loggerName);
   const blame = createCrashBlame(kernel.find(clockName));
-  blame.onDecided(({ request, held, revision, service, route, account, targets }) => {
-    const facts = { fingerprint: request, revision, service, route, account };
-    if (held) logger.event("requestHeldBack", { ...facts, targets: targets.join(" ") });
-    else logger.event("requestReleased", facts);
-  });
-  kernel
-    .find(metricsName)
-    .gauge(
-      "linkfall_held_requests",
-      "Requests that are held back since targets ended under them.",
-      () => blame.held().length,
-    );
+  const logger = kernel.find(loggerName);
+  reportDecisions(blame, { logger, metrics: kernel.find(metricsName) });
   return kernel.provide(crashBlameName, blame);
 }
 
--- a/packages/entry-box/src/provide-blame.ts
+++ b/packages/entry-box/src/provide-blame.ts
@@ -6,6 +6,7 @@
   createCrashBlame,
   createHeldStore,
   type HeldStore,
+  reportDecisions,
 } from "@linkfall/crash-blame";
 import { serviceName } from "@linkfall/kernel";
 import { metricsName } from "@linkfall/metrics";
@@ -35,19 +36,8 @@
   const { clock, logger, heldStream } = ports;
   const blame = kernel.provide(crashBlameName, createCrashBlame(clock));
   blame.onNews(createTeller(parts));
-  blame.onDecided(({ request, held, revision, service, route, account, targets }) => {
-    const facts = { fingerprint: request, revision, service, route, account };
-    if (held) logger.event("requestHeldBack", { ...facts, targets: targets.join(" ") });
-    else logger.event("requestReleased", facts);
-  });
+  reportDecisions(blame, { logger, metrics: kernel.find(metricsName) });
   const store = createHeldStore(blame, heldStream, { clock, logger });
   kernel.provide(heldStoreName, store, store);
-  kernel
-    .find(metricsName)
-    .gauge(
-      "linkfall_held_requests",
-      "Requests that are held back since targets ended under them.",
-      () => blame.held().length,
-    );
   return blame;
 }
