--- a/packages/bench/src/quota-load.ts
+++ b/packages/bench/src/quota-load.ts
@@ -75,6 +75,13 @@
   },
   { name: "hot, no box connected for a while", boxes: 8, perSecond, hot, unledFrom: 10_000 },
   { name: "hot, three boxes do not reach a fourth", boxes: 8, perSecond, hot, severed: threeCut },
+  {
+    name: "hot soon after the start, a third of 60 boxes cut off",
+    boxes: 60,
+    perSecond,
+    hot: { from: 3_400, until: 13_000, times: 6 },
+    cut: { from: 1_000, until: 13_000, boxes: 20 },
+  },
   { name: "all restarted", boxes: 8, perSecond, restartAt: 12_000 },
   { name: "hot, all restarted", boxes: 8, perSecond, hot, restartAt: 12_000 },
 ]);
