--- a/packages/completion/src/completion.ts
+++ b/packages/completion/src/completion.ts
@@ -42,9 +42,9 @@
   let attempts = 0;
 
   const guarded = ({ fingerprint, account, model }: CompletionJob): GuardedRequest => {
-    const engines = [...store.desired().engines.values()].filter(({ pool }) => pool === model.pool);
     const facts = { request: fingerprint, service: model.pool, route: completionsRoute, account };
-    return { facts, targets: engines.length };
+    const engines = () => [...store.desired().engines.values()];
+    return { facts, targets: () => engines().filter(({ pool }) => pool === model.pool).length };
   };
 
   const noteFailure = (
--- a/packages/crash-blame/src/held-store.ts
+++ b/packages/crash-blame/src/held-store.ts
@@ -54,13 +54,19 @@
         ready = true;
       });
       if (answered.isRight()) return;
+      answered.ifLeft(({ kind }) => logger.event("heldUnread", { reason: kind }));
       await sleep(clock, againMs);
     }
   };
 
   const writeOne = async (word: HeldRequest) => {
     const written = await stream.put(word.request, JSON.stringify(word));
-    if (written.isLeft()) return sleep(clock, againMs);
+    if (written.isLeft()) {
+      written.ifLeft(({ kind }) =>
+        logger.event("heldNotKept", { fingerprint: word.request, reason: kind }),
+      );
+      return sleep(clock, againMs);
+    }
     if (unwritten.get(word.request) === word) unwritten.delete(word.request);
   };
   const write = async () => {
--- a/packages/crash-guard/src/index.ts
+++ b/packages/crash-guard/src/index.ts
@@ -17,7 +17,7 @@
 import { targetPortName } from "@linkfall/ports";
 import { notRun } from "@linkfall/refusals";
 import { stateStoreName } from "@linkfall/state-store";
-import type { Milliseconds, Refusal } from "@linkfall/types";
+import type { HeldRequest, Milliseconds, Refusal } from "@linkfall/types";
 
 /** The log may be away for so long; heartbeats carry the word meanwhile. */
 const keepLimitMs: Milliseconds = 60_000;
@@ -25,8 +25,8 @@
 /** A request as the guard knows it. */
 export interface GuardedRequest {
   readonly facts: RequestFacts;
-  /** Targets that could run it, whether they are open now or not. */
-  readonly targets: number;
+  /** Number of targets that could run it, whether they are open now or not; counted only where something speaks against it. */
+  targets(): number;
 }
 
 /** A target whose answer was lost. */
@@ -59,10 +59,15 @@
 export function keepInLog(kernel: Kernel): void {
   const store = kernel.find(stateStoreName);
   const writer = kernel.find(logWriterName);
+  const logger = kernel.find(loggerName);
   const blame = kernel.find(crashBlameName);
-  blame.onDecided((word) => {
-    void writer.append((id) => ({ type: "held", id, word }), keepLimitMs);
-  });
+  const keep = async (word: HeldRequest) => {
+    const appended = await writer.append((id) => ({ type: "held", id, word }), keepLimitMs);
+    appended.ifLeft(({ kind }) =>
+      logger.event("heldNotKept", { fingerprint: word.request, reason: kind }),
+    );
+  };
+  blame.onDecided((word) => void keep(word));
   store.onFold((event) => {
     if (event.type === "request_held") blame.takeKept(event.word);
   });
@@ -79,7 +84,7 @@
   return {
     refusal({ facts, targets }) {
       if (blame.quiet()) return undefined;
-      switch (blame.judge(facts, targets)) {
+      switch (blame.judge(facts, targets())) {
         case "guilty":
           return notRun("held_back", "targets ended while they ran this request");
         case "unsettled":
@@ -93,7 +98,7 @@
       logger.event("sendLost", { fingerprint: facts.request, target: name, listening });
       if (listening !== "refuses") return true;
       blame.targetEnded(name, facts);
-      const verdict = blame.judge(facts, targets);
+      const verdict = blame.judge(facts, targets());
       return verdict === "clear" || verdict === "suspect";
     },
     served({ facts }) {
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -170,6 +170,17 @@
     "Look at what it does to the engine; release it by its fingerprint once that is mended (operators/held-requests.md).",
   ),
   requestReleased: event(5015, "info", "A request that was held back may run again."),
+  heldNotKept: event(
+    5017,
+    "warn",
+    "That a request is held back, or released, could not be kept for boxes that start anew; the boxes that run know it.",
+    "Look at the store or the log; it is tried again as long as the box runs, a record of the log for a minute.",
+  ),
+  heldUnread: event(
+    5018,
+    "warn",
+    "What is held back could not be read at the start; it is tried again, and other boxes tell of it.",
+  ),
   outcomeUnknown: event(
     5004,
     "warn",
--- a/packages/plain-call/src/index.ts
+++ b/packages/plain-call/src/index.ts
@@ -31,7 +31,7 @@
 
   const guarded = ({ fingerprint, service, account }: PlainCall): GuardedRequest => {
     const facts = { request: fingerprint, service: service.name, route: service.name, account };
-    return { facts, targets: service.targets.length };
+    return { facts, targets: () => service.targets.length };
   };
 
   const open = (call: PlainCall, tried: ReadonlySet<string>): readonly ServiceTarget[] => {
@@ -102,7 +102,8 @@
       const response = sent.unsafeCoerce();
       if (!notStarted(response) || attempt >= mostAttempts) {
         const served = () => guard.served(guarded(call));
-        return passAnswer(clock, load, { address, response, startedAt, served, done });
+        const lost = () => void guard.mayGoOn(guarded(call), { name: address, address });
+        return passAnswer(clock, load, { address, response, startedAt, served, lost, done });
       }
       await discard(response);
       load.ended(address, undefined);
--- a/packages/plain-call/src/pass-answer.ts
+++ b/packages/plain-call/src/pass-answer.ts
@@ -19,6 +19,8 @@
   readonly startedAt: Milliseconds;
   /** Called when the answer is whole and no failure of the target's. */
   served(): void;
+  /** Called when the answer broke off in its middle. */
+  lost(): void;
   /** Called when the body has ended, or its reader has gone. */
   done(): void;
 }
@@ -26,13 +28,13 @@
 async function* passBody(
   clock: Clock,
   load: TargetLoad,
-  { address, response, startedAt, served, done }: AnsweredCall,
+  { address, response, startedAt, served, lost, done }: AnsweredCall,
 ): AsyncGenerator<BodyPart> {
   let whole = false;
   try {
     for await (const part of response.body) {
       yield part;
-      if (part.isLeft()) return;
+      if (part.isLeft()) return lost();
     }
     whole = response.status < firstServerError;
   } finally {
