Copies of a request that end with their targets in one instant count as one of many

Cause: only targets that ended without the request counted for a crash of many, and a third end decided before other boxes had told theirs. Change: copies that end within 10 ms count among the many; three ends settle for half a second first, in which nothing is sent. Two steps of scenarios wait for that: they check that nothing is sent meanwhile and the same verdict after; the step that holds a request back exchanges words, which the verdict did before.

--- a/packages/crash-blame/src/crash-blame.feature
+++ b/packages/crash-blame/src/crash-blame.feature
@@ -21,6 +21,8 @@
     And 1000 ms go by
     Then "poison" may be sent once more
     When "e3" ends under "poison" at box "c"
+    Then "poison" is unsettled at box "b", to be asked again soon
+    When 600 ms go by
     Then "poison" is held back at box "a" and every other box knows it
     And "r1, r4" may run at every box
 
@@ -31,6 +33,8 @@
     And 1000 ms go by
     Then "poison, r1" may be sent once more
     When "e3" ends under "poison" at box "a"
+    Then "poison" is unsettled at box "b", to be asked again soon
+    When 600 ms go by
     Then "poison" is held back at box "a" and every other box knows it
     And "r1" may run at every box
 
--- a/packages/crash-blame/src/crash-blame.steps.ts
+++ b/packages/crash-blame/src/crash-blame.steps.ts
@@ -133,6 +133,7 @@
     await pass(scene, 1_000);
   }
   assert.equal(judgeAt(scene, "a", request), "guilty");
+  exchange(scene);
 });
 
 When(
--- a/packages/crash-blame/src/judge.ts
+++ b/packages/crash-blame/src/judge.ts
@@ -8,7 +8,7 @@
   | "clear"
   /** A target has ended under it; it may be the cause or have been there by chance. */
   | "suspect"
-  /** Two targets have ended under it, and other boxes may still have something to say of the last. */
+  /** Two targets or more have ended under it, and other boxes may still have something to say of the last. */
   | "unsettled"
   /** Two targets have ended under it, which leaves other explanations: one more send, without a repeat. */
   | "last_try"
@@ -26,7 +26,9 @@
 
 /** Targets that end within this time of each other may have one cause, such as a loss of power. */
 const togetherMs: Milliseconds = 300;
-/** Where this share of a service's targets ends together beside a request's own, no request is to blame. */
+/** Copies of a request that callers sent at once end with their targets in one instant; its own repeats end them later. */
+const copiesMs: Milliseconds = 10;
+/** Where this share of a service's targets ends together with one, no request is to blame for that one. */
 const manyShare = 0.3;
 /** Targets that end without a request, so shortly before or after those that end with it, make it one suspect of several. */
 const unrelatedMs: Milliseconds = 10_000;
@@ -41,8 +43,11 @@
   Math.abs(left.at - right.at) <= ms;
 
 /** Whether so many targets ended together that the request is a victim like the others. */
-function isOneOfMany(end: TargetEnd, others: readonly TargetEnd[], targets: number): boolean {
-  const together = others.filter((other) => within(end, other, togetherMs));
+function isOneOfMany({ request, ends, targets }: Evidence, end: TargetEnd): boolean {
+  const together = ends.filter((other) => {
+    const isCopy = other.requests.has(request);
+    return other !== end && within(end, other, isCopy ? copiesMs : togetherMs);
+  });
   return together.length >= Math.max(1, targets * manyShare);
 }
 
@@ -67,13 +72,14 @@
  * Judges a request. A target that ends takes with it whatever it runs, so that one end makes suspects and no culprit;
  * several make one, unless many targets end together, when innocent requests meet one end after another.
  */
-export function judge({ request, ends, targets, now }: Evidence): Verdict {
+export function judge(evidence: Evidence): Verdict {
+  const { request, ends, now } = evidence;
   const own = ends.filter((end) => end.requests.has(request));
   if (own.length === 0) return "clear";
   const others = ends.filter((end) => !end.requests.has(request));
-  const telling = own.filter((end) => !isOneOfMany(end, others, targets));
-  if (telling.length >= enoughEnds) return "guilty";
+  const telling = own.filter((end) => !isOneOfMany(evidence, end));
   if (telling.length < fewestEnds) return "suspect";
   if (telling.some((end) => now - end.at < settleMs)) return "unsettled";
+  if (telling.length >= enoughEnds) return "guilty";
   return isClear(request, telling, others) ? "guilty" : "last_try";
 }
