A limit that a target names is read, and told in the log

Logs could not tell whether a box hears the limit that a target names in its answers: no line named heads. Cause: an answer's head was passed on, and nothing of it was kept but status and "not run". Change: the head's limit is decoded once in platform/, a book keeps the newest one for each life of a target, and events 5019 to 5021 tell when it begins, ends and can't be read. Nothing is decided by it yet.

--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -20,6 +20,7 @@
 import { orderGiverName } from "@linkfall/weight-orders";
 import type { BoxParts } from "./box-parts.js";
 import type { HeartbeatReceiver } from "./heartbeat-receiver.js";
+import { targetLimitsName } from "./provide-limits.js";
 import { boxesWithCallers } from "./boxes-with-callers.js";
 
 /** Requests that begin to wait within this time are told together: little against the time of a load. */
@@ -69,6 +70,7 @@
     blame: kernel.find(crashBlameName),
     lastTries: createLastTries(),
     lostTargets: createLostTargets(clock, (address) => isListening(clock, address, lookMs)),
+    targetLimits: kernel.find(targetLimitsName),
     codec: ports.requests,
     fleet: kernel.find(fleetName),
     demand,
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -49,6 +49,8 @@
   readonly endsAt: Milliseconds;
   /** Longest time without a byte before another target is tried; absent where none may be. */
   readonly silentMs?: Milliseconds;
+  /** Called with what the head of an answer says. */
+  onHead(status: number, facts: AnswerFacts): void;
   /** Called when the caller has left, with how far the send had come. */
   onLeft(progress: SendProgress): void;
   /** Called with the first byte of the body. */
@@ -135,6 +137,7 @@
     }
     head = answer;
     facts = read;
+    input.onHead(answer.status, read);
   };
   const takeBytes = (bytes: Buffer) => {
     if (settled || !head) return;
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -10,7 +10,7 @@
 import { type ForwardedRequest, type RequestEnd, wantedOf } from "./forwarded-request.js";
 import { nextReplicaMs, waitForWeights } from "./hold-for-weights.js";
 import { pickTarget, probablyUnread } from "./pick.js";
-import { type PickedTarget, sendToTarget } from "./send-to-target.js";
+import { failedStatus, type PickedTarget, sendToTarget } from "./send-to-target.js";
 import {
   ended,
   lateStatus,
@@ -23,8 +23,6 @@
 } from "./request-step.js";
 
 const comeBackElsewhereMs: Milliseconds = 0;
-/** From this status on a target tells of a failure of its own. */
-const failedStatus = 500;
 
 /** Whether the request may be sent once more after a send that may have run. */
 function mayRepeat(context: ForwardContext, request: ForwardedRequest): boolean {
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -10,6 +10,7 @@
   type VirtualClock,
 } from "@linkfall/kernel";
 import { loggerName, recordingLogger } from "@linkfall/logger";
+import { createLimitBook } from "@linkfall/target-limits";
 import { createMetrics } from "@linkfall/metrics";
 import { createDemandMeter } from "@linkfall/model-demand";
 import type { RawHeaders, RequestCodec } from "@linkfall/ports";
@@ -79,7 +80,7 @@
   unreadable: () => undefined,
   forSend: () => [],
   forCaller: () => [],
-  readAnswer: () => ({ notRun: false, misdirected: false }),
+  readAnswer: () => ({ notRun: false, misdirected: false, limit: { kind: "none" } }),
 };
 
 function contextOf(
@@ -105,6 +106,7 @@
     blame: createCrashBlame(clock),
     lastTries: createLastTries(),
     lostTargets: createLostTargets(clock, async () => "listens"),
+    targetLimits: createLimitBook(clock),
     codec,
     fleet,
     demand: createDemandMeter(clock),
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -1,8 +1,9 @@
 /** One send of a request to a picked target, with what it teaches about the target. */
-import type { Fleet, TargetLoad } from "@linkfall/fleet";
+import type { Fleet, TargetBelief, TargetLoad } from "@linkfall/fleet";
 import type { Clock } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
-import type { RequestCodec } from "@linkfall/ports";
+import type { AnswerFacts, RequestCodec } from "@linkfall/ports";
+import type { LimitBook } from "@linkfall/target-limits";
 import type { Milliseconds } from "@linkfall/types";
 import { type AttemptEnd, sendAttempt } from "./attempt.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
@@ -32,6 +33,7 @@
   readonly logger: Logger;
   readonly limits: SendLimits;
   readonly metrics: ForwardMetrics;
+  readonly targetLimits: LimitBook;
 }
 
 /** How long a refusal for want of an adapter counts: most are there by then. */
@@ -40,6 +42,8 @@
 const orderUnderWayMs: Milliseconds = 500;
 /** Least urgent rank that an engine's queue knows. */
 const lowestRank = 9;
+/** From this status on a target tells of a failure of its own. */
+export const failedStatus = 500;
 /** What the system calls a port where nobody listens. */
 const refusedConnection = "ECONNREFUSED";
 
@@ -71,7 +75,7 @@
   const { fleet } = context;
   switch (end.kind) {
     case "answered":
-      if (end.head.status >= 500) fleet.failed(id, `status ${end.head.status}`);
+      if (end.head.status >= failedStatus) fleet.failed(id, `status ${end.head.status}`);
       else fleet.succeeded(id);
       return;
     case "streamed":
@@ -98,6 +102,28 @@
   }
 }
 
+/** Notes what an answer says of its target's limit. */
+function noteLimit(
+  { fleet, logger, targetLimits }: SendContext,
+  target: TargetBelief,
+  sentAt: Milliseconds,
+  status: number,
+  { limit, notRun }: AnswerFacts,
+): void {
+  const { id } = target.listed;
+  // What an earlier life says holds no more.
+  if (fleet.find(id) !== target) return;
+  if (limit.kind === "unreadable") {
+    logger.event("targetLimitUnreadable", { target: id, text: limit.text });
+  }
+  targetLimits.hear({
+    target: id,
+    notice: limit,
+    sentAt,
+    served: status < failedStatus && !notRun,
+  });
+}
+
 /** Sends the request and resolves with how that ended. */
 export async function sendToTarget(
   context: SendContext,
@@ -149,6 +175,7 @@
       body: request.body,
       connectMs: limits.connectMs,
     },
+    onHead: (status, facts) => noteLimit(context, target, sentAt, status, facts),
     onLeft: ({ written, unsentBytes }) =>
       context.logger.event("callerLeft", {
         request: terms.id,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -181,6 +181,19 @@
     "warn",
     "What is held back could not be read at the start; it is tried again, and other boxes tell of it.",
   ),
+  targetLimited: event(
+    5019,
+    "warn",
+    "A target has named the requests a second that it takes from all boxes together.",
+    "Look at the target; see operators/limited-targets.md.",
+  ),
+  targetLimitEnded: event(5020, "info", "A target takes any number of requests again."),
+  targetLimitUnreadable: event(
+    5021,
+    "warn",
+    "A target names a limit that can't be read; what was known before still holds.",
+    "Look at the target's software.",
+  ),
   outcomeUnknown: event(
     5004,
     "warn",
--- a/packages/ports/src/routed-ports.ts
+++ b/packages/ports/src/routed-ports.ts
@@ -3,6 +3,7 @@
 import type {
   EngineState,
   FencedOrder,
+  LimitNotice,
   ListedTarget,
   Milliseconds,
   OrderAnswer,
@@ -39,6 +40,8 @@
   readonly notRun: boolean;
   /** Another start of a target has the address, or it does not hold what was asked for. */
   readonly misdirected: boolean;
+  /** What it says of the requests that the target takes. */
+  readonly limit: LimitNotice;
 }
 
 /** Translates between requests on the wire and their terms. */
--- /dev/null
+++ b/packages/target-limits/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./limit-book.js";
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -9,3 +9,4 @@
 export * from "./routes.js";
 export * from "./routed-targets.js";
 export * from "./crash-words.js";
+export * from "./target-limits.js";
