allocation: which box hands out a limit stands apart from what it hands out

Limits of targets need the same way to one allocator over all boxes as limits of client accounts have. Change: the ranking of allocators, the pass-over of silent ones and the decision alone move from account-quota to a package of their own, generic in ask and grant; account-quota keeps levels, bursts and parts. No behaviour changes.

--- a/packages/account-quota/src/messages.ts
+++ b/packages/account-quota/src/messages.ts
@@ -1,4 +1,5 @@
 /** What boxes say to each other of the limits of client accounts. */
+import type { AllocationAsk, AllocationGrant } from "@linkfall/allocation";
 import type { Milliseconds } from "@linkfall/types";
 
 /** How fast an account's allowance grows, in the unit of its limit. */
@@ -10,7 +11,7 @@
 }
 
 /** A box asks the allocator of an account for a part of its limit. */
-export interface QuotaAsk {
+export interface QuotaAsk extends AllocationAsk {
   readonly account: string;
   /** The limit as the asking box has it, and the version of that configuration. */
   readonly rate: QuotaRate;
@@ -19,16 +20,12 @@
   readonly needed: number;
   /** Units that the box would like to have at hand for the requests that come next. */
   readonly ahead: number;
-  /** A box that was asked in place of the allocator passes it on: it is answered or declined, not passed on again. */
-  readonly passedOn?: boolean;
 }
 
 /** The allocator's answer. */
-export interface QuotaGrant {
+export interface QuotaGrant extends AllocationGrant {
   /** Units that the box may let through; covers `needed` or is 0 where that was more than 0. */
   readonly granted: number;
   /** Time until `needed` will be there, for all who were refused before as well; 0 where it was granted. */
   readonly waitMs: Milliseconds;
-  /** The box may not allocate now: it is cut off from most others itself. */
-  readonly declined?: boolean;
 }
