A target that names a limit gets no more from all boxes together

Cause: a target's bound over all boxes was passed on to callers and kept by no box. Evidence: the same rate before and after the limit at every box, and no line of it. Change: the book of limits is told to all boxes at once and with heartbeats (the newest answer counts, ages and not stamps); one box hands out the turns of each target, and each send needs one. Other targets come first; the only one is waited for within bounds, then callers are refused at once with a time to come back that spreads them.

--- /dev/null
+++ b/packages/bench/src/turn-load.ts
@@ -0,0 +1,64 @@
+/** Loads under which ways to keep a target's limit over many boxes are compared. */
+import { seededRandom } from "@linkfall/kernel";
+import type { Milliseconds } from "@linkfall/types";
+
+export interface TurnLoad {
+  readonly name: string;
+  readonly boxes: number;
+  /** Requests a second that the target takes from all boxes together. */
+  readonly perSecond: number;
+  /** Boxes that lose what they know, all at once. */
+  readonly restart?: { readonly at: Milliseconds; readonly boxes: number };
+  /** The first boxes are cut off from the rest in this span, not from each other and not from the target. */
+  readonly cut?: {
+    readonly from: Milliseconds;
+    readonly until: Milliseconds;
+    readonly boxes: number;
+  };
+}
+
+/** One request that only the limited target can serve. */
+export interface TurnArrival {
+  readonly at: Milliseconds;
+  readonly box: number;
+}
+
+export const loadMs: Milliseconds = 40_000;
+/** From then on the target names its limit. */
+export const limitedFrom: Milliseconds = 2_000;
+/** Callers ask for so many times what the target takes. */
+const demandOverLimit = 3;
+const millisecondsPerSecond = 1000;
+
+const sizes = [
+  { boxes: 8, perSecond: 1 },
+  { boxes: 60, perSecond: 1 },
+  { boxes: 86, perSecond: 4 },
+  { boxes: 195, perSecond: 0.5 },
+];
+
+export const turnLoads: readonly TurnLoad[] = sizes.flatMap((size) => [
+  { name: "steady", ...size },
+  { name: "all restarted", ...size, restart: { at: 15_000, boxes: size.boxes } },
+  {
+    name: "a quarter cut off",
+    ...size,
+    cut: { from: 12_000, until: 24_000, boxes: Math.floor(size.boxes / 4) },
+  },
+]);
+
+export function isCutOff({ cut }: TurnLoad, box: number, at: Milliseconds): boolean {
+  return cut !== undefined && box < cut.boxes && at >= cut.from && at < cut.until;
+}
+
+/** Requests of a load, in the order of time. */
+export function arrivalsOf({ boxes, perSecond }: TurnLoad, seed: number): readonly TurnArrival[] {
+  const random = seededRandom(seed);
+  const gapMs = millisecondsPerSecond / (perSecond * demandOverLimit);
+  const arrivals: TurnArrival[] = [];
+  for (let at = 0; at < loadMs;) {
+    at += -Math.log(1 - random.fraction()) * gapMs;
+    arrivals.push({ at, box: random.below(boxes) });
+  }
+  return arrivals;
+}
--- a/packages/box-peers/src/messages.ts
+++ b/packages/box-peers/src/messages.ts
@@ -9,6 +9,7 @@
   ListedTarget,
   Milliseconds,
   Offset,
+  TargetLimitWord,
 } from "@linkfall/types";
 
 /** What every box has to know of every other one. It changes seldom. */
@@ -55,6 +56,8 @@
   readonly followed?: FollowedReport;
   /** How far the sender has followed the reader in what boxes tell of requests that end targets. */
   readonly blameFollowed?: number;
+  /** How far the sender has followed the reader in what boxes tell of targets' limits. */
+  readonly limitsFollowed?: number;
 }
 
 /** What one engine holds, as the holder of the order lease has read it. */
@@ -117,6 +120,8 @@
   readonly targets?: TargetChanges;
   /** What the sender knows of requests that end targets; absent where the reader knows it. */
   readonly blame?: BlameWord;
+  /** What the sender knows of targets' limits; absent where the reader knows it. */
+  readonly limits?: TargetLimitWord;
 }
 
 /** The configuration as one box has read it, in the form in which the store gave it. */
--- a/packages/crash-blame/src/index.ts
+++ b/packages/crash-blame/src/index.ts
@@ -2,6 +2,7 @@
  * Finds requests that end the targets that run them, by what all boxes have lost, and holds them back: such a
  * request returns at any box, and without a memory that all share it takes target after target with all their work.
  */
+import { createFollowedNews } from "@linkfall/followed-news";
 import { type Clock, serviceName } from "@linkfall/kernel";
 import type { BlameWord, Fingerprint, HeldRequest, Incarnation } from "@linkfall/types";
 import {
@@ -59,13 +60,10 @@
 
 export const crashBlameName = serviceName<CrashBlame>("crash-blame");
 
-/** Starts of boxes that are followed; the oldest are let go of first. */
-const mostFollowed = 2_000;
-
 /** Creates a book in which nothing is known. */
 export function createCrashBlame(clock: Clock): CrashBlame {
   const state = createBlameState();
-  const followed = new Map<Incarnation, number>();
+  const followed = createFollowedNews();
   const newsListeners: (() => void)[] = [];
   const decidedListeners: ((word: HeldRequest) => void)[] = [];
 
@@ -130,11 +128,9 @@
     take(from, word) {
       const now = clock.now();
       for (const record of word.records) takeRecord(state, record, now);
-      followed.delete(from);
-      followed.set(from, word.number);
-      if (followed.size > mostFollowed) followed.delete(followed.keys().next().value ?? "");
+      followed.note(from, word.number);
     },
-    followed: (other) => followed.get(other) ?? 0,
+    followed: followed.of,
     onNews: (listener) => void newsListeners.push(listener),
     onDecided: (listener) => void decidedListeners.push(listener),
   };
--- a/packages/entry-box/src/accounts.steps.ts
+++ b/packages/entry-box/src/accounts.steps.ts
@@ -5,7 +5,7 @@
 import { createBoundedLabel } from "./bounded-label.js";
 import { hearsMost } from "./connected.js";
 import { partsOf } from "./limit-parts.js";
-import { rankAllocators } from "./provide-quota.js";
+import { rankAllocators } from "./allocators.js";
 
 function profileOf(capacity: number, index: number, leaving = false): BoxProfile {
   return {
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -16,7 +16,7 @@
 import { registerGauges } from "./gauges.js";
 import { handleRequest } from "./handle-request.js";
 import { heldStoreName, provideBlame } from "./provide-blame.js";
-import { provideLimits } from "./provide-limits.js";
+import { provideLimits, targetLimitsName } from "./provide-limits.js";
 import { provideGiver, provideLease } from "./provide-orders.js";
 import { accountQuotaName, provideQuota } from "./provide-quota.js";
 import { provideFeed, provideFleet, providePeers } from "./provide-state.js";
@@ -58,7 +58,7 @@
   const knowledge: HolderKnowledge = { hearsMost: false, expectedAt: new Map() };
   const fleet = provideFleet(parts);
   provideBlame(parts);
-  provideLimits(parts);
+  provideLimits(parts, knowledge);
   const feed = provideFeed(parts, fleet);
   providePeers(
     parts,
@@ -121,6 +121,7 @@
     exchange: peers.receive,
     configuration: feed.configurationCopy,
     quota: kernel.find(accountQuotaName).allocate,
+    turn: kernel.find(targetLimitsName).allocate,
   });
   registerGauges(parts, front);
   const blame = kernel.find(crashBlameName);
--- a/packages/entry-box/src/heartbeat-receiver.ts
+++ b/packages/entry-box/src/heartbeat-receiver.ts
@@ -15,6 +15,7 @@
 import type { Milliseconds } from "@linkfall/types";
 import { orderGiverName } from "@linkfall/weight-orders";
 import type { BoxParts } from "./box-parts.js";
+import { targetLimitsName } from "./provide-limits.js";
 import { hasWaiting, sumLoads } from "./box-loads.js";
 
 export interface HeartbeatReceiver {
@@ -97,6 +98,7 @@
   const lease = kernel.find(orderLeaseName);
   const giver = kernel.find(orderGiverName);
   const blame = kernel.find(crashBlameName);
+  const targetLimits = kernel.find(targetLimitsName);
   const catchUp = createCatchUp(parts);
   const sumHeardLoads = createLoadSummer(parts);
   kernel.find(fleetName).trustOwnWord(() => trustsHolder(parts));
@@ -108,6 +110,7 @@
     if (peers.mesh() || givesOrders) sumHeardLoads();
     takeTargets(parts, heartbeat);
     if (heartbeat.blame) blame.take(status.incarnation, heartbeat.blame);
+    if (heartbeat.limits) targetLimits.take(status.incarnation, heartbeat.limits);
     void catchUp(status);
     if (report && lease.known()?.holder === status.incarnation) {
       takeReport(parts, knowledge, report);
--- a/packages/entry-box/src/heartbeat-source.ts
+++ b/packages/entry-box/src/heartbeat-source.ts
@@ -11,10 +11,11 @@
 import { desiredFeedName } from "@linkfall/desired-feed";
 import { fleetName } from "@linkfall/fleet";
 import { orderLeaseName } from "@linkfall/order-lease";
-import type { BlameWord } from "@linkfall/types";
+import type { BlameWord, TargetLimitWord } from "@linkfall/types";
 import type { BoxParts } from "./box-parts.js";
 import { ownLoads, recentDemand } from "./box-loads.js";
 import { ownProfile } from "./own-profile.js";
+import { targetLimitsName } from "./provide-limits.js";
 import { createReportMaker } from "./holder-report.js";
 
 /** What this box has read of the list, for one that does not read it or cannot. */
@@ -31,6 +32,12 @@
   return word.records.length > 0 ? word : undefined;
 }
 
+/** What this box knows of targets' limits and the reader does not. */
+function limitsFor({ kernel }: BoxParts, reader?: BoxStatus): TargetLimitWord | undefined {
+  const word = kernel.find(targetLimitsName).tell(reader?.limitsFollowed ?? 0);
+  return word.records.length > 0 ? word : undefined;
+}
+
 /** Creates the source; it finds its services when the first heartbeat is made. */
 export function createHeartbeatSource(
   parts: BoxParts,
@@ -59,6 +66,7 @@
       lease: known,
       ordersForMs: lease.ordersForMs(),
       followed: followed(),
+      limitsFollowed: reader && kernel.find(targetLimitsName).followed(reader.incarnation),
       blameFollowed: reader && kernel.find(crashBlameName).followed(reader.incarnation),
     };
   };
@@ -75,6 +83,7 @@
         report: gives ? report(reader) : undefined,
         targets: reader && targetsFor(parts, reader),
         blame: blameFor(parts, reader),
+        limits: limitsFor(parts, reader),
       };
     },
   };
--- a/packages/entry-box/src/provide-limits.ts
+++ b/packages/entry-box/src/provide-limits.ts
@@ -1,18 +1,52 @@
-/** Limits that targets name: what this box has heard of them. */
+/** Limits that targets name: what this box has heard of them, and who hands out their turns. */
 import { fleetName } from "@linkfall/fleet";
 import { serviceName } from "@linkfall/kernel";
-import { createLimitBook, type LimitBook } from "@linkfall/target-limits";
+import { metricsName } from "@linkfall/metrics";
+import { createTargetLimits, type LimitChange, type TargetLimits } from "@linkfall/target-limits";
+import { allocatorsFor } from "./allocators.js";
 import type { BoxParts } from "./box-parts.js";
+import { boxesWithCallers } from "./boxes-with-callers.js";
+import { createConnectionCheck } from "./connected.js";
+import type { HolderKnowledge } from "./heartbeat-receiver.js";
+import { createLimitParts } from "./limit-parts.js";
+import { createTeller } from "./tell-others.js";
 
-export const targetLimitsName = serviceName<LimitBook>("target-limits");
+export const targetLimitsName = serviceName<TargetLimits>("target-limits");
 
-export function provideLimits({ kernel, ports }: BoxParts): LimitBook {
-  const { clock, logger } = ports;
-  const book = kernel.provide(targetLimitsName, createLimitBook(clock));
-  kernel.find(fleetName).onLifeEnded(book.forget);
-  book.onChange(({ target, perSecond }) => {
-    if (perSecond === undefined) logger.event("targetLimitEnded", { target });
-    else logger.event("targetLimited", { target, perSecond });
+function logChange({ ports }: BoxParts, { target, perSecond, source }: LimitChange): void {
+  if (perSecond === undefined) ports.logger.event("targetLimitEnded", { target, source });
+  else ports.logger.event("targetLimited", { target, perSecond, source });
+}
+
+export function provideLimits(parts: BoxParts, knowledge: HolderKnowledge): TargetLimits {
+  const { kernel, settings, ports, peerClient } = parts;
+  const fleet = kernel.find(fleetName);
+  const limitParts = createLimitParts(parts);
+  const limits = createTargetLimits(
+    ports.clock,
+    {
+      self: settings.box.peer_address,
+      allocators: (target) => allocatorsFor(parts, target),
+      ask: (address, ask) => peerClient.turn(address, ask),
+      connected: createConnectionCheck(parts, knowledge),
+      ownPart: () => limitParts().own,
+      silentPart: () => limitParts().silent,
+      boxes: () => boxesWithCallers(parts),
+    },
+    (target) => fleet.find(target)?.born,
+  );
+  fleet.onLifeEnded(limits.forget);
+  const tell = createTeller(parts);
+  limits.onChange((change) => {
+    logChange(parts, change);
+    tell();
   });
-  return book;
+  kernel
+    .find(metricsName)
+    .gauge(
+      "linkfall_limited_targets",
+      "Targets that have named the requests a second that they take.",
+      () => limits.limited().length,
+    );
+  return kernel.provide(targetLimitsName, limits);
 }
--- a/packages/forwarding/src/forward-metrics.ts
+++ b/packages/forwarding/src/forward-metrics.ts
@@ -11,6 +11,8 @@
   gap(ms: Milliseconds): void;
   /** A further send was asked of the retry budget. */
   retry(service: string, granted: boolean): void;
+  /** A request was refused since the limits that its targets have named are used up. */
+  refusedByLimit(service: string): void;
   /** A request waited for weights. */
   waited(ms: Milliseconds): void;
 }
@@ -35,6 +37,12 @@
         service,
         granted: String(granted),
       }),
+    refusedByLimit: (service) =>
+      metrics.count(
+        "linkfall_target_limit_refusals_total",
+        "Requests refused since the limits that their targets have named are used up.",
+        { service },
+      ),
     waited: (ms) => metrics.observe("linkfall_weights_wait_ms", "Waits for weights.", ms),
   };
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -10,6 +10,7 @@
 import { type ForwardedRequest, type RequestEnd, wantedOf } from "./forwarded-request.js";
 import { nextReplicaMs, waitForWeights } from "./hold-for-weights.js";
 import { pickTarget, probablyUnread } from "./pick.js";
+import { takesTurn, whenLimited } from "./limited-targets.js";
 import { failedStatus, type PickedTarget, sendToTarget } from "./send-to-target.js";
 import {
   ended,
@@ -156,6 +157,7 @@
     const comeBackMs = Math.max(expectedMs, coming ?? 0, nextReplicaMs(context, request));
     return refuse(request, refusedStatus, "the queue is too long", comeBackMs);
   }
+  if (!(await takesTurn(context, request, picked))) return on;
   return sendPicked(context, request, picked);
 }
 
@@ -166,16 +168,18 @@
   if (!request.sink.begun() && !context.takes(request.route)) {
     return refuse(request, refusedStatus, "stopping", comeBackElsewhereMs);
   }
-  const { forwardLimits, fleet, random, domain, lastTries } = context;
+  const { forwardLimits } = context;
   if (request.sends >= forwardLimits.mostSends) {
     return refuse(request, refusedStatus, "too many sends", forwardLimits.comeBackMs);
   }
-  const pick = pickTarget(fleet, request, lastTries, context, domain, random, context.clock.now());
+  const pick = pickTarget(context, request);
   switch (pick.kind) {
     case "target":
       return admit(context, request, pick);
     case "weights_missing":
       return waitForWeights(context, request, pick.adapterOnly);
+    case "limited":
+      return whenLimited(context, request, pick.targets);
     case "all_tried":
       return tryAgain(context, request);
     case "no_target":
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -10,7 +10,7 @@
   type VirtualClock,
 } from "@linkfall/kernel";
 import { loggerName, recordingLogger } from "@linkfall/logger";
-import { createLimitBook } from "@linkfall/target-limits";
+import { createTargetLimits, type TurnPeers } from "@linkfall/target-limits";
 import { createMetrics } from "@linkfall/metrics";
 import { createDemandMeter } from "@linkfall/model-demand";
 import type { RawHeaders, RequestCodec } from "@linkfall/ports";
@@ -30,6 +30,7 @@
   pickTarget,
   type RequestEnd,
 } from "./index.js";
+import { Left } from "purify-ts";
 
 interface Answer {
   readonly status: number;
@@ -65,6 +66,16 @@
     models: new Map(),
   },
 };
+/** The only box, which hands out all turns itself. */
+const oneBox: TurnPeers = {
+  self: "b1",
+  allocators: () => ["b1"],
+  ask: async () => Left({ kind: "peer_unreachable", reason: "no peers", mayHaveArrived: false }),
+  connected: () => true,
+  ownPart: () => 1,
+  silentPart: () => 0,
+  boxes: () => 1,
+};
 /** Nobody listens there: a send ends at once. */
 const address = "127.0.0.1:1";
 
@@ -106,7 +117,7 @@
     blame: createCrashBlame(clock),
     lastTries: createLastTries(),
     lostTargets: createLostTargets(clock, async () => "listens"),
-    targetLimits: createLimitBook(clock),
+    targetLimits: createTargetLimits(clock, oneBox, (id) => fleet.find(id)?.born),
     codec,
     fleet,
     demand: createDemandMeter(clock),
@@ -340,10 +351,7 @@
 }
 
 function targetFor(world: object, id: string): string | undefined {
-  const { context, fleet, clock } = sceneOf(world);
-  const { domain, random } = context;
-  const request = triedOf(world, id);
-  const pick = pickTarget(fleet, request, context.lastTries, context, domain, random, clock.now());
+  const pick = pickTarget(sceneOf(world).context, triedOf(world, id));
   return pick.kind === "target" ? pick.target.listed.id : undefined;
 }
 
--- /dev/null
+++ b/packages/forwarding/src/limited-targets.ts
@@ -0,0 +1,59 @@
+/** Requests whose targets have named limits: a turn for each send, or a refusal with the time of the next one. */
+import type { TargetBelief } from "@linkfall/fleet";
+import type { Milliseconds } from "@linkfall/types";
+import { longestQueueMs, replicaComingMs } from "./admission.js";
+import { type ForwardContext, timeLeft } from "./forward-context.js";
+import type { ForwardedRequest } from "./forwarded-request.js";
+import { isServing } from "./pick.js";
+import { on, refuse, refusedStatus, type Step } from "./request-step.js";
+import type { PickedTarget } from "./send-to-target.js";
+
+function mayStillBeSent(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  target: TargetBelief,
+): boolean {
+  if (request.sink.gone()) return false;
+  if (timeLeft(context, request) <= context.forwardLimits.leastTimeMs) return false;
+  return isServing(context, request, target);
+}
+
+/** Takes a turn at the picked target where it needs one; false where the request has to be looked at anew. */
+export async function takesTurn(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  { target, turnWithinMs }: PickedTarget,
+): Promise<boolean> {
+  if (turnWithinMs === undefined) return true;
+  const taken = await context.targetLimits.takeTurn(target.listed.id, turnWithinMs);
+  // The target may have left while the request waited for its turn.
+  return taken && mayStillBeSent(context, request, target);
+}
+
+/** Whether a further replica comes before the request would have waited too long. */
+function replicaComesInTime(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  comingMs: Milliseconds,
+): boolean {
+  const waitedMs = context.clock.now() - request.arrivedAt;
+  return waitedMs + comingMs <= longestQueueMs(context, request);
+}
+
+/** Waits for a further replica that is on its way, or refuses the request until a turn is due. */
+export async function whenLimited(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  targets: readonly string[],
+): Promise<Step> {
+  const { targetLimits, forwardLimits, metrics, waiter } = context;
+  const coming = replicaComingMs(context, request);
+  if (coming !== undefined && replicaComesInTime(context, request, coming)) {
+    await waiter.next(coming + forwardLimits.replicaGainMs, request.sink);
+    return on;
+  }
+  metrics.refusedByLimit(request.service.name);
+  const turnMs = targetLimits.comeBackMs(targets);
+  const comeBackMs = Math.max(forwardLimits.comeBackMs, Math.min(turnMs, coming ?? Infinity));
+  return refuse(request, refusedStatus, "the limits of its targets are used up", comeBackMs);
+}
--- a/packages/forwarding/src/pick.ts
+++ b/packages/forwarding/src/pick.ts
@@ -1,10 +1,10 @@
 /** Which target a request goes to now, or what it has to wait for. */
-import { type Fleet, holds, type TargetBelief } from "@linkfall/fleet";
-import type { Random } from "@linkfall/kernel";
+import { holds, type TargetBelief } from "@linkfall/fleet";
 import { topNodes } from "@linkfall/rendezvous";
 import type { Milliseconds, RequestTerms } from "@linkfall/types";
 import { type Candidate, type Choice, chooseTarget } from "@linkfall/target-choice";
-import type { LastTries } from "./crash-check.js";
+import { longestQueueMs } from "./admission.js";
+import type { ForwardContext } from "./forward-context.js";
 import { type ForwardedRequest, weightsOf } from "./forwarded-request.js";
 import type { StreamPace } from "./stream-pace.js";
 import type { WorkCostMeter } from "./work-costs.js";
@@ -22,7 +22,11 @@
       readonly choice: Choice;
       /** Other targets that could serve the request. */
       readonly others: number;
+      /** Longest time that the request waits for its turn at a target that has named a limit; absent where none is needed. */
+      readonly turnWithinMs?: Milliseconds;
     }
+  /** The targets that could serve it have named limits, which are used up. */
+  | { readonly kind: "limited"; readonly targets: readonly string[] }
   /** No target holds the weights now. */
   | {
       readonly kind: "weights_missing";
@@ -40,6 +44,14 @@
   readonly tokens: number;
 }
 
+/** Longest time that the most urgent requests wait for a turn; the others leave its end to them. */
+const mostUrgentTurnWaitMs: Milliseconds = 2_000;
+
+/** Longest time that the request waits for its turn at a target that has named a limit. */
+function longestTurnWaitMs({ priority }: ForwardedRequest, queueMs: Milliseconds): Milliseconds {
+  return Math.min(queueMs, mostUrgentTurnWaitMs / (1 + priority));
+}
+
 /** What a target is taken to keep of shared parts that other boxes have probably sent there. */
 const homeShare = 0.8;
 
@@ -100,17 +112,67 @@
   return model !== undefined && adapter !== undefined && holds(belief, model, undefined, now);
 }
 
-/** Picks a target for the request. */
-export function pickTarget(
-  fleet: Fleet,
+/** Whether the target could serve the request now. */
+export function isServing(
+  { fleet, clock }: ForwardContext,
   request: ForwardedRequest,
-  lastTries: LastTries,
-  meters: TargetMeters,
-  domain: string,
-  random: Random,
-  now: Milliseconds,
-): Pick {
+  target: TargetBelief,
+): boolean {
   const usable = fleet.usable(request.service.name);
+  return usable.includes(target) && holdsWeights(target, request, clock.now());
+}
+
+/** The target among these that is expected to answer first. */
+function choose(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  targets: readonly TargetBelief[],
+  home: PrefixHome | undefined,
+): { readonly target: TargetBelief; readonly choice: Choice } | undefined {
+  const { domain, random } = context;
+  const candidates = targets.map((belief) => toCandidate(belief, request, domain, context, home));
+  const choice = chooseTarget(candidates, random);
+  const target = targets.find((belief) => belief.listed.id === choice?.id);
+  return target && choice && { target, choice };
+}
+
+/** Picks among targets that may all get the request. */
+function pickAmong(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  untried: readonly TargetBelief[],
+  holding: readonly TargetBelief[],
+): Pick {
+  const { targetLimits } = context;
+  const isLimited = ({ listed }: TargetBelief) => targetLimits.limitOf(listed.id) !== undefined;
+  // Shared prompts gather where many requests can follow them.
+  const home = homeOf(
+    request,
+    holding.filter((belief) => !isLimited(belief)),
+  );
+  const others = untried.length - 1;
+  const mayTry = ({ listed: { id } }: TargetBelief) =>
+    targetLimits.isTrialDue(id) && !targetLimits.isClosed(id, 0);
+  const first = untried.filter((belief) => !isLimited(belief) || mayTry(belief));
+  const best = choose(context, request, first, home);
+  const queueMs = longestQueueMs(context, request);
+  if (best && best.choice.expectedMs <= queueMs) {
+    const turnWithinMs = isLimited(best.target) ? 0 : undefined;
+    return { kind: "target", ...best, others, turnWithinMs };
+  }
+  const turnWithinMs = best ? 0 : longestTurnWaitMs(request, queueMs);
+  const limited = untried.filter(isLimited);
+  const askable = limited.filter(({ listed }) => !targetLimits.isClosed(listed.id, turnWithinMs));
+  const last = choose(context, request, askable, home);
+  if (last) return { kind: "target", ...last, others, turnWithinMs };
+  if (best) return { kind: "target", ...best, others };
+  return { kind: "limited", targets: limited.map(({ listed }) => listed.id) };
+}
+
+/** Picks a target for the request. */
+export function pickTarget(context: ForwardContext, request: ForwardedRequest): Pick {
+  const now = context.clock.now();
+  const usable = context.fleet.usable(request.service.name);
   if (usable.length === 0) return { kind: "no_target" };
   const holding = usable.filter((belief) => holdsWeights(belief, request, now));
   if (holding.length === 0) {
@@ -120,14 +182,8 @@
     };
   }
   const untried = holding.filter(
-    ({ listed }) => !request.tried.has(listed.id) && !lastTries.avoids(request, listed.id),
+    ({ listed }) => !request.tried.has(listed.id) && !context.lastTries.avoids(request, listed.id),
   );
-  const home = homeOf(request, holding);
-  const candidates = untried.map((belief) => toCandidate(belief, request, domain, meters, home));
-  const choice = chooseTarget(candidates, random);
-  if (!choice) return { kind: "all_tried" };
-  const target = untried.find((belief) => belief.listed.id === choice.id);
-  return target
-    ? { kind: "target", target, choice, others: untried.length - 1 }
-    : { kind: "all_tried" };
+  if (untried.length === 0) return { kind: "all_tried" };
+  return pickAmong(context, request, untried, holding);
 }
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -3,7 +3,7 @@
 import type { Clock } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
 import type { AnswerFacts, RequestCodec } from "@linkfall/ports";
-import type { LimitBook } from "@linkfall/target-limits";
+import type { TargetLimits } from "@linkfall/target-limits";
 import type { Milliseconds } from "@linkfall/types";
 import { type AttemptEnd, sendAttempt } from "./attempt.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
@@ -33,7 +33,7 @@
   readonly logger: Logger;
   readonly limits: SendLimits;
   readonly metrics: ForwardMetrics;
-  readonly targetLimits: LimitBook;
+  readonly targetLimits: TargetLimits;
 }
 
 /** How long a refusal for want of an adapter counts: most are there by then. */
@@ -106,7 +106,7 @@
 function noteLimit(
   { fleet, logger, targetLimits }: SendContext,
   target: TargetBelief,
-  sentAt: Milliseconds,
+  sentMsAgo: Milliseconds,
   status: number,
   { limit, notRun }: AnswerFacts,
 ): void {
@@ -119,7 +119,7 @@
   targetLimits.hear({
     target: id,
     notice: limit,
-    sentAt,
+    sentMsAgo,
     served: status < failedStatus && !notRun,
   });
 }
@@ -175,7 +175,7 @@
       body: request.body,
       connectMs: limits.connectMs,
     },
-    onHead: (status, facts) => noteLimit(context, target, sentAt, status, facts),
+    onHead: (status, facts) => noteLimit(context, target, clock.now() - sentAt, status, facts),
     onLeft: ({ written, unsentBytes }) =>
       context.logger.event("callerLeft", {
         request: terms.id,
--- /dev/null
+++ b/packages/target-limits/src/closed-targets.ts
@@ -0,0 +1,51 @@
+/** Targets whose turns are used up, as this box was told: not asked for again at once. */
+import type { Clock } from "@linkfall/kernel";
+import type { Milliseconds } from "@linkfall/types";
+
+interface Refusal {
+  /** Longest time that a refused request could wait. */
+  readonly withinMs: Milliseconds;
+  readonly until: Milliseconds;
+  /** When a request that is refused now may come back. */
+  comeBackAt: Milliseconds;
+}
+
+export interface ClosedTargets {
+  /** Notes that no turn was to be had within that time; `waitMs` is when there will be one. */
+  refused(target: string, withinMs: Milliseconds, waitMs: Milliseconds): void;
+  /** Whether an ask for a turn within that time would be refused. */
+  isClosed(target: string, withinMs: Milliseconds): boolean;
+  /** Time until a turn is due for a request that is refused now. */
+  dueMs(target: string): Milliseconds;
+  /** Notes that one more request has been told to come back when its turn is due. */
+  noteComeBack(target: string, perSecond: number): void;
+  forget(target: string): void;
+}
+
+const millisecondsPerSecond = 1000;
+/** A refusal is repeated for this long without asking again. */
+const repeatMs: Milliseconds = 200;
+
+export function createClosedTargets(clock: Clock): ClosedTargets {
+  const refusals = new Map<string, Refusal>();
+  return {
+    refused(target, withinMs, waitMs) {
+      const now = clock.now();
+      const until = now + Math.min(waitMs, repeatMs);
+      refusals.set(target, { withinMs, until, comeBackAt: now + waitMs });
+    },
+    isClosed(target, withinMs) {
+      const refusal = refusals.get(target);
+      return refusal !== undefined && clock.now() < refusal.until && withinMs <= refusal.withinMs;
+    },
+    dueMs(target) {
+      const refusal = refusals.get(target);
+      return refusal ? Math.max(0, Math.ceil(refusal.comeBackAt - clock.now())) : 0;
+    },
+    noteComeBack(target, perSecond) {
+      const refusal = refusals.get(target);
+      if (refusal) refusal.comeBackAt += millisecondsPerSecond / perSecond;
+    },
+    forget: (target) => void refusals.delete(target),
+  };
+}
--- a/packages/target-limits/src/index.ts
+++ b/packages/target-limits/src/index.ts
@@ -1,1 +1,112 @@
+/**
+ * Limits that targets name: what they take from all boxes together. One box hands out the turns of each target, since
+ * boxes that keep a limit each for itself send it as many times over as there are boxes.
+ */
+import { type AllocationPeers, createAllocation } from "@linkfall/allocation";
+import { type Clock, sleep } from "@linkfall/kernel";
+import type { Milliseconds } from "@linkfall/types";
+import { createClosedTargets } from "./closed-targets.js";
+import { type BornOf, createLimitBook, type LimitBook } from "./limit-book.js";
+import type { TurnAsk, TurnGrant } from "./messages.js";
+import { createTurnAllocator, leastPerSecond } from "./turn-allocator.js";
+
 export * from "./limit-book.js";
+export * from "./messages.js";
+export { createTurnAllocator, type TurnAllocator } from "./turn-allocator.js";
+
+/** The other boxes, as far as the limits of targets need them. */
+export interface TurnPeers extends AllocationPeers<TurnAsk, TurnGrant> {
+  /** Part of each limit that is this box's own while it is cut off. */
+  ownPart(): number;
+  /** Parts of the boxes that are silent, and may be sending by their own parts. */
+  silentPart(): number;
+  /** Boxes that send requests. */
+  boxes(): number;
+}
+
+export interface TargetLimits extends LimitBook {
+  /** Waits for a turn to send one request; false where there is none within that time, or it has lapsed meanwhile. */
+  takeTurn(target: string, withinMs: Milliseconds): Promise<boolean>;
+  /** Whether a request that can wait so long is known to get no turn now. */
+  isClosed(target: string, withinMs: Milliseconds): boolean;
+  /** Whether the target is to be tried although others are there, to learn whether its limit still holds. */
+  isTrialDue(target: string): boolean;
+  /** When a request that gets no turn at these targets may come back; each one behind the one before it. */
+  comeBackMs(targets: readonly string[]): Milliseconds;
+  /** Hands out a turn to another box that has asked. */
+  allocate(ask: TurnAsk): Promise<TurnGrant>;
+}
+
+/** However many boxes are silent, this part of a limit is left to those that are not. */
+const leastConnectedPart = 0.5;
+/** A turn that is taken later than this is lost: this box may have slept meanwhile. */
+const lapsesMs: Milliseconds = 500;
+/** A target is not tried more often than this by one box. */
+const leastTrialMs: Milliseconds = 2_000;
+const millisecondsPerSecond = 1000;
+
+const declined: TurnGrant = { granted: false, waitMs: 0, declined: true };
+
+/** Creates the limits as one box keeps them. */
+export function createTargetLimits(clock: Clock, peers: TurnPeers, bornOf: BornOf): TargetLimits {
+  const book = createLimitBook(clock, bornOf);
+  const closed = createClosedTargets(clock);
+  const shared = createTurnAllocator(clock);
+  /** Used while this box is cut off; its rates are a part of the limits. */
+  const alone = createTurnAllocator(clock);
+
+  const allocation = createAllocation(
+    clock,
+    peers,
+    {
+      shared(ask) {
+        // Boxes that ask may have older words of the target than this one.
+        const perSecond = book.limitOf(ask.target) ?? ask.perSecond;
+        const part = Math.max(leastConnectedPart, 1 - peers.silentPart());
+        return shared.grant({ ...ask, perSecond }, part);
+      },
+      alone: (ask) => alone.grant(ask, peers.ownPart()),
+      onCutOff: alone.restart,
+      onReconnected: shared.restart,
+      declined,
+    },
+    ({ target }) => target,
+  );
+
+  const rateOf = (target: string) => Math.max(leastPerSecond, book.limitOf(target) ?? 0);
+
+  return {
+    ...book,
+    async takeTurn(target, withinMs) {
+      const perSecond = book.limitOf(target);
+      if (perSecond === undefined) return true;
+      const askedAt = clock.elapsed();
+      const { granted, waitMs } = await allocation.obtain({ target, perSecond, withinMs });
+      if (!granted) {
+        closed.refused(target, withinMs, waitMs);
+        return false;
+      }
+      if (waitMs > 0) await sleep(clock, waitMs);
+      return clock.elapsed() - askedAt <= waitMs + lapsesMs;
+    },
+    isClosed: closed.isClosed,
+    isTrialDue(target) {
+      const everyMs = (peers.boxes() * millisecondsPerSecond) / rateOf(target);
+      return book.unheardMs(target) >= Math.max(leastTrialMs, everyMs);
+    },
+    comeBackMs(targets) {
+      const due = targets.map((target) => ({ target, ms: closed.dueMs(target) }));
+      const [soonest] = due.sort((left, right) => left.ms - right.ms);
+      if (!soonest) return 0;
+      closed.noteComeBack(soonest.target, rateOf(soonest.target));
+      return soonest.ms;
+    },
+    allocate: allocation.allocate,
+    forget(target) {
+      book.forget(target);
+      closed.forget(target);
+      shared.forget(target);
+      alone.forget(target);
+    },
+  };
+}
--- a/packages/target-limits/src/limit-book.steps.ts
+++ b/packages/target-limits/src/limit-book.steps.ts
@@ -23,7 +23,7 @@
 ): Promise<void> {
   const { clock, book } = sceneOf(world);
   await clock.runUntil(at);
-  book.hear({ target, notice, sentAt, served });
+  book.hear({ target, notice, sentMsAgo: at - sentAt, served });
 }
 
 const limited = (perSecond: number): LimitNotice => ({ kind: "limited", perSecond });
@@ -32,7 +32,7 @@
   "a target that named a limit of {float} a second at {int} ms",
   async function (this: object, perSecond: number, at: number) {
     const clock = createVirtualClock();
-    const book = createLimitBook(clock);
+    const book = createLimitBook(clock, () => undefined);
     const changes: string[] = [];
     book.onChange((change) => changes.push(String(change.perSecond ?? "none")));
     notes(this).set("limit book", { clock, book, changes } satisfies Scene);
--- a/packages/target-limits/src/limit-book.ts
+++ b/packages/target-limits/src/limit-book.ts
@@ -1,21 +1,32 @@
-/** What one box knows of the limits that targets have named. */
+/** What one box knows of the limits that targets have named: from its own answers, and from other boxes. */
+import { createFollowedNews } from "@linkfall/followed-news";
 import type { Clock } from "@linkfall/kernel";
-import type { LimitNotice, Milliseconds } from "@linkfall/types";
+import type {
+  Incarnation,
+  LimitNotice,
+  Milliseconds,
+  TargetLimitRecord,
+  TargetLimitWord,
+} from "@linkfall/types";
 
 /** One target that has named a limit; changed in place by the book that owns it. */
 interface Entry {
   /** Absent once the target takes any number again. */
   perSecond?: number;
-  /** When the newest answer that said so was read. */
+  /** When that was first said, by the clock's `elapsed`. */
+  since: Milliseconds;
+  /** When the newest answer that said so was read, by the clock's `elapsed`. */
   heardAt: Milliseconds;
+  /** Number of the last change. */
+  number: number;
 }
 
 /** What one answer of a target shows. */
 export interface HeardAnswer {
   readonly target: string;
   readonly notice: LimitNotice;
-  /** When the request was sent that it answers. */
-  readonly sentAt: Milliseconds;
+  /** Time since the request was sent that it answers. */
+  readonly sentMsAgo: Milliseconds;
   /** Whether the target has made the answer as it should; failures may lack what it says of itself. */
   readonly served: boolean;
 }
@@ -25,40 +36,122 @@
   readonly target: string;
   /** Absent where the limit has ended. */
   readonly perSecond?: number;
+  /** Who said so. */
+  readonly source: "target" | "box";
+}
+
+/** A limit that holds. */
+export interface LimitedTarget {
+  readonly target: string;
+  readonly perSecond: number;
+  /** Time since it was first named. */
+  readonly forMs: Milliseconds;
 }
 
 export interface LimitBook {
+  /** Takes what an answer says. */
   hear(answer: HeardAnswer): void;
   /** Requests a second that the target takes; undefined where it takes any number. */
   limitOf(target: string): number | undefined;
+  /** Time since the target itself was last heard to name its limit; 0 where it has none. */
+  unheardMs(target: string): Milliseconds;
+  /** Limits that hold now. */
+  limited(): readonly LimitedTarget[];
   /** Forgets a target whose life has ended. */
   forget(target: string): void;
+  /** What another box lacks that has followed this one to `number`. */
+  tell(number: number): TargetLimitWord;
+  /** Takes the word of another box. */
+  take(from: Incarnation, word: TargetLimitWord): void;
+  /** How far this box has followed another one. */
+  followed(other: Incarnation): number;
   /** Calls the listener with each change. */
   onChange(listener: (change: LimitChange) => void): void;
 }
 
+/** Targets that are remembered; those whose limits have ended go first. */
+const mostEntries = 5_000;
+
+/** Start of a target's life, as far as this box knows it. */
+export type BornOf = (target: string) => Milliseconds | undefined;
+
 /** Creates a book in which no target has a limit. */
-export function createLimitBook(clock: Clock): LimitBook {
+export function createLimitBook(clock: Clock, bornOf: BornOf): LimitBook {
   const entries = new Map<string, Entry>();
+  const followed = createFollowedNews();
   const listeners: ((change: LimitChange) => void)[] = [];
+  let newest = 0;
+
+  const makeRoom = () => {
+    if (entries.size < mostEntries) return;
+    const ended = [...entries].find(([, { perSecond }]) => perSecond === undefined);
+    const [oldest] = ended ?? [entries.keys().next().value ?? ""];
+    entries.delete(oldest);
+  };
 
-  const set = (target: string, perSecond: number | undefined) => {
-    const before = entries.get(target);
-    entries.set(target, { perSecond, heardAt: clock.now() });
-    if (before?.perSecond === perSecond) return;
-    for (const listener of listeners) listener({ target, perSecond });
+  const set = (
+    target: string,
+    perSecond: number | undefined,
+    heardAt: Milliseconds,
+    source: LimitChange["source"],
+  ) => {
+    const known = entries.get(target);
+    if (known && known.perSecond === perSecond) {
+      known.heardAt = heardAt;
+      return;
+    }
+    makeRoom();
+    newest += 1;
+    const since = known?.perSecond === undefined ? heardAt : known.since;
+    entries.set(target, { perSecond, since, heardAt, number: newest });
+    for (const listener of listeners) listener({ target, perSecond, source });
+  };
+
+  const isOtherLife = ({ target, born }: TargetLimitRecord) => {
+    const known = bornOf(target);
+    return born !== undefined && known !== undefined && born !== known;
+  };
+  const takeRecord = (record: TargetLimitRecord) => {
+    const { target, perSecond, ageMs } = record;
+    if (isOtherLife(record)) return;
+    const heardAt = clock.elapsed() - ageMs;
+    const known = entries.get(target);
+    if (known ? heardAt <= known.heardAt : perSecond === undefined) return;
+    set(target, perSecond, heardAt, "box");
   };
 
   return {
-    hear({ target, notice, sentAt, served }) {
-      if (notice.kind === "limited") return set(target, notice.perSecond);
+    hear({ target, notice, sentMsAgo, served }) {
+      const now = clock.elapsed();
+      if (notice.kind === "limited") return set(target, notice.perSecond, now, "target");
       const known = entries.get(target);
       if (known?.perSecond === undefined || notice.kind === "unreadable") return;
       // The head of a long answer may be older than the limit.
-      if (served && sentAt > known.heardAt) set(target, undefined);
+      if (served && now - sentMsAgo > known.heardAt) set(target, undefined, now, "target");
     },
     limitOf: (target) => entries.get(target)?.perSecond,
+    unheardMs(target) {
+      const known = entries.get(target);
+      return known?.perSecond === undefined ? 0 : clock.elapsed() - known.heardAt;
+    },
+    limited: () =>
+      [...entries].flatMap(([target, { perSecond, since }]) =>
+        perSecond === undefined ? [] : { target, perSecond, forMs: clock.elapsed() - since },
+      ),
     forget: (target) => void entries.delete(target),
+    tell(number) {
+      const news = [...entries].filter(([, entry]) => entry.number > number);
+      const records = news.map(([target, { perSecond, heardAt }]) => {
+        const ageMs = Math.round(clock.elapsed() - heardAt);
+        return { target, born: bornOf(target), perSecond, ageMs };
+      });
+      return { number: newest, records };
+    },
+    take(from, word) {
+      for (const record of word.records) takeRecord(record);
+      followed.note(from, word.number);
+    },
+    followed: followed.of,
     onChange: (listener) => void listeners.push(listener),
   };
 }
--- /dev/null
+++ b/packages/target-limits/src/turns.steps.ts
@@ -0,0 +1,193 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { createVirtualClock, type VirtualClock } from "@linkfall/kernel";
+import { notes } from "@linkfall/test-support";
+import { Left } from "purify-ts";
+import {
+  createTargetLimits,
+  createTurnAllocator,
+  type TargetLimits,
+  type TurnAllocator,
+  type TurnGrant,
+  type TurnPeers,
+} from "./index.js";
+
+interface Turns {
+  readonly clock: VirtualClock;
+  readonly allocator: TurnAllocator;
+  readonly perSecond: number;
+  grants: readonly TurnGrant[];
+}
+
+interface Boxes {
+  readonly clock: VirtualClock;
+  readonly limits: readonly TargetLimits[];
+  turn?: boolean;
+}
+
+const target = "t1";
+const millisecondsPerSecond = 1000;
+const turnsOf = (world: object) => notes(world).get<Turns>("turns at a target");
+const boxesOf = (world: object) => notes(world).get<Boxes>("boxes with limits");
+
+const alone: TurnPeers = {
+  self: "b1",
+  allocators: () => ["b1"],
+  ask: async () => Left({ kind: "peer_unreachable", reason: "no peers", mayHaveArrived: false }),
+  connected: () => true,
+  ownPart: () => 1,
+  silentPart: () => 0,
+  boxes: () => 2,
+};
+
+function setUpBoxes(world: object, births: readonly (number | undefined)[]): Boxes {
+  const clock = createVirtualClock();
+  const limits = births.map((born) => createTargetLimits(clock, alone, () => born));
+  const boxes: Boxes = { clock, limits };
+  notes(world).set("boxes with limits", boxes);
+  return boxes;
+}
+
+const passes = ({ clock }: { readonly clock: VirtualClock }, ms: number) =>
+  clock.runUntil(clock.now() + ms);
+
+function hear({ limits }: Boxes, box: number, perSecond: number | undefined): void {
+  const notice =
+    perSecond === undefined
+      ? ({ kind: "none" } as const)
+      : ({ kind: "limited", perSecond } as const);
+  limits[box].hear({ target, notice, sentMsAgo: 1, served: true });
+}
+
+Given(
+  "a target that takes {float} a second, and nothing handed out yet",
+  function (this: object, perSecond: number) {
+    const clock = createVirtualClock();
+    const allocator = createTurnAllocator(clock);
+    notes(this).set("turns at a target", {
+      clock,
+      allocator,
+      perSecond,
+      grants: [],
+    } satisfies Turns);
+  },
+);
+
+When("{int} s go by at the target", async function (this: object, seconds: number) {
+  const turns = turnsOf(this);
+  // The target is known from its first ask on.
+  turns.allocator.grant({ target, perSecond: turns.perSecond, withinMs: -1 }, 1);
+  await passes(turns, seconds * millisecondsPerSecond);
+});
+
+When(
+  /^(\d+) requests? asks? for a turn within (\d+) ms$/,
+  function (this: object, count: string, within: string) {
+    const turns = turnsOf(this);
+    const { allocator, perSecond } = turns;
+    const ask = { target, perSecond, withinMs: Number(within) };
+    turns.grants = Array.from({ length: Number(count) }, () => allocator.grant(ask, 1));
+  },
+);
+
+Then(
+  /^(?:they get|it gets) (?:turns|a turn) after "([^"]*)" ms$/,
+  function (this: object, expected: string) {
+    const shown = turnsOf(this).grants.map(({ granted, waitMs }) => (granted ? waitMs : "none"));
+    assert.equal(shown.join(" "), expected);
+  },
+);
+
+Then("they are told to come back after {string} ms", function (this: object, expected: string) {
+  const { grants } = turnsOf(this);
+  assert.ok(grants.every(({ granted }) => !granted));
+  assert.equal(grants.map(({ waitMs }) => waitMs).join(" "), expected);
+});
+
+Given("two boxes", function (this: object) {
+  setUpBoxes(this, [undefined, undefined]);
+});
+
+Given("two boxes, of which the second knows a later life of the target", function (this: object) {
+  setUpBoxes(this, [1_000, 2_000]);
+});
+
+Given(
+  "a box that hands out its own turns, and a target that named a limit of {float} a second",
+  function (this: object, perSecond: number) {
+    hear(setUpBoxes(this, [undefined]), 0, perSecond);
+  },
+);
+
+When(
+  "the first box hears that a target takes {float} a second",
+  function (this: object, perSecond: number) {
+    hear(boxesOf(this), 0, perSecond);
+  },
+);
+
+When(
+  "{int} ms go by and the second box hears that it takes {float} a second",
+  async function (this: object, ms: number, perSecond: number) {
+    const boxes = boxesOf(this);
+    await passes(boxes, ms);
+    hear(boxes, 1, perSecond);
+  },
+);
+
+When(
+  "{int} ms go by and the second box hears that it takes any number",
+  async function (this: object, ms: number) {
+    const boxes = boxesOf(this);
+    await passes(boxes, ms);
+    hear(boxes, 1, undefined);
+  },
+);
+
+When("the boxes tell each other what they know", function (this: object) {
+  const { limits } = boxesOf(this);
+  const [first, second] = limits;
+  second.take("b1", first.tell(second.followed("b1")));
+  first.take("b2", second.tell(first.followed("b2")));
+});
+
+const limitAt = (world: object, which: string) =>
+  boxesOf(world).limits[which === "first" ? 0 : 1].limitOf(target);
+
+Then(
+  /^the (first|second) box knows that the target takes ([\d.]+) a second$/,
+  function (this: object, which: string, perSecond: string) {
+    assert.equal(limitAt(this, which), Number(perSecond));
+  },
+);
+
+Then(
+  /^the (first|second) box knows that the target takes any number$/,
+  function (this: object, which: string) {
+    assert.equal(limitAt(this, which), undefined);
+  },
+);
+
+When(
+  "the box sleeps for {int} s while a request waits for its turn",
+  async function (this: object, seconds: number) {
+    const boxes = boxesOf(this);
+    const asked = boxes.limits[0].takeTurn(target, 1_000).then((turn) => (boxes.turn = turn));
+    await passes(boxes, 100);
+    boxes.clock.suspend(seconds * millisecondsPerSecond);
+    await passes(boxes, 2_000);
+    await asked;
+  },
+);
+
+Then("the request has no turn", function (this: object) {
+  assert.equal(boxesOf(this).turn, false);
+});
+
+When("{int} s go by at the box", function (this: object, seconds: number) {
+  return passes(boxesOf(this), seconds * millisecondsPerSecond);
+});
+
+Then(/^the target is (not )?due for a trial$/, function (this: object, not: string | null) {
+  assert.equal(boxesOf(this).limits[0].isTrialDue(target), not === null);
+});
--- a/packages/types/src/target-limits.ts
+++ b/packages/types/src/target-limits.ts
@@ -12,6 +12,8 @@
 /** What boxes tell each other of one target. */
 export interface TargetLimitRecord {
   readonly target: string;
+  /** Start of the life that said so, where it is known. */
+  readonly born?: Milliseconds;
   /** Absent where the target takes any number again. */
   readonly perSecond?: number;
   /** Time since the answer that said so, at some box. */
