The weights of a target that names a limit get another place

A model whose only engine takes one request a second was refused for as long as the limit held: the planner counted that copy like any other, and the limited engine as a place for further loads. Change: a limited engine serves only models that no other engine holds, the least asked for first, as far as its limit goes; other copies of it don't count. It is a place for a load only where there is no other.

--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -13,6 +13,7 @@
 import { createOrderGiver, type OrderGiver, orderGiverName } from "@linkfall/weight-orders";
 import { hasWaiting } from "./box-loads.js";
 import type { BoxParts } from "./box-parts.js";
+import { targetLimitsName } from "./provide-limits.js";
 import { rankBoxes } from "./box-ranking.js";
 import { ownProfile } from "./own-profile.js";
 
@@ -63,6 +64,7 @@
     lease: kernel.find(orderLeaseName),
     configuration: () => feed.inForce()?.configuration,
     demand: () => sumDemand([demand.read(), ...peers.statuses().map((status) => status.demand)]),
+    takesPerSecond: kernel.find(targetLimitsName).limitOf,
     announce() {
       fleet.withhold(giver.withheld());
       // In a large deployment all others hear of it in their next round.
--- a/packages/weight-orders/src/giver-context.ts
+++ b/packages/weight-orders/src/giver-context.ts
@@ -39,6 +39,8 @@
   configuration(): RoutedConfiguration | undefined;
   /** Demand of all boxes together. */
   demand(): readonly ModelDemand[];
+  /** Requests a second that a target takes; undefined where it takes any number. */
+  takesPerSecond(target: string): number | undefined;
   /** Called when other boxes should hear of a change at once. */
   announce(): void;
 }
--- a/packages/weight-orders/src/plan-service.ts
+++ b/packages/weight-orders/src/plan-service.ts
@@ -21,6 +21,7 @@
     shape,
     work,
     work ? moveLeftMs(context, work) : 0,
+    context.takesPerSecond(belief.listed.id),
   );
   const pending = pendingAdapter(context, belief);
   if (!view || !pending) return view;
--- a/packages/weight-orders/src/views.ts
+++ b/packages/weight-orders/src/views.ts
@@ -16,6 +16,7 @@
   shape: EngineShape,
   work: EngineWork | undefined,
   workLeftMs: Milliseconds,
+  takesPerSecond: number | undefined,
 ): EngineView | undefined {
   const { listed, holdings } = belief;
   if (!state) return undefined;
@@ -34,6 +35,7 @@
     incoming: work?.move.load,
     outgoing: work?.move.victims[0],
     inFlight,
+    takesPerSecond,
   };
 }
 
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -259,6 +259,7 @@
     self: "b1",
     fleet,
     engines: portOf(scene),
+    takesPerSecond: () => undefined,
     lease: leaseOf(scene),
     configuration: () => configurationOf(scene),
     demand: () => scene.demand,
--- a/packages/weight-plan/src/engine-view.ts
+++ b/packages/weight-plan/src/engine-view.ts
@@ -22,6 +22,8 @@
   readonly outgoing?: string;
   /** Requests at work there. */
   readonly inFlight: number;
+  /** Requests a second that it takes; absent where it takes any number. */
+  readonly takesPerSecond?: number;
 }
 
 /** What is asked of one model over all boxes. */
--- a/packages/weight-plan/src/places.ts
+++ b/packages/weight-plan/src/places.ts
@@ -7,6 +7,8 @@
 
 /** An engine that is not free yet may be taken for something else before it is. */
 const notFreeFactor = 2;
+/** An engine that takes only so many requests is a place where no other is. */
+const limitedMs: Milliseconds = 60_000;
 /** What a request at work on an engine costs one more there. */
 const crowdMs: Milliseconds = 20;
 /** What bringing a model that no engine has at hand is worth. */
@@ -114,6 +116,7 @@
     case "waiting":
       return true;
     case "demand":
+      if (place.engine.takesPerSecond !== undefined) return false;
       return place.loss < (wish.weight + wish.carried / 2) * replicaGainMs;
     case "standby":
       if (input.needs.size === 0) return place.loss < unknownLastMs;
@@ -125,7 +128,8 @@
 
 function costOf(place: Place): number {
   const risk = place.engine.freeInMs * (notFreeFactor - 1);
-  return place.readyMs + risk + place.loss + place.engine.inFlight * crowdMs;
+  const limited = place.engine.takesPerSecond === undefined ? 0 : limitedMs;
+  return place.readyMs + risk + place.loss + place.engine.inFlight * crowdMs + limited;
 }
 
 /** Share of the engines that may load from the store at once for callers who get their answer late in any case,
--- a/packages/weight-plan/src/plan.ts
+++ b/packages/weight-plan/src/plan.ts
@@ -5,7 +5,7 @@
 
 /** Moves to begin now: at most one an engine. */
 export function planMoves(input: PlanInput): readonly WeightMove[] {
-  const where = locate(input.engines);
+  const where = locate(input);
   const { copies } = where;
   const prices = createPriceList(input, copies);
   const moves: WeightMove[] = [];
--- a/packages/weight-plan/src/weight-plan.feature
+++ b/packages/weight-plan/src/weight-plan.feature
@@ -134,3 +134,30 @@
     When 12 requests a second for "e" are refused
     And 2 requests wait for "f"
     Then "e" is planned and "f" is not
+
+  Scenario: A model whose only engine takes less than is asked for gets another copy
+    Given engine "1" holds "a b c" and takes 1 request a second
+    And engine "2" holds "d e f"
+    When "a" is asked for 5 times a second
+    Then engine "2" swaps in "a" from store for one model
+
+  Scenario: A model whose only engine takes what is asked for gets no other copy
+    Given engine "1" holds "a b c" and takes 2 requests a second
+    And engine "2" holds "d e f"
+    When "a" is asked for 1.2 times a second
+    Then nothing is planned
+
+  Scenario: An engine that takes only so much is no place for a load where there is another
+    Given engine "1" holds "a b c" and takes 1 request a second
+    And engine "2" holds "d a b" and has 30 requests at work
+    When 1 request waits for "e"
+    Then engine "2" swaps in "e" from store for one model
+
+  Scenario: The copy beside one on an engine that takes only so much is not let go of
+    Given engine "1" holds "a b c" and takes 1 request a second
+    And engine "2" holds "a d f"
+    When "a" is asked for 5 times a second
+    And "d" was asked for 3000 ms ago, to begin within 500 ms
+    And "f" was asked for 2000 ms ago, to begin within 500 ms
+    And 1 request waits for "e"
+    Then engine "2" swaps in "e" from store for "d"
--- a/packages/weight-plan/src/weight-plan.steps.ts
+++ b/packages/weight-plan/src/weight-plan.steps.ts
@@ -108,6 +108,14 @@
   },
 );
 
+Given(
+  /^engine "([^"]*)" holds "([^"]*)" and takes ([\d.]+) requests? a second$/,
+  function (this: object, id: string, held: string, perSecond: string) {
+    const takesPerSecond = Number(perSecond);
+    sceneOf(this).engines.push(engine(id, words(held), { takesPerSecond }));
+  },
+);
+
 Given(
   "engine {string} holds {string} and loads from the store for {int} ms",
   function (this: object, id: string, held: string, freeInMs: number) {
@@ -183,6 +191,13 @@
   },
 );
 
+When(
+  "{string} is asked for {float} times a second",
+  function (this: object, name: string, rate: number) {
+    need(this, name, { rate });
+  },
+);
+
 When(
   /^(\d+) requests? waits? for adapter "(.*)\/(.*)"$/,
   function (this: object, waiting: string, name: string, adapter: string) {
--- a/packages/weight-plan/src/wishes.ts
+++ b/packages/weight-plan/src/wishes.ts
@@ -1,7 +1,7 @@
 /** Which models a plan would bring in, those that help most requests first. */
 import type { DeclaredModel, Milliseconds } from "@linkfall/types";
 import { countCopies } from "./copies.js";
-import type { EngineView } from "./engine-view.js";
+import { withServingCopies } from "./limited-engines.js";
 import type { PlanInput, WeightMove } from "./plan-input.js";
 
 /** A model that is to come in. */
@@ -51,7 +51,7 @@
 const nothingComing: ComingLoads = { count: 0, firstMs: Infinity };
 
 /** Counts copies and loads over all engines. */
-export function locate(engines: readonly EngineView[]): Whereabouts {
+export function locate({ engines, needs }: Pick<PlanInput, "engines" | "needs">): Whereabouts {
   const atHand = new Set<string>();
   const coming = new Map<string, ComingLoads>();
   for (const { inMemory, onDisk, incoming, freeInMs } of engines) {
@@ -62,7 +62,7 @@
     const { count, firstMs } = coming.get(incoming) ?? nothingComing;
     coming.set(incoming, { count: count + 1, firstMs: Math.min(firstMs, freeInMs) });
   }
-  return { copies: countCopies(engines), atHand, coming };
+  return { copies: countCopies(withServingCopies(engines, needs)), atHand, coming };
 }
 
 function wishFor(
