A target that has all the connections which it takes is sent no more

A service states the connections that each of its targets takes from all callers together, and a target resets more; boxes read the figure and used it nowhere, the same class as the limit that a target names: a bound over all boxes that no box keeps. Change: requests at work at a target, those of other boxes as heartbeats tell them included, are held against it; what only full targets could serve is refused at once. Measured: the first of the two scenarios failed before (the request was sent), both pass. Heartbeats lag, so that the sum may be exceeded for a round: not measured.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -180,6 +180,8 @@
       return waitForWeights(context, request, pick.adapterOnly);
     case "limited":
       return whenLimited(context, request, pick.targets);
+    case "no_connection":
+      return refuse(request, refusedStatus, "no connection left", forwardLimits.comeBackMs);
     case "all_tried":
       return tryAgain(context, request);
     case "no_target":
--- a/packages/forwarding/src/forwarding.feature
+++ b/packages/forwarding/src/forwarding.feature
@@ -54,3 +54,13 @@
     Then "r2" finds no target, and "r3" finds the engine
     When "r1" has ended
     Then "r2" finds the engine
+
+  Scenario: A target that has all the connections which it takes is sent no more
+    Given the engine takes 10 connections and other boxes have 10 there
+    When a caller asks for "m1"
+    Then it is refused at once with 503, to come back after 500 ms
+
+  Scenario: A target that has a connection left is sent a request
+    Given the engine takes 10 connections and other boxes have 9 there
+    When a caller asks for "m1"
+    Then it is sent to the engine
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -305,6 +305,14 @@
   },
 );
 
+Given(
+  "the engine takes {int} connections and other boxes have {int} there",
+  function (this: object, most: number, inFlight: number) {
+    assert.equal(service.maxConnections, most);
+    sceneOf(this).fleet.takeOthers(new Map([["e1", { inFlight, promptTokens: 0 }]]));
+  },
+);
+
 /** What the engine of the scenes reads in a millisecond. */
 const tokensPerMs = 50;
 
--- a/packages/forwarding/src/pick.ts
+++ b/packages/forwarding/src/pick.ts
@@ -33,6 +33,8 @@
       /** Some target holds the model, and only the adapter is missing. */
       readonly adapterOnly: boolean;
     }
+  /** The targets that could serve it have as many connections as they take. */
+  | { readonly kind: "no_connection" }
   /** Every target that could serve it has been tried. */
   | { readonly kind: "all_tried" }
   | { readonly kind: "no_target" };
@@ -112,6 +114,11 @@
   return model !== undefined && adapter !== undefined && holds(belief, model, undefined, now);
 }
 
+/** Whether the target takes one more connection; each request at work there has one of its own. */
+function takesConnection({ own, others }: TargetBelief, { service }: ForwardedRequest): boolean {
+  return own.inFlight + others.inFlight < service.maxConnections;
+}
+
 /** Whether the target could serve the request now. */
 export function isServing(
   { fleet, clock }: ForwardContext,
@@ -185,5 +192,7 @@
     ({ listed }) => !request.tried.has(listed.id) && !context.lastTries.avoids(request, listed.id),
   );
   if (untried.length === 0) return { kind: "all_tried" };
-  return pickAmong(context, request, untried, holding);
+  const roomy = untried.filter((belief) => takesConnection(belief, request));
+  if (roomy.length === 0) return { kind: "no_connection" };
+  return pickAmong(context, request, roomy, holding);
 }
