A target that asks to be left alone is not asked again before its time

Cause: the time was not read, the same class as the limit that a target names. Change: the target is left out for that time, ten seconds at most, as long as another one is there.

--- a/packages/fleet/src/belief.ts
+++ b/packages/fleet/src/belief.ts
@@ -48,6 +48,8 @@
   own: TargetLoad;
   others: TargetLoad;
   health: Health;
+  /** Until then it has asked to be left alone. */
+  restsUntil: Milliseconds;
   /** Models that are about to be dropped: nothing new is sent for them. */
   withheld: ReadonlySet<string>;
   /** Weights that the target has just refused to serve. */
@@ -74,6 +76,7 @@
     own: noLoad,
     others: noLoad,
     health: healthy,
+    restsUntil: -Infinity,
     withheld: new Set(),
     denied: new Map(),
     prefixes: createPrefixIndex(cacheTokens * cacheShare),
--- a/packages/fleet/src/fleet.feature
+++ b/packages/fleet/src/fleet.feature
@@ -139,3 +139,18 @@
 
   Scenario: For random lives and words that come late or through other boxes the newest life counts
     Then of 500 random histories each ends with what the last life of the target says
+
+  Scenario: A target that asks to be left alone gets nothing new for that time
+    When "t1" asks to be left alone for 1000 ms
+    Then "t2 t3 t4 t5" may get requests
+    When 1000 ms pass
+    Then "t1 t2 t3 t4 t5" may get requests
+
+  Scenario: A target that asks to be left alone for very long is found again
+    When "t1" asks to be left alone for 3600000 ms
+    And 10000 ms pass
+    Then "t1 t2 t3 t4 t5" may get requests
+
+  Scenario: With all targets asking to be left alone, they are better than none
+    When each target asks to be left alone for 1000 ms
+    Then "t1 t2 t3 t4 t5" may get requests
--- a/packages/fleet/src/fleet.steps.ts
+++ b/packages/fleet/src/fleet.steps.ts
@@ -88,6 +88,18 @@
   return pass(this, ms, true);
 });
 
+When(
+  "{string} asks to be left alone for {int} ms",
+  function (this: object, id: string, ms: number) {
+    sceneOf(this).fleet.rest(id, ms);
+  },
+);
+
+When("each target asks to be left alone for {int} ms", function (this: object, ms: number) {
+  const { fleet } = sceneOf(this);
+  for (const { listed } of fleet.all()) fleet.rest(listed.id, ms);
+});
+
 When("{string} fails {int} times", function (this: object, id: string, times: number) {
   for (let index = 0; index < times; index++) sceneOf(this).fleet.failed(id, "test");
 });
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -19,7 +19,12 @@
   /** No byte can have reached the target. */
   | { readonly kind: "not_sent"; readonly reason: string }
   /** The target says that it did not run the request. */
-  | { readonly kind: "not_run"; readonly status: number; readonly misdirected: boolean }
+  | {
+      readonly kind: "not_run";
+      readonly status: number;
+      readonly misdirected: boolean;
+      readonly retryAfterMs?: Milliseconds;
+    }
   /** A whole answer, not yet passed on. */
   | { readonly kind: "answered"; readonly head: AnswerHead; readonly body: Buffer }
   /** A whole answer that has been passed on. */
@@ -152,7 +157,8 @@
   const takeWhole = () => {
     if (!head || !facts) return settle({ kind: "lost", reason: "no answer", begun: begun() });
     if (facts.notRun) {
-      return settle({ kind: "not_run", status: head.status, misdirected: facts.misdirected });
+      const { misdirected, retryAfterMs } = facts;
+      return settle({ kind: "not_run", status: head.status, misdirected, retryAfterMs });
     }
     if (isStream()) {
       if (!passing) beginPassing(head);
