A limit that an engine names in its report is heard, and told to all boxes

The box that gives orders reads a report of each engine every half a second or so, and dropped the heads of those answers: with a limit in reports alone no box ever heard of it, and with long streams the first head that names one comes seconds after it began. Change: the report's head is decoded like any other answer's; a limit there counts, its absence says nothing.

--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -57,6 +57,7 @@
   const fleet = kernel.find(fleetName);
   const feed = kernel.find(desiredFeedName);
   const peers = kernel.find(peersName);
+  const targetLimits = kernel.find(targetLimitsName);
   const giver: OrderGiver = createOrderGiver(kernel, {
     self: settings.box.name,
     fleet,
@@ -64,7 +65,9 @@
     lease: kernel.find(orderLeaseName),
     configuration: () => feed.inForce()?.configuration,
     demand: () => sumDemand([demand.read(), ...peers.statuses().map((status) => status.demand)]),
-    takesPerSecond: kernel.find(targetLimitsName).limitOf,
+    takesPerSecond: targetLimits.limitOf,
+    noteLimit: (target, notice) =>
+      targetLimits.hear({ target, notice, sentMsAgo: 0, served: false }),
     announce() {
       fleet.withhold(giver.withheld());
       // In a large deployment all others hear of it in their next round.
--- a/packages/fleet/src/fleet.steps.ts
+++ b/packages/fleet/src/fleet.steps.ts
@@ -31,7 +31,8 @@
 
 function stateOf(holdings: Holdings): EngineState {
   const idle = { busy: false, waiting: 0, running: 0, cacheTokensUsed: 0 };
-  return { ...holdings, ...idle, inMemory: new Set(), onDisk: new Set(), adaptersComing: [] };
+  const weights = { inMemory: new Set<string>(), onDisk: new Set<string>(), adaptersComing: [] };
+  return { ...holdings, ...idle, ...weights, limit: { kind: "none" } };
 }
 
 const words = (text: string) => text.split(" ");
--- a/packages/types/src/routed-targets.ts
+++ b/packages/types/src/routed-targets.ts
@@ -1,5 +1,6 @@
 /** Targets as the platform lists them and as they report of themselves. */
 import type { Milliseconds } from "./identifiers.js";
+import type { LimitNotice } from "./target-limits.js";
 
 /** A model that an engine holds. */
 export interface ResidentModel {
@@ -45,6 +46,8 @@
   readonly onDisk: ReadonlySet<string>;
   /** Adapters on their way, as `model/adapter`. */
   readonly adaptersComing: readonly string[];
+  /** What the answer says of the requests that the engine takes; one without a limit may be silent of it. */
+  readonly limit: LimitNotice;
 }
 
 /** Brings weights into an engine, or drops them. */
--- a/packages/weight-orders/src/ask-engines.ts
+++ b/packages/weight-orders/src/ask-engines.ts
@@ -19,6 +19,8 @@
   answer.ifRight((read) => {
     const before = belief.holdings.sequence;
     fleet.takeState(id, read, clock.now() - sentAt);
+    // Heard here before any request is answered; that the report names none says nothing.
+    if (read.limit.kind === "limited") context.noteLimit(id, read.limit);
     if (fleet.find(id)?.holdings.sequence !== before) context.announce();
   });
 }
--- a/packages/weight-orders/src/giver-context.ts
+++ b/packages/weight-orders/src/giver-context.ts
@@ -10,6 +10,7 @@
   EngineShape,
   EngineState,
   Epoch,
+  LimitNotice,
   Milliseconds,
   RoutedConfiguration,
 } from "@linkfall/types";
@@ -41,6 +42,8 @@
   demand(): readonly ModelDemand[];
   /** Requests a second that a target takes; undefined where it takes any number. */
   takesPerSecond(target: string): number | undefined;
+  /** Called when an engine has named a limit in its report. */
+  noteLimit(target: string, limit: LimitNotice): void;
   /** Called when other boxes should hear of a change at once. */
   announce(): void;
 }
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -175,6 +175,7 @@
         inMemory: new Set(),
         onDisk: new Set(scene.onDisk),
         adaptersComing: [],
+        limit: { kind: "none" },
       });
     },
     async order({ id }, order) {
@@ -260,6 +261,7 @@
     fleet,
     engines: portOf(scene),
     takesPerSecond: () => undefined,
+    noteLimit: () => undefined,
     lease: leaseOf(scene),
     configuration: () => configurationOf(scene),
     demand: () => scene.demand,
