Operators list the targets that have named limits

Logs and a gauge told that targets were limited, but not which and since when, where an operator looks. Change: each box answers GET /v1/limited-targets at its metrics address, and `linkfall limited` shows target, limit and for how long.

--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -9,6 +9,7 @@
 import { ExplainCommand } from "./commands/explain/index.js";
 import { GetCommand } from "./commands/get/index.js";
 import { HashTokenCommand } from "./commands/hash-token/index.js";
+import { LimitedCommand } from "./commands/limited/index.js";
 import { HeldCommand, ReleaseCommand } from "./commands/held/index.js";
 import { StatusCommand } from "./commands/status/index.js";
 import { WatchCommand } from "./commands/watch/index.js";
@@ -31,6 +32,7 @@
   GetCommand,
   HashTokenCommand,
   HeldCommand,
+  LimitedCommand,
   ReleaseCommand,
   StatusCommand,
   WatchCommand,
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -5,7 +5,7 @@
 import type { EntrySettings } from "@linkfall/entry-settings";
 import { metricsName } from "@linkfall/metrics";
 import { orderLeaseName } from "@linkfall/order-lease";
-import type { HeldRequest, Milliseconds } from "@linkfall/types";
+import type { HeldRequest, LimitedTarget, Milliseconds } from "@linkfall/types";
 import { createAcceptWatch } from "./accept-watch.js";
 import { type BoxParts, createBoxParts } from "./box-parts.js";
 import { createBoundedLabel } from "./bounded-label.js";
@@ -44,6 +44,8 @@
   metricsText(): string;
   /** Requests that are held back since targets ended under them. */
   heldRequests(): readonly HeldRequest[];
+  /** Targets whose limits hold, as this box knows them. */
+  limitedTargets(): readonly LimitedTarget[];
   /** Lets a request through again, at every box; false where it is not held back. */
   releaseRequest(fingerprint: string): boolean;
 }
@@ -159,6 +161,7 @@
     }),
     metricsText: kernel.find(metricsName).expose,
     heldRequests: blame.held,
+    limitedTargets: kernel.find(targetLimitsName).limited,
     releaseRequest: blame.release,
   };
 }
--- a/packages/operator-client/src/index.ts
+++ b/packages/operator-client/src/index.ts
@@ -2,6 +2,7 @@
 import { request as plainRequest } from "node:http";
 import { request as tlsRequest } from "node:https";
 import { heldRequestsPath } from "@linkfall/crash-blame";
+import { limitedTargetsPath } from "@linkfall/target-limits";
 import type {
   AuditAnswer,
   BoxLine,
@@ -10,7 +11,7 @@
   WatchEvent,
   WriteAnswer,
 } from "@linkfall/operator-service";
-import type { Change, HeldRequest, Revision } from "@linkfall/types";
+import type { Change, HeldRequest, LimitedTarget, Revision } from "@linkfall/types";
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import { type Either, Left, Right } from "purify-ts";
 
@@ -41,6 +42,8 @@
   heldRequests(): Asked<readonly HeldRequest[]>;
   /** Lets one through again; false where it is not held back. */
   releaseRequest(fingerprint: string): Asked<boolean>;
+  /** Targets whose limits hold, as one box that forwards opaque requests knows them. */
+  limitedTargets(): Asked<readonly LimitedTarget[]>;
   /** Calls `take` for each event until the connection ends or `signal` is aborted. */
   watch(
     after: Revision | undefined,
@@ -128,6 +131,10 @@
       const answer = await ask<{ released: boolean }>("DELETE", path, undefined, releaseStatuses);
       return answer.map(({ released }) => released);
     },
+    async limitedTargets() {
+      const answer = await get<{ limited: readonly LimitedTarget[] }>(limitedTargetsPath);
+      return answer.map(({ limited }) => limited);
+    },
     async watch(after, take, signal) {
       const onEvent = (message: EventSourceMessage) => take(JSON.parse(message.data) as WatchEvent);
       const parser = createParser({ onEvent });
--- a/packages/target-limits/src/limit-book.ts
+++ b/packages/target-limits/src/limit-book.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "@linkfall/kernel";
 import type {
   Incarnation,
+  LimitedTarget,
   LimitNotice,
   Milliseconds,
   TargetLimitRecord,
@@ -40,14 +41,6 @@
   readonly source: "target" | "box";
 }
 
-/** A limit that holds. */
-export interface LimitedTarget {
-  readonly target: string;
-  readonly perSecond: number;
-  /** Time since it was first named. */
-  readonly forMs: Milliseconds;
-}
-
 export interface LimitBook {
   /** Takes what an answer says. */
   hear(answer: HeardAnswer): void;
@@ -55,7 +48,7 @@
   limitOf(target: string): number | undefined;
   /** Time since the target itself was last heard to name its limit; 0 where it has none. */
   unheardMs(target: string): Milliseconds;
-  /** Limits that hold now. */
+  /** Targets whose limits hold now. */
   limited(): readonly LimitedTarget[];
   /** Forgets a target whose life has ended. */
   forget(target: string): void;
--- a/packages/target-limits/src/messages.ts
+++ b/packages/target-limits/src/messages.ts
@@ -2,6 +2,9 @@
 import type { AllocationAsk, AllocationGrant } from "@linkfall/allocation";
 import type { Milliseconds } from "@linkfall/types";
 
+/** Where a box answers operators: GET lists the targets whose limits hold. */
+export const limitedTargetsPath = "/v1/limited-targets";
+
 /** A box asks the allocator of a target for a turn to send one request there. */
 export interface TurnAsk extends AllocationAsk {
   readonly target: string;
--- a/packages/types/src/target-limits.ts
+++ b/packages/types/src/target-limits.ts
@@ -9,6 +9,14 @@
   /** The target names a limit in a form that can't be read. */
   | { readonly kind: "unreadable"; readonly text: string };
 
+/** A target whose limit holds, as operators are told of it. */
+export interface LimitedTarget {
+  readonly target: string;
+  readonly perSecond: number;
+  /** Time since it first named a limit. */
+  readonly forMs: Milliseconds;
+}
+
 /** What boxes tell each other of one target. */
 export interface TargetLimitRecord {
   readonly target: string;
