The older line leaves a target alone that has asked for it

Calls of plain services went on to a target that turned them away and said when to come back: 32 of 40 within its time (three boxes, two targets, virtual time). Cause: the time was not read, as in the forwarding line. One function reads the header for both lines. Measured: the scenario failed before and passes now. Not done: engines of the older line, whose protocol is our own and names neither a time nor a limit.

--- a/packages/plain-call/src/index.ts
+++ b/packages/plain-call/src/index.ts
@@ -107,6 +107,7 @@
       }
       await discard(response);
       load.ended(address, undefined);
+      load.turnedAway(address, response.headers["retry-after"]);
     }
   };
 
--- a/packages/soak/src/scenarios/crashing-requests.steps.ts
+++ b/packages/soak/src/scenarios/crashing-requests.steps.ts
@@ -12,7 +12,7 @@
 /** In which boxes that start have read the log and placed what is missing. */
 const settledMs = 20_000;
 
-const bodies: Readonly<Record<string, (text: string) => { path: string; body: string }>> = {
+export const bodies: Readonly<Record<string, (text: string) => { path: string; body: string }>> = {
   "a completion": (text) => ({
     path: "/v1/completions",
     body: JSON.stringify({ model: "m0", prompt: text, max_tokens: 4 }),
@@ -25,11 +25,12 @@
 });
 
 /** Sends one request through a box and lets time pass until the caller would come again. */
-async function sendOnce(
+export async function sendOnce(
   world: World,
   box: WorldBox,
   account: "dispatch",
   { path, body }: { path: string; body: string },
+  waitMs = returnMs,
 ): Promise<CallerResponse> {
   const asked = box.box.callers.handle({
     method: "POST",
@@ -43,7 +44,7 @@
   });
   let answered = false;
   void asked.then(() => (answered = true));
-  do await world.clock.runUntil(world.clock.now() + returnMs);
+  do await world.clock.runUntil(world.clock.now() + waitMs);
   while (!answered);
   return asked;
 }
--- a/packages/stand-ins/src/service-core.ts
+++ b/packages/stand-ins/src/service-core.ts
@@ -7,6 +7,10 @@
 export interface ServiceCore {
   readonly address: string;
   leaving: boolean;
+  /** Seconds for which it asks to be left alone with each call, none of which it runs then. */
+  retryAfter?: string;
+  /** Calls that came, run or not. */
+  readonly arrivals: number;
   /** Its process does not run. */
   readonly down: boolean;
   /** Its process ends, and is back after `awayMs`. */
@@ -29,9 +33,17 @@
   }
   let down = false;
   let lives = 1;
-  return {
+  let arrivals = 0;
+  const turnAway = (retryAfter: string): TargetResponse => {
+    const headers = { "x-not-started": "true", "retry-after": retryAfter, "content-length": "0" };
+    return { status: 503, headers, body: bodyOf("") };
+  };
+  const core: ServiceCore = {
     address,
     leaving: false,
+    get arrivals() {
+      return arrivals;
+    },
     get down() {
       return down;
     },
@@ -43,6 +55,8 @@
     async call(request) {
       const text = Buffer.from(request.body).toString("utf8");
       const life = lives;
+      arrivals += 1;
+      if (core.retryAfter !== undefined) return turnAway(core.retryAfter);
       ran(request.path, text);
       await sleep(clock, workMs);
       if (life !== lives) return undefined;
@@ -54,4 +68,5 @@
       return { status: 200, headers, body: bodyOf(answer) };
     },
   };
+  return core;
 }
--- a/packages/target-load/src/target-load.ts
+++ b/packages/target-load/src/target-load.ts
@@ -2,7 +2,7 @@
 import { settingsName } from "@linkfall/config";
 import { clockName, type Kernel, serviceName } from "@linkfall/kernel";
 import { loggerName } from "@linkfall/logger";
-import type { Milliseconds } from "@linkfall/types";
+import { type Milliseconds, parseRetryAfter } from "@linkfall/types";
 import { createEjection, type Ejection } from "./ejection.js";
 
 /** A report shows what was sent this long before it was asked for; later requests are added. */
@@ -39,6 +39,8 @@
   streamRate(target: string): number;
   /** Notes a failure that is the target's fault. */
   failed(target: string): void;
+  /** Notes what a target that turned a request away says of when to come back; nothing where it says nothing. */
+  turnedAway(target: string, retryAfter: string | undefined): void;
   ejection(): Ejection;
 }
 
@@ -100,6 +102,10 @@
     failed(target) {
       if (ejection.failed(target, clock.now())) logger.event("targetEjected", { target });
     },
+    turnedAway(target, retryAfter) {
+      const forMs = parseRetryAfter(retryAfter);
+      if (forMs !== undefined) ejection.leaveAlone(target, forMs, clock.now());
+    },
     ejection: () => ejection,
   };
 }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./routed-targets.js";
 export * from "./crash-words.js";
 export * from "./target-limits.js";
+export * from "./retry-after.js";
