--- a/packages/forwarding/src/pick.ts
+++ b/packages/forwarding/src/pick.ts
@@ -129,13 +129,18 @@
   return usable.includes(target) && holdsWeights(target, request, clock.now());
 }
 
+interface ChosenTarget {
+  readonly target: TargetBelief;
+  readonly choice: Choice;
+}
+
 /** The target among these that is expected to answer first. */
 function choose(
   context: ForwardContext,
   request: ForwardedRequest,
   targets: readonly TargetBelief[],
   home: PrefixHome | undefined,
-): { readonly target: TargetBelief; readonly choice: Choice } | undefined {
+): ChosenTarget | undefined {
   const { domain, random } = context;
   const candidates = targets.map((belief) => toCandidate(belief, request, domain, context, home));
   const choice = chooseTarget(candidates, random);
@@ -143,36 +148,42 @@
   return target && choice && { target, choice };
 }
 
-/** Picks among targets that may all get the request. */
+/** Whether a limited target is to be tried although others are there, to learn whether its limit still holds. */
+function isTrial({ targetLimits }: ForwardContext, { listed: { id } }: TargetBelief): boolean {
+  return targetLimits.isTrialDue(id) && !targetLimits.isClosed(id, 0);
+}
+
+/**
+ * Picks among targets that may all get the request. Those without a limit come first; limited ones are used where there
+ * are no others, or all others have queues that are too long.
+ */
 function pickAmong(
   context: ForwardContext,
   request: ForwardedRequest,
-  untried: readonly TargetBelief[],
+  open: readonly TargetBelief[],
   holding: readonly TargetBelief[],
 ): Pick {
   const { targetLimits } = context;
   const isLimited = ({ listed }: TargetBelief) => targetLimits.limitOf(listed.id) !== undefined;
+  const unlimited = holding.filter((belief) => !isLimited(belief));
   // Shared prompts gather where many requests can follow them.
-  const home = homeOf(
-    request,
-    holding.filter((belief) => !isLimited(belief)),
-  );
-  const others = untried.length - 1;
-  const mayTry = ({ listed: { id } }: TargetBelief) =>
-    targetLimits.isTrialDue(id) && !targetLimits.isClosed(id, 0);
-  const first = untried.filter((belief) => !isLimited(belief) || mayTry(belief));
-  const best = choose(context, request, first, home);
+  const home = homeOf(request, unlimited);
   const queueMs = longestQueueMs(context, request);
-  if (best && best.choice.expectedMs <= queueMs) {
-    const turnWithinMs = isLimited(best.target) ? 0 : undefined;
-    return { kind: "target", ...best, others, turnWithinMs };
-  }
+  const pickOf = (chosen: ChosenTarget, withinMs: Milliseconds): Pick => {
+    const turnWithinMs = isLimited(chosen.target) ? withinMs : undefined;
+    return { kind: "target", ...chosen, others: open.length - 1, turnWithinMs };
+  };
+
+  const preferred = open.filter((belief) => !isLimited(belief) || isTrial(context, belief));
+  const best = choose(context, request, preferred, home);
+  if (best && best.choice.expectedMs <= queueMs) return pickOf(best, 0);
+
   const turnWithinMs = best ? 0 : longestTurnWaitMs(request, queueMs);
-  const limited = untried.filter(isLimited);
+  const limited = open.filter(isLimited);
   const askable = limited.filter(({ listed }) => !targetLimits.isClosed(listed.id, turnWithinMs));
-  const last = choose(context, request, askable, home);
-  if (last) return { kind: "target", ...last, others, turnWithinMs };
-  if (best) return { kind: "target", ...best, others };
+  const withTurn = choose(context, request, askable, home);
+  if (withTurn) return pickOf(withTurn, turnWithinMs);
+  if (best) return pickOf(best, 0);
   return { kind: "limited", targets: limited.map(({ listed }) => listed.id) };
 }
 
@@ -192,7 +203,7 @@
     ({ listed }) => !request.tried.has(listed.id) && !context.lastTries.avoids(request, listed.id),
   );
   if (untried.length === 0) return { kind: "all_tried" };
-  const roomy = untried.filter((belief) => takesConnection(belief, request));
-  if (roomy.length === 0) return { kind: "no_connection" };
-  return pickAmong(context, request, roomy, holding);
+  const open = untried.filter((belief) => takesConnection(belief, request));
+  if (open.length === 0) return { kind: "no_connection" };
+  return pickAmong(context, request, open, holding);
 }
