Permits and back-off in place of house words for the limits of targets

"Turn" is the event loop's word in this code, and "left alone" was already the word for entries that can't be read; a newcomer would look for the terms of the field. Names only, no logic.

--- a/packages/bench/src/turn-load.ts
+++ b/packages/bench/src/permit-load.ts
@@ -2,7 +2,7 @@
 import { seededRandom } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
 
-export interface TurnLoad {
+export interface PermitLoad {
   readonly name: string;
   readonly boxes: number;
   /** Requests a second that the target takes from all boxes together. */
@@ -18,7 +18,7 @@
 }
 
 /** One request that only the limited target can serve. */
-export interface TurnArrival {
+export interface PermitArrival {
   readonly at: Milliseconds;
   readonly box: number;
 }
@@ -37,7 +37,7 @@
   { boxes: 195, perSecond: 0.5 },
 ];
 
-export const turnLoads: readonly TurnLoad[] = sizes.flatMap((size) => [
+export const permitLoads: readonly PermitLoad[] = sizes.flatMap((size) => [
   { name: "steady", ...size },
   { name: "all restarted", ...size, restart: { at: 15_000, boxes: size.boxes } },
   {
@@ -47,15 +47,18 @@
   },
 ]);
 
-export function isCutOff({ cut }: TurnLoad, box: number, at: Milliseconds): boolean {
+export function isCutOff({ cut }: PermitLoad, box: number, at: Milliseconds): boolean {
   return cut !== undefined && box < cut.boxes && at >= cut.from && at < cut.until;
 }
 
 /** Requests of a load, in the order of time. */
-export function arrivalsOf({ boxes, perSecond }: TurnLoad, seed: number): readonly TurnArrival[] {
+export function arrivalsOf(
+  { boxes, perSecond }: PermitLoad,
+  seed: number,
+): readonly PermitArrival[] {
   const random = seededRandom(seed);
   const gapMs = millisecondsPerSecond / (perSecond * demandOverLimit);
-  const arrivals: TurnArrival[] = [];
+  const arrivals: PermitArrival[] = [];
   for (let at = 0; at < loadMs;) {
     at += -Math.log(1 - random.fraction()) * gapMs;
     arrivals.push({ at, box: random.below(boxes) });
--- a/packages/bench/src/turn-run.ts
+++ b/packages/bench/src/permit-run.ts
@@ -1,10 +1,10 @@
 /** Plays one load against one way to keep a target's limit, and says what came of it. */
 import { createVirtualClock } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
-import { arrivalsOf, limitedFrom, loadMs, type TurnLoad } from "./turn-load.js";
-import type { TurnWayMaker } from "./turn-ways.js";
+import { arrivalsOf, limitedFrom, loadMs, type PermitLoad } from "./permit-load.js";
+import type { PermitWayMaker } from "./permit-ways.js";
 
-export interface TurnResult {
+export interface PermitResult {
   /** Most requests that the target got in some window, as a share of what its limit allows: over 1 breaks it. */
   readonly fullestWindow: number;
   /** What the target got, as a share of its limit. */
@@ -21,7 +21,7 @@
 const contactMs: Milliseconds = 3_000;
 /** From a send to the answer that names the limit. */
 const answerMs: Milliseconds = 100;
-/** Time for the last turns. */
+/** Time for the last permits. */
 const settleMs: Milliseconds = 3_000;
 const millisecondsPerSecond = 1000;
 
@@ -33,11 +33,11 @@
   return Math.max(0, ...counts) / Math.floor(allowed);
 }
 
-export async function runTurns(
-  load: TurnLoad,
-  make: TurnWayMaker,
+export async function runPermits(
+  load: PermitLoad,
+  make: PermitWayMaker,
   seed: number,
-): Promise<TurnResult> {
+): Promise<PermitResult> {
   const clock = createVirtualClock();
   const way = make(load, clock);
   const sends: Milliseconds[] = [];
@@ -50,7 +50,7 @@
     });
   };
   for (const { at, box } of arrivalsOf(load, seed)) {
-    clock.after(at, () => void way.takeTurn(box).then((turn) => turn && send(box)));
+    clock.after(at, () => void way.takePermit(box).then((permit) => permit && send(box)));
   }
   await clock.runUntil(loadMs + settleMs);
   const from = limitedFrom + contactMs;
--- a/packages/bench/src/turn-ways.ts
+++ b/packages/bench/src/permit-ways.ts
@@ -4,11 +4,11 @@
 import { createTokenBucket, type TokenBucket } from "@linkfall/token-bucket";
 import type { Milliseconds } from "@linkfall/types";
 import { Left, Right } from "purify-ts";
-import { isCutOff, type TurnLoad } from "./turn-load.js";
+import { isCutOff, type PermitLoad } from "./permit-load.js";
 
-export interface TurnWay {
+export interface PermitWay {
   /** Resolves when a box may send; false where it may not. */
-  takeTurn(box: number): Promise<boolean>;
+  takePermit(box: number): Promise<boolean>;
   /** A box has read an answer that names the limit. */
   hear(box: number): void;
   /** The first boxes lose what they know. */
@@ -17,7 +17,7 @@
   messages(): number;
 }
 
-export type TurnWayMaker = (load: TurnLoad, clock: VirtualClock) => TurnWay;
+export type PermitWayMaker = (load: PermitLoad, clock: VirtualClock) => PermitWay;
 
 export const target = "t1";
 /** One way between boxes. */
@@ -28,18 +28,18 @@
 const cutOffMs: Milliseconds = 1_000;
 /** A box that is cut off is known to be silent after this time. */
 const noticedMs: Milliseconds = 1_500;
-/** Longest time that a request waits for its turn. */
+/** Longest time that a request waits for its permit. */
 const withinMs: Milliseconds = 1_000;
 
-const boxesOf = ({ boxes }: TurnLoad) => Array.from({ length: boxes }, (_, box) => box);
+const boxesOf = ({ boxes }: PermitLoad) => Array.from({ length: boxes }, (_, box) => box);
 const wait = (clock: VirtualClock, ms: Milliseconds) =>
   new Promise<void>((resolve) => void clock.after(ms, resolve));
 
 /** A bucket of its own at each box that has heard the limit. */
-function bucketWay(load: TurnLoad, clock: VirtualClock, rate: number, burst: number): TurnWay {
+function bucketWay(load: PermitLoad, clock: VirtualClock, rate: number, burst: number): PermitWay {
   let buckets = new Map<number, TokenBucket>();
   return {
-    takeTurn: async (box) => buckets.get(box)?.take() ?? true,
+    takePermit: async (box) => buckets.get(box)?.take() ?? true,
     hear(box) {
       if (!buckets.has(box)) buckets.set(box, createTokenBucket(clock, { rate, burst }, 0));
     },
@@ -51,15 +51,15 @@
 }
 
 /** Each box keeps the limit as if it were its own. */
-export const eachForItself: TurnWayMaker = (load, clock) =>
+export const eachForItself: PermitWayMaker = (load, clock) =>
   bucketWay(load, clock, load.perSecond, Math.max(1, load.perSecond));
 
 /** Each box has an equal part of the limit. */
-export const equalParts: TurnWayMaker = (load, clock) =>
+export const equalParts: PermitWayMaker = (load, clock) =>
   bucketWay(load, clock, load.perSecond / load.boxes, 1);
 
-/** One box hands out the turns; the program's own code. */
-export const handedOutByOne: TurnWayMaker = (load, clock) => {
+/** One box hands out the permits; the program's own code. */
+export const handedOutByOne: PermitWayMaker = (load, clock) => {
   let sent = 0;
   const cutFor = (box: number, ms: Milliseconds) =>
     isCutOff(load, box, clock.now()) && isCutOff(load, box, clock.now() - ms);
@@ -110,7 +110,7 @@
     clock.after((roundMs * box) / load.boxes, round);
   }
   return {
-    takeTurn: (box) => boxes[box].takeTurn(target, withinMs),
+    takePermit: (box) => boxes[box].takePermit(target, withinMs),
     hear(box) {
       const notice = { kind: "limited", perSecond: load.perSecond } as const;
       boxes[box].hear({ target, notice, sentMsAgo: 0, served: true });
@@ -125,7 +125,7 @@
   };
 };
 
-export const turnWays: Readonly<Record<string, TurnWayMaker>> = {
+export const permitWays: Readonly<Record<string, PermitWayMaker>> = {
   "each box for itself": eachForItself,
   "equal parts": equalParts,
   "handed out by one box": handedOutByOne,
--- a/packages/bench/src/turns.steps.ts
+++ b/packages/bench/src/permits.steps.ts
@@ -1,31 +1,31 @@
 import assert from "node:assert/strict";
 import { Then, When } from "@cucumber/cucumber";
 import { notes } from "@linkfall/test-support";
-import { turnLoads } from "./turn-load.js";
-import { runTurns, type TurnResult } from "./turn-run.js";
-import { turnWays } from "./turn-ways.js";
+import { permitLoads } from "./permit-load.js";
+import { runPermits, type PermitResult } from "./permit-run.js";
+import { permitWays } from "./permit-ways.js";
 
 /** Virtual time; a busy machine may still take a while. */
 const stepTimeout = { timeout: 120_000 };
 
 When(
-  /^every load of turns is played (\d+) times? with "([^"]*)"$/,
+  /^every load of permits is played (\d+) times? with "([^"]*)"$/,
   stepTimeout,
   async function (this: object, seeds: string, way: string) {
-    const results: TurnResult[] = [];
-    for (const load of turnLoads) {
+    const results: PermitResult[] = [];
+    for (const load of permitLoads) {
       for (let seed = 1; seed <= Number(seeds); seed++) {
-        results.push(await runTurns(load, turnWays[way], seed));
+        results.push(await runPermits(load, permitWays[way], seed));
       }
     }
-    notes(this).set("turns", results);
+    notes(this).set("permits", results);
   },
 );
 
 const fullestOf = (world: object) =>
   Math.max(
     ...notes(world)
-      .get<TurnResult[]>("turns")
+      .get<PermitResult[]>("permits")
       .map((result) => result.fullestWindow),
   );
 
@@ -40,7 +40,7 @@
 Then("the target gets at least {int} in 100 of its limit", function (this: object, least: number) {
   const used = Math.min(
     ...notes(this)
-      .get<TurnResult[]>("turns")
+      .get<PermitResult[]>("permits")
       .map((result) => result.used),
   );
   assert.ok(used * 100 >= least, String(used));
--- a/packages/box-peers/src/box-peers.steps.ts
+++ b/packages/box-peers/src/box-peers.steps.ts
@@ -108,7 +108,7 @@
       return Right(other.peers.receive(heartbeat));
     },
     quota: async () => Left({ kind: "peer_unreachable", reason: "none", mayHaveArrived: false }),
-    turn: async () => Left({ kind: "peer_unreachable", reason: "none", mayHaveArrived: false }),
+    permit: async () => Left({ kind: "peer_unreachable", reason: "none", mayHaveArrived: false }),
     configuration: async () => unreachable,
     close: () => undefined,
   };
--- a/packages/box-peers/src/transport.ts
+++ b/packages/box-peers/src/transport.ts
@@ -15,7 +15,7 @@
 import { type AskStream, createAskStream, type Numbered } from "@linkfall/ask-stream";
 import type { PeerUnreachable } from "@linkfall/errors";
 import type { Clock } from "@linkfall/kernel";
-import type { TurnAsk, TurnGrant } from "@linkfall/target-limits";
+import type { PermitAsk, PermitGrant } from "@linkfall/target-limits";
 import type { Milliseconds } from "@linkfall/types";
 import { type Either, Left, Right } from "purify-ts";
 import type { ConfigurationCopy, Heartbeat } from "./messages.js";
@@ -27,8 +27,8 @@
   configuration(): ConfigurationCopy;
   /** Allots a part of an account's limit. */
   quota(ask: QuotaAsk): Promise<QuotaGrant>;
-  /** Hands out a turn at a target that has named a limit. */
-  turn(ask: TurnAsk): Promise<TurnGrant>;
+  /** Hands out a permit at a target that has named a limit. */
+  permit(ask: PermitAsk): Promise<PermitGrant>;
 }
 
 /** Asks other boxes. */
@@ -36,7 +36,7 @@
   exchange(address: string, heartbeat: Heartbeat): Promise<Either<PeerUnreachable, Heartbeat>>;
   configuration(address: string): Promise<Either<PeerUnreachable, ConfigurationCopy>>;
   quota(address: string, ask: QuotaAsk): Promise<Either<PeerUnreachable, QuotaGrant>>;
-  turn(address: string, ask: TurnAsk): Promise<Either<PeerUnreachable, TurnGrant>>;
+  permit(address: string, ask: PermitAsk): Promise<Either<PeerUnreachable, PermitGrant>>;
   close(): void;
 }
 
@@ -50,12 +50,12 @@
   | { readonly kind: "heartbeat"; readonly heartbeat: Heartbeat }
   | { readonly kind: "configuration" }
   | { readonly kind: "quota"; readonly ask: QuotaAsk }
-  | { readonly kind: "turn"; readonly ask: TurnAsk };
+  | { readonly kind: "permit"; readonly ask: PermitAsk };
 type Answer =
   | { readonly kind: "heartbeat"; readonly heartbeat: Heartbeat }
   | { readonly kind: "configuration"; readonly copy: ConfigurationCopy }
   | { readonly kind: "quota"; readonly grant: QuotaGrant }
-  | { readonly kind: "turn"; readonly grant: TurnGrant };
+  | { readonly kind: "permit"; readonly grant: PermitGrant };
 
 const exchange: MethodDefinition<Numbered<Ask>, Numbered<Answer>> = {
   path: "/linkfall.Boxes/Exchange",
@@ -142,10 +142,10 @@
         answer.kind === "quota" ? Right(answer.grant) : Left(otherKind(answer)),
       );
     },
-    async turn(address, ask) {
-      const answered = await streamTo(address).ask({ kind: "turn", ask });
+    async permit(address, ask) {
+      const answered = await streamTo(address).ask({ kind: "permit", ask });
       return answered.chain((answer) =>
-        answer.kind === "turn" ? Right(answer.grant) : Left(otherKind(answer)),
+        answer.kind === "permit" ? Right(answer.grant) : Left(otherKind(answer)),
       );
     },
     close() {
@@ -161,8 +161,8 @@
       return { kind: ask.kind, copy: handler.configuration() };
     case "quota":
       return { kind: ask.kind, grant: await handler.quota(ask.ask) };
-    case "turn":
-      return { kind: ask.kind, grant: await handler.turn(ask.ask) };
+    case "permit":
+      return { kind: ask.kind, grant: await handler.permit(ask.ask) };
     case "heartbeat":
       return { kind: ask.kind, heartbeat: handler.exchange(ask.heartbeat) };
   }
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -123,7 +123,7 @@
     exchange: peers.receive,
     configuration: feed.configurationCopy,
     quota: kernel.find(accountQuotaName).allocate,
-    turn: kernel.find(targetLimitsName).allocate,
+    permit: kernel.find(targetLimitsName).allocate,
   });
   registerGauges(parts, front);
   const blame = kernel.find(crashBlameName);
--- a/packages/entry-box/src/provide-limits.ts
+++ b/packages/entry-box/src/provide-limits.ts
@@ -1,4 +1,4 @@
-/** Limits that targets name: what this box has heard of them, and who hands out their turns. */
+/** Limits that targets name: what this box has heard of them, and who hands out their permits. */
 import { fleetName } from "@linkfall/fleet";
 import { serviceName } from "@linkfall/kernel";
 import { metricsName } from "@linkfall/metrics";
@@ -27,7 +27,7 @@
     {
       self: settings.box.peer_address,
       allocators: (target) => allocatorsFor(parts, target),
-      ask: (address, ask) => peerClient.turn(address, ask),
+      ask: (address, ask) => peerClient.permit(address, ask),
       connected: createConnectionCheck(parts, knowledge),
       ownPart: () => limitParts().own,
       silentPart: () => limitParts().silent,
--- a/packages/fleet/src/belief.ts
+++ b/packages/fleet/src/belief.ts
@@ -48,8 +48,8 @@
   own: TargetLoad;
   others: TargetLoad;
   health: Health;
-  /** Until then it has asked to be left alone. */
-  restsUntil: Milliseconds;
+  /** Until then it has asked for no requests. */
+  backOffUntil: Milliseconds;
   /** Models that are about to be dropped: nothing new is sent for them. */
   withheld: ReadonlySet<string>;
   /** Weights that the target has just refused to serve. */
@@ -76,7 +76,7 @@
     own: noLoad,
     others: noLoad,
     health: healthy,
-    restsUntil: -Infinity,
+    backOffUntil: -Infinity,
     withheld: new Set(),
     denied: new Map(),
     prefixes: createPrefixIndex(cacheTokens * cacheShare),
--- a/packages/fleet/src/fleet.steps.ts
+++ b/packages/fleet/src/fleet.steps.ts
@@ -92,13 +92,13 @@
 When(
   "{string} asks to be left alone for {int} ms",
   function (this: object, id: string, ms: number) {
-    sceneOf(this).fleet.rest(id, ms);
+    sceneOf(this).fleet.backOff(id, ms);
   },
 );
 
 When("each target asks to be left alone for {int} ms", function (this: object, ms: number) {
   const { fleet } = sceneOf(this);
-  for (const { listed } of fleet.all()) fleet.rest(listed.id, ms);
+  for (const { listed } of fleet.all()) fleet.backOff(listed.id, ms);
 });
 
 When("{string} fails {int} times", function (this: object, id: string, times: number) {
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -37,8 +37,8 @@
   withhold(models: ReadonlyMap<string, readonly string[]>): void;
   /** Notes that a target refused to serve weights; for `forMs`, or until it has taken an order. */
   deny(id: string, key: string, forMs?: Milliseconds): void;
-  /** Notes that a target has asked to be left alone for a time. */
-  rest(id: string, forMs: Milliseconds): void;
+  /** Notes that a target has asked for no requests for a time. */
+  backOff(id: string, forMs: Milliseconds): void;
   succeeded(id: string): void;
   failed(id: string, reason: string): void;
   /** Notes that nobody, or somebody else, listens at the target's address. */
@@ -109,14 +109,14 @@
   if (Number.isFinite(forMs)) state.clock.after(forMs, () => noteChange(state));
 }
 
-/** A target is not left alone for longer, whatever it asks for: it could not be found well again. */
-const longestRestMs: Milliseconds = 10_000;
+/** Longest back-off, whatever a target asks for: nobody learns that it has recovered while it gets no requests. */
+const longestBackOffMs: Milliseconds = 10_000;
 
-function rest(state: FleetState, id: string, askedMs: Milliseconds): void {
+function backOff(state: FleetState, id: string, askedMs: Milliseconds): void {
   const belief = state.beliefs.get(id);
   if (!belief) return;
-  const forMs = Math.min(askedMs, longestRestMs);
-  belief.restsUntil = Math.max(belief.restsUntil, state.clock.now() + forMs);
+  const forMs = Math.min(askedMs, longestBackOffMs);
+  belief.backOffUntil = Math.max(belief.backOffUntil, state.clock.now() + forMs);
   state.clock.after(forMs, () => noteChange(state));
 }
 
@@ -127,7 +127,7 @@
   const isListed = (belief: TargetBelief) =>
     belief.wentAt === undefined || wentInLapse(state, belief, targets);
   const sound = staying.filter(
-    (belief) => isListed(belief) && !isEjected(belief.health, now) && now >= belief.restsUntil,
+    (belief) => isListed(belief) && !isEjected(belief.health, now) && now >= belief.backOffUntil,
   );
   // With nothing else left, a target that was left out is better than none.
   return sound.length > 0 ? sound : staying;
@@ -158,7 +158,7 @@
     },
     withhold: (models) => withhold(state, models),
     deny: (id, key, forMs = Infinity) => deny(state, id, key, forMs),
-    rest: (id, forMs) => rest(state, id, forMs),
+    backOff: (id, forMs) => backOff(state, id, forMs),
     succeeded(id) {
       const belief = beliefs.get(id);
       if (belief) belief.health = afterSuccess(belief.health);
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -10,7 +10,7 @@
 import { type ForwardedRequest, type RequestEnd, wantedOf } from "./forwarded-request.js";
 import { nextReplicaMs, waitForWeights } from "./hold-for-weights.js";
 import { pickTarget, probablyUnread } from "./pick.js";
-import { takesTurn, whenLimited } from "./limited-targets.js";
+import { takesPermit, whenLimited } from "./limited-targets.js";
 import { failedStatus, type PickedTarget, sendToTarget } from "./send-to-target.js";
 import {
   ended,
@@ -157,7 +157,7 @@
     const comeBackMs = Math.max(expectedMs, coming ?? 0, nextReplicaMs(context, request));
     return refuse(request, refusedStatus, "the queue is too long", comeBackMs);
   }
-  if (!(await takesTurn(context, request, picked))) return on;
+  if (!(await takesPermit(context, request, picked))) return on;
   return sendPicked(context, request, picked);
 }
 
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -10,7 +10,7 @@
   type VirtualClock,
 } from "@linkfall/kernel";
 import { loggerName, recordingLogger } from "@linkfall/logger";
-import { createTargetLimits, type TurnPeers } from "@linkfall/target-limits";
+import { createTargetLimits, type PermitPeers } from "@linkfall/target-limits";
 import { createMetrics } from "@linkfall/metrics";
 import { createDemandMeter } from "@linkfall/model-demand";
 import type { RawHeaders, RequestCodec } from "@linkfall/ports";
@@ -66,8 +66,8 @@
     models: new Map(),
   },
 };
-/** The only box, which hands out all turns itself. */
-const oneBox: TurnPeers = {
+/** The only box, which hands out all permits itself. */
+const oneBox: PermitPeers = {
   self: "b1",
   allocators: () => ["b1"],
   ask: async () => Left({ kind: "peer_unreachable", reason: "no peers", mayHaveArrived: false }),
--- a/packages/forwarding/src/limited-targets.ts
+++ b/packages/forwarding/src/limited-targets.ts
@@ -1,4 +1,4 @@
-/** Requests whose targets have named limits: a turn for each send, or a refusal with the time of the next one. */
+/** Requests whose targets have named limits: a permit for each send, or a refusal with the time of the next one. */
 import type { TargetBelief } from "@linkfall/fleet";
 import type { Milliseconds } from "@linkfall/types";
 import { longestQueueMs, replicaComingMs } from "./admission.js";
@@ -18,15 +18,15 @@
   return isServing(context, request, target);
 }
 
-/** Takes a turn at the picked target where it needs one; false where the request has to be looked at anew. */
-export async function takesTurn(
+/** Takes a permit at the picked target where it needs one; false where the request has to be looked at anew. */
+export async function takesPermit(
   context: ForwardContext,
   request: ForwardedRequest,
-  { target, turnWithinMs }: PickedTarget,
+  { target, permitWithinMs }: PickedTarget,
 ): Promise<boolean> {
-  if (turnWithinMs === undefined) return true;
-  const taken = await context.targetLimits.takeTurn(target.listed.id, turnWithinMs);
-  // The target may have left while the request waited for its turn.
+  if (permitWithinMs === undefined) return true;
+  const taken = await context.targetLimits.takePermit(target.listed.id, permitWithinMs);
+  // The target may have left while the request waited for its permit.
   return taken && mayStillBeSent(context, request, target);
 }
 
@@ -40,7 +40,7 @@
   return waitedMs + comingMs <= longestQueueMs(context, request);
 }
 
-/** Waits for a further replica that is on its way, or refuses the request until a turn is due. */
+/** Waits for a further replica that is on its way, or refuses the request until a permit is due. */
 export async function whenLimited(
   context: ForwardContext,
   request: ForwardedRequest,
@@ -53,7 +53,7 @@
     return on;
   }
   metrics.refusedByLimit(request.service.name);
-  const turnMs = targetLimits.comeBackMs(targets);
-  const comeBackMs = Math.max(forwardLimits.comeBackMs, Math.min(turnMs, coming ?? Infinity));
+  const permitMs = targetLimits.comeBackMs(targets);
+  const comeBackMs = Math.max(forwardLimits.comeBackMs, Math.min(permitMs, coming ?? Infinity));
   return refuse(request, refusedStatus, "the limits of its targets are used up", comeBackMs);
 }
--- a/packages/forwarding/src/pick.ts
+++ b/packages/forwarding/src/pick.ts
@@ -22,8 +22,8 @@
       readonly choice: Choice;
       /** Other targets that could serve the request. */
       readonly others: number;
-      /** Longest time that the request waits for its turn at a target that has named a limit; absent where none is needed. */
-      readonly turnWithinMs?: Milliseconds;
+      /** Longest time that the request waits for its permit at a target that has named a limit; absent where none is needed. */
+      readonly permitWithinMs?: Milliseconds;
     }
   /** The targets that could serve it have named limits, which are used up. */
   | { readonly kind: "limited"; readonly targets: readonly string[] }
@@ -46,12 +46,12 @@
   readonly tokens: number;
 }
 
-/** Longest time that the most urgent requests wait for a turn; the others leave its end to them. */
-const mostUrgentTurnWaitMs: Milliseconds = 2_000;
+/** Longest time that the most urgent requests wait for a permit; the others leave its end to them. */
+const mostUrgentPermitWaitMs: Milliseconds = 2_000;
 
-/** Longest time that the request waits for its turn at a target that has named a limit. */
-function longestTurnWaitMs({ priority }: ForwardedRequest, queueMs: Milliseconds): Milliseconds {
-  return Math.min(queueMs, mostUrgentTurnWaitMs / (1 + priority));
+/** Longest time that the request waits for its permit at a target that has named a limit. */
+function longestPermitWaitMs({ priority }: ForwardedRequest, queueMs: Milliseconds): Milliseconds {
+  return Math.min(queueMs, mostUrgentPermitWaitMs / (1 + priority));
 }
 
 /** What a target is taken to keep of shared parts that other boxes have probably sent there. */
@@ -170,19 +170,19 @@
   const home = homeOf(request, unlimited);
   const queueMs = longestQueueMs(context, request);
   const pickOf = (chosen: ChosenTarget, withinMs: Milliseconds): Pick => {
-    const turnWithinMs = isLimited(chosen.target) ? withinMs : undefined;
-    return { kind: "target", ...chosen, others: open.length - 1, turnWithinMs };
+    const permitWithinMs = isLimited(chosen.target) ? withinMs : undefined;
+    return { kind: "target", ...chosen, others: open.length - 1, permitWithinMs };
   };
 
   const preferred = open.filter((belief) => !isLimited(belief) || isTrial(context, belief));
   const best = choose(context, request, preferred, home);
   if (best && best.choice.expectedMs <= queueMs) return pickOf(best, 0);
 
-  const turnWithinMs = best ? 0 : longestTurnWaitMs(request, queueMs);
+  const permitWithinMs = best ? 0 : longestPermitWaitMs(request, queueMs);
   const limited = open.filter(isLimited);
-  const askable = limited.filter(({ listed }) => !targetLimits.isClosed(listed.id, turnWithinMs));
-  const withTurn = choose(context, request, askable, home);
-  if (withTurn) return pickOf(withTurn, turnWithinMs);
+  const askable = limited.filter(({ listed }) => !targetLimits.isClosed(listed.id, permitWithinMs));
+  const withPermit = choose(context, request, askable, home);
+  if (withPermit) return pickOf(withPermit, permitWithinMs);
   if (best) return pickOf(best, 0);
   return { kind: "limited", targets: limited.map(({ listed }) => listed.id) };
 }
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -88,7 +88,7 @@
     case "silent":
       return fleet.failed(id, "silent");
     case "not_run":
-      if (end.retryAfterMs !== undefined) fleet.rest(id, end.retryAfterMs);
+      if (end.retryAfterMs !== undefined) fleet.backOff(id, end.retryAfterMs);
       if (request.terms.model === undefined) return;
       // A target that is not full and refuses all the same is about to drop the weights, or has yet
       // to bring them in: it may say so before anybody else does.
--- a/packages/ports/src/routed-ports.ts
+++ b/packages/ports/src/routed-ports.ts
@@ -40,7 +40,7 @@
   readonly notRun: boolean;
   /** Another start of a target has the address, or it does not hold what was asked for. */
   readonly misdirected: boolean;
-  /** Time for which the target asks to be left alone; absent where it does not ask. */
+  /** Time for which the target asks for no requests; absent where it does not ask. */
   readonly retryAfterMs?: Milliseconds;
   /** What it says of the requests that the target takes. */
   readonly limit: LimitNotice;
--- a/packages/target-limits/src/closed-targets.ts
+++ b/packages/target-limits/src/closed-targets.ts
@@ -1,4 +1,4 @@
-/** Targets whose turns are used up, as this box was told: not asked for again at once. */
+/** Targets whose permits are used up, as this box was told: not asked for again at once. */
 import type { Clock } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
 
@@ -11,13 +11,13 @@
 }
 
 export interface ClosedTargets {
-  /** Notes that no turn was to be had within that time; `waitMs` is when there will be one. */
+  /** Notes that no permit was to be had within that time; `waitMs` is when there will be one. */
   refused(target: string, withinMs: Milliseconds, waitMs: Milliseconds): void;
-  /** Whether an ask for a turn within that time would be refused. */
+  /** Whether an ask for a permit within that time would be refused. */
   isClosed(target: string, withinMs: Milliseconds): boolean;
-  /** Time until a turn is due for a request that is refused now. */
+  /** Time until a permit is due for a request that is refused now. */
   dueMs(target: string): Milliseconds;
-  /** Notes that one more request has been told to come back when its turn is due. */
+  /** Notes that one more request has been told to come back when its permit is due. */
   noteComeBack(target: string, perSecond: number): void;
   forget(target: string): void;
 }
--- a/packages/target-limits/src/index.ts
+++ b/packages/target-limits/src/index.ts
@@ -1,5 +1,5 @@
 /**
- * Limits that targets name: what they take from all boxes together. One box hands out the turns of each target, since
+ * Limits that targets name: what they take from all boxes together. One box hands out the permits of each target, since
  * boxes that keep a limit each for itself send it as many times over as there are boxes.
  */
 import { type AllocationPeers, createAllocation } from "@linkfall/allocation";
@@ -7,15 +7,15 @@
 import type { Milliseconds } from "@linkfall/types";
 import { createClosedTargets } from "./closed-targets.js";
 import { type BornOf, createLimitBook, type LimitBook } from "./limit-book.js";
-import type { TurnAsk, TurnGrant } from "./messages.js";
-import { createTurnAllocator, leastPerSecond } from "./turn-allocator.js";
+import type { PermitAsk, PermitGrant } from "./messages.js";
+import { createPermitAllocator, leastPerSecond } from "./permit-allocator.js";
 
 export * from "./limit-book.js";
 export * from "./messages.js";
-export { createTurnAllocator, type TurnAllocator } from "./turn-allocator.js";
+export { createPermitAllocator, type PermitAllocator } from "./permit-allocator.js";
 
 /** The other boxes, as far as the limits of targets need them. */
-export interface TurnPeers extends AllocationPeers<TurnAsk, TurnGrant> {
+export interface PermitPeers extends AllocationPeers<PermitAsk, PermitGrant> {
   /** Part of each limit that is this box's own while it is cut off. */
   ownPart(): number;
   /** Parts of the boxes that are silent, and may be sending by their own parts. */
@@ -25,35 +25,35 @@
 }
 
 export interface TargetLimits extends LimitBook {
-  /** Waits for a turn to send one request; false where there is none within that time, or it has lapsed meanwhile. */
-  takeTurn(target: string, withinMs: Milliseconds): Promise<boolean>;
-  /** Whether a request that can wait so long is known to get no turn now. */
+  /** Waits for a permit to send one request; false where there is none within that time, or it has lapsed meanwhile. */
+  takePermit(target: string, withinMs: Milliseconds): Promise<boolean>;
+  /** Whether a request that can wait so long is known to get no permit now. */
   isClosed(target: string, withinMs: Milliseconds): boolean;
   /** Whether the target is to be tried although others are there, to learn whether its limit still holds. */
   isTrialDue(target: string): boolean;
-  /** When a request that gets no turn at these targets may come back; each one behind the one before it. */
+  /** When a request that gets no permit at these targets may come back; each one behind the one before it. */
   comeBackMs(targets: readonly string[]): Milliseconds;
-  /** Hands out a turn to another box that has asked. */
-  allocate(ask: TurnAsk): Promise<TurnGrant>;
+  /** Hands out a permit to another box that has asked. */
+  allocate(ask: PermitAsk): Promise<PermitGrant>;
 }
 
 /** However many boxes are silent, this part of a limit is left to those that are not. */
 const leastConnectedPart = 0.5;
-/** A turn that is taken later than this is lost: this box may have slept meanwhile. */
+/** A permit that is taken later than this is lost: this box may have slept meanwhile. */
 const lapsesMs: Milliseconds = 500;
 /** A target is not tried more often than this by one box. */
 const leastTrialMs: Milliseconds = 2_000;
 const millisecondsPerSecond = 1000;
 
-const declined: TurnGrant = { granted: false, waitMs: 0, declined: true };
+const declined: PermitGrant = { granted: false, waitMs: 0, declined: true };
 
 /** Creates the limits as one box keeps them. */
-export function createTargetLimits(clock: Clock, peers: TurnPeers, bornOf: BornOf): TargetLimits {
+export function createTargetLimits(clock: Clock, peers: PermitPeers, bornOf: BornOf): TargetLimits {
   const book = createLimitBook(clock, bornOf);
   const closed = createClosedTargets(clock);
-  const shared = createTurnAllocator(clock);
+  const shared = createPermitAllocator(clock);
   /** Used while this box is cut off; its rates are a part of the limits. */
-  const alone = createTurnAllocator(clock);
+  const alone = createPermitAllocator(clock);
 
   const allocation = createAllocation(
     clock,
@@ -77,7 +77,7 @@
 
   return {
     ...book,
-    async takeTurn(target, withinMs) {
+    async takePermit(target, withinMs) {
       const perSecond = book.limitOf(target);
       if (perSecond === undefined) return true;
       const askedAt = clock.elapsed();
--- a/packages/target-limits/src/turns.steps.ts
+++ b/packages/target-limits/src/permits.steps.ts
@@ -5,32 +5,32 @@
 import { Left } from "purify-ts";
 import {
   createTargetLimits,
-  createTurnAllocator,
+  createPermitAllocator,
   type TargetLimits,
-  type TurnAllocator,
-  type TurnGrant,
-  type TurnPeers,
+  type PermitAllocator,
+  type PermitGrant,
+  type PermitPeers,
 } from "./index.js";
 
-interface Turns {
+interface Permits {
   readonly clock: VirtualClock;
-  readonly allocator: TurnAllocator;
+  readonly allocator: PermitAllocator;
   readonly perSecond: number;
-  grants: readonly TurnGrant[];
+  grants: readonly PermitGrant[];
 }
 
 interface Boxes {
   readonly clock: VirtualClock;
   readonly limits: readonly TargetLimits[];
-  turn?: boolean;
+  permit?: boolean;
 }
 
 const target = "t1";
 const millisecondsPerSecond = 1000;
-const turnsOf = (world: object) => notes(world).get<Turns>("turns at a target");
+const permitsOf = (world: object) => notes(world).get<Permits>("permits at a target");
 const boxesOf = (world: object) => notes(world).get<Boxes>("boxes with limits");
 
-const alone: TurnPeers = {
+const alone: PermitPeers = {
   self: "b1",
   allocators: () => ["b1"],
   ask: async () => Left({ kind: "peer_unreachable", reason: "no peers", mayHaveArrived: false }),
@@ -63,43 +63,43 @@
   "a target that takes {float} a second, and nothing handed out yet",
   function (this: object, perSecond: number) {
     const clock = createVirtualClock();
-    const allocator = createTurnAllocator(clock);
-    notes(this).set("turns at a target", {
+    const allocator = createPermitAllocator(clock);
+    notes(this).set("permits at a target", {
       clock,
       allocator,
       perSecond,
       grants: [],
-    } satisfies Turns);
+    } satisfies Permits);
   },
 );
 
 When("{int} s go by at the target", async function (this: object, seconds: number) {
-  const turns = turnsOf(this);
+  const permits = permitsOf(this);
   // The target is known from its first ask on.
-  turns.allocator.grant({ target, perSecond: turns.perSecond, withinMs: -1 }, 1);
-  await passes(turns, seconds * millisecondsPerSecond);
+  permits.allocator.grant({ target, perSecond: permits.perSecond, withinMs: -1 }, 1);
+  await passes(permits, seconds * millisecondsPerSecond);
 });
 
 When(
-  /^(\d+) requests? asks? for a turn within (\d+) ms$/,
+  /^(\d+) requests? asks? for a permit within (\d+) ms$/,
   function (this: object, count: string, within: string) {
-    const turns = turnsOf(this);
-    const { allocator, perSecond } = turns;
+    const permits = permitsOf(this);
+    const { allocator, perSecond } = permits;
     const ask = { target, perSecond, withinMs: Number(within) };
-    turns.grants = Array.from({ length: Number(count) }, () => allocator.grant(ask, 1));
+    permits.grants = Array.from({ length: Number(count) }, () => allocator.grant(ask, 1));
   },
 );
 
 Then(
-  /^(?:they get|it gets) (?:turns|a turn) after "([^"]*)" ms$/,
+  /^(?:they get|it gets) (?:permits|a permit) after "([^"]*)" ms$/,
   function (this: object, expected: string) {
-    const shown = turnsOf(this).grants.map(({ granted, waitMs }) => (granted ? waitMs : "none"));
+    const shown = permitsOf(this).grants.map(({ granted, waitMs }) => (granted ? waitMs : "none"));
     assert.equal(shown.join(" "), expected);
   },
 );
 
 Then("they are told to come back after {string} ms", function (this: object, expected: string) {
-  const { grants } = turnsOf(this);
+  const { grants } = permitsOf(this);
   assert.ok(grants.every(({ granted }) => !granted));
   assert.equal(grants.map(({ waitMs }) => waitMs).join(" "), expected);
 });
@@ -113,7 +113,7 @@
 });
 
 Given(
-  "a box that hands out its own turns, and a target that named a limit of {float} a second",
+  "a box that hands out its own permits, and a target that named a limit of {float} a second",
   function (this: object, perSecond: number) {
     hear(setUpBoxes(this, [undefined]), 0, perSecond);
   },
@@ -169,10 +169,12 @@
 );
 
 When(
-  "the box sleeps for {int} s while a request waits for its turn",
+  "the box sleeps for {int} s while a request waits for its permit",
   async function (this: object, seconds: number) {
     const boxes = boxesOf(this);
-    const asked = boxes.limits[0].takeTurn(target, 1_000).then((turn) => (boxes.turn = turn));
+    const asked = boxes.limits[0]
+      .takePermit(target, 1_000)
+      .then((permit) => (boxes.permit = permit));
     await passes(boxes, 100);
     boxes.clock.suspend(seconds * millisecondsPerSecond);
     await passes(boxes, 2_000);
@@ -180,8 +182,8 @@
   },
 );
 
-Then("the request has no turn", function (this: object) {
-  assert.equal(boxesOf(this).turn, false);
+Then("the request has no permit", function (this: object) {
+  assert.equal(boxesOf(this).permit, false);
 });
 
 When("{int} s go by at the box", function (this: object, seconds: number) {
--- a/packages/target-load/src/ejection.ts
+++ b/packages/target-load/src/ejection.ts
@@ -6,8 +6,8 @@
 /** Each further ejection without a success between lasts longer, up to this many times. */
 const longestFactor = 8;
 
-/** A target is not left alone for longer, whatever it asks for: it could not be found well again. */
-const longestLeftAloneMs: Milliseconds = 10_000;
+/** Longest back-off, whatever a target asks for: nobody learns that it has recovered while it gets no requests. */
+const longestBackOffMs: Milliseconds = 10_000;
 
 interface FailureRecord {
   inRow: number;
@@ -19,9 +19,9 @@
   /** @returns whether this failure has put the target out. */
   failed(target: string, now: Milliseconds): boolean;
   succeeded(target: string): void;
-  /** Leaves a target out that has asked to be left alone for a time. */
-  leaveAlone(target: string, forMs: Milliseconds, now: Milliseconds): void;
-  /** Those that are not left out; never less than `1 - share` of the targets that don't ask to be left alone, if there are any. */
+  /** Leaves out a target that has asked for no requests for a time. */
+  backOff(target: string, forMs: Milliseconds, now: Milliseconds): void;
+  /** Those that are not left out; never less than `1 - share` of the targets that take requests, if there are any. */
   keep<T>(items: readonly T[], targetOf: (item: T) => string, now: Milliseconds): readonly T[];
 }
 
@@ -34,8 +34,8 @@
 export function createEjection(ejectMs: Milliseconds, share: number): Ejection {
   const records = new Map<string, FailureRecord>();
   const untilOf = (target: string) => records.get(target)?.until ?? -Infinity;
-  /** Until when targets that asked for it are left alone. */
-  const leftAlone = new Map<string, Milliseconds>();
+  /** When targets that asked for no requests may get some again. */
+  const backOffUntil = new Map<string, Milliseconds>();
   const keepSound = <T>(
     items: readonly T[],
     targetOf: (item: T) => string,
@@ -58,12 +58,12 @@
       record.ejections += 1;
       return true;
     },
-    leaveAlone(target, forMs, now) {
-      leftAlone.set(target, now + Math.min(forMs, longestLeftAloneMs));
+    backOff(target, forMs, now) {
+      backOffUntil.set(target, now + Math.min(forMs, longestBackOffMs));
     },
     succeeded: (target) => void records.delete(target),
     keep(items, targetOf, now) {
-      const willing = items.filter((item) => (leftAlone.get(targetOf(item)) ?? 0) <= now);
+      const willing = items.filter((item) => (backOffUntil.get(targetOf(item)) ?? 0) <= now);
       return keepSound(willing.length > 0 ? willing : items, targetOf, now);
     },
   };
--- a/packages/target-load/src/target-load.ts
+++ b/packages/target-load/src/target-load.ts
@@ -104,7 +104,7 @@
     },
     turnedAway(target, retryAfter) {
       const forMs = parseRetryAfter(retryAfter);
-      if (forMs !== undefined) ejection.leaveAlone(target, forMs, clock.now());
+      if (forMs !== undefined) ejection.backOff(target, forMs, clock.now());
     },
     ejection: () => ejection,
   };
