Sight of DRAIN: the log tells when a response says that its target is leaving

The header is now decoded at the platform's boundary; event 5022 tells of the first such response of a target, event 5023 and linkfall_sends_to_leaving_targets_total of each request that is sent there afterwards. No decision changes. The parser's scenarios pass.

--- a/packages/fleet/src/target-view.ts
+++ b/packages/fleet/src/target-view.ts
@@ -56,6 +56,8 @@
   otherBoxesLoad: TargetLoad;
   /** Failures and ejections. */
   health: Health;
+  /** Whether a response of the target said that it is leaving. */
+  announcedLeaving: boolean;
   /** End of the back-off that the target asked for. */
   backOffUntil: Milliseconds;
   /** Models about to be unloaded; they get no new requests. */
@@ -86,6 +88,7 @@
     ownLoad: noLoad,
     otherBoxesLoad: noLoad,
     health: initialHealth,
+    announcedLeaving: false,
     backOffUntil: -Infinity,
     withheldModels: new Set(),
     modelRefusals: new Map(),
--- a/packages/forwarding/src/forward-metrics.ts
+++ b/packages/forwarding/src/forward-metrics.ts
@@ -13,6 +13,8 @@
   retryRequested(service: string, granted: boolean): void;
   /** A request was refused since the limits that its targets have named are used up. */
   refusedByLimit(service: string): void;
+  /** Counts a send to a target that has said in a response that it is leaving. */
+  sentToLeavingTarget(service: string): void;
   /** Records the time that a request waited for weights. */
   weightsWait(ms: Milliseconds): void;
 }
@@ -48,6 +50,12 @@
         "Requests refused because the rate limits reported by their targets are exhausted.",
         { service },
       ),
+    sentToLeavingTarget: (service) =>
+      metrics.count(
+        "linkfall_sends_to_leaving_targets_total",
+        "Sends to targets that had said in a response that they are leaving.",
+        { service },
+      ),
     weightsWait: (ms) =>
       metrics.observe("linkfall_weights_wait_ms", "Time that requests waited for weights.", ms),
   };
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -104,7 +104,12 @@
   describeInvalidHeaders: () => undefined,
   toTargetHeaders: () => [],
   toCallerHeaders: () => [],
-  readResponse: () => ({ notRun: false, misdirected: false, limit: { kind: "none" } }),
+  readResponse: () => ({
+    notRun: false,
+    misdirected: false,
+    limit: { kind: "none" },
+    leaving: false,
+  }),
 };
 
 function contextOf(
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -137,6 +137,24 @@
   });
 }
 
+/** Records that a response said that its target is leaving. */
+function recordLeaving({ fleet, logger }: SendContext, { listed }: TargetView): void {
+  const target = fleet.find(listed.id);
+  if (!target || target.announcedLeaving) return;
+  target.announcedLeaving = true;
+  logger.event("targetAnnouncedLeaving", { target: listed.id, service: listed.service });
+}
+
+/** Logs and counts a send to a target that has said that it is leaving. */
+function reportSendToLeaving(
+  { logger, metrics }: SendContext,
+  { terms, service }: ForwardedRequest,
+  { listed }: TargetView,
+): void {
+  logger.event("sentToLeavingTarget", { request: terms.id, target: listed.id });
+  metrics.sentToLeavingTarget(service.name);
+}
+
 /** Sends the request to the picked target and resolves with the result. */
 export async function sendToTarget(
   context: SendContext,
@@ -154,6 +172,7 @@
   const sentAt = clock.now();
   let isPrefilling = true;
 
+  if (target.announcedLeaving) reportSendToLeaving(context, request, target);
   target.ownLoad = addLoad(target.ownLoad, 1, uncachedTokens);
   target.prefixIndex.record(query);
   request.triedTargets.add(listed.id);
@@ -188,8 +207,10 @@
       body: request.body,
       connectTimeoutMs: sendLimits.connectTimeoutMs,
     },
-    onResponseHead: (status, facts) =>
-      recordLimit(context, target, clock.now() - sentAt, status, facts),
+    onResponseHead(status, facts) {
+      if (facts.leaving) recordLeaving(context, target);
+      recordLimit(context, target, clock.now() - sentAt, status, facts);
+    },
     onCallerGone: ({ written, unsentBytes }) =>
       context.logger.event("callerLeft", {
         request: terms.id,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -219,6 +219,17 @@
     "A target advertised a limit that cannot be parsed; the previous limit stays in effect.",
     "Check the target's software.",
   ),
+  targetAnnouncedLeaving: event(
+    5022,
+    "info",
+    "A response of a target says that the target is leaving.",
+  ),
+  sentToLeavingTarget: event(
+    5023,
+    "warn",
+    "A request was sent to a target although one of its responses had said that it is leaving.",
+    "Report a bug with the log lines of the target.",
+  ),
   outcomeUnknown: event(
     5004,
     "warn",
--- a/packages/ports/src/routed-ports.ts
+++ b/packages/ports/src/routed-ports.ts
@@ -44,6 +44,8 @@
   readonly retryAfterMs?: Milliseconds;
   /** Request limit that the target advertises. */
   readonly limit: AdvertisedLimit;
+  /** Whether the target says that it is leaving. */
+  readonly leaving: boolean;
 }
 
 /** Translates between headers on the wire and linkfall's metadata. */
