Sight of BUDGET: the log tells of each rest that a target asks for, and of sends that pass it over

Event 5024 tells who asked for how long and whether the request was not run; event 5025 and linkfall_sends_to_resting_targets_total tell of each send within that time; event 5026 of a Retry-After that can't be read. No decision changes.

--- a/packages/fleet/src/target-view.ts
+++ b/packages/fleet/src/target-view.ts
@@ -58,6 +58,8 @@
   health: Health;
   /** Whether a response of the target said that it is leaving. */
   announcedLeaving: boolean;
+  /** End of the rest that the target asked for, whatever the box makes of it. */
+  restAskedUntil: Milliseconds;
   /** End of the back-off that the target asked for. */
   backOffUntil: Milliseconds;
   /** Models about to be unloaded; they get no new requests. */
@@ -89,6 +91,7 @@
     otherBoxesLoad: noLoad,
     health: initialHealth,
     announcedLeaving: false,
+    restAskedUntil: -Infinity,
     backOffUntil: -Infinity,
     withheldModels: new Set(),
     modelRefusals: new Map(),
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -165,7 +165,8 @@
     if (!head || !facts)
       return settle({ kind: "lost", reason: "no answer", responseStarted: responseStarted() });
     if (facts.notRun) {
-      const { misdirected, retryAfterMs } = facts;
+      const { misdirected, retryAfter } = facts;
+      const retryAfterMs = retryAfter.kind === "after" ? retryAfter.ms : undefined;
       return settle({ kind: "not_run", status: head.status, misdirected, retryAfterMs });
     }
     if (isStream()) {
--- a/packages/forwarding/src/forward-metrics.ts
+++ b/packages/forwarding/src/forward-metrics.ts
@@ -15,6 +15,8 @@
   refusedByLimit(service: string): void;
   /** Counts a send to a target that has said in a response that it is leaving. */
   sentToLeavingTarget(service: string): void;
+  /** Counts a send to a target within the time for which it asked to get no requests. */
+  sentToRestingTarget(service: string): void;
   /** Records the time that a request waited for weights. */
   weightsWait(ms: Milliseconds): void;
 }
@@ -56,6 +58,12 @@
         "Sends to targets that had said in a response that they are leaving.",
         { service },
       ),
+    sentToRestingTarget: (service) =>
+      metrics.count(
+        "linkfall_sends_to_resting_targets_total",
+        "Sends to targets within the time for which they had asked to get no requests.",
+        { service },
+      ),
     weightsWait: (ms) =>
       metrics.observe("linkfall_weights_wait_ms", "Time that requests waited for weights.", ms),
   };
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -107,6 +107,7 @@
   readResponse: () => ({
     notRun: false,
     misdirected: false,
+    retryAfter: { kind: "none" },
     limit: { kind: "none" },
     leaving: false,
   }),
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -42,6 +42,8 @@
 const loadChangeDenialMs: Milliseconds = 500;
 /** Least urgent priority that engines support. */
 const maxRank = 9;
+/** Status of a target that cannot take a request now. */
+const unavailableStatus = 503;
 /** Lowest status that counts as a failure of the target. */
 export const serverErrorStatus = 500;
 /** System error code of a connection to a port without a listener. */
@@ -155,6 +157,33 @@
   metrics.sentToLeavingTarget(service.name);
 }
 
+/** Logs a rest that the target asked for, or a Retry-After that cannot be read. */
+function recordRest(
+  { clock, fleet, logger }: SendContext,
+  { listed }: TargetView,
+  status: number,
+  { retryAfter, notRun }: ResponseMetadata,
+): void {
+  if (status !== unavailableStatus || retryAfter.kind === "none") return;
+  if (retryAfter.kind === "unreadable")
+    return logger.event("retryAfterUnreadable", { target: listed.id, text: retryAfter.text });
+  const target = fleet.find(listed.id);
+  if (!target) return;
+  target.restAskedUntil = Math.max(target.restAskedUntil, clock.now() + retryAfter.ms);
+  logger.event("targetAskedForRest", { target: listed.id, forMs: retryAfter.ms, notRun });
+}
+
+/** Logs and counts a send to a target within the rest that it has asked for. */
+function reportSendToResting(
+  { clock, logger, metrics }: SendContext,
+  { terms, service }: ForwardedRequest,
+  { listed, restAskedUntil }: TargetView,
+): void {
+  const remainingMs = Math.round(restAskedUntil - clock.now());
+  logger.event("sentToRestingTarget", { request: terms.id, target: listed.id, remainingMs });
+  metrics.sentToRestingTarget(service.name);
+}
+
 /** Sends the request to the picked target and resolves with the result. */
 export async function sendToTarget(
   context: SendContext,
@@ -173,6 +202,7 @@
   let isPrefilling = true;
 
   if (target.announcedLeaving) reportSendToLeaving(context, request, target);
+  if (sentAt < target.restAskedUntil) reportSendToResting(context, request, target);
   target.ownLoad = addLoad(target.ownLoad, 1, uncachedTokens);
   target.prefixIndex.record(query);
   request.triedTargets.add(listed.id);
@@ -209,6 +239,7 @@
     },
     onResponseHead(status, facts) {
       if (facts.leaving) recordLeaving(context, target);
+      recordRest(context, target, status, facts);
       recordLimit(context, target, clock.now() - sentAt, status, facts);
     },
     onCallerGone: ({ written, unsentBytes }) =>
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -230,6 +230,23 @@
     "A request was sent to a target although one of its responses had said that it is leaving.",
     "Report a bug with the log lines of the target.",
   ),
+  targetAskedForRest: event(
+    5024,
+    "info",
+    "A target rejected a request and asked to get no requests for a time.",
+  ),
+  sentToRestingTarget: event(
+    5025,
+    "warn",
+    "A request was sent to a target within the time for which it had asked to get none.",
+    "Report a bug with the log lines of the target.",
+  ),
+  retryAfterUnreadable: event(
+    5026,
+    "warn",
+    "A target sent a Retry-After that is not a number of seconds; it is ignored.",
+    "Check the target's software.",
+  ),
   outcomeUnknown: event(
     5004,
     "warn",
--- a/packages/ports/src/routed-ports.ts
+++ b/packages/ports/src/routed-ports.ts
@@ -8,6 +8,7 @@
   Milliseconds,
   OrderResult,
   RequestMetadata,
+  RetryAfter,
   RoutedConfiguration,
 } from "@linkfall/types";
 import type { Either } from "purify-ts";
@@ -40,8 +41,8 @@
   readonly notRun: boolean;
   /** Whether another incarnation or target uses the address, or it lacks the requested model. */
   readonly misdirected: boolean;
-  /** Time for which the target asked not to receive requests; absent if it did not ask. */
-  readonly retryAfterMs?: Milliseconds;
+  /** Time for which the target asked not to receive requests. */
+  readonly retryAfter: RetryAfter;
   /** Request limit that the target advertises. */
   readonly limit: AdvertisedLimit;
   /** Whether the target says that it is leaving. */
