A target that says in an answer that it leaves gets no new requests, whatever the list says

What callers saw: a target went on getting their requests for twelve seconds after it had told the box that it leaves, until it ended under them.

Cause: the only word that counted was the list's entry. Class: a word of the target that a box passes on and nobody keeps (as with limits). The header is decoded at the boundary; each answer's head counts, served, refused or an error, and the reports that the lease holder reads. A 421 doesn't, since another target may have given it.

Why this works: the notice is kept by target and incarnation outside the box's view of the target, so that an entry that disappears, comes back as ready or is read whole doesn't undo it, and a new incarnation doesn't inherit it. It is applied to the entry itself, so choice, plan and orders treat it alike, and waiting requests pick again. New notices go to all boxes at once and with heartbeats, numbered, so that a box that starts or comes back from a cut is told what it lacks.

--- a/packages/box-peers/src/messages.ts
+++ b/packages/box-peers/src/messages.ts
@@ -6,6 +6,7 @@
   BlameMessage,
   EngineInventory,
   Incarnation,
+  LeavingMessage,
   ListedTarget,
   Milliseconds,
   Offset,
@@ -58,6 +59,8 @@
   readonly blameFollowed?: number;
   /** Number up to which the sender has received the recipient's records of targets' rate limits. */
   readonly limitsFollowed?: number;
+  /** Number up to which the sender has received the recipient's notices of leaving targets. */
+  readonly leavingFollowed?: number;
 }
 
 /** Models loaded in one engine, as read by the lease holder. */
@@ -127,6 +130,8 @@
   readonly blame?: BlameMessage;
   /** Records of targets' rate limits; absent if the recipient has them all. */
   readonly limits?: TargetLimitMessage;
+  /** Notices of targets that are leaving; absent if the recipient has them all. */
+  readonly leaving?: LeavingMessage;
 }
 
 /** The configuration as stored, copied from the box that read it. */
--- a/packages/entry-box/src/heartbeat-receiver.ts
+++ b/packages/entry-box/src/heartbeat-receiver.ts
@@ -114,7 +114,8 @@
   const targetLimits = kernel.find(targetLimitsName);
   const fetchConfiguration = createConfigurationFetcher(runtime);
   const sumPeerLoads = createPeerLoadAggregator(runtime);
-  kernel.find(fleetName).preferDirectReportsWhile(() => hasCurrentHolderReport(runtime));
+  const fleet = kernel.find(fleetName);
+  fleet.preferDirectReportsWhile(() => hasCurrentHolderReport(runtime));
 
   peers.onHeartbeat((heartbeat) => {
     const { status, report } = heartbeat;
@@ -123,6 +124,7 @@
     if (peers.isFullMesh() || holdsLease) sumPeerLoads();
     applyTargets(runtime, heartbeat);
     if (heartbeat.blame) blame.applyChanges(status.incarnation, heartbeat.blame);
+    if (heartbeat.leaving) fleet.leavingTargets.applyNotices(status.incarnation, heartbeat.leaving);
     if (heartbeat.limits) targetLimits.applyChanges(status.incarnation, heartbeat.limits);
     void fetchConfiguration(status);
     if (report && lease.observedLease()?.holder === status.incarnation) {
--- a/packages/entry-box/src/heartbeat-source.ts
+++ b/packages/entry-box/src/heartbeat-source.ts
@@ -11,7 +11,7 @@
 import { desiredFeedName } from "@linkfall/desired-feed";
 import { fleetName } from "@linkfall/fleet";
 import { orderLeaseName } from "@linkfall/order-lease";
-import type { BlameMessage, TargetLimitMessage } from "@linkfall/types";
+import type { BlameMessage, LeavingMessage, TargetLimitMessage } from "@linkfall/types";
 import type { BoxRuntime } from "./box-runtime.js";
 import { ownLoads, recentDemand } from "./box-loads.js";
 import { ownProfile } from "./own-profile.js";
@@ -39,6 +39,13 @@
   return message.records.length > 0 ? message : undefined;
 }
 
+/** Notices of leaving targets, as far as the recipient lacks them. */
+function leavingFor({ kernel }: BoxRuntime, recipient?: BoxStatus): LeavingMessage | undefined {
+  const { leavingTargets } = kernel.find(fleetName);
+  const message = leavingTargets.noticesSince(recipient?.leavingFollowed ?? 0);
+  return message.notices.length > 0 ? message : undefined;
+}
+
 /** Creates the source; it looks up its services when it builds the first heartbeat. */
 export function createHeartbeatSource(
   runtime: BoxRuntime,
@@ -71,6 +78,8 @@
       followed: followed(),
       limitsFollowed:
         recipient && kernel.find(targetLimitsName).appliedSequence(recipient.incarnation),
+      leavingFollowed:
+        recipient && kernel.find(fleetName).leavingTargets.appliedSequence(recipient.incarnation),
       blameFollowed:
         recipient && kernel.find(crashBlameName).appliedSequence(recipient.incarnation),
     };
@@ -89,6 +98,7 @@
         targets: recipient && targetChangesFor(runtime, recipient),
         blame: blameFor(runtime, recipient),
         limits: limitsFor(runtime, recipient),
+        leaving: leavingFor(runtime, recipient),
       };
     },
   };
--- a/packages/entry-box/src/provide-state.ts
+++ b/packages/entry-box/src/provide-state.ts
@@ -5,6 +5,7 @@
 import { repeatEvery } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
 import type { BoxRuntime } from "./box-runtime.js";
+import { createPeerNotifier } from "./peer-notifier.js";
 import { createStoreReaders } from "./store-readers.js";
 
 /**
@@ -15,7 +16,8 @@
 const lapseCheckIntervalMs: Milliseconds = 250;
 
 /** Registers this box's view of the targets. */
-export function provideFleet({ kernel, settings }: BoxRuntime): Fleet {
+export function provideFleet(runtime: BoxRuntime): Fleet {
+  const { kernel, settings } = runtime;
   const { targets } = settings;
   const fleet = createFleet(kernel, {
     lapse: { graceMs: targets.lapse_grace_ms, minShare: targets.lapse_share },
@@ -25,6 +27,10 @@
       maxMs: targets.longest_ejection_ms,
     },
   });
+  const notifyPeers = createPeerNotifier(runtime);
+  fleet.leavingTargets.onNotice((_, source) => {
+    if (source === "target") notifyPeers();
+  });
   return kernel.provide(fleetName, fleet);
 }
 
--- a/packages/fleet/src/fleet-state.ts
+++ b/packages/fleet/src/fleet-state.ts
@@ -1,6 +1,7 @@
 /** State shared by the modules of the fleet. */
 import type { Clock } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
+import type { LeavingTargets } from "@linkfall/leaving-targets";
 import type { EngineSpec, EngineInventory, Milliseconds } from "@linkfall/types";
 import type { TargetView } from "./target-view.js";
 import type { EjectionPolicy } from "./health.js";
@@ -25,6 +26,8 @@
   readonly logger: Logger;
   readonly policies: FleetPolicies;
   readonly targets: Map<string, TargetView>;
+  /** Targets that have said in a response that they are leaving. */
+  readonly leavingTargets: LeavingTargets;
   /** Relayed holdings of targets, or of incarnations, that are not listed yet, by target id. */
   readonly pendingHoldings: Map<string, EngineInventory>;
   readonly changeListeners: (() => void)[];
--- a/packages/fleet/src/fleet.feature
+++ b/packages/fleet/src/fleet.feature
@@ -152,3 +152,19 @@
   Scenario: Targets in back-off are used when no other is left
     When each target asks for a back-off of 1000 ms
     Then "t1 t2 t3 t4 t5" may get requests
+
+  Scenario: A target that says in a response that it leaves stays leaving when its entry disappears and comes back
+    When "t1" says in a response that it is leaving
+    Then "t2 t3 t4 t5" may get requests
+    When the entry of "t1" disappears
+    And "t1" is listed as ready
+    Then "t2 t3 t4 t5" may get requests
+    When "t1 t2 t3 t4 t5" are listed as the whole list
+    Then "t2 t3 t4 t5" may get requests
+
+  Scenario: A target that said in its report that it leaves is usable as a new incarnation
+    Given "t1" is listed with incarnation 1000
+    When "t1" reports itself as incarnation 1000 and that it is leaving
+    Then "t2 t3 t4 t5" may get requests
+    When "t1" is listed with incarnation 2000
+    Then "t1 t2 t3 t4 t5" may get requests
--- a/packages/fleet/src/fleet.steps.ts
+++ b/packages/fleet/src/fleet.steps.ts
@@ -36,7 +36,7 @@
 function stateOf(holdings: EngineInventory): EngineState {
   const idle = { busy: false, waiting: 0, running: 0, cacheTokensUsed: 0 };
   const weights = { inMemory: new Set<string>(), onDisk: new Set<string>(), adaptersComing: [] };
-  return { ...holdings, ...idle, ...weights, limit: { kind: "none" } };
+  return { ...holdings, ...idle, ...weights, limit: { kind: "none" }, leaving: false };
 }
 
 const idsOf = (text: string) => text.split(" ");
@@ -102,6 +102,23 @@
   for (const { listed } of fleet.all()) fleet.backOff(listed.id, ms);
 });
 
+When("{string} says in a response that it is leaving", function (this: object, id: string) {
+  const { fleet } = sceneOf(this);
+  fleet.leavingTargets.record({ target: id, born: fleet.find(id)?.born }, "target");
+});
+
+When("{string} are listed as the whole list", function (this: object, ids: string) {
+  sceneOf(this).fleet.applyList(idsOf(ids).map((id) => listed(id)));
+});
+
+When(
+  "{string} reports itself as incarnation {int} and that it is leaving",
+  function (this: object, id: string, born: number) {
+    const state = { ...stateOf(holdingsOf(born, 1, "m")), leaving: true };
+    sceneOf(this).fleet.applyState(id, state, 0);
+  },
+);
+
 When("{string} fails {int} times", function (this: object, id: string, times: number) {
   for (let index = 0; index < times; index++) sceneOf(this).fleet.recordFailure(id, "test");
 });
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -1,10 +1,16 @@
 /** One box's view of the targets: which are listed, what they have loaded, their load and health. */
 import { clockName, type Kernel, serviceName } from "@linkfall/kernel";
+import {
+  createLeavingTargets,
+  type LeavingTargets,
+  type NoticeSource,
+} from "@linkfall/leaving-targets";
 import { loggerName } from "@linkfall/logger";
 import type {
   EngineSpec,
   EngineState,
   EngineInventory,
+  LeavingNotice,
   ListedTarget,
   Milliseconds,
 } from "@linkfall/types";
@@ -15,7 +21,12 @@
   notifyChange,
   targetsOfService,
 } from "./fleet-state.js";
-import { keepPendingHoldings, viewForDirectReport, viewForRelayedReport } from "./incarnations.js";
+import {
+  isSameIncarnation,
+  keepPendingHoldings,
+  viewForDirectReport,
+  viewForRelayedReport,
+} from "./incarnations.js";
 import { afterFailure, afterRefusedConnection, afterSuccess, isEjected } from "./health.js";
 import {
   applyEntry,
@@ -36,6 +47,8 @@
   removeEntry(id: string): void;
   /** Handles an entry that can't be read: its target gets no new requests; those in flight continue. */
   excludeUnreadable(id: string): void;
+  /** Notices of targets that have said in a response that they are leaving; they get no new requests. */
+  readonly leavingTargets: LeavingTargets;
   /** Applies a state that the target itself reported `ageMs` ago. */
   applyState(id: string, state: EngineState, ageMs: Milliseconds): void;
   /** Applies holdings relayed by the lease holder, also of a target that is not listed here yet. */
@@ -104,6 +117,7 @@
   const at = now - ageMs;
   if (!known || at <= known.stateReadAt) return;
   const target = viewForDirectReport(state, known, reported);
+  if (reported.leaving) state.leavingTargets.record({ target: id, born: target.born }, "target");
   target.state = reported;
   target.stateReadAt = at;
   if (applyHoldings(target, reported, now)) notifyChange(state);
@@ -116,6 +130,17 @@
   if (target && applyHoldings(target, holdings, state.clock.now())) notifyChange(state);
 }
 
+/** Marks the target of a new notice as leaving. */
+function applyLeavingNotice(state: FleetState, notice: LeavingNotice, source: NoticeSource): void {
+  const target = state.targets.get(notice.target);
+  if (!target || !isSameIncarnation(notice.born, target.born)) return;
+  const { id, service, leaving } = target.listed;
+  state.logger.event("targetAnnouncedLeaving", { target: id, service, source });
+  if (leaving) return;
+  target.listed = { ...target.listed, leaving: true };
+  notifyChange(state);
+}
+
 function setWithheldModels(
   state: FleetState,
   models: ReadonlyMap<string, readonly string[]>,
@@ -163,19 +188,23 @@
 
 /** Creates a fleet without targets. */
 export function createFleet(kernel: Kernel, policies: FleetPolicies): Fleet {
+  const clock = kernel.find(clockName);
   const state: FleetState = {
-    clock: kernel.find(clockName),
+    clock,
     logger: kernel.find(loggerName),
     policies,
     targets: new Map(),
+    leavingTargets: createLeavingTargets(clock),
     pendingHoldings: new Map(),
     changeListeners: [],
     incarnationListeners: [],
     engineShapes: new Map(),
     hasDirectReports: () => false,
   };
-  const { targets, changeListeners } = state;
+  const { targets, changeListeners, leavingTargets } = state;
+  leavingTargets.onNotice((notice, source) => applyLeavingNotice(state, notice, source));
   return {
+    leavingTargets,
     applyList: (list) => applyList(state, list),
     applyEntry: (target) => applyEntry(state, target),
     removeEntry: (id) => removeEntry(state, id),
--- a/packages/fleet/src/incarnations.ts
+++ b/packages/fleet/src/incarnations.ts
@@ -49,6 +49,15 @@
   for (const listener of incarnationListeners) listener(id);
 }
 
+/** Returns the entry marked as leaving if the incarnation has said so in a response. */
+export function withLeavingNotice(
+  { leavingTargets }: FleetState,
+  listed: ListedTarget,
+  born: Milliseconds | undefined,
+): ListedTarget {
+  return { ...listed, leaving: listed.leaving || leavingTargets.isLeaving(listed.id, born) };
+}
+
 /** Replaces the target's view by an empty one for a new incarnation. */
 function beginIncarnation(
   state: FleetState,
@@ -56,8 +65,10 @@
   born: Milliseconds | undefined,
   source: RestartSource,
 ): TargetView {
-  const { targets, clock, engineShapes, logger } = state;
-  const target = createTargetView(listed, born, engineShapes.get(listed.service), clock.now());
+  const { targets, clock, engineShapes, leavingTargets, logger } = state;
+  leavingTargets.startIncarnation(listed.id, born);
+  const entry = withLeavingNotice(state, listed, born);
+  const target = createTargetView(entry, born, engineShapes.get(listed.service), clock.now());
   targets.set(listed.id, target);
   logger.event("targetStartedAgain", { target: listed.id, born, source });
   applyPendingHoldings(state, target);
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -7,6 +7,7 @@
   isSameIncarnation,
   notifyIncarnationEnded,
   viewForEntry,
+  withLeavingNotice,
 } from "./incarnations.js";
 
 /** A single entry that disappears is no lapse, even of a service with few targets. */
@@ -15,7 +16,8 @@
 function addTarget(state: FleetState, listed: ListedTarget): void {
   const { targets, engineShapes, clock, logger } = state;
   const shape = engineShapes.get(listed.service);
-  const target = createTargetView(listed, listed.born, shape, clock.now());
+  const entry = withLeavingNotice(state, listed, listed.born);
+  const target = createTargetView(entry, listed.born, shape, clock.now());
   targets.set(listed.id, target);
   applyPendingHoldings(state, target);
   logger.event("targetSeen", {
@@ -38,7 +40,8 @@
   }
   // A leaving target stays so for the rest of its incarnation.
   const wasLeaving = target.listed.leaving && isSameIncarnation(listed.born, target.listed.born);
-  target.listed = { ...listed, leaving: listed.leaving || wasLeaving };
+  const entry = { ...listed, leaving: listed.leaving || wasLeaving };
+  target.listed = withLeavingNotice(state, entry, target.born);
   target.born ??= listed.born;
   if (!state.hasDirectReports()) applyListedModels(target, state.clock.now());
 }
@@ -110,6 +113,7 @@
 /** Removes targets that have been missing for longer than the grace period. */
 export function expireMissing(state: FleetState, storeUnsettled: boolean): void {
   const now = state.clock.now();
+  state.leavingTargets.expire((id) => state.targets.has(id));
   for (const target of [...state.targets.values()]) {
     if (target.missingSince === undefined) continue;
     // Entries can't be renewed while the store is unavailable: the grace period starts when it is back.
--- a/packages/fleet/src/target-view.ts
+++ b/packages/fleet/src/target-view.ts
@@ -56,8 +56,6 @@
   otherBoxesLoad: TargetLoad;
   /** Failures and ejections. */
   health: Health;
-  /** Whether a response of the target said that it is leaving. */
-  announcedLeaving: boolean;
   /** End of the rest that the target asked for, whatever the box makes of it. */
   restAskedUntil: Milliseconds;
   /** End of the back-off that the target asked for. */
@@ -90,7 +88,6 @@
     ownLoad: noLoad,
     otherBoxesLoad: noLoad,
     health: initialHealth,
-    announcedLeaving: false,
     restAskedUntil: -Infinity,
     backOffUntil: -Infinity,
     withheldModels: new Set(),
--- a/packages/forwarding/src/forward-metrics.ts
+++ b/packages/forwarding/src/forward-metrics.ts
@@ -13,7 +13,7 @@
   retryRequested(service: string, granted: boolean): void;
   /** A request was refused since the limits that its targets have named are used up. */
   refusedByLimit(service: string): void;
-  /** Counts a send to a target that has said in a response that it is leaving. */
+  /** Counts a send to a target that was known to be leaving. */
   sentToLeavingTarget(service: string): void;
   /** Counts a send to a target within the time for which it asked to get no requests. */
   sentToRestingTarget(service: string): void;
@@ -55,7 +55,7 @@
     sentToLeavingTarget: (service) =>
       metrics.count(
         "linkfall_sends_to_leaving_targets_total",
-        "Sends to targets that had said in a response that they are leaving.",
+        "Sends to targets that were known to be leaving.",
         { service },
       ),
     sentToRestingTarget: (service) =>
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -139,15 +139,17 @@
   });
 }
 
-/** Records that a response said that its target is leaving. */
-function recordLeaving({ fleet, logger }: SendContext, { listed }: TargetView): void {
-  const target = fleet.find(listed.id);
-  if (!target || target.announcedLeaving) return;
-  target.announcedLeaving = true;
-  logger.event("targetAnnouncedLeaving", { target: listed.id, service: listed.service });
+/** Records a response that says that its target is leaving. */
+function recordLeaving(
+  { fleet }: SendContext,
+  { listed, born }: TargetView,
+  { misdirected, leaving }: ResponseMetadata,
+): void {
+  // A misdirected request may have been rejected by another target that uses the address now.
+  if (leaving && !misdirected) fleet.leavingTargets.record({ target: listed.id, born }, "target");
 }
 
-/** Logs and counts a send to a target that has said that it is leaving. */
+/** Logs and counts a send to a target that is known to be leaving. */
 function reportSendToLeaving(
   { logger, metrics }: SendContext,
   { terms, service }: ForwardedRequest,
@@ -201,7 +203,7 @@
   const sentAt = clock.now();
   let isPrefilling = true;
 
-  if (target.announcedLeaving) reportSendToLeaving(context, request, target);
+  if (target.listed.leaving) reportSendToLeaving(context, request, target);
   if (sentAt < target.restAskedUntil) reportSendToResting(context, request, target);
   target.ownLoad = addLoad(target.ownLoad, 1, uncachedTokens);
   target.prefixIndex.record(query);
@@ -238,7 +240,7 @@
       connectTimeoutMs: sendLimits.connectTimeoutMs,
     },
     onResponseHead(status, facts) {
-      if (facts.leaving) recordLeaving(context, target);
+      recordLeaving(context, target, facts);
       recordRest(context, target, status, facts);
       recordLimit(context, target, clock.now() - sentAt, status, facts);
     },
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -222,12 +222,12 @@
   targetAnnouncedLeaving: event(
     5022,
     "info",
-    "A response of a target says that the target is leaving.",
+    "A target said in a response, to this box or to another one, that it is leaving.",
   ),
   sentToLeavingTarget: event(
     5023,
     "warn",
-    "A request was sent to a target although one of its responses had said that it is leaving.",
+    "A request was sent to a target that was known to be leaving.",
     "Report a bug with the log lines of the target.",
   ),
   targetAskedForRest: event(
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -10,4 +10,5 @@
 export * from "./routed-targets.js";
 export * from "./crash-blame.js";
 export * from "./target-limits.js";
+export * from "./leaving-targets.js";
 export * from "./retry-after.js";
--- a/packages/types/src/routed-targets.ts
+++ b/packages/types/src/routed-targets.ts
@@ -54,6 +54,8 @@
   readonly adaptersComing: readonly string[];
   /** Request limit that the engine advertises. */
   readonly limit: AdvertisedLimit;
+  /** Whether the engine says that it is leaving. */
+  readonly leaving: boolean;
 }
 
 /** Loads or unloads the weights of a model or an adapter. */
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -180,6 +180,7 @@
         onDisk: new Set(scene.onDisk),
         adaptersComing: [],
         limit: { kind: "none" },
+        leaving: false,
       });
     },
     async order({ id }, order) {
