A target that asks for a rest gets no requests until its end, although no other target is left

What callers saw: where all targets of a service asked for a rest, each request went to one that had just turned it away, and came back refused later than needed; the targets got more in their need than before it.

Cause and class: one floor for three things of different kinds. An ejection is this box's guess and a missing entry a doubt, which are better than nothing; a rest is the target's own word. The floor gave back all three. Further: the rest was heard only beside the word that the request was not run, was cut to ten seconds, went with the view of the target, and all that waited for its end was sent at once.

Now rests are kept apart from the views, by incarnation, for as long as they were asked for, and heard with the head of any 503. Nothing gives a resting target back. As many requests as the targets have places wait for the first end, if it is in time; the others are refused at once with a time to return, spread. After a rest sends are spaced for half a second.

Two checks said the opposite and are replaced by as strict ones: 'a very long back-off is capped' (now: holds for all of its time, a timer's range included) and 'targets in back-off are used when no other is left' (now: no target may get requests).

--- a/packages/fleet/src/fleet-state.ts
+++ b/packages/fleet/src/fleet-state.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "@linkfall/logger";
 import type { LeavingTargets } from "@linkfall/leaving-targets";
 import type { EngineSpec, EngineInventory, Milliseconds } from "@linkfall/types";
+import type { Rest } from "./rests.js";
 import type { TargetView } from "./target-view.js";
 import type { EjectionPolicy } from "./health.js";
 
@@ -28,6 +29,8 @@
   readonly targets: Map<string, TargetView>;
   /** Targets that have said in a response that they are leaving. */
   readonly leavingTargets: LeavingTargets;
+  /** Rests that targets have asked for, by target id. */
+  readonly rests: Map<string, Rest>;
   /** Relayed holdings of targets, or of incarnations, that are not listed yet, by target id. */
   readonly pendingHoldings: Map<string, EngineInventory>;
   readonly changeListeners: (() => void)[];
--- a/packages/fleet/src/fleet.feature
+++ b/packages/fleet/src/fleet.feature
@@ -138,19 +138,69 @@
   Scenario: The newest incarnation wins for random restarts with late and relayed reports
     Then of 500 random histories each ends with the holdings of the last incarnation
 
-  Scenario: A target that asks for a back-off gets no new requests for that time
-    When "t1" asks for a back-off of 1000 ms
+  Scenario: A target that asks for a rest gets no new requests for that time
+    When "t1" asks for a rest of 1000 ms
     Then "t2 t3 t4 t5" may get requests
     When 1000 ms pass
     Then "t1 t2 t3 t4 t5" may get requests
 
-  Scenario: A very long back-off is capped
-    When "t1" asks for a back-off of 3600000 ms
-    And 10000 ms pass
+  # Guards against ending a rest before the target wants requests again.
+  Scenario: A very long rest holds for all of its time
+    When "t1" asks for a rest of 3600000 ms
+    And 3599000 ms pass
+    Then "t2 t3 t4 t5" may get requests
+    When 1000 ms pass
+    Then "t1 t2 t3 t4 t5" may get requests
+
+  Scenario: A rest longer than any timer holds
+    When "t1" asks for a rest of 999999999000 ms
+    And 20000 ms pass
+    Then "t2 t3 t4 t5" may get requests
+
+  # Guards against using resting targets because no other one is left.
+  Scenario: Targets that rest get no requests when no other is left
+    When each target asks for a rest of 1000 ms
+    Then no target may get requests
+    And the first of 5 resting targets accepts requests in 1000 ms
+
+  Scenario: An ejected target is used while all others rest
+    When each target asks for a rest of 1000 ms
+    And 1000 ms pass
+    And a connection to "t1" is refused
+    And "t2 t3 t4 t5" ask for a rest of 1000 ms
+    Then "t1" may get requests
+
+  Scenario: A later answer that asks for less does not end a rest sooner
+    When "t1" asks for a rest of 1000 ms
+    And "t1" asks for a rest of 100 ms
+    And 500 ms pass
+    Then "t2 t3 t4 t5" may get requests
+
+  Scenario: A rest holds when the target's entry disappears and comes back
+    When "t1" asks for a rest of 5000 ms
+    And the entry of "t1" disappears
+    And 2000 ms pass
+    And "t1" is listed as ready
+    Then "t2 t3 t4 t5" may get requests
+
+  Scenario: A rest ends with a restart
+    Given "t1" is listed with incarnation 1000
+    When "t1" asks for a rest of 5000 ms
+    And "t1" is listed with incarnation 2000
     Then "t1 t2 t3 t4 t5" may get requests
 
-  Scenario: Targets in back-off are used when no other is left
-    When each target asks for a back-off of 1000 ms
+  # Guards against sending all waiting requests at the end of a rest at once.
+  Scenario: A target whose rest has ended gets its requests one after the other
+    When "t1" asks for a rest of 1000 ms
+    And 1000 ms pass
+    And a request is sent to "t1"
+    Then "t2 t3 t4 t5" may get requests
+    When 30 ms pass
+    Then "t1 t2 t3 t4 t5" may get requests
+    When a request is sent to "t1"
+    Then "t2 t3 t4 t5" may get requests
+    When 500 ms pass
+    And 50 requests are sent to "t1"
     Then "t1 t2 t3 t4 t5" may get requests
 
   Scenario: A target that says in a response that it leaves stays leaving when its entry disappears and comes back
--- a/packages/fleet/src/fleet.steps.ts
+++ b/packages/fleet/src/fleet.steps.ts
@@ -93,15 +93,51 @@
   return passTime(this, ms, true);
 });
 
-When("{string} asks for a back-off of {int} ms", function (this: object, id: string, ms: number) {
-  sceneOf(this).fleet.backOff(id, ms);
+function askForRest(world: object, id: string, forMs: Milliseconds): void {
+  const { fleet } = sceneOf(world);
+  fleet.recordRest({ target: id, born: fleet.find(id)?.born, forMs });
+}
+
+When("{string} asks for a rest of {int} ms", function (this: object, id: string, ms: number) {
+  askForRest(this, id, ms);
 });
 
-When("each target asks for a back-off of {int} ms", function (this: object, ms: number) {
-  const { fleet } = sceneOf(this);
-  for (const { listed } of fleet.all()) fleet.backOff(listed.id, ms);
+When("{string} ask for a rest of {int} ms", function (this: object, ids: string, ms: number) {
+  for (const id of idsOf(ids)) askForRest(this, id, ms);
+});
+
+When("each target asks for a rest of {int} ms", function (this: object, ms: number) {
+  for (const { listed } of sceneOf(this).fleet.all()) askForRest(this, listed.id, ms);
 });
 
+function sendTo(world: object, id: string): void {
+  const { fleet } = sceneOf(world);
+  const target = fleet.find(id);
+  assert.ok(target);
+  fleet.recordSend(target);
+}
+
+When("a request is sent to {string}", function (this: object, id: string) {
+  sendTo(this, id);
+});
+
+When("{int} requests are sent to {string}", function (this: object, count: number, id: string) {
+  for (let index = 0; index < count; index++) sendTo(this, id);
+});
+
+Then("no target may get requests", function (this: object) {
+  assert.deepEqual(sceneOf(this).fleet.usableTargets(service), []);
+});
+
+Then(
+  "the first of {int} resting targets accepts requests in {int} ms",
+  function (this: object, count: number, ms: number) {
+    const resting = sceneOf(this).fleet.restingTargets(service);
+    assert.equal(resting.length, count);
+    assert.equal(Math.min(...resting.map(({ acceptsInMs }) => acceptsInMs)), ms);
+  },
+);
+
 When("{string} says in a response that it is leaving", function (this: object, id: string) {
   const { fleet } = sceneOf(this);
   fleet.leavingTargets.record({ target: id, born: fleet.find(id)?.born }, "target");
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -6,13 +6,14 @@
   type NoticeSource,
 } from "@linkfall/leaving-targets";
 import { loggerName } from "@linkfall/logger";
-import type {
-  EngineSpec,
-  EngineState,
-  EngineInventory,
-  LeavingNotice,
-  ListedTarget,
-  Milliseconds,
+import {
+  type EngineInventory,
+  type EngineSpec,
+  type EngineState,
+  isSameIncarnation,
+  type LeavingNotice,
+  type ListedTarget,
+  type Milliseconds,
 } from "@linkfall/types";
 import { applyHoldings, noLoad, type TargetLoad, type TargetView } from "./target-view.js";
 import {
@@ -21,12 +22,15 @@
   notifyChange,
   targetsOfService,
 } from "./fleet-state.js";
+import { keepPendingHoldings, viewForDirectReport, viewForRelayedReport } from "./incarnations.js";
 import {
-  isSameIncarnation,
-  keepPendingHoldings,
-  viewForDirectReport,
-  viewForRelayedReport,
-} from "./incarnations.js";
+  acceptsInMs,
+  recordRest,
+  recordSend,
+  type RestingTarget,
+  type RestRequest,
+  restRemainingMs,
+} from "./rests.js";
 import { afterFailure, afterRefusedConnection, afterSuccess, isEjected } from "./health.js";
 import {
   applyEntry,
@@ -59,8 +63,12 @@
   setWithheldModels(models: ReadonlyMap<string, readonly string[]>): void;
   /** Records that a target refused to serve a model (`model` or `model/adapter`), for `forMs` or until newer holdings. */
   recordModelRefusal(id: string, key: string, forMs?: Milliseconds): void;
-  /** Sends the target no new requests for `forMs`, as it asked; the time is capped. */
-  backOff(id: string, forMs: Milliseconds): void;
+  /** Sends a target no new requests for a time, as it asked. */
+  recordRest(rest: RestRequest): void;
+  /** Time until the end of the rest that the target asked for; 0 if it does not rest. */
+  restRemainingMs(target: TargetView): Milliseconds;
+  /** Counts a send; a target whose rest has just ended gets its next requests one after the other. */
+  recordSend(target: TargetView): void;
   /** Records a successful response. */
   recordSuccess(id: string): void;
   /** Records a failure caused by the target, and ejects it after too many in a row. */
@@ -73,6 +81,8 @@
   all(): readonly TargetView[];
   /** Returns the targets of a service that may get new requests. */
   usableTargets(service: string): readonly TargetView[];
+  /** Returns the targets of a service that would be usable if they did not rest. */
+  restingTargets(service: string): readonly RestingTarget[];
   /** Calls the listener with the id of a target that is gone or has restarted. */
   onIncarnationEnded(listener: (id: string) => void): void;
   /** Calls the listener after each change that may allow a waiting request to proceed. */
@@ -162,28 +172,31 @@
   if (Number.isFinite(forMs)) state.clock.after(forMs, () => notifyChange(state));
 }
 
-/** Upper bound of a back-off: the target's recovery is only observed through requests. */
-const maxBackOffMs: Milliseconds = 10_000;
-
-function backOff(state: FleetState, id: string, requestedMs: Milliseconds): void {
-  const target = state.targets.get(id);
-  if (!target) return;
-  const forMs = Math.min(requestedMs, maxBackOffMs);
-  target.backOffUntil = Math.max(target.backOffUntil, state.clock.now() + forMs);
-  state.clock.after(forMs, () => notifyChange(state));
+function isAvailable(
+  state: FleetState,
+  target: TargetView,
+  targets: readonly TargetView[],
+): boolean {
+  const isListed = target.unlistedAt === undefined || disappearedInLapse(state, target, targets);
+  return isListed && !isEjected(target.health, state.clock.now());
 }
 
 function usableTargets(state: FleetState, service: string): readonly TargetView[] {
-  const now = state.clock.now();
   const targets = targetsOfService(state, service);
-  const staying = targets.filter((target) => !target.listed.leaving);
-  const isListed = (target: TargetView) =>
-    target.unlistedAt === undefined || disappearedInLapse(state, target, targets);
-  const available = staying.filter(
-    (target) => isListed(target) && !isEjected(target.health, now) && now >= target.backOffUntil,
+  const accepting = targets.filter(
+    (target) => !target.listed.leaving && acceptsInMs(state, target) === 0,
   );
-  // If no target is available, an ejected or missing one is better than none.
-  return available.length > 0 ? available : staying;
+  const available = accepting.filter((target) => isAvailable(state, target, targets));
+  // If no target is available, an ejected or missing one is better than none. A rest is different: the target itself asked.
+  return available.length > 0 ? available : accepting;
+}
+
+function restingTargets(state: FleetState, service: string): readonly RestingTarget[] {
+  const targets = targetsOfService(state, service);
+  return targets
+    .filter((target) => !target.listed.leaving && isAvailable(state, target, targets))
+    .map((target) => ({ target, acceptsInMs: acceptsInMs(state, target) }))
+    .filter((resting) => resting.acceptsInMs > 0);
 }
 
 /** Creates a fleet without targets. */
@@ -195,6 +208,7 @@
     policies,
     targets: new Map(),
     leavingTargets: createLeavingTargets(clock),
+    rests: new Map(),
     pendingHoldings: new Map(),
     changeListeners: [],
     incarnationListeners: [],
@@ -217,7 +231,9 @@
     },
     setWithheldModels: (models) => setWithheldModels(state, models),
     recordModelRefusal: (id, key, forMs = Infinity) => recordModelRefusal(state, id, key, forMs),
-    backOff: (id, forMs) => backOff(state, id, forMs),
+    recordRest: (rest) => recordRest(state, rest),
+    restRemainingMs: (target) => restRemainingMs(state, target),
+    recordSend: (target) => recordSend(state, target),
     recordSuccess(id) {
       const target = targets.get(id);
       if (target) target.health = afterSuccess(target.health);
@@ -227,6 +243,7 @@
     find: (id) => targets.get(id),
     all: () => [...targets.values()],
     usableTargets: (service) => usableTargets(state, service),
+    restingTargets: (service) => restingTargets(state, service),
     onIncarnationEnded: (listener) => void state.incarnationListeners.push(listener),
     onChange: (listener) => void changeListeners.push(listener),
     setEngineShapes(shapes) {
--- a/packages/fleet/src/incarnations.ts
+++ b/packages/fleet/src/incarnations.ts
@@ -2,9 +2,15 @@
  * Detects restarts of targets. A restarted target keeps its id and has a new start time (`born`). Each incarnation gets a
  * new view, so that callers still holding the old one (a request or an order in flight) can't affect it.
  */
-import type { EngineInventory, ListedTarget, Milliseconds } from "@linkfall/types";
+import {
+  type EngineInventory,
+  isSameIncarnation,
+  type ListedTarget,
+  type Milliseconds,
+} from "@linkfall/types";
 import { applyHoldings, createTargetView, type TargetView } from "./target-view.js";
 import { type FleetState, notifyChange } from "./fleet-state.js";
+import { endRestOfEarlierIncarnation } from "./rests.js";
 
 /** Source of a start time: the target list, the target's own state, or another box, whose report may be outdated. */
 export type RestartSource = "list" | "own_word" | "told";
@@ -12,14 +18,6 @@
 /** Limit of pending holdings; the oldest are evicted first. */
 const maxPendingHoldings = 5_000;
 
-/** Whether two start times may belong to the same incarnation; an unknown one matches any. */
-export function isSameIncarnation(
-  left: Milliseconds | undefined,
-  right: Milliseconds | undefined,
-): boolean {
-  return left === undefined || right === undefined || left === right;
-}
-
 /** Keeps relayed holdings until the target, or its incarnation, is listed. */
 export function keepPendingHoldings(
   { pendingHoldings }: FleetState,
@@ -67,6 +65,7 @@
 ): TargetView {
   const { targets, clock, engineShapes, leavingTargets, logger } = state;
   leavingTargets.startIncarnation(listed.id, born);
+  endRestOfEarlierIncarnation(state, listed.id, born);
   const entry = withLeavingNotice(state, listed, born);
   const target = createTargetView(entry, born, engineShapes.get(listed.service), clock.now());
   targets.set(listed.id, target);
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -1,10 +1,10 @@
 /** Applies the target list: adds, updates, marks as missing and removes targets. */
-import type { ListedTarget } from "@linkfall/types";
+import { isSameIncarnation, type ListedTarget } from "@linkfall/types";
 import { applyListedModels, createTargetView, type TargetView } from "./target-view.js";
 import { type FleetState, notifyChange } from "./fleet-state.js";
+import { expireRests } from "./rests.js";
 import {
   applyPendingHoldings,
-  isSameIncarnation,
   notifyIncarnationEnded,
   viewForEntry,
   withLeavingNotice,
@@ -113,6 +113,7 @@
 /** Removes targets that have been missing for longer than the grace period. */
 export function expireMissing(state: FleetState, storeUnsettled: boolean): void {
   const now = state.clock.now();
+  expireRests(state);
   state.leavingTargets.expire((id) => state.targets.has(id));
   for (const target of [...state.targets.values()]) {
     if (target.missingSince === undefined) continue;
--- a/packages/fleet/src/target-view.ts
+++ b/packages/fleet/src/target-view.ts
@@ -56,10 +56,6 @@
   otherBoxesLoad: TargetLoad;
   /** Failures and ejections. */
   health: Health;
-  /** End of the rest that the target asked for, whatever the box makes of it. */
-  restAskedUntil: Milliseconds;
-  /** End of the back-off that the target asked for. */
-  backOffUntil: Milliseconds;
   /** Models about to be unloaded; they get no new requests. */
   withheldModels: ReadonlySet<string>;
   /** Recent refusals, by model or `model/adapter`. */
@@ -88,8 +84,6 @@
     ownLoad: noLoad,
     otherBoxesLoad: noLoad,
     health: initialHealth,
-    restAskedUntil: -Infinity,
-    backOffUntil: -Infinity,
     withheldModels: new Set(),
     modelRefusals: new Map(),
     prefixIndex: createPrefixIndex(cacheTokens * prefixCacheShare),
--- a/packages/forwarding/src/admission.ts
+++ b/packages/forwarding/src/admission.ts
@@ -13,6 +13,16 @@
   return context.expectedWeightsMs({ service: request.service.name, model });
 }
 
+/** Whether something that takes `inMs` more happens before the queueing limit of the request, counted from its arrival. */
+export function isWithinQueueLimit(
+  context: ForwardContext,
+  request: ForwardedRequest,
+  inMs: Milliseconds,
+): boolean {
+  const waitedMs = context.clock.now() - request.arrivedAt;
+  return waitedMs + inMs <= maxQueueMs(context, request);
+}
+
 /**
  * Maximum expected queueing time at which a request is still sent. The bound is tighter for streams: a stream
  * that starts late has missed its objective, and its prefill delays the other streams of the target.
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -23,7 +23,6 @@
       readonly kind: "not_run";
       readonly status: number;
       readonly misdirected: boolean;
-      readonly retryAfterMs?: Milliseconds;
     }
   /** A complete response, not yet sent to the caller. */
   | { readonly kind: "answered"; readonly head: ResponseHead; readonly body: Buffer }
@@ -165,9 +164,7 @@
     if (!head || !facts)
       return settle({ kind: "lost", reason: "no answer", responseStarted: responseStarted() });
     if (facts.notRun) {
-      const { misdirected, retryAfter } = facts;
-      const retryAfterMs = retryAfter.kind === "after" ? retryAfter.ms : undefined;
-      return settle({ kind: "not_run", status: head.status, misdirected, retryAfterMs });
+      return settle({ kind: "not_run", status: head.status, misdirected: facts.misdirected });
     }
     if (isStream()) {
       if (!forwarding) startForwarding(head);
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -9,6 +9,7 @@
 import type { TargetProbe } from "./target-probe.js";
 import type { SendContext } from "./send-to-target.js";
 import type { ChangeWaiter } from "./change-waiter.js";
+import type { RestQueue } from "./resting-targets.js";
 
 /** Limits that apply to a request across all of its attempts. */
 export interface ForwardLimits {
@@ -36,6 +37,7 @@
   readonly targetProbe: TargetProbe;
   readonly finalAttempts: FinalAttempts;
   readonly changeWaiter: ChangeWaiter;
+  readonly restQueue: RestQueue;
   readonly forwardLimits: ForwardLimits;
   /** Failure domain of this box. */
   readonly domain: string;
--- a/packages/forwarding/src/forward-metrics.ts
+++ b/packages/forwarding/src/forward-metrics.ts
@@ -13,6 +13,8 @@
   retryRequested(service: string, granted: boolean): void;
   /** A request was refused since the limits that its targets have named are used up. */
   refusedByLimit(service: string): void;
+  /** A request was refused since all of its targets have asked for a rest. */
+  refusedByRest(service: string): void;
   /** Counts a send to a target that was known to be leaving. */
   sentToLeavingTarget(service: string): void;
   /** Counts a send to a target within the time for which it asked to get no requests. */
@@ -52,6 +54,12 @@
         "Requests refused because the rate limits reported by their targets are exhausted.",
         { service },
       ),
+    refusedByRest: (service) =>
+      metrics.count(
+        "linkfall_target_rest_refusals_total",
+        "Requests refused because all of their targets had asked for a rest.",
+        { service },
+      ),
     sentToLeavingTarget: (service) =>
       metrics.count(
         "linkfall_sends_to_leaving_targets_total",
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -16,6 +16,7 @@
 import { estimateUncachedTokens, pickTarget } from "./pick-target.js";
 import { acquirePermit, waitOrRefuseLimited } from "./limited-targets.js";
 import { type PickedTarget, sendToTarget, serverErrorStatus } from "./send-to-target.js";
+import { waitOrRefuseResting } from "./resting-targets.js";
 import {
   continueRequest,
   endRequest,
@@ -73,14 +74,32 @@
   return retryOrRefuse(context, request, timeoutStatus, "no answer in time");
 }
 
+/**
+ * Whether the target has asked for a rest and no other target is left. Its response tells the caller when to return; a
+ * refusal could not, since the request may have run.
+ */
+function isLastWord(
+  { fleet }: ForwardContext,
+  request: ForwardedRequest,
+  target: TargetView,
+): boolean {
+  if (fleet.restRemainingMs(target) === 0) return false;
+  const usable = fleet.usableTargets(request.service.name);
+  return usable.every(({ listed }) => request.triedTargets.has(listed.id));
+}
+
 function handleResponse(
   context: ForwardContext,
   request: ForwardedRequest,
+  target: TargetView,
   result: Extract<AttemptResult, { kind: "answered" }>,
 ): Step {
   request.possibleRuns += 1;
   const { head, body } = result;
-  const shouldRetry = head.status >= serverErrorStatus && mayRetry(context, request);
+  const shouldRetry =
+    head.status >= serverErrorStatus &&
+    mayRetry(context, request) &&
+    !isLastWord(context, request, target);
   if (shouldRetry && takeFromRetryBudget(context, request)) return continueRequest;
   if (head.status < serverErrorStatus) recordServed(context, request);
   request.sink.send(head.status, context.codec.toCallerHeaders(head.headers), body);
@@ -95,7 +114,7 @@
 ): Promise<Step> {
   switch (result.kind) {
     case "answered":
-      return handleResponse(context, request, result);
+      return handleResponse(context, request, target, result);
     case "streamed":
       recordServed(context, request);
       request.sink.end();
@@ -180,7 +199,10 @@
     );
     return refuse(request, refusedStatus, "the queue is too long", retryAfterMs);
   }
+  // Counted before anything is awaited, as other requests may be picking a target at the same time.
+  context.fleet.recordSend(picked.target);
   if (!(await acquirePermit(context, request, picked))) return continueRequest;
+  context.restQueue.leave(request);
   return sendToPicked(context, request, picked);
 }
 
@@ -204,6 +226,8 @@
       return waitForWeights(context, request, pick.onlyAdapterMissing);
     case "limited":
       return waitOrRefuseLimited(context, request, pick.targets);
+    case "resting":
+      return waitOrRefuseResting(context, request, pick);
     case "no_connection":
       return refuse(
         request,
@@ -242,6 +266,7 @@
     : () => undefined;
   let step = await runStep(context, request);
   while (step.kind === "continue") step = await runStep(context, request);
+  context.restQueue.leave(request);
   endDemand();
   return step.outcome;
 }
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -19,6 +19,7 @@
 import {
   createChangeWaiter,
   createFinalAttempts,
+  createRestQueue,
   createForwardMetrics,
   createStreamGapMeter,
   createTargetProbe,
@@ -142,6 +143,7 @@
     fleet,
     demand: createModelDemandMeter(clock),
     changeWaiter: waiter,
+    restQueue: createRestQueue(),
     domain: "d1",
     announceDemand: () => undefined,
     acceptsRoute: () => clock.now() < stopsAt(),
--- a/packages/forwarding/src/limited-targets.ts
+++ b/packages/forwarding/src/limited-targets.ts
@@ -1,7 +1,6 @@
 /** Requests to rate-limited targets: acquires a permit for each send, or refuses with the time of the next permit. */
 import type { TargetView } from "@linkfall/fleet";
-import type { Milliseconds } from "@linkfall/types";
-import { expectedReplicaMs, maxQueueMs } from "./admission.js";
+import { expectedReplicaMs, isWithinQueueLimit } from "./admission.js";
 import { type ForwardContext, timeLeftMs } from "./forward-context.js";
 import type { ForwardedRequest } from "./forwarded-request.js";
 import { canServe } from "./pick-target.js";
@@ -30,16 +29,6 @@
   return acquired && canStillBeSent(context, request, target);
 }
 
-/** Whether a replica that is being loaded is ready before the queueing limit of the request. */
-function isReplicaInTime(
-  context: ForwardContext,
-  request: ForwardedRequest,
-  replicaMs: Milliseconds,
-): boolean {
-  const waitedMs = context.clock.now() - request.arrivedAt;
-  return waitedMs + replicaMs <= maxQueueMs(context, request);
-}
-
 /** Waits for a replica that is being loaded, or refuses the request until a permit is available. */
 export async function waitOrRefuseLimited(
   context: ForwardContext,
@@ -48,7 +37,7 @@
 ): Promise<Step> {
   const { targetLimits, forwardLimits, metrics, changeWaiter } = context;
   const replicaMs = expectedReplicaMs(context, request);
-  if (replicaMs !== undefined && isReplicaInTime(context, request, replicaMs)) {
+  if (replicaMs !== undefined && isWithinQueueLimit(context, request, replicaMs)) {
     await changeWaiter.wait(replicaMs + forwardLimits.minReplicaGainMs, request.sink);
     return continueRequest;
   }
--- a/packages/forwarding/src/pick-target.ts
+++ b/packages/forwarding/src/pick-target.ts
@@ -33,6 +33,14 @@
       /** Some target has the model loaded and lacks only the adapter. */
       readonly onlyAdapterMissing: boolean;
     }
+  /** All targets that could serve the request have asked for a rest. */
+  | {
+      readonly kind: "resting";
+      /** Time until the first of them accepts a request. */
+      readonly acceptsInMs: Milliseconds;
+      /** Number of requests that may wait for them. */
+      readonly places: number;
+    }
   /** All targets that could serve the request are at their connection limit. */
   | { readonly kind: "no_connection" }
   /** Every target that could serve the request has been tried. */
@@ -207,13 +215,31 @@
   return { kind: "limited", targets: limited.map(({ listed }) => listed.id) };
 }
 
+/** Returns when the resting targets with the weights of the request accept one; undefined if there are none. */
+function pickResting(
+  { fleet, clock }: ForwardContext,
+  request: ForwardedRequest,
+): PickResult | undefined {
+  const resting = fleet
+    .restingTargets(request.service.name)
+    .filter(({ target }) => holdsWeights(target, request, clock.now()));
+  if (resting.length === 0) return undefined;
+  return {
+    kind: "resting",
+    acceptsInMs: Math.min(...resting.map(({ acceptsInMs }) => acceptsInMs)),
+    places: resting.reduce((sum, { target }) => sum + target.listed.slots, 0),
+  };
+}
+
 /** Picks a target for the request among the usable targets of its service. */
 export function pickTarget(context: ForwardContext, request: ForwardedRequest): PickResult {
   const now = context.clock.now();
   const usable = context.fleet.usableTargets(request.service.name);
-  if (usable.length === 0) return { kind: "no_target" };
   const loaded = usable.filter((target) => holdsWeights(target, request, now));
   if (loaded.length === 0) {
+    const resting = pickResting(context, request);
+    if (resting) return resting;
+    if (usable.length === 0) return { kind: "no_target" };
     return {
       kind: "weights_missing",
       onlyAdapterMissing: usable.some((target) => holdsModel(target, request, now)),
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -101,7 +101,6 @@
     case "silent":
       return fleet.recordFailure(id, "silent");
     case "not_run":
-      if (result.retryAfterMs !== undefined) fleet.backOff(id, result.retryAfterMs);
       if (request.terms.model === undefined) return;
       // A target with free slots that refuses is about to unload the weights or has not finished loading them.
       // Adapters are announced before they are fully loaded; refusals for lack of one expire sooner.
@@ -159,30 +158,29 @@
   metrics.sentToLeavingTarget(service.name);
 }
 
-/** Logs a rest that the target asked for, or a Retry-After that cannot be read. */
+/** Records a rest that the target asks for, or logs a Retry-After that cannot be read. */
 function recordRest(
-  { clock, fleet, logger }: SendContext,
-  { listed }: TargetView,
+  { fleet, logger }: SendContext,
+  { listed, born }: TargetView,
   status: number,
   { retryAfter, notRun }: ResponseMetadata,
 ): void {
   if (status !== unavailableStatus || retryAfter.kind === "none") return;
   if (retryAfter.kind === "unreadable")
     return logger.event("retryAfterUnreadable", { target: listed.id, text: retryAfter.text });
-  const target = fleet.find(listed.id);
-  if (!target) return;
-  target.restAskedUntil = Math.max(target.restAskedUntil, clock.now() + retryAfter.ms);
-  logger.event("targetAskedForRest", { target: listed.id, forMs: retryAfter.ms, notRun });
+  const { ms: forMs } = retryAfter;
+  fleet.recordRest({ target: listed.id, born, forMs });
+  logger.event("targetAskedForRest", { target: listed.id, forMs, notRun });
 }
 
 /** Logs and counts a send to a target within the rest that it has asked for. */
 function reportSendToResting(
-  { clock, logger, metrics }: SendContext,
+  { fleet, logger, metrics }: SendContext,
   { terms, service }: ForwardedRequest,
-  { listed, restAskedUntil }: TargetView,
+  target: TargetView,
 ): void {
-  const remainingMs = Math.round(restAskedUntil - clock.now());
-  logger.event("sentToRestingTarget", { request: terms.id, target: listed.id, remainingMs });
+  const remainingMs = Math.round(fleet.restRemainingMs(target));
+  logger.event("sentToRestingTarget", { request: terms.id, target: target.listed.id, remainingMs });
   metrics.sentToRestingTarget(service.name);
 }
 
@@ -204,7 +202,7 @@
   let isPrefilling = true;
 
   if (target.listed.leaving) reportSendToLeaving(context, request, target);
-  if (sentAt < target.restAskedUntil) reportSendToResting(context, request, target);
+  if (context.fleet.restRemainingMs(target) > 0) reportSendToResting(context, request, target);
   target.ownLoad = addLoad(target.ownLoad, 1, uncachedTokens);
   target.prefixIndex.record(query);
   request.triedTargets.add(listed.id);
--- a/packages/leaving-targets/src/index.ts
+++ b/packages/leaving-targets/src/index.ts
@@ -4,7 +4,13 @@
  */
 import { createReceivedUpdates } from "@linkfall/followed-news";
 import type { Clock } from "@linkfall/kernel";
-import type { Incarnation, LeavingMessage, LeavingNotice, Milliseconds } from "@linkfall/types";
+import {
+  type Incarnation,
+  isSameIncarnation,
+  type LeavingMessage,
+  type LeavingNotice,
+  type Milliseconds,
+} from "@linkfall/types";
 
 /** Whether this box received the notice from the target itself or from another box. */
 export type NoticeSource = "target" | "box";
@@ -41,9 +47,6 @@
 /** A target without a list entry may serve, and be listed again, for this long. */
 const retentionMs: Milliseconds = 600_000;
 
-const isSameStart = (left: Milliseconds | undefined, right: Milliseconds | undefined) =>
-  left === undefined || right === undefined || left === right;
-
 /** Creates a registry without notices. */
 export function createLeavingTargets(clock: Clock): LeavingTargets {
   const entries = new Map<string, NoticeEntry>();
@@ -60,7 +63,7 @@
   const record = (notice: LeavingNotice, source: NoticeSource) => {
     const { target, born } = notice;
     const known = entries.get(target);
-    if (known && isSameStart(known.notice.born, born)) return;
+    if (known && isSameIncarnation(known.notice.born, born)) return;
     if (isOutdated(notice, source)) return;
     lastSequence += 1;
     entries.delete(target);
@@ -73,7 +76,7 @@
     record,
     isLeaving(target, born) {
       const entry = entries.get(target);
-      return entry !== undefined && isSameStart(entry.notice.born, born);
+      return entry !== undefined && isSameIncarnation(entry.notice.born, born);
     },
     startIncarnation(target, born) {
       const known = entries.get(target)?.notice.born;
--- a/packages/types/src/retry-after.ts
+++ b/packages/types/src/retry-after.ts
@@ -7,7 +7,7 @@
   /** The header is not a number of seconds. */
   | { readonly kind: "unreadable"; readonly text: string };
 
-const secondsPattern = /^\s*\d{1,9}(\.\d{1,9})?\s*$/;
+const secondsPattern = /^\s*\d{1,9}(\.\d{1,20})?\s*$/;
 const millisecondsPerSecond = 1000;
 /** Maximum number of characters of an unreadable value that are logged. */
 const maxLoggedChars = 40;
--- a/packages/types/src/routed-targets.ts
+++ b/packages/types/src/routed-targets.ts
@@ -18,6 +18,14 @@
   readonly models: readonly LoadedModel[];
 }
 
+/** Whether two start times may belong to the same incarnation; an unknown one matches any. */
+export function isSameIncarnation(
+  left: Milliseconds | undefined,
+  right: Milliseconds | undefined,
+): boolean {
+  return left === undefined || right === undefined || left === right;
+}
+
 /** A target as listed by the platform. */
 export interface ListedTarget {
   readonly id: string;
