Sight of a store that goes back: its generation is read from each answer, and the log tells when it rises

No decision changes. The stand-ins of the store can go back to a copy: offsets are given out again, reads beyond the end get 410, the header rises; one that waits is answered with the new one.

--- a/packages/entry-box/src/provide-state.ts
+++ b/packages/entry-box/src/provide-state.ts
@@ -3,6 +3,7 @@
 import { createDesiredFeed, type DesiredFeed, desiredFeedName } from "@linkfall/desired-feed";
 import { createFleet, type Fleet, fleetName } from "@linkfall/fleet";
 import { repeatEvery } from "@linkfall/kernel";
+import { metricsName } from "@linkfall/metrics";
 import type { Milliseconds } from "@linkfall/types";
 import type { BoxRuntime } from "./box-runtime.js";
 import { createPeerNotifier } from "./peer-notifier.js";
@@ -38,6 +39,12 @@
 export function provideFeed(runtime: BoxRuntime, fleet: Fleet): DesiredFeed {
   const { kernel, settings, ports } = runtime;
   const { store, targets } = settings;
+  ports.targetStream.onNewGeneration((generation) => {
+    ports.logger.event("storeWentBack", { generation });
+    kernel
+      .find(metricsName)
+      .count("linkfall_store_went_back_total", "Returns of the store from an older copy.");
+  });
   const feed = createDesiredFeed(kernel, {
     configurationStream: ports.configurationStream,
     targetStream: ports.targetStream,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -89,6 +89,12 @@
     "info",
     "A change of the desired state was rejected because of a newer revision.",
   ),
+  storeWentBack: event(
+    2010,
+    "warn",
+    "The store has come back from an older copy: records that it had acknowledged are lost.",
+    "Check the store; boxes read it anew and write their own records again.",
+  ),
   configurationInForce: event(2009, "info", "A configuration took effect on this box."),
   memberJoined: event(3001, "info", "A box was discovered."),
   memberSuspected: event(
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -140,7 +140,7 @@
     const sentAt = clock.elapsed();
     const previousHolderOrdersUntil = holderOrdersUntil(state.claim.holder);
     const appended = await stream.put(leaseKey, self, state.nextOffset);
-    appended.ifRight((offset) => {
+    appended.ifRight(({ offset }) => {
       const isFirst = state.claim.offset < 0;
       applyClaim(self, offset);
       state.nextOffset = offset + 1;
--- a/packages/ports/src/keyed-stream-port.ts
+++ b/packages/ports/src/keyed-stream-port.ts
@@ -10,10 +10,24 @@
   readonly offset: Offset;
 }
 
+/**
+ * Counts how often the store has come back from an older copy. Offsets are only comparable within one generation, as
+ * the store assigns those of lost records again.
+ */
+export type StoreGeneration = number;
+
 /** Records in offset order; `end` is the offset that the next record will get. */
 export interface KeyedBatch {
   readonly records: readonly KeyedRecord[];
   readonly end: Offset;
+  /** Generation of the store that answered. */
+  readonly generation: StoreGeneration;
+}
+
+/** Position of an appended record. */
+export interface AppendedRecord {
+  readonly offset: Offset;
+  readonly generation: StoreGeneration;
 }
 
 /** A conditional append failed because the stream has a different end. */
@@ -27,6 +41,12 @@
   readNewest(): Promise<Either<LogFailure, KeyedBatch>>;
   /** Records from offset `from` on; waits up to `waitMs` for the first one. */
   readChanges(from: Offset, waitMs: Milliseconds): Promise<Either<LogFailure, KeyedBatch>>;
-  /** Appends a record and returns its offset; if `at` is given, only if the stream ends there. */
-  put(key: string, value: string, at?: Offset): Promise<Either<LogFailure | EndMoved, Offset>>;
+  /** Appends a record and returns its position; if `at` is given, only if the stream ends there. */
+  put(
+    key: string,
+    value: string,
+    at?: Offset,
+  ): Promise<Either<LogFailure | EndMoved, AppendedRecord>>;
+  /** Calls the listener when an answer to any call, also of another stream, is of a higher generation than all before. */
+  onNewGeneration(listener: (generation: StoreGeneration) => void): void;
 }
--- a/packages/test-support/src/tests/keyed-store.ts
+++ b/packages/test-support/src/tests/keyed-store.ts
@@ -12,6 +12,8 @@
   setAccess(box: string, access: StoreAccess): void;
   /** Appends a record directly, as operators and targets do. */
   write(key: string, value: string | undefined): void;
+  /** Comes back from a copy that lacks the newest `count` records; their offsets are assigned again. */
+  goBack(count: number): void;
   /** Drops the history; reads from earlier offsets fail with `log_truncated`. */
   compact(): void;
   records(): readonly KeyedRecord[];
@@ -27,6 +29,7 @@
   const access = new Map<string, StoreAccess>();
   let firstOffset = 0;
   let reads = 0;
+  let generation = 0;
   const accessOf = (box: string) => access.get(box) ?? "serves";
   const unavailable = () => Left({ kind: "log_unavailable", reason: "cut off" } as const);
   const append = (key: string, value: string | undefined) => {
@@ -40,39 +43,60 @@
   const newestRecords = (): KeyedBatch => {
     const newest = new Map(records.map((record) => [record.key, record]));
     const kept = [...newest.values()].filter((record) => record.value !== undefined);
-    return { records: kept, end: records.length };
+    return { records: kept, end: records.length, generation };
   };
 
-  const portFor = (box: string): KeyedStreamPort => ({
-    async readNewest() {
-      reads += 1;
-      await wait(1);
-      return accessOf(box) === "serves" ? Right(newestRecords()) : unavailable();
-    },
-    async readChanges(from, waitMs) {
-      reads += 1;
-      const until = clock.now() + waitMs;
-      await wait(1);
-      while (records.length <= from && clock.now() < until) await wait(pollIntervalMs);
-      if (accessOf(box) !== "serves") return unavailable();
-      if (from < firstOffset) return Left({ kind: "log_truncated", first: firstOffset });
-      return Right({ records: records.slice(from), end: Math.max(from, records.length) });
-    },
-    async put(key, value, at) {
-      await wait(1);
-      if (accessOf(box) === "refuses") return unavailable();
-      if (at !== undefined && at !== records.length) {
-        return Left({ kind: "end_moved", end: records.length });
-      }
-      const offset = append(key, value);
-      return accessOf(box) === "serves" ? Right(offset) : unavailable();
-    },
-  });
+  const portFor = (box: string): KeyedStreamPort => {
+    const listeners: ((generation: number) => void)[] = [];
+    let knownGeneration = generation;
+    /** Notifies the box of a generation that the answer to its call is the first to show. */
+    const showGeneration = () => {
+      if (generation === knownGeneration) return;
+      knownGeneration = generation;
+      for (const listener of listeners) listener(generation);
+    };
+    return {
+      async readNewest() {
+        reads += 1;
+        await wait(1);
+        if (accessOf(box) !== "serves") return unavailable();
+        showGeneration();
+        return Right(newestRecords());
+      },
+      async readChanges(from, waitMs) {
+        reads += 1;
+        const until = clock.now() + waitMs;
+        await wait(1);
+        while (records.length === from && clock.now() < until) await wait(pollIntervalMs);
+        if (accessOf(box) !== "serves") return unavailable();
+        showGeneration();
+        const isKnown = from >= firstOffset && from <= records.length;
+        if (!isKnown) return Left({ kind: "log_truncated", first: firstOffset });
+        return Right({ records: records.slice(from), end: records.length, generation });
+      },
+      async put(key, value, at) {
+        await wait(1);
+        if (accessOf(box) === "refuses") return unavailable();
+        if (at !== undefined && at !== records.length) {
+          return Left({ kind: "end_moved", end: records.length });
+        }
+        const offset = append(key, value);
+        if (accessOf(box) !== "serves") return unavailable();
+        showGeneration();
+        return Right({ offset, generation });
+      },
+      onNewGeneration: (listener) => void listeners.push(listener),
+    };
+  };
 
   return {
     portFor,
     setAccess: (box, newAccess) => void access.set(box, newAccess),
     write: (key, value) => void append(key, value),
+    goBack(count) {
+      records.splice(Math.max(0, records.length - count));
+      generation += 1;
+    },
     compact: () => {
       firstOffset = records.length;
     },
