--- a/packages/box-peers/src/messages.ts
+++ b/packages/box-peers/src/messages.ts
@@ -2,6 +2,7 @@
 import type { TargetLoad } from "@linkfall/fleet";
 import type { ModelDemand } from "@linkfall/model-demand";
 import type { ObservedLease } from "@linkfall/order-lease";
+import type { StoreGeneration } from "@linkfall/ports";
 import type {
   BlameMessage,
   EngineInventory,
@@ -103,6 +104,8 @@
 export interface TargetChanges {
   /** Offset of the list after these changes. */
   readonly end: Offset;
+  /** Generation of the store that `end` belongs to; absent from earlier versions. */
+  readonly generation?: StoreGeneration;
   /** Whether `changed` contains the complete list. */
   readonly whole: boolean;
   readonly changed: readonly ListedTarget[];
--- a/packages/desired-feed/src/desired-feed.feature
+++ b/packages/desired-feed/src/desired-feed.feature
@@ -101,3 +101,62 @@
     And the target "t5" is written
     And 4000 ms pass in the feed
     Then the targets "t1 t2 t3 t4 t5" are known
+
+  # Guards against ignoring a list that ends lower because the store has lost its newest records.
+  Scenario: Changes are applied after the store has come back from an older copy
+    When the target "t3" is written
+    And the target "t4" is written
+    And 500 ms pass in the feed
+    And the store goes back by 2 records
+    And the target "t5" is written
+    And 500 ms pass in the feed
+    Then the target "t5" is known
+
+  # Guards against reading on in a history that is not the one read before.
+  Scenario: Changes are applied after the store has come back from an older copy and grown past its earlier end
+    When the target "t3" is written
+    And the target "t4" is written
+    And 500 ms pass in the feed
+    And the store refuses the feed
+    And the store goes back by 2 records
+    And the target "t5" is written
+    And the target "t6" is written
+    And the target "t7" is written
+    And 1000 ms pass in the feed
+    And the store serves the feed
+    And 1000 ms pass in the feed
+    Then the target "t5" is known
+
+  Scenario: A box that does not read the store applies a shorter list of a store that has come back
+    When the feed is not a reader of the store
+    And 500 ms pass in the feed
+    And another box that has read generation 1 of the store up to 1 sends the whole list "t2 t9"
+    And 2000 ms pass in the feed
+    Then the target "t9" is known
+
+  Scenario: A list of an earlier generation of the store is ignored
+    When the store goes back by 1 records
+    And 500 ms pass in the feed
+    And the feed is not a reader of the store
+    And another box that has read generation 0 of the store up to 90 sends the whole list "t9"
+    Then the target "t9" is not known
+
+  Scenario: The configuration does not go back with the store
+    When configuration 6 is written
+    And 500 ms pass in the feed
+    And the store of configurations goes back by 1 records
+    And 500 ms pass in the feed
+    Then configuration 6 is active
+    When configuration 7 is written
+    And 500 ms pass in the feed
+    Then configuration 7 is active
+
+  # Guards against callers losing targets whose entries the copy lacks until they are written again.
+  Scenario: A target whose entry the store has lost stays in use for the grace period
+    When the target "t3" is written
+    And 500 ms pass in the feed
+    And the store goes back by 1 records
+    And 500 ms pass in the feed
+    Then the targets "t1 t2 t3" may get requests
+    When 3000 ms pass in the feed
+    Then the targets "t1 t2" may get requests
--- a/packages/desired-feed/src/desired-feed.steps.ts
+++ b/packages/desired-feed/src/desired-feed.steps.ts
@@ -266,3 +266,31 @@
     assert.deepEqual([changes.changed, changes.gone, changes.unreadable], [[], [], [bad]]);
   },
 );
+
+When("the store goes back by {int} records", function (this: object, count: number) {
+  sceneOf(this).targets.goBack(count);
+});
+
+When(
+  "the store of configurations goes back by {int} records",
+  function (this: object, count: number) {
+    sceneOf(this).configurations.goBack(count);
+  },
+);
+
+When(
+  "another box that has read generation {int} of the store up to {int} sends the whole list {string}",
+  function (this: object, generation: number, end: number, ids: string) {
+    const changed = idsOf(ids).map(targetOf);
+    sceneOf(this).feed.applyTargetChanges({ generation, end, whole: true, changed, gone: [] });
+  },
+);
+
+Then("the target {string} is known", function (this: object, id: string) {
+  assert.ok(sceneOf(this).fleet.find(id));
+});
+
+Then("the targets {string} may get requests", function (this: object, ids: string) {
+  const usable = sceneOf(this).fleet.usableTargets("s");
+  assert.deepEqual(usable.map(({ listed }) => listed.id).sort(), idsOf(ids));
+});
