A failing test: two boxes hold the order lease after the store has lost a claim

The same cause elsewhere: the epoch is the claim's offset, a holder's read beyond the end counts as its proof, and a claim that was lost is never made again.

--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -93,3 +93,13 @@
 
   Scenario: No two boxes may send orders at once and epochs grow, with random outages, silences and recoveries
     Then for 30 seeds no two boxes may send orders at once
+
+  # Guards against an epoch without a claim, and against giving its offset to another box.
+  Scenario: A claim that the store has lost is made again under a higher epoch
+    Given "a" holds the lease
+    When the store comes back from a copy without the newest claim
+    Then within 8 s a box may give orders under a higher epoch
+    And the store has a claim again
+
+  Scenario: No two boxes may send orders at once or under one epoch, with a store that goes back
+    Then for 40 seeds with a store that goes back no two boxes may send orders at once or under one epoch
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -345,11 +345,29 @@
   (scene, box, seed) => restartBox(scene, box.name, seed).then(() => undefined),
 ];
 
+/** The store is away for a moment and comes back without the newest claims. */
+async function goBack(scene: Scene, claims: number): Promise<void> {
+  const before = new Map(scene.boxes.map(({ name }) => [name, scene.access.get(name) ?? "serves"]));
+  for (const { name } of scene.boxes) setAccess(scene, name, "refuses");
+  await passTime(scene, awayMs);
+  scene.store.goBack(claims);
+  for (const [name, access] of before) setAccess(scene, name, access);
+}
+
+/** Time for which the store is away before it comes back from an older copy. */
+const awayMs = 300;
+const disturbancesWithLosses: readonly Disturbance[] = [
+  ...disturbancesWithRestarts,
+  (scene, _box, seed) => goBack(scene, 1 + (seed % 3)),
+  (scene, _box, seed) => goBack(scene, 1 + (seed % 2)),
+];
+
 async function checkOneHolder(seed: number, allowed: readonly Disturbance[]): Promise<void> {
   const random = seededRandom(seed);
   const scene = createScene(["a", "b", "c", "d"], seed);
   for (const box of scene.boxes) await box.lease.start();
   let highestEpoch = 0;
+  const holderByEpoch = new Map<number, string>();
   const checkInvariants = () => {
     const current = holders(scene);
     const names = current.map((box) => box.name).join(" ");
@@ -358,6 +376,9 @@
       const epoch = box.lease.epoch() ?? 0;
       assert.ok(epoch >= highestEpoch, `seed ${seed}: epoch ${epoch} after ${highestEpoch}`);
       highestEpoch = epoch;
+      const holder = holderByEpoch.get(epoch) ?? box.name;
+      assert.equal(holder, box.name, `seed ${seed}: epoch ${epoch} of ${holder} and ${box.name}`);
+      holderByEpoch.set(epoch, box.name);
     }
   };
   for (let step = 0; step < 12; step++) {
@@ -389,3 +410,20 @@
     for (let seed = 1; seed <= seeds; seed++) await checkOneHolder(seed, disturbancesWithRestarts);
   },
 );
+
+Then(
+  "for {int} seeds with a store that goes back no two boxes may send orders at once or under one epoch",
+  manySeedsOptions,
+  async (seeds: number) => {
+    for (let seed = 1; seed <= seeds; seed++) await checkOneHolder(seed, disturbancesWithLosses);
+  },
+);
+
+When("the store comes back from a copy without the newest claim", function (this: object) {
+  return goBack(sceneOf(this), 1);
+});
+
+Then("the store has a claim again", async function (this: object) {
+  const { store } = sceneOf(this);
+  assert.ok(store.records().length > 0);
+});
