A store that comes back from an older copy is read anew, and what it gives out again is applied

What callers saw: targets that had left went on getting their requests, and new targets got none, for as long as the store's end stayed behind the one that boxes knew, and what was written meanwhile was never made up for.

Cause: offsets were taken to grow for ever. A list that ended lower was dropped as older, changes at lower offsets as known; a store that had grown past the old end was read on as if it were the same history. Class: a position compared across histories.

Now a position is an offset within a generation of the store. A batch of another generation is never applied as changes: the list is read anew, at once at any sign of a higher generation, also in another stream's answer. Targets that the copy lacks stay in use for the grace period; a leaving that the list had shown is kept as that told by the target is, since the copy may list it as ready.

--- a/packages/box-peers/src/messages.ts
+++ b/packages/box-peers/src/messages.ts
@@ -50,6 +50,8 @@
   readonly configurationVersion: number;
   /** Offset up to which the list of targets has been read. */
   readonly targetsEnd: Offset;
+  /** Generation of the store that `targetsEnd` belongs to; absent from earlier versions. */
+  readonly targetsGeneration?: StoreGeneration;
   readonly loads: Readonly<Record<string, TargetLoad>>;
   readonly demand: readonly ModelDemand[];
   readonly lease?: ObservedLease;
--- a/packages/desired-feed/src/desired-feed.steps.ts
+++ b/packages/desired-feed/src/desired-feed.steps.ts
@@ -8,7 +8,7 @@
 import { createKeyedStore, type KeyedStore } from "@linkfall/test-support";
 import type { ListedTarget, RoutedConfiguration } from "@linkfall/types";
 import { Left, Right } from "purify-ts";
-import { createDesiredFeed, type DesiredFeed } from "./index.js";
+import { createDesiredFeed, type DesiredFeed, type TargetsPosition } from "./index.js";
 
 interface Scene {
   readonly clock: VirtualClock;
@@ -19,8 +19,8 @@
   readonly events: string[];
   /** Whether this box is a reader of the store. */
   reads: boolean;
-  /** Offset up to which another box has received the target list. */
-  receivedEnd: number;
+  /** How far another box has received the target list. */
+  received: TargetsPosition;
 }
 
 const scenes = new WeakMap<object, Scene>();
@@ -88,7 +88,7 @@
       configurationKey: key,
       settleMs: 1_000,
     });
-    const rest = { events, reads: true, receivedEnd: 0 };
+    const rest = { events, reads: true, received: { end: 0, generation: 0 } };
     created.scene = { clock, configurations, targets, feed, fleet, ...rest };
     scenes.set(this, created.scene);
   },
@@ -152,7 +152,7 @@
     const { feed } = sceneOf(this);
     feed.applyConfigurationCopy({ version: Number(version), text: version });
     feed.applyTargetChanges({
-      end: feed.targetsEnd() + (when === "a later" ? 5 : -1),
+      end: feed.targetsPosition().end + (when === "a later" ? 5 : -1),
       whole: true,
       changed: idsOf(ids).map(targetOf),
       gone: [],
@@ -173,7 +173,7 @@
   function (this: object, changed: string, gone: string) {
     const { feed } = sceneOf(this);
     feed.applyTargetChanges({
-      end: feed.targetsEnd() + 2,
+      end: feed.targetsPosition().end + 2,
       whole: false,
       changed: idsOf(changed).map(targetOf),
       gone: idsOf(gone),
@@ -184,7 +184,7 @@
 Then(
   "a box at the first offset receives the full list {string}",
   function (this: object, ids: string) {
-    const changes = sceneOf(this).feed.targetChangesSince(0);
+    const changes = sceneOf(this).feed.targetChangesSince({ end: 0, generation: 0 });
     assert.ok(changes.whole);
     assert.deepEqual(changes.changed.map(({ id }) => id).sort(), idsOf(ids));
   },
@@ -193,7 +193,7 @@
 Then(
   "a box that has received everything before receives {string} as changed and {string} as removed",
   function (this: object, changed: string, gone: string) {
-    const changes = sceneOf(this).feed.targetChangesSince(sceneOf(this).receivedEnd);
+    const changes = sceneOf(this).feed.targetChangesSince(sceneOf(this).received);
     assert.ok(!changes.whole);
     assert.deepEqual(changes.changed.map(({ id }) => id).sort(), idsOf(changed));
     assert.deepEqual([...changes.gone].sort(), idsOf(gone));
@@ -202,7 +202,7 @@
 
 Given("another box has received everything", function (this: object) {
   const scene = sceneOf(this);
-  scene.receivedEnd = scene.feed.targetsEnd();
+  scene.received = scene.feed.targetsPosition();
 });
 
 Then("the store is not read", async function (this: object) {
@@ -245,14 +245,14 @@
 
 When("another box sends {string} as unreadable", function (this: object, id: string) {
   const { feed } = sceneOf(this);
-  const end = feed.targetsEnd() + 1;
+  const end = feed.targetsPosition().end + 1;
   feed.applyTargetChanges({ end, whole: false, changed: [], gone: [], unreadable: [id] });
 });
 
 Then(
   "a box at the first offset receives the full list {string}, with {string} as unreadable",
   function (this: object, ids: string, bad: string) {
-    const changes = sceneOf(this).feed.targetChangesSince(0);
+    const changes = sceneOf(this).feed.targetChangesSince({ end: 0, generation: 0 });
     assert.ok(changes.whole);
     assert.deepEqual(changes.changed.map(({ id }) => id).sort(), idsOf(ids));
     assert.deepEqual(changes.unreadable, [bad]);
@@ -262,7 +262,7 @@
 Then(
   "a box that has received everything before receives {string} as unreadable",
   function (this: object, bad: string) {
-    const changes = sceneOf(this).feed.targetChangesSince(sceneOf(this).receivedEnd);
+    const changes = sceneOf(this).feed.targetChangesSince(sceneOf(this).received);
     assert.deepEqual([changes.changed, changes.gone, changes.unreadable], [[], [], [bad]]);
   },
 );
--- a/packages/desired-feed/src/desired-feed.ts
+++ b/packages/desired-feed/src/desired-feed.ts
@@ -5,7 +5,13 @@
 import { clockName, type Kernel, type Service, serviceName } from "@linkfall/kernel";
 import { type Logger, loggerName } from "@linkfall/logger";
 import { type Metrics, metricsName } from "@linkfall/metrics";
-import type { KeyedBatch, KeyedRecord, KeyedStreamPort, RecordCodec } from "@linkfall/ports";
+import type {
+  KeyedBatch,
+  KeyedRecord,
+  KeyedStreamPort,
+  RecordCodec,
+  StoreGeneration,
+} from "@linkfall/ports";
 import type { ListedTarget, Milliseconds, Offset } from "@linkfall/types";
 import {
   type ActiveConfiguration,
@@ -44,6 +50,18 @@
   readonly settleMs: Milliseconds;
 }
 
+/** How far a box knows the target list. */
+export interface TargetsPosition {
+  readonly end: Offset;
+  readonly generation: StoreGeneration;
+}
+
+/** Whether `left` is behind `right`, which has read later records or a later generation of the store. */
+export function isBehind(left: TargetsPosition, right: TargetsPosition): boolean {
+  if (left.generation !== right.generation) return left.generation < right.generation;
+  return left.end < right.end;
+}
+
 /** Configuration and target list as known to one box. */
 export interface DesiredFeed extends Service {
   /** Returns the active configuration, or undefined before the first. */
@@ -56,14 +74,14 @@
   reachesStore(): boolean;
   /** Whether the store is unreachable, or became reachable less than `settleMs` ago. */
   storeUnsettled(): boolean;
-  /** Offset up to which the target list is known. */
-  targetsEnd(): Offset;
+  /** How far the target list is known. */
+  targetsPosition(): TargetsPosition;
   /** Returns the active configuration for other boxes. */
   configurationCopy(): ConfigurationCopy;
   /** Applies a configuration received from another box, if it is newer. */
   applyConfigurationCopy(copy: ConfigurationCopy): void;
-  /** Returns the changes of the target list from offset `since` on. */
-  targetChangesSince(since: Offset): TargetChanges;
+  /** Returns the changes of the target list from `position` on; all targets if it is of another generation. */
+  targetChangesSince(position: TargetsPosition): TargetChanges;
   /** Applies target changes received from another box, if they are newer. */
   applyTargetChanges(changes: TargetChanges): void;
 }
@@ -74,6 +92,9 @@
 /** Limit of a target id in log lines, as keys written by others may have any length. */
 const maxLoggedIdLength = 64;
 
+/** Offset before all records, for boxes that need the full list. */
+const beforeFirstOffset: Offset = -1;
+
 /** State shared by the functions of the feed. */
 interface FeedContext {
   readonly input: DesiredFeedInput;
@@ -83,7 +104,7 @@
   readonly reachability: StoreReachability;
   readonly changeLog: TargetChangeLog;
   targetsKnown: boolean;
-  targetsEnd: Offset;
+  targets: TargetsPosition;
 }
 
 /** Parsed target entries. Entries may be invalid, as other programs write to the list. */
@@ -122,14 +143,18 @@
   return { targets, unreadable };
 }
 
-function applyFullList(context: FeedContext, entries: ParsedEntries, end: Offset): void {
-  const { targets, unreadable } = entries;
+function applyFullList(
+  context: FeedContext,
+  { targets, unreadable }: ParsedEntries,
+  position: TargetsPosition,
+): void {
   const { fleet } = context.input;
+  const isRestored = context.targetsKnown && position.generation > context.targets.generation;
   context.targetsKnown = true;
-  context.targetsEnd = end;
-  context.changeLog.replace(targets, unreadable, end);
+  context.targets = position;
+  context.changeLog.replace(targets, unreadable, position.end);
   for (const id of unreadable) fleet.excludeUnreadable(id);
-  fleet.applyList(targets);
+  fleet.applyList(targets, isRestored);
 }
 
 function applyUnreadable(context: FeedContext, id: string, offset: Offset): void {
@@ -139,7 +164,7 @@
 
 function applyTargetRecord(context: FeedContext, { key, value, offset }: KeyedRecord): void {
   // Already received from another box.
-  if (offset < context.targetsEnd) return;
+  if (offset < context.targets.end) return;
   if (value === undefined) {
     context.changeLog.recordRemoved(key, offset);
     context.input.fleet.removeEntry(key);
@@ -152,13 +177,16 @@
 }
 
 function applyTargetSnapshot(context: FeedContext, batch: KeyedBatch): void {
-  if (batch.end < context.targetsEnd) return;
-  applyFullList(context, parseEntries(context, batch.records), batch.end);
+  if (isBehind(batch, context.targets)) return;
+  const { end, generation } = batch;
+  applyFullList(context, parseEntries(context, batch.records), { end, generation });
 }
 
 function applyTargetBatch(context: FeedContext, batch: KeyedBatch): void {
+  // Another box has told of a later generation meanwhile.
+  if (batch.generation !== context.targets.generation) return;
   for (const record of batch.records) applyTargetRecord(context, record);
-  context.targetsEnd = Math.max(context.targetsEnd, batch.end);
+  context.targets = { ...context.targets, end: Math.max(context.targets.end, batch.end) };
 }
 
 function applyConfigurationBatch({ input, configuration }: FeedContext, batch: KeyedBatch): void {
@@ -184,7 +212,7 @@
     context.changeLog.recordRemoved(id, lastOffset);
     fleet.removeEntry(id);
   }
-  context.targetsEnd = end;
+  context.targets = { ...context.targets, end };
 }
 
 /** Applies a full list or incremental changes received from another box. */
@@ -193,9 +221,12 @@
   changes: TargetChanges,
   follower: StreamFollower,
 ): void {
-  if (changes.end <= context.targetsEnd) return;
-  const { changed: targets, unreadable = [] } = changes;
-  if (changes.whole) applyFullList(context, { targets, unreadable }, changes.end);
+  const { changed: targets, unreadable = [], whole, end } = changes;
+  const position = { end, generation: changes.generation ?? context.targets.generation };
+  if (!isBehind(context.targets, position)) return;
+  // Changes are relative to the history that they belong to.
+  if (!whole && position.generation !== context.targets.generation) return;
+  if (whole) applyFullList(context, { targets, unreadable }, position);
   else applyReceivedChanges(context, changes);
   // Received entries lack the models, so the next read by this box starts from a full snapshot.
   follower.restart();
@@ -212,7 +243,7 @@
     reachability: createStoreReachability(clock, logger, input.peers, input.settleMs),
     changeLog: createTargetChangeLog(),
     targetsKnown: false,
-    targetsEnd: 0,
+    targets: { end: 0, generation: 0 },
   };
 }
 
@@ -249,14 +280,18 @@
     readsStore: input.peers.readsStore,
     reachesStore: reachability.isReachable,
     storeUnsettled: reachability.isUnsettled,
-    targetsEnd: () => context.targetsEnd,
+    targetsPosition: () => context.targets,
     configurationCopy: configuration.copy,
     applyConfigurationCopy: (copy) => {
       if (copy.text !== undefined && copy.version > configuration.version()) {
         configuration.apply(copy.text, "box");
       }
     },
-    targetChangesSince: (since) => changeLog.changesSince(since, context.targetsEnd),
+    targetChangesSince(position) {
+      const { end, generation } = context.targets;
+      const since = position.generation === generation ? position.end : beforeFirstOffset;
+      return { ...changeLog.changesSince(since, end), generation };
+    },
     applyTargetChanges: (changes) => applyReceived(context, changes, targetFollower),
     async start() {
       configurationFollower.start();
--- a/packages/desired-feed/src/stream-follower.ts
+++ b/packages/desired-feed/src/stream-follower.ts
@@ -1,7 +1,7 @@
 /** Follows one keyed stream: reads a snapshot of its newest records first, then each change. */
 import type { LogFailure } from "@linkfall/errors";
 import { type Clock, sleep } from "@linkfall/kernel";
-import type { KeyedBatch, KeyedStreamPort } from "@linkfall/ports";
+import type { KeyedBatch, KeyedStreamPort, StoreGeneration } from "@linkfall/ports";
 import type { Milliseconds, Offset } from "@linkfall/types";
 
 /** Timing of a stream follower. */
@@ -41,11 +41,19 @@
 /** Interval at which a box that does not read the stream checks whether it has become a reader. */
 const readerCheckMs: Milliseconds = 150;
 
+/** Position of the next read; offsets of different generations are not comparable. */
+interface ReadPosition {
+  readonly offset: Offset;
+  readonly generation: StoreGeneration;
+}
+
 /** Creates a stopped follower. */
 export function createStreamFollower(input: StreamFollowerInput): StreamFollower {
   const { clock, port, times } = input;
-  /** Offset of the next read; undefined if it reads a snapshot. */
-  let nextOffset: Offset | undefined;
+  /** Undefined if the next read is of a snapshot. */
+  let nextPosition: ReadPosition | undefined;
+  /** Ends the wait for a read that may be of a lost history. */
+  let abandonRead = () => undefined as void;
   let restarts = 0;
   let stopped = false;
   let pauseMs = times.initialRetryPauseMs;
@@ -54,18 +62,21 @@
    * Handles the result of a read that started at `from`, undefined for a snapshot. A read that started before a restart still
    * returns changes; treating them as a snapshot would delete all keys that had not changed.
    */
-  const handleBatch = (batch: KeyedBatch, from: Offset | undefined, restarted: boolean) => {
-    nextOffset = restarted ? undefined : batch.end;
+  const handleBatch = (batch: KeyedBatch, from: ReadPosition | undefined, restarted: boolean) => {
+    // The store has come back from an older copy, so these are not the changes after `from`.
+    const isOtherHistory = from !== undefined && batch.generation !== from.generation;
+    const { end: offset, generation } = batch;
+    nextPosition = restarted || isOtherHistory ? undefined : { offset, generation };
     pauseMs = times.initialRetryPauseMs;
     if (from === undefined) input.onSnapshot(batch);
-    else if (batch.records.length > 0) input.onChanges(batch);
+    else if (!isOtherHistory && batch.records.length > 0) input.onChanges(batch);
     input.onRead();
   };
 
   const handleFailure = async (failure: LogFailure) => {
-    // Truncated history is no outage: continue with a snapshot.
+    // Truncated or lost history is no outage: continue with a snapshot.
     if (failure.kind === "log_truncated") {
-      nextOffset = undefined;
+      nextPosition = undefined;
       return;
     }
     input.onRead(failure);
@@ -73,36 +84,52 @@
     pauseMs = Math.min(times.maxRetryPauseMs, pauseMs * 2);
   };
 
+  const read = (from: ReadPosition | undefined) =>
+    from === undefined ? port.readNewest() : port.readChanges(from.offset, times.maxWaitMs);
+
+  /** Resolves with the result of the read, or with undefined if it is abandoned. */
+  const readUnlessAbandoned = (from: ReadPosition | undefined) => {
+    const abandoned = new Promise<undefined>((resolve) => {
+      abandonRead = () => resolve(undefined);
+    });
+    return Promise.race([read(from), abandoned]);
+  };
+
   const run = async () => {
     while (!stopped) {
       if (!input.isReader()) {
-        nextOffset = undefined;
+        nextPosition = undefined;
         await sleep(clock, readerCheckMs);
         continue;
       }
-      const from = nextOffset;
+      const from = nextPosition;
       const restartsBefore = restarts;
-      const read = await (from === undefined
-        ? port.readNewest()
-        : port.readChanges(from, times.maxWaitMs));
+      const result = await readUnlessAbandoned(from);
       if (stopped) return;
-      await read.caseOf<Promise<void> | void>({
+      if (result === undefined) continue;
+      await result.caseOf<Promise<void> | void>({
         Left: handleFailure,
         Right: (batch) => handleBatch(batch, from, restarts !== restartsBefore),
       });
-      const changed = read.map((batch) => batch.records.length > 0).orDefault(false);
+      const changed = result.map((batch) => batch.records.length > 0).orDefault(false);
       if (changed && times.coalesceMs > 0) await sleep(clock, times.coalesceMs);
     }
   };
 
+  const restart = () => {
+    restarts += 1;
+    nextPosition = undefined;
+  };
+  port.onNewGeneration(() => {
+    restart();
+    abandonRead();
+  });
+
   return {
     start: () => void run(),
     stop: () => {
       stopped = true;
     },
-    restart: () => {
-      restarts += 1;
-      nextOffset = undefined;
-    },
+    restart,
   };
 }
--- a/packages/entry-box/src/heartbeat-source.ts
+++ b/packages/entry-box/src/heartbeat-source.ts
@@ -8,7 +8,7 @@
   type TargetChanges,
 } from "@linkfall/box-peers";
 import { crashBlameName } from "@linkfall/crash-blame";
-import { desiredFeedName } from "@linkfall/desired-feed";
+import { desiredFeedName, isBehind } from "@linkfall/desired-feed";
 import { fleetName } from "@linkfall/fleet";
 import { orderLeaseName } from "@linkfall/order-lease";
 import type { BlameMessage, LeavingMessage, TargetLimitMessage } from "@linkfall/types";
@@ -23,8 +23,11 @@
 function targetChangesFor({ kernel }: BoxRuntime, peer: BoxStatus): TargetChanges | undefined {
   const feed = kernel.find(desiredFeedName);
   if (peer.reading && peer.reachesStore) return undefined;
-  if (!feed.ready() || !feed.readsStore() || peer.targetsEnd >= feed.targetsEnd()) return undefined;
-  return feed.targetChangesSince(peer.targetsEnd);
+  if (!feed.ready() || !feed.readsStore()) return undefined;
+  const own = feed.targetsPosition();
+  const { targetsEnd: end, targetsGeneration: generation = own.generation } = peer;
+  if (!isBehind({ end, generation }, own)) return undefined;
+  return feed.targetChangesSince({ end, generation });
 }
 
 /** Records of requests that crash targets, as far as the recipient lacks them. */
@@ -70,7 +73,8 @@
       beat,
       reachesStore: feed.reachesStore(),
       configurationVersion: feed.activeConfiguration()?.configuration.version ?? -1,
-      targetsEnd: feed.targetsEnd(),
+      targetsEnd: feed.targetsPosition().end,
+      targetsGeneration: feed.targetsPosition().generation,
       loads: toAll || toHolder ? ownLoads(kernel.find(fleetName)) : {},
       demand: toHolder ? recentDemand(demand.read()) : [],
       lease: known,
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -43,8 +43,11 @@
 
 /** Tracks the targets of all services from the target list, direct and relayed reports, and request outcomes. */
 export interface Fleet {
-  /** Applies the complete list; targets that it lacks become missing. */
-  applyList(list: readonly ListedTarget[]): void;
+  /**
+   * Applies the complete list; targets that it lacks become missing. If the list was restored from an older copy, their
+   * entries may be written again, and they stay in use for the grace period.
+   */
+  applyList(list: readonly ListedTarget[], isRestored?: boolean): void;
   /** Applies one new or changed entry. */
   applyEntry(target: ListedTarget): void;
   /** Handles an entry that was deleted from the list. */
@@ -145,7 +148,8 @@
   const target = state.targets.get(notice.target);
   if (!target || !isSameIncarnation(notice.born, target.born)) return;
   const { id, service, leaving } = target.listed;
-  state.logger.event("targetAnnouncedLeaving", { target: id, service, source });
+  if (source !== "list")
+    state.logger.event("targetAnnouncedLeaving", { target: id, service, source });
   if (leaving) return;
   target.listed = { ...target.listed, leaving: true };
   notifyChange(state);
@@ -219,7 +223,7 @@
   leavingTargets.onNotice((notice, source) => applyLeavingNotice(state, notice, source));
   return {
     leavingTargets,
-    applyList: (list) => applyList(state, list),
+    applyList: (list, isRestored = false) => applyList(state, list, isRestored),
     applyEntry: (target) => applyEntry(state, target),
     removeEntry: (id) => removeEntry(state, id),
     excludeUnreadable: (id) => excludeUnreadable(state, id),
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -19,6 +19,7 @@
   const entry = withLeavingNotice(state, listed, listed.born);
   const target = createTargetView(entry, listed.born, shape, clock.now());
   targets.set(listed.id, target);
+  recordListedLeaving(state, listed);
   applyPendingHoldings(state, target);
   logger.event("targetSeen", {
     target: listed.id,
@@ -27,12 +28,19 @@
   });
 }
 
+/** Keeps that the target is leaving, in case its entry is lost or restored from an older copy. */
+function recordListedLeaving({ leavingTargets }: FleetState, { id, born, leaving }: ListedTarget) {
+  if (leaving) leavingTargets.record({ target: id, born }, "list");
+}
+
 function updateTarget(state: FleetState, listed: ListedTarget): void {
   const known = state.targets.get(listed.id);
   if (!known) return addTarget(state, listed);
   const target = viewForEntry(state, known, listed);
   target.unlistedAt = undefined;
   target.missingSince = undefined;
+  target.isEntryLost = undefined;
+  recordListedLeaving(state, listed);
   // An entry of an earlier incarnation does not apply to the current one.
   if (!isSameIncarnation(listed.born, target.born)) return;
   if (listed.leaving && !target.listed.leaving) {
@@ -67,11 +75,17 @@
 }
 
 /** Applies the complete list; targets that it lacks become missing. */
-export function applyList(state: FleetState, list: readonly ListedTarget[]): void {
+export function applyList(
+  state: FleetState,
+  list: readonly ListedTarget[],
+  isRestored: boolean,
+): void {
   const ids = new Set(list.map((target) => target.id));
   for (const target of list) updateTarget(state, target);
   for (const target of state.targets.values()) {
-    if (!ids.has(target.listed.id)) markMissing(state, target);
+    if (ids.has(target.listed.id)) continue;
+    if (isRestored && target.missingSince === undefined) target.isEntryLost = true;
+    markMissing(state, target);
   }
   notifyChange(state);
 }
@@ -96,9 +110,10 @@
  */
 export function disappearedInLapse(
   { policies }: FleetState,
-  { unlistedAt }: TargetView,
+  { unlistedAt, isEntryLost = false }: TargetView,
   targets: readonly TargetView[],
 ): boolean {
+  if (isEntryLost) return true;
   if (unlistedAt === undefined) return false;
   const { graceMs, minShare } = policies.lapse;
   const disappearedTogether = targets.filter(
--- a/packages/fleet/src/target-view.ts
+++ b/packages/fleet/src/target-view.ts
@@ -40,6 +40,8 @@
   born?: Milliseconds;
   /** When its entry disappeared; absent while it is listed. */
   unlistedAt?: Milliseconds;
+  /** Whether the store lost its entry by coming back from an older copy. */
+  isEntryLost?: boolean;
   /** Start of its grace period; reset while the store is unsettled. */
   missingSince?: Milliseconds;
   /** Newest known holdings; the sequence counts the orders that the target has accepted. */
--- a/packages/leaving-targets/src/index.ts
+++ b/packages/leaving-targets/src/index.ts
@@ -12,8 +12,8 @@
   type Milliseconds,
 } from "@linkfall/types";
 
-/** Whether this box received the notice from the target itself or from another box. */
-export type NoticeSource = "target" | "box";
+/** Whether this box received the notice from the target itself, from its list entry or from another box. */
+export type NoticeSource = "target" | "list" | "box";
 
 export interface LeavingTargets {
   /** Records a notice; ignored if it is known. */
