The order lease survives a store that comes back from an older copy: epochs grow, and lost claims are made again

What it would have cost: two boxes that order loads under one token, or orders that engines refuse because the token is lower than one they have seen.

The epoch is now the generation and the offset in one number, so that each claim's is higher than all before. An answer of another generation is no proof: the stream is read anew. A claim that isn't in it is lost, and its holder claims again. Who claims in a new generation waits until any holder before it has certainly stopped, also one of whom it never heard, as the store may have lost that claim. A deployment whose store names generation 0, or none, sees the epochs of before.

--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -98,7 +98,7 @@
   Scenario: A claim that the store has lost is made again under a higher epoch
     Given "a" holds the lease
     When the store comes back from a copy without the newest claim
-    Then within 8 s a box may give orders under a higher epoch
+    Then within 8 s a box has claimed under a higher epoch
     And the store has a claim again
 
   Scenario: No two boxes may send orders at once or under one epoch, with a store that goes back
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -423,6 +423,15 @@
   return goBack(sceneOf(this), 1);
 });
 
+Then(
+  "within {int} s a box has claimed under a higher epoch",
+  async function (this: object, seconds) {
+    const scene = sceneOf(this);
+    const isHigher = (box: LeaseBox) => (box.lease.epoch() ?? 0) > scene.initialEpoch;
+    await passTimeUntilHolder(scene, Number(seconds) * 1_000, isHigher);
+  },
+);
+
 Then("the store has a claim again", async function (this: object) {
   const { store } = sceneOf(this);
   assert.ok(store.records().length > 0);
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -1,15 +1,20 @@
 /**
- * Lease on sending orders, claimed by a conditional append to a keyed stream. The offset of the claim determines the epoch,
- * which serves as fencing token. The holder proves that there is no newer claim by reading the stream.
+ * Lease on sending orders, claimed by a conditional append to a keyed stream. The generation of the store and the offset of
+ * the claim determine the epoch, which serves as fencing token. The holder proves that there is no newer claim by reading
+ * the stream.
  */
 import type { LogFailure } from "@linkfall/errors";
 import { clockName, type Kernel, randomName, repeatEvery } from "@linkfall/kernel";
 import { loggerName } from "@linkfall/logger";
-import type { KeyedBatch, KeyedStreamPort } from "@linkfall/ports";
+import type { KeyedBatch, KeyedStreamPort, StoreGeneration } from "@linkfall/ports";
 import type { Epoch, Incarnation, Milliseconds, Offset } from "@linkfall/types";
+import type { Either } from "purify-ts";
 import type { LeaseOptions, LeasePeers, OrderLease } from "./contract.js";
 
 const leaseKey = "orders";
+const firstOffset: Offset = 0;
+/** Epoch before the first claim. */
+const noClaimEpoch: Epoch = 0;
 /** Marks a released lease in place of the holder. */
 const releasedHolder = "-";
 /** Proof reads per lease time. They don't wait for changes, so an idle stream is answered at once. */
@@ -21,9 +26,26 @@
 /** Time in which a superseded holder is notified of a new claim. */
 const claimNoticeMs: Milliseconds = 300;
 
+/** Epochs per generation, which exceeds the number of claims that one can have. */
+const epochsPerGeneration = 2 ** 32;
+
+interface Claim {
+  readonly holder: Incarnation;
+  /** Epoch of the claim; 0 before the first. */
+  readonly epoch: Epoch;
+}
+
 interface LeaseState {
-  /** Newest observed claim; offset -1 before the first. */
-  claim: { readonly holder: Incarnation; readonly offset: Offset };
+  /** Newest observed claim. */
+  claim: Claim;
+  /** Generation of the store that was last read. */
+  generation: StoreGeneration;
+  /** When this box first read that generation. */
+  generationSeenAt: Milliseconds;
+  /** Whether the store has come back from a copy without the observed claim. */
+  isClaimLost: boolean;
+  /** Holder of a claim that the store has lost, and which may send orders until it reads the store again. */
+  lostHolder: Incarnation | undefined;
   /** When this box observed that claim. */
   claimObservedAt: Milliseconds;
   /** Offset at which the next read starts; undefined if it reads the newest records. */
@@ -45,6 +67,11 @@
   rejectedEpoch: Epoch;
 }
 
+/** Returns the epoch of a claim. It grows with each claim, although a store that goes back assigns its offsets again. */
+function epochOf(generation: StoreGeneration, offset: Offset): Epoch {
+  return generation * epochsPerGeneration + offset + 1;
+}
+
 /** Creates the lease of one box, which claims and renews it while it is started. */
 export function createOrderLease(
   kernel: Kernel,
@@ -57,7 +84,11 @@
   const logger = kernel.find(loggerName);
   const startedAt = clock.now();
   const state: LeaseState = {
-    claim: { holder: releasedHolder, offset: -1 },
+    claim: { holder: releasedHolder, epoch: noClaimEpoch },
+    generation: 0,
+    generationSeenAt: startedAt,
+    isClaimLost: false,
+    lostHolder: undefined,
     claimObservedAt: startedAt,
     nextOffset: undefined,
     provenUntil: -Infinity,
@@ -70,52 +101,84 @@
   let stopping = false;
   let reading = false;
 
-  const epochOf = (offset: Offset): Epoch => offset + 1;
   const isHeld = () =>
-    state.claim.holder === self && epochOf(state.claim.offset) > state.rejectedEpoch;
+    state.claim.holder === self && !state.isClaimLost && state.claim.epoch > state.rejectedEpoch;
 
-  const applyClaim = (holder: Incarnation, offset: Offset) => {
-    if (offset <= state.claim.offset) return;
+  const applyClaim = ({ holder, epoch }: Claim) => {
+    if (epoch <= state.claim.epoch) return;
     const wasHeld = isHeld();
-    state.claim = { holder, offset };
+    state.claim = { holder, epoch };
+    state.isClaimLost = false;
     state.holderGoneSince = undefined;
     state.claimObservedAt = clock.now();
     // This box's claim is found by reading if its response was lost. The time until which the previous holder may send orders
     // is then unknown, and at most a full lease.
     if (holder === self) state.ordersFrom = clock.now() + options.leaseMs;
     if (wasHeld && holder !== self) {
-      logger.event("leaseLost", { pool: leaseKey, epoch: epochOf(offset), holder });
+      logger.event("leaseLost", { pool: leaseKey, epoch, holder });
     }
   };
 
-  const applyBatch = (batch: KeyedBatch) => {
-    for (const record of batch.records) {
-      if (record.key === leaseKey) applyClaim(record.value ?? releasedHolder, record.offset);
+  /** Starts to read a store that has come back from an older copy, which need not have the observed claim. */
+  const startGeneration = (generation: StoreGeneration) => {
+    state.generation = generation;
+    state.generationSeenAt = clock.now();
+    state.nextOffset = undefined;
+    state.provenUntil = -Infinity;
+    // Another box may have told of a claim in this generation already.
+    if (state.claim.epoch >= epochOf(generation, firstOffset)) return;
+    state.isClaimLost = true;
+    state.lostHolder = state.claim.holder;
+  };
+
+  const applyBatch = ({ records, end, generation }: KeyedBatch) => {
+    for (const record of records) {
+      if (record.key !== leaseKey) continue;
+      const epoch = epochOf(generation, record.offset);
+      applyClaim({ holder: record.value ?? releasedHolder, epoch });
     }
-    state.nextOffset = batch.end;
+    state.nextOffset = end;
   };
 
   const handleReadFailure = (failure: LogFailure) => {
     if (failure.kind === "log_truncated") state.nextOffset = undefined;
   };
 
+  /** Reads the records after those already read; all newest records if the store has come back from an older copy. */
+  const readStream = async (): Promise<Either<LogFailure, KeyedBatch>> => {
+    const from = state.nextOffset;
+    if (from === undefined) return stream.readNewest();
+    const read = await stream.readChanges(from, 0);
+    const isOtherHistory = read
+      .map(({ generation }) => generation !== state.generation)
+      .orDefault(false);
+    return isOtherHistory ? stream.readNewest() : read;
+  };
+
   /** Reads the stream, which either shows a newer claim or proves that there is none. */
   const prove = async () => {
     if (reading) return;
     reading = true;
     const sentAt = clock.elapsed();
-    const read =
-      state.nextOffset === undefined
-        ? await stream.readNewest()
-        : await stream.readChanges(state.nextOffset, 0);
+    const read = await readStream();
     reading = false;
     read.ifLeft(handleReadFailure).ifRight((batch) => {
+      // An answer of an earlier generation proves nothing.
+      if (batch.generation < state.generation) return;
+      if (batch.generation > state.generation) startGeneration(batch.generation);
       applyBatch(batch);
       state.provenAt = sentAt;
       if (isHeld()) state.provenUntil = sentAt + options.leaseMs;
     });
   };
 
+  /**
+   * Time for which a holder without contact may still send orders, as it may have just proven its lease. If engines reject
+   * lower epochs, it is enough to wait until a holder that reaches the store has read the new claim.
+   */
+  const proofIntervalMs = options.leaseMs / proofsPerLease + proofMarginChecks * options.checkMs;
+  const uncontactedHolderMs = options.enginesFence ? proofIntervalMs : options.leaseMs;
+
   /** Returns the time until which the observed holder may send orders. */
   const holderOrdersUntil = (holder: Incarnation): Milliseconds => {
     if (holder === releasedHolder || holder === self) return clock.now();
@@ -124,33 +187,47 @@
     if (sinceLastMessageMs !== undefined && sinceLastMessageMs <= options.holderTimeoutMs) {
       return clock.now() + peers.remainingLeaseMs(holder);
     }
-    // Without contact, the holder may have just proven its lease. If engines reject lower epochs, it is enough to wait until a
-    // holder that reaches the store has read the new claim.
-    const proofIntervalMs = options.leaseMs / proofsPerLease + proofMarginChecks * options.checkMs;
-    return clock.now() + (options.enginesFence ? proofIntervalMs : options.leaseMs);
+    return clock.now() + uncontactedHolderMs;
+  };
+
+  /** Returns the time until which any earlier holder may send orders. */
+  const earlierHoldersOrderUntil = (): Milliseconds => {
+    const known = [state.claim.holder, state.lostHolder].filter((holder) => holder !== undefined);
+    // The store may have lost a claim that this box has never observed.
+    const unknownUntil =
+      state.generation > 0 ? state.generationSeenAt + uncontactedHolderMs : -Infinity;
+    return Math.max(unknownUntil, ...known.map(holderOrdersUntil));
   };
 
   const claim = async () => {
-    const offsetBefore = state.claim.offset;
+    const epochBefore = state.claim.epoch;
     const read = await stream.readNewest();
     if (read.isLeft()) return;
-    read.ifRight(applyBatch);
+    read.ifRight((batch) => {
+      if (batch.generation > state.generation) startGeneration(batch.generation);
+      if (batch.generation === state.generation) applyBatch(batch);
+    });
     // Another box has claimed the lease since.
-    if (state.claim.offset !== offsetBefore && state.claim.holder !== releasedHolder) return;
+    if (state.claim.epoch !== epochBefore && state.claim.holder !== releasedHolder) return;
+    const { generation, nextOffset } = state;
     const sentAt = clock.elapsed();
-    const previousHolderOrdersUntil = holderOrdersUntil(state.claim.holder);
-    const appended = await stream.put(leaseKey, self, state.nextOffset);
-    appended.ifRight(({ offset }) => {
-      const isFirst = state.claim.offset < 0;
-      applyClaim(self, offset);
-      state.nextOffset = offset + 1;
+    const previousHoldersOrderUntil = earlierHoldersOrderUntil();
+    const appended = await stream.put(leaseKey, self, nextOffset);
+    appended.ifRight((position) => {
+      // The store has come back from an older copy meanwhile: the claim is found, and its time determined, by reading.
+      if (position.generation !== generation) return;
+      const isFirst = state.claim.epoch === noClaimEpoch && generation === 0;
+      const epoch = epochOf(generation, position.offset);
+      applyClaim({ holder: self, epoch });
+      state.lostHolder = undefined;
+      state.nextOffset = position.offset + 1;
       state.provenUntil = sentAt + options.leaseMs;
       state.ordersFrom = isFirst
         ? clock.now()
-        : Math.max(clock.now() + claimNoticeMs, previousHolderOrdersUntil);
+        : Math.max(clock.now() + claimNoticeMs, previousHoldersOrderUntil);
       logger.event("leaseTaken", {
         pool: leaseKey,
-        epoch: epochOf(offset),
+        epoch,
         ordersInMs: Math.round(state.ordersFrom - clock.now()),
       });
       peers.announceClaim();
@@ -173,7 +250,7 @@
 
   const isHolderGone = (): boolean => {
     const { holder } = state.claim;
-    if (state.claim.offset < 0 || holder === releasedHolder) return true;
+    if (holder === releasedHolder) return true;
     const sinceLastMessageMs = peers.sinceLastMessageMs(holder);
     if (sinceLastMessageMs !== undefined) {
       state.holderLastSeenAt = Math.max(state.holderLastSeenAt, clock.now() - sinceLastMessageMs);
@@ -204,13 +281,10 @@
       const now = clock.now();
       if (!isHeld() || stopping || now < state.ordersFrom) return undefined;
       if (clock.elapsed() >= state.provenUntil && !peers.isStoreDownForAll()) return undefined;
-      return epochOf(state.claim.offset);
+      return state.claim.epoch;
     },
-    observedLease: () =>
-      state.claim.offset < 0
-        ? undefined
-        : { epoch: epochOf(state.claim.offset), holder: state.claim.holder },
-    observe: (lease) => applyClaim(lease.holder, lease.epoch - 1),
+    observedLease: () => (state.claim.epoch === noClaimEpoch ? undefined : state.claim),
+    observe: applyClaim,
     recordRefusal(epoch) {
       state.rejectedEpoch = Math.max(state.rejectedEpoch, epoch);
       logger.event("fenceRefused", { pool: leaseKey, epoch });
