Boxes register again after the store has lost their addresses

Failed before: the scenario of store-goes-back.feature (the store has no address 3 s after its return); it passes now. Cause: a box registered once in its life. It does so again at the first answer of a higher generation, at once and not with its next poll, so that boxes that start find it.

--- a/packages/entry-box/src/box-registry.ts
+++ b/packages/entry-box/src/box-registry.ts
@@ -29,6 +29,16 @@
   stopped: () => boolean,
 ): Promise<void> {
   let registered = false;
+  let wake = () => undefined as void;
+  // The store has come back from an older copy, which may lack this box.
+  stream.onNewGeneration(() => {
+    registered = false;
+    wake();
+  });
+  const sleepUnlessWoken = (ms: Milliseconds) => {
+    const woken = new Promise<void>((resolve) => (wake = resolve));
+    return Promise.race([sleep(clock, ms), woken]);
+  };
   while (!stopped()) {
     if (!registered) registered = (await stream.put(self.box, self.peerAddress)).isRight();
     const read = await stream.readNewest();
@@ -45,6 +55,6 @@
       }
     });
     const pollIntervalMs = peers.isFullMesh() ? meshPollIntervalMs : slowPollIntervalMs;
-    await sleep(clock, registered && read.isRight() ? pollIntervalMs : retryDelayMs);
+    await sleepUnlessWoken(registered && read.isRight() ? pollIntervalMs : retryDelayMs);
   }
 }
