Held requests that the store has lost are written again

Failed before: the scenario of held-request-store.feature (r1 is gone for good); it passes now. What callers would have met: after a loss of power of all boxes, a request that was held back would have crashed three more targets. Cause: a decision was written once. Each box writes its own decisions again at the first answer of a higher generation, but not one that another box has released.

--- a/packages/crash-blame/src/held-request-store.ts
+++ b/packages/crash-blame/src/held-request-store.ts
@@ -15,6 +15,9 @@
  */
 const maxReadWaitMs: Milliseconds = 1_000;
 
+/** The oldest decisions are not written again. */
+const maxOwnDecisions = 1_000;
+
 export interface HeldRequestStore extends Service {
   /** Whether the stream has been read, or the maximum wait has passed. */
   ready(): boolean;
@@ -37,6 +40,8 @@
 ): HeldRequestStore {
   /** The newest unwritten decision on each request. */
   const pending = new Map<string, HeldRequest>();
+  /** The newest decision of this box on each request, to be written again if the store loses it. */
+  const ownDecisions = new Map<string, HeldRequest>();
   let ready = false;
   let stopped = false;
   let writing = false;
@@ -79,7 +84,22 @@
   };
 
   blame.onDecision((heldRequest) => {
-    pending.set(heldRequest.request, heldRequest);
+    const { request } = heldRequest;
+    ownDecisions.delete(request);
+    ownDecisions.set(request, heldRequest);
+    if (ownDecisions.size > maxOwnDecisions)
+      ownDecisions.delete(ownDecisions.keys().next().value ?? "");
+    pending.set(request, heldRequest);
+    void write();
+  });
+  // The store has come back from an older copy, which may lack decisions that it had acknowledged.
+  stream.onNewGeneration(() => {
+    const held = new Set(blame.heldRequests().map(({ request }) => request));
+    // Another box may have released a request that this box has held back.
+    const current = [...ownDecisions].filter(
+      ([request, decision]) => !decision.held || held.has(request),
+    );
+    for (const [request, heldRequest] of current) pending.set(request, heldRequest);
     void write();
   });
 
