Plain targets of the older line that all ask for a back-off are not called before it ends

Callers are refused at once with the time to the first end. A refusal at a call's last attempt is heard as well.

--- a/packages/plain-call/src/call-refusals.ts
+++ b/packages/plain-call/src/call-refusals.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds, Refusal } from "@linkfall/types";
 import type { PlainCall } from "./plain-call.js";
 
+/** Retry-After if no target has asked for a back-off. */
 const retryAfterMs: Milliseconds = 1_000;
 /** Maximum number of targets that are tried for one call. */
 export const maxAttempts = 3;
@@ -23,12 +24,19 @@
   return failed("target_lost", failure.reason, retryAfterMs);
 }
 
-/** The refusal if no target is left to try; `lastFailure` is the failure of an earlier attempt. */
+/**
+ * The refusal if no target is left to try.
+ *
+ * @param lastFailure the failure of an earlier attempt
+ * @param backOffMs time until the first target ends its back-off
+ */
 export function refusalWithoutTargets(
   call: PlainCall,
   lastFailure: TargetUnreachable | undefined,
+  backOffMs: Milliseconds,
 ): Refusal {
+  const returnInMs = Math.max(retryAfterMs, backOffMs);
   const reason = lastFailure?.reason ?? `no target of ${call.service.name} is open`;
-  if (lastFailure?.mayHaveArrived) return failed("target_lost", reason, retryAfterMs);
-  return notRun("no_replica", reason, retryAfterMs);
+  if (lastFailure?.mayHaveArrived) return failed("target_lost", reason, returnInMs);
+  return notRun("no_replica", reason, returnInMs);
 }
--- a/packages/plain-call/src/index.ts
+++ b/packages/plain-call/src/index.ts
@@ -7,7 +7,7 @@
 import { chooseTarget } from "@linkfall/routing";
 import { targetLoadName } from "@linkfall/target-load";
 import { targetWatchName } from "@linkfall/target-watch";
-import type { ServiceTarget } from "@linkfall/types";
+import type { Milliseconds, ServiceTarget } from "@linkfall/types";
 import { maxAttempts, refusalAfterLoss, refusalWithoutTargets } from "./call-refusals.js";
 import { discardBody, forwardResponse, isNotStarted } from "./forward-response.js";
 import { endToEndHeaders, type PlainCall } from "./plain-call.js";
@@ -40,16 +40,25 @@
     };
   };
 
+  const stayingTargets = ({ service }: PlainCall) =>
+    service.targets.filter((target) => !watch.isLeaving(target));
+
   const availableTargets = (
     call: PlainCall,
     tried: ReadonlySet<string>,
   ): readonly ServiceTarget[] => {
-    const candidates = call.service.targets.filter(
-      (target) => !watch.isLeaving(target) && !tried.has(target.address),
-    );
+    const candidates = stayingTargets(call).filter(({ address }) => !tried.has(address));
     return load.ejection().selectAvailable(candidates, (target) => target.address, clock.now());
   };
 
+  /** Time until the first target ends its back-off; 0 if one has none. */
+  const firstBackOffEndsInMs = (call: PlainCall): Milliseconds => {
+    const remaining = stayingTargets(call).map(({ address }) =>
+      load.ejection().backOffRemainingMs(address, clock.now()),
+    );
+    return remaining.length === 0 ? 0 : Math.min(...remaining);
+  };
+
   const chooseAddress = (candidates: readonly ServiceTarget[]): string => {
     const chosen = chooseTarget(
       candidates.map(({ address }) => ({
@@ -92,7 +101,10 @@
     let lastFailure: TargetUnreachable | undefined;
     for (let attempt = 1; ; attempt++) {
       const candidates = availableTargets(call, tried);
-      if (candidates.length === 0) return refusalResponse(refusalWithoutTargets(call, lastFailure));
+      if (candidates.length === 0)
+        return refusalResponse(
+          refusalWithoutTargets(call, lastFailure, firstBackOffEndsInMs(call)),
+        );
       const address = chooseAddress(candidates);
       tried.add(address);
       const startedAt = clock.now();
@@ -115,6 +127,7 @@
         continue;
       }
       const response = sent.unsafeCoerce();
+      if (isNotStarted(response)) load.recordRefusal(address, response.headers["retry-after"]);
       if (!isNotStarted(response) || attempt >= maxAttempts) {
         const onServed = () => guard.recordServed(guardedRequest(call));
         const onLost = () =>
@@ -130,7 +143,6 @@
       }
       await discardBody(response);
       load.requestEnded(address, undefined);
-      load.recordRefusal(address, response.headers["retry-after"]);
     }
   };
 
--- a/packages/soak/src/scenarios/retry-after.steps.ts
+++ b/packages/soak/src/scenarios/retry-after.steps.ts
@@ -14,6 +14,13 @@
   },
 );
 
+Given(
+  "every target of the service rejects calls with a retry-after of {int} s",
+  function (this: object, seconds: number) {
+    for (const service of worldOf(this).services) service.retryAfter = String(seconds);
+  },
+);
+
 When(
   "{string} sends {int} calls of the service, at all boxes by turns",
   async function (this: object, account: "dispatch", count: number) {
@@ -38,3 +45,25 @@
   const answers = scenarioState(this).get<CallerResponse[]>("answers of the service");
   assert.deepEqual([...new Set(answers.map((answer) => answer.status))], [status]);
 });
+
+Then("each target received at most one call from each box", function (this: object) {
+  const { services, boxes } = worldOf(this);
+  for (const { receivedCalls } of services)
+    assert.ok(receivedCalls <= boxes.length, `${receivedCalls} calls`);
+});
+
+/** Retry-After of a refusal without better knowledge, in seconds. */
+const defaultRetrySeconds = 1;
+
+Then(
+  "every call was refused with 503, and told to return when the first target accepts calls",
+  function (this: object) {
+    const answers = scenarioState(this).get<CallerResponse[]>("answers of the service");
+    assert.deepEqual([...new Set(answers.map(({ status }) => status))], [503]);
+    const lastTimes = answers.slice(-3).map(({ headers }) => Number(headers["retry-after"]));
+    assert.ok(
+      lastTimes.every((seconds) => seconds > defaultRetrySeconds),
+      `told to return in ${lastTimes.join(", ")} s`,
+    );
+  },
+);
--- a/packages/target-load/src/ejection.ts
+++ b/packages/target-load/src/ejection.ts
@@ -6,9 +6,6 @@
 /** Ejections double in length until the target succeeds, up to this multiple of the first one. */
 const maxDurationFactor = 8;
 
-/** Upper bound of a requested back-off, since recovery is not noticed while a target gets no requests. */
-const maxBackOffMs: Milliseconds = 10_000;
-
 interface FailureRecord {
   consecutiveFailures: number;
   ejections: number;
@@ -21,9 +18,11 @@
   recordSuccess(target: string): void;
   /** Excludes a target for the back-off time that it requested. */
   backOff(target: string, forMs: Milliseconds, now: Milliseconds): void;
+  /** Time until the end of the target's back-off; 0 if it has none. */
+  backOffRemainingMs(target: string, now: Milliseconds): Milliseconds;
   /**
    * Selects the items whose targets are neither backing off nor ejected. Ejections are limited to `maxEjectedShare` of the
-   * accepting targets; back-offs are ignored if no target accepts requests.
+   * accepting targets; back-offs are not, as the targets themselves asked for them.
    */
   selectAvailable<T>(
     items: readonly T[],
@@ -43,6 +42,8 @@
   const ejectedUntil = (target: string) => records.get(target)?.ejectedUntil ?? -Infinity;
   /** Clock reading at which the requested back-off of a target ends. */
   const backOffUntil = new Map<string, Milliseconds>();
+  const backOffRemainingMs = (target: string, now: Milliseconds): Milliseconds =>
+    Math.max(0, (backOffUntil.get(target) ?? -Infinity) - now);
   const excludeEjected = <T>(
     items: readonly T[],
     targetOf: (item: T) => string,
@@ -73,12 +74,13 @@
       return true;
     },
     backOff(target, forMs, now) {
-      backOffUntil.set(target, now + Math.min(forMs, maxBackOffMs));
+      backOffUntil.set(target, Math.max(backOffUntil.get(target) ?? -Infinity, now + forMs));
     },
     recordSuccess: (target) => void records.delete(target),
     selectAvailable(items, targetOf, now) {
-      const accepting = items.filter((item) => (backOffUntil.get(targetOf(item)) ?? 0) <= now);
-      return excludeEjected(accepting.length > 0 ? accepting : items, targetOf, now);
+      const accepting = items.filter((item) => backOffRemainingMs(targetOf(item), now) === 0);
+      return excludeEjected(accepting, targetOf, now);
     },
+    backOffRemainingMs,
   };
 }
