--- a/packages/desired-feed/src/desired-feed.ts
+++ b/packages/desired-feed/src/desired-feed.ts
@@ -5,13 +5,7 @@
 import { clockName, type Kernel, type Service, serviceName } from "@linkfall/kernel";
 import { type Logger, loggerName } from "@linkfall/logger";
 import { type Metrics, metricsName } from "@linkfall/metrics";
-import type {
-  KeyedBatch,
-  KeyedRecord,
-  KeyedStreamPort,
-  RecordCodec,
-  StoreGeneration,
-} from "@linkfall/ports";
+import type { KeyedBatch, KeyedRecord, KeyedStreamPort, RecordCodec } from "@linkfall/ports";
 import type { ListedTarget, Milliseconds, Offset } from "@linkfall/types";
 import {
   type ActiveConfiguration,
@@ -25,6 +19,7 @@
 } from "./stream-follower.js";
 import { createStoreReachability, type StoreReachability } from "./store-reachability.js";
 import { createTargetChangeLog, type TargetChangeLog } from "./target-change-log.js";
+import { isBehind, type TargetsPosition } from "./targets-position.js";
 
 /** State of the other boxes that the feed depends on. */
 export interface FeedPeers {
@@ -50,18 +45,6 @@
   readonly settleMs: Milliseconds;
 }
 
-/** How far a box knows the target list. */
-export interface TargetsPosition {
-  readonly end: Offset;
-  readonly generation: StoreGeneration;
-}
-
-/** Whether `left` is behind `right`, which has read later records or a later generation of the store. */
-export function isBehind(left: TargetsPosition, right: TargetsPosition): boolean {
-  if (left.generation !== right.generation) return left.generation < right.generation;
-  return left.end < right.end;
-}
-
 /** Configuration and target list as known to one box. */
 export interface DesiredFeed extends Service {
   /** Returns the active configuration, or undefined before the first. */
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -9,12 +9,10 @@
 import type { KeyedBatch, KeyedStreamPort, StoreGeneration } from "@linkfall/ports";
 import type { Epoch, Incarnation, Milliseconds, Offset } from "@linkfall/types";
 import type { Either } from "purify-ts";
+import { type Claim, epochOf, firstOffset, noClaimEpoch } from "./claim.js";
 import type { LeaseOptions, LeasePeers, OrderLease } from "./contract.js";
 
 const leaseKey = "orders";
-const firstOffset: Offset = 0;
-/** Epoch before the first claim. */
-const noClaimEpoch: Epoch = 0;
 /** Marks a released lease in place of the holder. */
 const releasedHolder = "-";
 /** Proof reads per lease time. They don't wait for changes, so an idle stream is answered at once. */
@@ -26,15 +24,6 @@
 /** Time in which a superseded holder is notified of a new claim. */
 const claimNoticeMs: Milliseconds = 300;
 
-/** Epochs per generation, which exceeds the number of claims that one can have. */
-const epochsPerGeneration = 2 ** 32;
-
-interface Claim {
-  readonly holder: Incarnation;
-  /** Epoch of the claim; 0 before the first. */
-  readonly epoch: Epoch;
-}
-
 interface LeaseState {
   /** Newest observed claim. */
   claim: Claim;
@@ -67,11 +56,6 @@
   rejectedEpoch: Epoch;
 }
 
-/** Returns the epoch of a claim. It grows with each claim, although a store that goes back assigns its offsets again. */
-function epochOf(generation: StoreGeneration, offset: Offset): Epoch {
-  return generation * epochsPerGeneration + offset + 1;
-}
-
 /** Creates the lease of one box, which claims and renews it while it is started. */
 export function createOrderLease(
   kernel: Kernel,
