forwarding: requests of one model that wait for resting targets take no places of another's

Read in the diff: the places counted were those of the targets with a request's weights, and the waiting ones those of the whole service. Both are now of the same targets.

--- a/packages/forwarding/src/resting-targets.ts
+++ b/packages/forwarding/src/resting-targets.ts
@@ -2,32 +2,36 @@
 import type { Milliseconds } from "@linkfall/types";
 import { expectedReplicaMs, isWithinQueueLimit } from "./admission.js";
 import type { ForwardContext } from "./forward-context.js";
-import type { ForwardedRequest } from "./forwarded-request.js";
+import { type ForwardedRequest, weightsKey } from "./forwarded-request.js";
 import type { PickResult } from "./pick-target.js";
 import { continueRequest, refuse, refusedStatus, type Step } from "./request-step.js";
 
 /** Requests that wait for resting targets; each keeps its place until it is sent or has ended. */
 export interface RestQueue {
-  /** Joins the requests that wait for the service, if fewer than `places` do or if it has a place. */
+  /** Joins the requests that wait for the same targets, if fewer than `places` do or if it has a place. */
   tryJoin(request: ForwardedRequest, places: number): boolean;
   leave(request: ForwardedRequest): void;
 }
 
+/** Requests that wait for the same targets have the same key. */
+const queueKey = ({ service, terms }: ForwardedRequest) => `${service.name} ${weightsKey(terms)}`;
+
 /** Creates a queue without requests. */
 export function createRestQueue(): RestQueue {
-  const waitingByService = new Map<string, Set<ForwardedRequest>>();
+  const waitingByKey = new Map<string, Set<ForwardedRequest>>();
   return {
     tryJoin(request, places) {
-      const waiting = waitingByService.get(request.service.name) ?? new Set();
-      waitingByService.set(request.service.name, waiting);
+      const key = queueKey(request);
+      const waiting = waitingByKey.get(key) ?? new Set();
       if (!waiting.has(request) && waiting.size >= places) return false;
-      waiting.add(request);
+      waitingByKey.set(key, waiting.add(request));
       return true;
     },
     leave(request) {
-      const waiting = waitingByService.get(request.service.name);
+      const key = queueKey(request);
+      const waiting = waitingByKey.get(key);
       waiting?.delete(request);
-      if (waiting?.size === 0) waitingByService.delete(request.service.name);
+      if (waiting?.size === 0) waitingByKey.delete(key);
     },
   };
 }
