--- a/packages/soak/src/scenarios/planted-faults.ts
+++ b/packages/soak/src/scenarios/planted-faults.ts
@@ -279,7 +279,7 @@
   {
     name: "generations-of-the-list-not-compared",
     promise: "a store that comes back from an older copy",
-    file: "desired-feed/dist/desired-feed.js",
+    file: "desired-feed/dist/targets-position.js",
     find: "if (left.generation !== right.generation)",
     replace: "if (false)",
     scenario: "Changes are applied after the store has come back from an older copy",
@@ -287,7 +287,7 @@
   {
     name: "epochs-without-generation",
     promise: "a store that comes back from an older copy",
-    file: "order-lease/dist/order-lease.js",
+    file: "order-lease/dist/claim.js",
     find: "return generation * epochsPerGeneration + offset + 1;",
     replace: "return offset + 1;",
     scenario: "A claim that the store has lost is made again under a higher epoch",
