--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -25,6 +25,7 @@
     target: listed.id,
     service: listed.service,
     address: listed.address,
+    softwareVersion: listed.softwareVersion,
   });
 }
 
--- a/packages/forwarding/src/forward-metrics.ts
+++ b/packages/forwarding/src/forward-metrics.ts
@@ -26,6 +26,8 @@
   sentToRestingTarget(service: string): void;
   /** Counts a stream that ended inside an event, by how its end was marked. */
   streamBrokenOff(service: string, framing: ResponseFraming): void;
+  /** Counts a request that continues a stream which an earlier attempt of its caller began. */
+  streamTakenUp(service: string): void;
   /** Records the time that a request waited for weights. */
   weightsWait(ms: Milliseconds): void;
 }
@@ -97,6 +99,12 @@
         "Streams that ended inside an event, by how the end of the response was marked.",
         { service, framing },
       ),
+    streamTakenUp: (service) =>
+      metrics.count(
+        "linkfall_streams_taken_up_total",
+        "Requests that continue a stream which an earlier attempt of their caller began.",
+        { service },
+      ),
     weightsWait: (ms) =>
       metrics.observe("linkfall_weights_wait_ms", "Time that requests waited for weights.", ms),
   };
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -24,6 +24,7 @@
 } from "./fragile-targets.js";
 import { acquirePermit, waitOrRefuseLimited } from "./limited-targets.js";
 import { type PickedTarget, sendToTarget, serverErrorStatus } from "./send-to-target.js";
+import { isTakenUp, reportTakenUp } from "./taken-up-streams.js";
 import { waitOrRefuseResting } from "./resting-targets.js";
 import {
   continueRequest,
@@ -191,6 +192,7 @@
   context.logger.event("targetChosen", {
     request: request.terms.id,
     target: target.listed.id,
+    softwareVersion: target.listed.softwareVersion,
     expectedMs: Math.round(choice.expectedStartMs),
     own: target.ownLoad.inFlight,
     ofOthers: target.otherBoxesLoad.inFlight,
@@ -292,6 +294,7 @@
   context.retryBudget.recordRequest(service.name);
   const refusal = refuseCrashingRequest(context, request);
   if (refusal?.kind === "end") return refusal.outcome;
+  if (isTakenUp(request)) reportTakenUp(context, request);
   const needsWeights = terms.model !== undefined && service.engine !== undefined;
   const endDemand = needsWeights
     ? context.demand.recordRequest(requestedWeights(request), requestDemand(context, request))
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -312,6 +312,7 @@
   context.logger.event("sendEnded", {
     request: terms.id,
     target: listed.id,
+    softwareVersion: listed.softwareVersion,
     via,
     end: result.kind,
     reason: "reason" in result ? result.reason : undefined,
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -294,6 +294,11 @@
     "info",
     "A target that is known to be fragile rejected a request for want of room.",
   ),
+  streamTakenUp: event(
+    5032,
+    "info",
+    "A request continues a stream that an earlier attempt of its caller, `resumes`, began.",
+  ),
   outcomeUnknown: event(
     5004,
     "warn",
--- a/packages/types/src/routed-targets.ts
+++ b/packages/types/src/routed-targets.ts
@@ -38,6 +38,8 @@
   /** `host:port`. */
   readonly address: string;
   readonly domain: string;
+  /** Version of the target's software; absent if a box of an earlier version relayed the entry. */
+  readonly softwareVersion?: string;
   /** Maximum number of concurrent requests. */
   readonly slots: number;
   readonly leaving: boolean;
@@ -109,4 +111,6 @@
   readonly parts: readonly PromptPart[];
   /** Id of the last event that the caller received; the stream resumes after it. */
   readonly resumeAfter?: string;
+  /** Id of the caller's attempt that brought the first event of the stream, if this attempt takes a stream up. */
+  readonly resumes?: string;
 }
