--- /dev/null
+++ b/packages/software-versions/src/software-versions.feature
@@ -0,0 +1,80 @@
+Feature: Boxes know which software versions services have had
+
+  Background:
+    Given a store and a box that has read it
+
+  Scenario: The version of all targets began each stream
+    When target "t1" of version "v1" is listed
+    And target "t2" of version "v1" is listed
+    Then only version "v1" can have begun a stream
+
+  Scenario: Several versions may have begun a stream until a minute after the last target of all but one has gone
+    When target "t1" of version "v1" is listed
+    And target "t2" of version "v2" is listed
+    Then several versions may have begun a stream
+    When target "t1" has gone
+    And 59 s have gone by
+    Then several versions may have begun a stream
+    When 2 s have gone by
+    Then only version "v2" can have begun a stream
+
+  Scenario: A target whose entry names another version counts with both
+    When target "t1" of version "v1" is listed
+    And target "t1" of version "v2" is listed
+    Then several versions may have begun a stream
+
+  Scenario: A target of unknown version may be of any
+    When target "t1" of version "v1" is listed
+    And target "t2" of unknown version is listed
+    Then several versions may have begun a stream
+
+  Scenario: A box that does not hear of changes of the list can't tell
+    When target "t1" of version "v1" is listed
+    And the box hears nothing of the list
+    Then several versions may have begun a stream
+
+  Scenario: A box that starts after a version has gone from the list knows of it
+    When target "t1" of version "v1" is listed
+    And target "t2" of version "v2" is listed
+    And 1 s have gone by
+    And target "t1" has gone
+    And the box starts again, and only target "t2" of version "v2" is listed
+    Then several versions may have begun a stream
+    When 61 s have gone by
+    Then only version "v2" can have begun a stream
+
+  Scenario: A box that starts where there was one version all along knows it at once
+    When target "t1" of version "v1" is listed
+    And 1 s have gone by
+    And the box starts again, and only target "t1" of version "v1" is listed
+    Then only version "v1" can have begun a stream
+
+  Scenario: A box that can't read the store can't tell until a minute after its start
+    Given the store does not answer
+    When the box starts again, and only target "t1" of version "v1" is listed
+    Then several versions may have begun a stream
+    When 61 s have gone by
+    Then only version "v1" can have begun a stream
+
+  Scenario: A store that has come back from an older copy is told again
+    When target "t1" of version "v1" is listed
+    And target "t2" of version "v2" is listed
+    And 1 s have gone by
+    And the store loses all records and comes back
+    And 1 s have gone by
+    And target "t1" has gone
+    And the box starts again, and only target "t2" of version "v2" is listed
+    Then several versions may have begun a stream
+
+  Scenario: The store is written to when versions change only
+    When target "t1" of version "v1" is listed
+    And 30 s have gone by
+    And target "t2" of version "v1" is listed
+    And 30 s have gone by
+    Then the store was written to 1 time
+
+  Scenario: A box that is not the writer writes nothing
+    Given the box is not the writer
+    When target "t1" of version "v1" is listed
+    And 30 s have gone by
+    Then the store was written to 0 times
--- /dev/null
+++ b/packages/software-versions/src/software-versions.steps.ts
@@ -0,0 +1,130 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { createVirtualClock, type VirtualClock } from "@linkfall/kernel";
+import { recordingLogger } from "@linkfall/logger";
+import type { KeyedRecord, KeyedStreamPort } from "@linkfall/ports";
+import { Left, Right } from "purify-ts";
+import { createSoftwareVersions, type SoftwareVersions } from "./index.js";
+
+interface Scene {
+  readonly clock: VirtualClock;
+  readonly records: Map<string, string>;
+  readonly generationListeners: ((generation: number) => void)[];
+  isAway: boolean;
+  isWriter: boolean;
+  hasCurrentList: boolean;
+  writes: number;
+  box: SoftwareVersions;
+}
+
+const scenes = new WeakMap<object, Scene>();
+const service = "engines";
+const millisecondsPerSecond = 1000;
+const away = Left({ kind: "log_unavailable", reason: "away" } as const);
+
+function sceneOf(world: object): Scene {
+  const scene = scenes.get(world);
+  assert.ok(scene);
+  return scene;
+}
+
+const runFor = (clock: VirtualClock, ms: number) => clock.runUntil(clock.now() + ms);
+
+function streamOf(scene: Scene): KeyedStreamPort {
+  const newest = (): KeyedRecord[] =>
+    [...scene.records].map(([key, value], offset) => ({ key, value, offset }));
+  return {
+    readNewest: async () =>
+      scene.isAway ? away : Right({ records: newest(), end: scene.writes, generation: 0 }),
+    readChanges: async () => Right({ records: [], end: scene.writes, generation: 0 }),
+    async put(key, value) {
+      if (scene.isAway) return away;
+      scene.records.set(key, value);
+      scene.writes += 1;
+      return Right({ offset: scene.writes, generation: 0 });
+    },
+    onNewGeneration: (listener) => void scene.generationListeners.push(listener),
+  };
+}
+
+async function startBox(scene: Scene): Promise<void> {
+  scene.box = createSoftwareVersions({
+    clock: scene.clock,
+    logger: recordingLogger(() => undefined),
+    stream: streamOf(scene),
+    lifeMs: 60 * millisecondsPerSecond,
+    isWriter: () => scene.isWriter,
+    hasCurrentList: () => scene.hasCurrentList,
+  });
+  await scene.box.start();
+  await runFor(scene.clock, 1);
+}
+
+Given("a store and a box that has read it", async function (this: object) {
+  const scene = {
+    clock: createVirtualClock(),
+    records: new Map<string, string>(),
+    generationListeners: [],
+    isAway: false,
+    isWriter: true,
+    hasCurrentList: true,
+    writes: 0,
+  } as unknown as Scene;
+  scenes.set(this, scene);
+  await startBox(scene);
+});
+
+Given("the store does not answer", function (this: object) {
+  sceneOf(this).isAway = true;
+});
+
+Given("the box is not the writer", function (this: object) {
+  sceneOf(this).isWriter = false;
+});
+
+When(
+  /^target "([^"]*)" of (?:version "([^"]*)"|unknown version) is listed$/,
+  function (this: object, id: string, version: string | null) {
+    sceneOf(this).box.recordListed({ id, service, softwareVersion: version ?? undefined });
+  },
+);
+
+When("target {string} has gone", function (this: object, id: string) {
+  sceneOf(this).box.recordGone(id);
+});
+
+When(/^(\d+) s have gone by$/, async function (this: object, seconds: string) {
+  await runFor(sceneOf(this).clock, Number(seconds) * millisecondsPerSecond);
+});
+
+When("the box hears nothing of the list", function (this: object) {
+  sceneOf(this).hasCurrentList = false;
+});
+
+When(
+  "the box starts again, and only target {string} of version {string} is listed",
+  async function (this: object, id: string, softwareVersion: string) {
+    const scene = sceneOf(this);
+    await scene.box.stop();
+    await startBox(scene);
+    scene.box.recordListed({ id, service, softwareVersion });
+  },
+);
+
+When("the store loses all records and comes back", function (this: object) {
+  const { records, generationListeners } = sceneOf(this);
+  records.clear();
+  for (const listener of generationListeners) listener(1);
+});
+
+Then("only version {string} can have begun a stream", function (this: object, version: string) {
+  assert.equal(sceneOf(this).box.soleVersion(service), version);
+});
+
+Then("several versions may have begun a stream", function (this: object) {
+  assert.equal(sceneOf(this).box.soleVersion(service), undefined);
+});
+
+Then(/^the store was written to (\d+) times?$/, function (this: object, count: string) {
+  assert.equal(sceneOf(this).writes, Number(count));
+});
