Weights for streams that may go on at one software version only

Failed before: a model that requests wait for at one version is not loaded while an engine of another version holds it (weight-plan; no move planned), and requests waited for loads at engines that could not serve them. Callers saw: a stream whose model its version had lost was refused once its objective had passed, though engines of the version had room (LOST). Cause: demand, plan and expected loads knew models, not who may serve them. Change: waits name the version where they are confined; the plan loads model or adapter at an engine of it, and keeps it there; the times to wait for are told per version, too.

--- a/packages/entry-box/src/box-loads.ts
+++ b/packages/entry-box/src/box-loads.ts
@@ -44,7 +44,10 @@
 export function hasWaitingRequests(status: BoxStatus | undefined): boolean {
   if (!status) return false;
   return status.demand.some(
-    (demand) => demand.waiting > 0 || Object.keys(demand.waitingAdapters).length > 0,
+    (demand) =>
+      demand.waiting > 0 ||
+      Object.keys(demand.waitingAdapters).length > 0 ||
+      (demand.confinedWaits?.length ?? 0) > 0,
   );
 }
 
--- a/packages/entry-box/src/heartbeat-receiver.ts
+++ b/packages/entry-box/src/heartbeat-receiver.ts
@@ -139,8 +139,9 @@
   });
 
   return {
-    expectedWeightsMs({ service, model }) {
-      const key = `${service} ${model}`;
+    expectedWeightsMs({ service, model, softwareVersion }) {
+      const name = `${service} ${model}`;
+      const key = softwareVersion === undefined ? name : `${name} ${softwareVersion}`;
       if (lease.epoch() !== undefined) return dispatcher.timesToReady()[key];
       const at = holderView.weightsExpectedAt.get(key);
       return at === undefined ? undefined : Math.max(0, at - ports.clock.now());
--- a/packages/forwarding/src/admission.ts
+++ b/packages/forwarding/src/admission.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "@linkfall/types";
 import { type ForwardContext, timeLeftMs } from "./forward-context.js";
 import type { ForwardedRequest } from "./forwarded-request.js";
-import { isConfinedToVersion } from "./stream-binding.js";
+import { confinedVersion, isConfinedToVersion } from "./stream-binding.js";
 
 /** Time until a replica that is being loaded for the request's model is ready; undefined if there is none. */
 export function expectedReplicaMs(
@@ -11,7 +11,8 @@
 ): Milliseconds | undefined {
   const { model, adapter } = request.terms;
   if (!request.service.engine || model === undefined || adapter !== undefined) return undefined;
-  return context.expectedWeightsMs({ service: request.service.name, model });
+  const softwareVersion = confinedVersion(context, request);
+  return context.expectedWeightsMs({ service: request.service.name, model, softwareVersion });
 }
 
 /** Whether something that takes `inMs` more happens before the queueing limit of the request, counted from its arrival. */
--- a/packages/forwarding/src/stream-binding.ts
+++ b/packages/forwarding/src/stream-binding.ts
@@ -41,6 +41,15 @@
   context.streamVersions.recordBegun({ ...origin, softwareVersion: softwareVersion ?? null });
 }
 
+/** The version of the only targets that may serve the request, if there are others; undefined if any target may. */
+export function confinedVersion(
+  context: Pick<BindingContext, "softwareVersions">,
+  request: ForwardedRequest,
+): string | undefined {
+  if (!isConfinedToVersion(context, request)) return undefined;
+  return request.streamPosition.boundTo?.softwareVersion;
+}
+
 /** Whether the stream may go on at one of several software versions only, so that it has fewer targets than others. */
 export function isConfinedToVersion(
   { softwareVersions }: Pick<BindingContext, "softwareVersions">,
--- a/packages/forwarding/src/wait-for-weights.ts
+++ b/packages/forwarding/src/wait-for-weights.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from "@linkfall/types";
 import { type ForwardContext, timeLeftMs } from "./forward-context.js";
 import { type ForwardedRequest, requestedWeights } from "./forwarded-request.js";
+import { confinedVersion } from "./stream-binding.js";
 import {
   continueRequest,
   endRequest,
@@ -81,7 +82,8 @@
   onlyAdapterMissing: boolean,
 ): Promise<Step> {
   const { forwardLimits } = context;
-  const weights = requestedWeights(request);
+  const softwareVersion = confinedVersion(context, request);
+  const weights = { ...requestedWeights(request), softwareVersion };
   // Adapters load quickly on existing replicas; the load time of a further replica does not apply to them.
   const expectedMs = onlyAdapterMissing ? undefined : context.expectedWeightsMs(weights);
   const maxWaitMs = timeLeftMs(context, request) - forwardLimits.minTimeLeftMs;
--- a/packages/model-demand/src/index.ts
+++ b/packages/model-demand/src/index.ts
@@ -10,6 +10,15 @@
   readonly service: string;
   readonly model: string;
   readonly adapter?: string;
+  /** Software version of the only targets that may serve the request; absent if any target may. */
+  readonly softwareVersion?: string;
+}
+
+/** Requests that wait for weights at targets of one software version. */
+export interface ConfinedWait {
+  readonly softwareVersion: string;
+  readonly adapter?: string;
+  readonly waiting: number;
 }
 
 /** Demand of one request, whether or not it reaches an engine. */
@@ -41,6 +50,8 @@
   readonly waiting: number;
   /** Requests waiting for an adapter of the model, by adapter name. */
   readonly waitingAdapters: Readonly<Record<string, number>>;
+  /** Requests that wait at one software version and are not counted above; absent if there are none. */
+  readonly confinedWaits?: readonly ConfinedWait[];
   /** Time since the last request. */
   readonly idleMs: Milliseconds;
 }
@@ -79,6 +90,7 @@
   lastRequestAt: Milliseconds;
   waiting: number;
   readonly waitingAdapters: Map<string, number>;
+  readonly confinedWaits: Map<string, ConfinedWait>;
 }
 
 /** Decays the averages to the current time. */
@@ -91,6 +103,19 @@
   entry.updatedAt = now;
 }
 
+function addConfinedWait(waits: Map<string, ConfinedWait>, wait: ConfinedWait): void {
+  const key = JSON.stringify([wait.softwareVersion, wait.adapter ?? null]);
+  const waiting = (waits.get(key)?.waiting ?? 0) + wait.waiting;
+  if (waiting > 0) waits.set(key, { ...wait, waiting });
+  else waits.delete(key);
+}
+
+function presentWaits(
+  waits: ReadonlyMap<string, ConfinedWait>,
+): readonly ConfinedWait[] | undefined {
+  return waits.size > 0 ? [...waits.values()] : undefined;
+}
+
 /** Wraps an action such that it runs at most once. */
 function once(action: () => void): () => void {
   let done = false;
@@ -121,6 +146,7 @@
       lastRequestAt: now,
       waiting: 0,
       waitingAdapters: new Map(),
+      confinedWaits: new Map(),
     };
     entries.set(key, entry);
     return entry;
@@ -133,7 +159,14 @@
     entry.lastRequestAt = now;
   };
 
-  const addWaiting = (entry: DemandEntry, adapter: string | undefined, delta: number) => {
+  const addWaiting = (
+    entry: DemandEntry,
+    { adapter, softwareVersion }: RequestedWeights,
+    delta: number,
+  ) => {
+    if (softwareVersion !== undefined) {
+      return addConfinedWait(entry.confinedWaits, { softwareVersion, adapter, waiting: delta });
+    }
     if (adapter === undefined) {
       entry.waiting += delta;
       return;
@@ -155,6 +188,7 @@
       objectiveMs: entry.objectiveMs,
       waiting: entry.waiting,
       waitingAdapters: Object.fromEntries(entry.waitingAdapters),
+      confinedWaits: presentWaits(entry.confinedWaits),
       idleMs: entry.inFlight > 0 ? 0 : Math.round(clock.now() - entry.lastRequestAt),
     };
   };
@@ -171,8 +205,8 @@
     },
     recordWait(weights) {
       const entry = getOrCreateEntry(weights);
-      addWaiting(entry, weights.adapter, 1);
-      return once(() => addWaiting(entry, weights.adapter, -1));
+      addWaiting(entry, weights, 1);
+      return once(() => addWaiting(entry, weights, -1));
     },
     read() {
       const now = clock.now();
@@ -202,6 +236,9 @@
   for (const [name, waiting] of Object.entries(right.waitingAdapters)) {
     adapters[name] = (adapters[name] ?? 0) + waiting;
   }
+  const confined = new Map<string, ConfinedWait>();
+  const waits = [...(left.confinedWaits ?? []), ...(right.confinedWaits ?? [])];
+  for (const wait of waits) addConfinedWait(confined, wait);
   return {
     ...left,
     inFlight: left.inFlight + right.inFlight,
@@ -211,6 +248,7 @@
     objectiveMs: Math.min(left.objectiveMs, right.objectiveMs),
     waiting: left.waiting + right.waiting,
     waitingAdapters: adapters,
+    confinedWaits: presentWaits(confined),
     idleMs: Math.min(left.idleMs, right.idleMs),
   };
 }
--- a/packages/model-demand/src/model-demand.feature
+++ b/packages/model-demand/src/model-demand.feature
@@ -13,6 +13,13 @@
     When the waits end twice
     Then the meter reports 0 requests waiting for m and 0 for its adapter x
 
+  Scenario: Requests that wait at one software version are counted apart, and summed over boxes
+    Given a meter with 2 requests waiting for m at version v1 and 1 for its adapter x there
+    Then the meter reports 0 requests waiting for m and 0 for its adapter x
+    And two such meters report 4 requests waiting for m at version v1 and 2 for its adapter x there
+    When the waits end twice
+    Then the meter reports no requests that wait at a version
+
   Scenario: The demand of several boxes is summed
     Given two meters with 4 running requests for m each
     When 3 s pass
--- a/packages/model-demand/src/model-demand.steps.ts
+++ b/packages/model-demand/src/model-demand.steps.ts
@@ -157,3 +157,30 @@
     assert.equal(demand.waitingAdapters.x ?? 0, adapterWaits);
   },
 );
+
+Given(
+  "a meter with {int} requests waiting for m at version {word} and {int} for its adapter x there",
+  function (this: object, modelWaits: number, softwareVersion: string, adapterWaits: number) {
+    const { meters, endCallbacks } = createScene(this, 1);
+    const wait = (adapter?: string) =>
+      endCallbacks.push(meters[0].recordWait({ ...weights, adapter, softwareVersion }));
+    for (let index = 0; index < modelWaits; index++) wait();
+    for (let index = 0; index < adapterWaits; index++) wait("x");
+  },
+);
+
+Then(
+  "two such meters report {int} requests waiting for m at version {word} and {int} for its adapter x there",
+  function (this: object, modelWaits: number, softwareVersion: string, adapterWaits: number) {
+    const demand = sceneOf(this).meters[0].read();
+    const [{ confinedWaits }] = sumDemand([demand, demand]);
+    assert.deepEqual(confinedWaits, [
+      { softwareVersion, adapter: undefined, waiting: modelWaits },
+      { softwareVersion, adapter: "x", waiting: adapterWaits },
+    ]);
+  },
+);
+
+Then("the meter reports no requests that wait at a version", function (this: object) {
+  assert.equal(demandOf(this).confinedWaits, undefined);
+});
--- a/packages/weight-orders/src/order-dispatcher.ts
+++ b/packages/weight-orders/src/order-dispatcher.ts
@@ -24,7 +24,7 @@
 export interface OrderDispatcher extends Service {
   /** Models about to be evicted, by engine. */
   pendingEvictions(): ReadonlyMap<string, readonly string[]>;
-  /** Expected time in milliseconds until models are ready, by `service model`. */
+  /** Expected time in milliseconds until models are ready, by `service model` and by `service model version` of the engine. */
   timesToReady(): Readonly<Record<string, Milliseconds>>;
   /**
    * Time up to which demand has been considered for loads: the start of the newest cycle that planned with the
@@ -88,9 +88,11 @@
 function computeTimesToReady(context: DispatcherContext): Readonly<Record<string, Milliseconds>> {
   const timesToReady: Record<string, Milliseconds> = {};
   for (const [id, activeMove] of context.state.activeMoves) {
-    const key = `${context.fleet.find(id)?.listed.service ?? ""} ${activeMove.move.model}`;
+    const listed = context.fleet.find(id)?.listed;
+    const key = `${listed?.service ?? ""} ${activeMove.move.model}`;
     const remainingMs = Math.round(remainingMoveMs(context, activeMove));
-    timesToReady[key] = Math.min(timesToReady[key] ?? Infinity, remainingMs);
+    for (const name of [key, `${key} ${listed?.softwareVersion ?? ""}`])
+      timesToReady[name] = Math.min(timesToReady[name] ?? Infinity, remainingMs);
   }
   return timesToReady;
 }
--- a/packages/weight-orders/src/plan-service.ts
+++ b/packages/weight-orders/src/plan-service.ts
@@ -64,6 +64,23 @@
   );
 }
 
+/** The adapters of a model that requests are waiting for. */
+function adapterDemandOf({
+  model,
+  waitingAdapters,
+  confinedWaits = [],
+}: ModelDemand): readonly AdapterDemand[] {
+  const anywhere = Object.entries(waitingAdapters).map(([adapter, waiting]) => ({
+    model,
+    adapter,
+    waiting,
+  }));
+  const confined = confinedWaits.flatMap(({ adapter, softwareVersion, waiting }) =>
+    adapter === undefined ? [] : [{ model, adapter, softwareVersion, waiting }],
+  );
+  return [...anywhere, ...confined];
+}
+
 /**
  * Records the last requests for models and adapters, and returns the adapters with waiting
  * requests.
@@ -78,9 +95,9 @@
     const knownObjectiveMs = state.lastRequests.get(key)?.objectiveMs ?? Infinity;
     const objectiveMs = Math.min(knownObjectiveMs, entry.objectiveMs);
     state.lastRequests.set(key, { at: now - entry.idleMs, objectiveMs });
-    return Object.entries(entry.waitingAdapters).map(([adapter, waiting]) => {
-      state.adapterLastUsedAt.set(`${entry.model}/${adapter}`, now);
-      return { model: entry.model, adapter, waiting };
+    return adapterDemandOf(entry).map((wanted) => {
+      state.adapterLastUsedAt.set(`${wanted.model}/${wanted.adapter}`, now);
+      return wanted;
     });
   });
 }
--- a/packages/weight-orders/src/planner-views.ts
+++ b/packages/weight-orders/src/planner-views.ts
@@ -24,6 +24,7 @@
   return {
     id: listed.id,
     domain: listed.domain,
+    softwareVersion: listed.softwareVersion,
     memoryMb: engineShape.memoryMb,
     adapterSlots: engineShape.adapterSlots,
     residents: holdings.models,
@@ -53,6 +54,13 @@
   return growth < minGrowth ? 1 : Math.min(maxGrowth, growth);
 }
 
+function waitingByVersion({ confinedWaits = [] }: ModelDemand): ReadonlyMap<string, number> {
+  const sums = new Map<string, number>();
+  for (const { softwareVersion, waiting } of confinedWaits)
+    sums.set(softwareVersion, (sums.get(softwareVersion) ?? 0) + waiting);
+  return sums;
+}
+
 /**
  * Returns the demand for each model of a service; `lastRequest` covers models without current
  * demand.
@@ -94,6 +102,7 @@
       rate,
       objectiveMs,
       waiting,
+      waitingAtVersion: waitingByVersion(entry),
       idleMs,
     });
   }
--- a/packages/weight-plan/src/adapters.ts
+++ b/packages/weight-plan/src/adapters.ts
@@ -8,6 +8,8 @@
 export interface AdapterDemand {
   readonly model: string;
   readonly adapter: string;
+  /** Software version of the only engines that may serve the requests; absent if any may. */
+  readonly softwareVersion?: string;
   readonly waiting: number;
 }
 
@@ -68,8 +70,12 @@
   const requested = new Set(demands.map((demand) => `${demand.model}/${demand.adapter}`));
   const planned = new Set<string>();
   for (const demand of demands) {
-    if (engines.some((engine) => isLoadedOrLoading(engine, demand))) continue;
-    const hosts = engines
+    const { softwareVersion } = demand;
+    const allowed = engines.filter(
+      (engine) => softwareVersion === undefined || engine.softwareVersion === softwareVersion,
+    );
+    if (allowed.some((engine) => isLoadedOrLoading(engine, demand))) continue;
+    const hosts = allowed
       .filter((engine) => engine.availableInMs === 0 && !planned.has(engine.id))
       .filter((engine) => holdsModel(engine, demand.model))
       .filter((engine) => engine.loadingAdapters.length < maxConcurrentAdapterLoads)
--- a/packages/weight-plan/src/engine-view.ts
+++ b/packages/weight-plan/src/engine-view.ts
@@ -5,6 +5,8 @@
 export interface EngineView {
   readonly id: string;
   readonly domain: string;
+  /** Version of its software, if known. */
+  readonly softwareVersion?: string;
   readonly memoryMb: Mebibytes;
   readonly adapterSlots: number;
   readonly residents: readonly LoadedModel[];
@@ -39,6 +41,8 @@
   readonly rate: number;
   /** Requests waiting for the model to be loaded. */
   readonly waiting: number;
+  /** Requests that wait for it at engines of one software version, by that version; not counted in `waiting`. */
+  readonly waitingAtVersion?: ReadonlyMap<string, number>;
   /** Time since the last request; Infinity if there was none. */
   readonly idleMs: number;
 }
--- a/packages/weight-plan/src/eviction-cost.ts
+++ b/packages/weight-plan/src/eviction-cost.ts
@@ -78,6 +78,8 @@
   const demand = input.demand.get(name);
   const replicas = replicaCounts.get(name) ?? 0;
   const inFlight = demand?.inFlight ?? 0;
+  if (engine.softwareVersion !== undefined && demand?.waitingAtVersion?.has(engine.softwareVersion))
+    return Infinity;
   if (replicas <= 1) {
     if (demand && demand.waiting > 0) return Infinity;
     return lastReplicaCostMs(input, name) + inFlight * inFlightEvictionCostMs;
--- a/packages/weight-plan/src/load-candidates.ts
+++ b/packages/weight-plan/src/load-candidates.ts
@@ -10,6 +10,8 @@
   readonly reason: WeightMove["reason"];
   /** Number of requests helped, weighted; higher values are planned first. */
   readonly priority: number;
+  /** Software version of the only engines where the load is useful; absent if any are. */
+  readonly softwareVersion?: string;
   /** Maximum time until the model must be ready for the load to be useful. */
   readonly maxReadyMs?: Milliseconds;
   /** Running requests per replica at the target load. */
@@ -125,14 +127,49 @@
   return undefined;
 }
 
+/** Whether an engine of the software version has loaded the model, or is about to. */
+function isHeldAtVersion(
+  { engines }: PlanInput,
+  { name }: DeclaredModel,
+  softwareVersion: string,
+): boolean {
+  return engines.some(
+    (engine) =>
+      engine.softwareVersion === softwareVersion &&
+      (engine.loadingModel === name ||
+        (engine.unloadingModel !== name &&
+          engine.residents.some((resident) => resident.name === name))),
+  );
+}
+
+/** Loads for requests that only engines of one software version may serve, and of which none has the model. */
+function createConfinedCandidates(
+  input: PlanInput,
+  model: DeclaredModel,
+): readonly LoadCandidate[] {
+  const waiting = input.demand.get(model.name)?.waitingAtVersion ?? new Map<string, number>();
+  return [...waiting]
+    .filter(([softwareVersion]) => !isHeldAtVersion(input, model, softwareVersion))
+    .map(([softwareVersion, requests]) => ({
+      model,
+      reason: "waiting",
+      priority: requests * waitingWeight,
+      targetInFlight: 0,
+      softwareVersion,
+    }));
+}
+
+const toList = <T>(value: T | undefined): readonly T[] => (value === undefined ? [] : [value]);
+
 /** Returns the models to consider for loading, highest priority first. */
 export function selectCandidates(
   input: PlanInput,
   availability: ModelAvailability,
 ): readonly LoadCandidate[] {
-  const candidates = [...input.models.values()].flatMap(
-    (model) => createCandidate(input, availability, model) ?? [],
-  );
+  const candidates = [...input.models.values()].flatMap((model) => [
+    ...toList(createCandidate(input, availability, model)),
+    ...createConfinedCandidates(input, model),
+  ]);
   const urgent = candidates.filter(
     (candidate) => candidate.reason !== "unreachable" || input.demand.size === 0,
   );
--- a/packages/weight-plan/src/placements.ts
+++ b/packages/weight-plan/src/placements.ts
@@ -235,6 +235,11 @@
   return Math.min(allowed, maxLoading - loading);
 }
 
+/** Whether the engine is of the software version; any engine is if there is none to match. */
+function isOfVersion(engine: EngineView, softwareVersion: string | undefined): boolean {
+  return softwareVersion === undefined || engine.softwareVersion === softwareVersion;
+}
+
 /** Selects the cheapest placement, which may be on an engine that is still busy. */
 export function selectPlacement(
   input: PlanInput,
@@ -245,6 +250,7 @@
   const allowed = allowedStoreLoads(input, candidate, storeLoadBudget);
   let best: LoadPlacement | undefined;
   for (const engine of input.engines) {
+    if (!isOfVersion(engine, candidate.softwareVersion)) continue;
     const placement = findPlacement(evictionOptions, engine, candidate.model);
     if (!placement || !isWorthwhile(input, candidate, placement)) continue;
     if (placement.readyMs > (candidate.maxReadyMs ?? Infinity)) continue;
--- a/packages/weight-plan/src/weight-plan.feature
+++ b/packages/weight-plan/src/weight-plan.feature
@@ -9,6 +9,30 @@
     When 1 request waits for "e"
     Then engine "2" swaps in "e" from disk for one model
 
+  # Guards against streams that can't go on, since their model is loaded at another software version.
+  Scenario: A model that requests wait for at one software version is loaded on an engine of that version
+    Given engine "1" of version "v1" holds "a b c"
+    And engine "2" of version "v2" holds "d e f"
+    When at version "v1", 1 request waits for "d"
+    Then engine "1" swaps in "d" from store for one model
+
+  Scenario: A model that an engine of the version holds is not loaded again for requests that wait there
+    Given engine "1" of version "v1" holds "a b c"
+    And engine "2" of version "v1" holds "d e f"
+    When at version "v1", 1 request waits for "d"
+    Then no move is planned
+
+  Scenario: A model that no engine of the version can hold is not loaded elsewhere
+    Given engine "1" of version "v2" holds "a b c"
+    When at version "v1", 1 request waits for "a"
+    Then no move is planned
+
+  Scenario: An adapter that requests wait for at one software version is loaded on an engine of that version
+    Given engine "1" of version "v1" holds "a b c"
+    And engine "2" of version "v2" holds "a b c" and adapters "a/x"
+    When at version "v1", 1 request waits for adapter "a/x"
+    Then adapter "a/x" is loaded on engine "1"
+
   Scenario: The last replica of a model with waiting requests is never evicted
     Given engine "1" holds "a b c"
     When 1 request waits for "e"
--- a/packages/weight-plan/src/weight-plan.steps.ts
+++ b/packages/weight-plan/src/weight-plan.steps.ts
@@ -52,6 +52,12 @@
   };
 }
 
+/** The model with those of the adapters, as `model/adapter`, that are its own. */
+function residentWith(name: string, adapters: string) {
+  const own = splitNames(adapters).filter((key) => key.startsWith(`${name}/`));
+  return { name, version: 1, adapters: own.map((key) => key.slice(name.length + 1)) };
+}
+
 interface Scene {
   models: Map<string, DeclaredModel>;
   engines: EngineView[];
@@ -99,6 +105,20 @@
   sceneOf(this).engines.push(engine(id, splitNames(held)));
 });
 
+Given(
+  /^engine "([^"]*)" of version "([^"]*)" holds "([^"]*)"(?: and adapters "([^"]*)")?$/,
+  function (
+    this: object,
+    id: string,
+    softwareVersion: string,
+    held: string,
+    adapters: string | null,
+  ) {
+    const residents = splitNames(held).map((name) => residentWith(name, adapters ?? ""));
+    sceneOf(this).engines.push(engine(id, splitNames(held), { softwareVersion, residents }));
+  },
+);
+
 Given(
   "engine {string} holds {string} with {string} on disk",
   function (this: object, id: string, held: string, onDisk: string) {
@@ -152,13 +172,7 @@
 Given(
   "engine {string} holds {string} and adapters {string}",
   function (this: object, id: string, held: string, adapters: string) {
-    const residents = splitNames(held).map((name) => ({
-      name,
-      version: 1,
-      adapters: splitNames(adapters).flatMap((key) =>
-        key.startsWith(`${name}/`) ? [key.slice(name.length + 1)] : [],
-      ),
-    }));
+    const residents = splitNames(held).map((name) => residentWith(name, adapters));
     sceneOf(this).engines.push(engine(id, splitNames(held), { residents }));
   },
 );
@@ -188,6 +202,21 @@
   setDemand(this, name, { waiting: Number(waiting), inFlight: Number(waiting) });
 });
 
+When(
+  "at version {string}, {int} request(s) wait(s) for {string}",
+  function (this: object, version: string, waiting: number, name: string) {
+    setDemand(this, name, { waitingAtVersion: new Map([[version, waiting]]) });
+  },
+);
+
+When(
+  "at version {string}, {int} request(s) wait(s) for adapter {string}",
+  function (this: object, softwareVersion: string, waiting: number, key: string) {
+    const [name, adapter] = key.split("/");
+    sceneOf(this).adapterDemand.push({ model: name, adapter, softwareVersion, waiting });
+  },
+);
+
 When(
   "{int} request(s) wait(s) for {string} with a latency objective of {int} ms",
   function (this: object, waiting: number, name: string, objectiveMs: number) {
