A target that starts again with its version puts no stream in doubt

Now only an entry with another version does. A target that says itself that it has started again has no known version until its entry tells; streams that it begins meanwhile count as of the only version that serves, if there is one. Scenarios: starts again in place with its version (boxes, and under a virtual clock); the replacements in place hold as before.

--- a/packages/entry-box/src/provide-stream-versions.ts
+++ b/packages/entry-box/src/provide-stream-versions.ts
@@ -68,10 +68,12 @@
       (await peerClient.streams(address, message)).toMaybe().extract(),
     versionsOf: softwareVersions.versionsOf,
   });
-  fleet.onListed(softwareVersions.recordListed);
+  fleet.onListed((listed) => {
+    const hasChanged = softwareVersions.recordListed(listed);
+    if (hasChanged) streamVersions.doubtLatest(listed.id, listed.softwareVersion);
+  });
   fleet.onIncarnationEnded((id) => {
     if (fleet.find(id) === undefined) softwareVersions.recordGone(id);
-    else streamVersions.doubtLatest(id);
   });
   softwareVersions.onFurtherVersion(streamVersions.tellAll);
   kernel.provide(softwareVersionsName, softwareVersions, softwareVersions);
--- a/packages/fleet/src/incarnations.ts
+++ b/packages/fleet/src/incarnations.ts
@@ -128,7 +128,8 @@
   return undefined;
 }
 
-/** Returns the entry without what ended with the previous incarnation: its models and whether it was leaving. */
+/** Returns the entry without what ended with the previous incarnation: its models, version and whether it was leaving. */
 function entryAfterRestart(listed: ListedTarget): ListedTarget {
-  return { ...listed, leaving: false, models: listed.models && [] };
+  const models = listed.models && [];
+  return { ...listed, leaving: false, softwareVersion: undefined, models };
 }
--- a/packages/forwarding/src/stream-binding.ts
+++ b/packages/forwarding/src/stream-binding.ts
@@ -17,12 +17,20 @@
   return streamKey({ service: service.name, account, firstAttempt });
 }
 
-/** The version of a target; in doubt if its entry has changed since the request was sent there. */
-function bindingTo({ fleet }: BindingContext, target: TargetView): VersionBinding {
-  const { id, softwareVersion } = target.listed;
-  const current = fleet.find(id);
-  const isDoubtful = current && current.listed.softwareVersion !== softwareVersion;
-  return isDoubtful ? {} : { softwareVersion };
+/**
+ * The version of a target; in doubt if its entry has changed since the request was sent there. The list does not tell the
+ * version of a target that has just started again under its id; it counts as of the only one that serves.
+ */
+function bindingTo(
+  { fleet, softwareVersions }: BindingContext,
+  { listed }: TargetView,
+): VersionBinding {
+  const current = fleet.find(listed.id);
+  const isDoubtful = current && current.listed.softwareVersion !== listed.softwareVersion;
+  if (isDoubtful) return {};
+  return {
+    softwareVersion: listed.softwareVersion ?? softwareVersions.soleVersion(listed.service),
+  };
 }
 
 /** Binds the stream to the version of the target that begins it, before its first event is forwarded. */
--- a/packages/software-versions/src/software-versions.ts
+++ b/packages/software-versions/src/software-versions.ts
@@ -18,8 +18,8 @@
 }
 
 export interface SoftwareVersions extends Service {
-  /** Records the list entry of a target. */
-  recordListed(target: Pick<ListedTarget, "id" | "service" | "softwareVersion">): void;
+  /** Records the list entry of a target; returns whether it was listed with another version before. */
+  recordListed(target: Pick<ListedTarget, "id" | "service" | "softwareVersion">): boolean;
   /** Records that a target has gone. */
   recordGone(id: string): void;
   /** Versions that the service has had within the life of a stream, as far as this box knows. */
@@ -92,11 +92,12 @@
   return {
     recordListed({ id, service, softwareVersion: version = unknownVersion }) {
       const known = targets.get(id);
-      if (known?.service === service && known.version === version) return;
+      if (known?.service === service && known.version === version) return false;
       const target = { service, version };
       useOf(target).targets += 1;
       targets.set(id, target);
       if (known) endUse(known);
+      return known !== undefined;
     },
     recordGone(id) {
       const known = targets.get(id);
--- a/packages/stream-versions/src/stream-versions.feature
+++ b/packages/stream-versions/src/stream-versions.feature
@@ -47,6 +47,11 @@
     When box 1 begins 10 streams at version "v1"
     Then box 2 finds that they are in doubt after the target of box 1 has become another version
 
+  # Guards against refusing the streams of each target that crashes.
+  Scenario: The latest streams of a target that starts again with the same version are not in doubt
+    When box 1 begins 10 streams at version "v1"
+    Then box 2 finds that they began at version "v1" after the target of box 1 has started again with it
+
   Scenario: Streams are forgotten after a minute
     When box 1 begins 10 streams at version "v1"
     And 61000 ms have gone by
--- a/packages/stream-versions/src/stream-versions.steps.ts
+++ b/packages/stream-versions/src/stream-versions.steps.ts
@@ -235,8 +235,8 @@
   await assertFound(scene, [scene.boxes[box - 1]], ({ kind }) => assert.equal(kind, "doubtful"));
 });
 
-async function changeTarget(scene: Scene, box: number): Promise<void> {
-  scene.boxes[box - 1].doubtLatest(`target of ${box}`);
+async function changeTarget(scene: Scene, box: number, version = "v2"): Promise<void> {
+  scene.boxes[box - 1].doubtLatest(`target of ${box}`, version);
   await runFor(scene.clock, settlingMs);
 }
 
@@ -249,6 +249,15 @@
   },
 );
 
+Then(
+  "box {int} finds that they began at version {string} after the target of box {int} has started again with it",
+  async function (this: object, box: number, version: string, owner: number) {
+    const scene = sceneOf(this);
+    await changeTarget(scene, owner, version);
+    await assertFound(scene, [scene.boxes[box - 1]], assertBegunAt(version));
+  },
+);
+
 Then(
   "box {int} finds that they are in doubt after the target of box {int} has become another version",
   async function (this: object, box: number, owner: number) {
--- a/packages/stream-versions/src/stream-versions.ts
+++ b/packages/stream-versions/src/stream-versions.ts
@@ -64,8 +64,11 @@
   lookUp(key: StreamKey, service: string): Promise<StreamVersion>;
   /** Tells the keepers of all streams of the service that this box has begun. */
   tellAll(service: string): void;
-  /** Puts the versions in doubt of streams that the target began shortly before it was known to be another version. */
-  doubtLatest(target: string): void;
+  /**
+   * Puts in doubt the streams that the target began at another version shortly before it was known to be of this one;
+   * undefined if its version is not known yet.
+   */
+  doubtLatest(target: string, softwareVersion: string | undefined): void;
   /** Tells the keepers of all streams that this box knows; resolves when they have answered. */
   handOver(): Promise<void>;
   /** Handles a message from another box. */
@@ -136,10 +139,13 @@
         if (record.origin?.service === service) tell(key, record);
       }
     },
-    doubtLatest(target) {
+    doubtLatest(target, softwareVersion) {
+      if (softwareVersion === undefined) return;
       const latest = [...records.all()].filter(
-        ([, { origin, recordedAt }]) =>
-          origin?.target === target && clock.now() - recordedAt <= listLagMs,
+        ([, { origin, recordedAt, version }]) =>
+          origin?.target === target &&
+          version !== softwareVersion &&
+          clock.now() - recordedAt <= listLagMs,
       );
       for (const [key] of latest) {
         records.add(key, null);
