--- a/packages/box-peers/src/box-peers.feature
+++ b/packages/box-peers/src/box-peers.feature
@@ -72,3 +72,8 @@
     Then rounds 0 to 3 go to the holder and "r1 r3", "r1 r3", "r1 r3", "r1 r3"
     Given no reader can reach the store
     Then rounds 0 to 2 go to the holder and "r1 r2", "r3 r1", "r2 r3"
+
+  # Guards against connections that outlive their box.
+  Scenario: A client that was closed opens no connection
+    Given a client of other boxes that was closed
+    Then a message to a box that listens is not sent
--- a/packages/box-peers/src/box-peers.steps.ts
+++ b/packages/box-peers/src/box-peers.steps.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { createServer, type AddressInfo } from "node:net";
 import { Given, Then, When } from "@cucumber/cucumber";
 import {
   clockName,
@@ -6,12 +7,14 @@
   createVirtualClock,
   randomName,
   seededRandom,
+  systemClock,
   type VirtualClock,
 } from "@linkfall/kernel";
 import { loggerName, recordingLogger } from "@linkfall/logger";
 import { Left, Right } from "purify-ts";
 import {
   type BoxStatus,
+  createPeerClient,
   createPeers,
   type Heartbeat,
   type HeartbeatSource,
@@ -291,3 +294,24 @@
     expected,
   );
 });
+
+const closedClients = new WeakMap<object, PeerClient>();
+const callTimeoutMs = 1_000;
+
+Given("a client of other boxes that was closed", function (this: object) {
+  const client = createPeerClient(systemClock(), callTimeoutMs);
+  client.close();
+  closedClients.set(this, client);
+});
+
+Then("a message to a box that listens is not sent", async function (this: object) {
+  let connections = 0;
+  const server = createServer(() => void (connections += 1));
+  await new Promise<void>((resolve) => void server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const message = { told: [], wanted: [] };
+  const reply = await closedClients.get(this)?.streams(`127.0.0.1:${port}`, message);
+  assert.equal(reply?.isLeft(), true);
+  assert.equal(connections, 0);
+  server.close();
+});
--- a/packages/box-peers/src/transport.ts
+++ b/packages/box-peers/src/transport.ts
@@ -113,9 +113,17 @@
   return { kind: "peer_unreachable", reason, mayHaveArrived: true };
 }
 
+/** Stands for the streams of a client that was closed. */
+const closedStream: RequestStream<Ask, Answer> = {
+  request: async () =>
+    Left({ kind: "peer_unreachable", reason: "the client was closed", mayHaveArrived: false }),
+  close: () => undefined,
+};
+
 /** Creates a client that keeps one stream per box. */
 export function createPeerClient(clock: Clock, callTimeoutMs: Milliseconds): PeerClient {
   const streams = new Map<string, OpenStream>();
+  let closed = false;
 
   const closeIdle = () => {
     const idleSince = clock.now() - idleTimeoutMs;
@@ -126,6 +134,8 @@
     }
   };
   const streamTo = (address: string): RequestStream<Ask, Answer> => {
+    // A stream that is opened now would never be closed.
+    if (closed) return closedStream;
     const existing = streams.get(address);
     if (existing) {
       existing.lastUsedAt = clock.now();
@@ -175,6 +185,7 @@
       );
     },
     close() {
+      closed = true;
       for (const { stream } of streams.values()) stream.close();
       streams.clear();
     },
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -214,12 +214,9 @@
   softwareVersion: string | undefined,
 ): readonly TargetView[] {
   const targets = targetsOfService(state, service);
-  const accepting = targets.filter(
-    (target) =>
-      !target.listed.leaving &&
-      hasVersion(target, softwareVersion) &&
-      acceptsInMs(state, target) === 0,
-  );
+  const accepting = targets
+    .filter((target) => hasVersion(target, softwareVersion))
+    .filter((target) => !target.listed.leaving && acceptsInMs(state, target) === 0);
   const available = accepting.filter((target) => isAvailable(state, target, targets));
   // If no target is available, an ejected or missing one is better than none. A rest is different: the target itself asked.
   return available.length > 0 ? available : accepting;
