Logs and metrics tell what lost requests share

Cause: sendLost named a request's fingerprint only, so that requests that share a part of their prompts, a model or an adapter could not be told from unrelated ones, nor a crash at the first token from one midway. Change: it names weights, shared parts and the times since the send and the first bytes; linkfall_responses_lost_total counts losses by what the probe found.

--- a/packages/forwarding/src/crash-check.ts
+++ b/packages/forwarding/src/crash-check.ts
@@ -1,8 +1,10 @@
 /** Detects requests that crash the targets running them, and refuses them when they are sent again. */
 import { type RequestAttributes, settlingMs, type Verdict } from "@linkfall/crash-blame";
 import type { TargetView } from "@linkfall/fleet";
+import type { ListenerStatus } from "@linkfall/ports";
+import type { Milliseconds, RequestMetadata } from "@linkfall/types";
 import type { ForwardContext } from "./forward-context.js";
-import type { ForwardedRequest } from "./forwarded-request.js";
+import { type ForwardedRequest, weightsKey } from "./forwarded-request.js";
 import { refuse, refusedStatus, type Step } from "./request-step.js";
 
 function requestFacts(request: ForwardedRequest): RequestAttributes {
@@ -10,6 +12,15 @@
   return { request: request.fingerprint(), service: service.name, route: route.name, account };
 }
 
+/** Maximum number of parts that a log line names. */
+const maxLoggedParts = 8;
+
+/** Ids of the prompt parts that the request shares with others: all but the last. */
+function sharedPartsText({ parts }: RequestMetadata): string | undefined {
+  const shared = parts.slice(0, -1).map(({ id }) => id);
+  return shared.length === 0 ? undefined : shared.slice(0, maxLoggedParts).join(" ");
+}
+
 function targetsOf(
   { fleet }: ForwardContext,
   { service }: ForwardedRequest,
@@ -41,6 +52,30 @@
   return targetReach.isCutOff();
 }
 
+/** Logs a lost response with everything that the request may share with others, and whether it had begun. */
+function reportLoss(
+  { clock, logger, metrics }: ForwardContext,
+  request: ForwardedRequest,
+  target: string,
+  details: { readonly listening: ListenerStatus; readonly targetsInUse: number },
+): void {
+  const { terms, service, lastSend } = request;
+  const { startedAt, firstByteAt } = lastSend ?? {};
+  const sinceMs = (at?: Milliseconds) =>
+    at === undefined ? undefined : Math.round(clock.now() - at);
+  logger.event("sendLost", {
+    request: terms.id,
+    fingerprint: request.fingerprint(),
+    target,
+    ...details,
+    weights: terms.model === undefined ? undefined : weightsKey(terms),
+    parts: sharedPartsText(terms),
+    sinceSendMs: sinceMs(startedAt),
+    sinceFirstByteMs: sinceMs(firstByteAt),
+  });
+  metrics.responseLost(service.name, details.listening);
+}
+
 /**
  * Probes the target of a lost response and returns whether the request may be sent to another target. A target that
  * refuses connections has crashed, unless this box is cut off from all targets; if it still listens, only the connection
@@ -55,13 +90,7 @@
   // Counted before the probe, in which other requests of targets that crash together end.
   const targetsInUse = countTargetsInUse(context, request, target);
   const listening = await context.targetProbe.isListening(listed.address);
-  context.logger.event("sendLost", {
-    request: request.terms.id,
-    fingerprint: request.fingerprint(),
-    target: listed.id,
-    listening,
-    targetsInUse,
-  });
+  reportLoss(context, request, listed.id, { listening, targetsInUse });
   if (listening !== "refuses" || (await isOwnLinkLost(context, listed.id))) return true;
   context.blame.recordCrash(listed.id, requestFacts(request), targetsInUse);
   const verdict = assessRequest(context, request);
--- a/packages/forwarding/src/forward-metrics.ts
+++ b/packages/forwarding/src/forward-metrics.ts
@@ -10,6 +10,8 @@
   firstBytes(afterMs: Milliseconds): void;
   /** Records the time between two reads of a stream. */
   streamGap(ms: Milliseconds): void;
+  /** Counts a lost response by what its target did when it was probed; `refuses`: it has crashed. */
+  responseLost(service: string, listening: string): void;
   /** Counts a retry that was requested from the retry budget. */
   retryRequested(service: string, granted: boolean): void;
   /** A request was refused since the limits that its targets have named are used up. */
@@ -50,6 +52,12 @@
       ),
     streamGap: (ms) =>
       metrics.observe("linkfall_stream_gap_ms", "Time between two reads of a stream.", ms),
+    responseLost: (service, listening) =>
+      metrics.count(
+        "linkfall_responses_lost_total",
+        "Lost responses, by whether their target still accepted connections; it refuses them after a crash.",
+        { service, listening },
+      ),
     retryRequested: (service, granted) =>
       metrics.count(
         "linkfall_retries_total",
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -5,6 +5,13 @@
 import type { ResponseSink } from "./response-sink.js";
 import type { StreamPosition } from "./attempt.js";
 
+/** Clock readings of one send. */
+export interface SendTimes {
+  readonly startedAt: Milliseconds;
+  /** When the first bytes of the response body arrived. */
+  firstByteAt?: Milliseconds;
+}
+
 export interface ForwardedRequest {
   readonly route: Route;
   readonly service: RoutedService;
@@ -33,6 +40,8 @@
   possibleRuns: number;
   /** Clock reading at which the first bytes of a response body arrived. */
   firstByteAt?: Milliseconds;
+  /** The newest send; absent before the first. */
+  lastSend?: SendTimes;
   /** Longest time between two reads of the stream. */
   maxStreamGapMs: Milliseconds;
   /** Two targets crashed while running the request: it is sent once more, to a target that runs no other such request. */
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -11,7 +11,7 @@
 import { type AttemptResult, sendAttempt } from "./attempt.js";
 import { recordFragility } from "./fragile-answers.js";
 import type { ForwardMetrics } from "./forward-metrics.js";
-import { type ForwardedRequest, weightsKey } from "./forwarded-request.js";
+import { type ForwardedRequest, type SendTimes, weightsKey } from "./forwarded-request.js";
 import type { PickResult, TargetMeters } from "./pick-target.js";
 import { type BindingContext, bindStream, isConfinedToVersion } from "./stream-binding.js";
 
@@ -209,6 +209,8 @@
   const uncachedTokens = Math.max(0, terms.promptTokens - target.prefixIndex.cachedTokens(query));
   const queuedTokens = target.ownLoad.promptTokens + target.otherBoxesLoad.promptTokens;
   const sentAt = clock.now();
+  const sendTimes: SendTimes = { startedAt: sentAt };
+  request.lastSend = sendTimes;
   let isPrefilling = true;
   let framing: ResponseFraming | undefined;
   let unfinishedBytes: number | undefined;
@@ -288,6 +290,7 @@
     },
     onFirstBodyBytes: () => {
       endPrefill();
+      sendTimes.firstByteAt = clock.now();
       request.firstByteAt ??= clock.now();
       context.metrics.firstBytes(clock.now() - sentAt);
       const prefillTokens = queuedTokens + uncachedTokens;
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -221,7 +221,7 @@
   sendLost: event(
     5013,
     "info",
-    "The response of a target was lost; if the target still accepts connections, only the connection failed.",
+    "The response of a target was lost; if the target still accepts connections, only the connection failed. Names the weights and the shared prompt parts of the request.",
   ),
   requestHeldBack: event(
     5014,
