--- a/packages/types/src/crash-blame.ts
+++ b/packages/types/src/crash-blame.ts
@@ -4,9 +4,16 @@
 /** Hash of a request's content. */
 export type Fingerprint = string;
 
+/** What requests that crashed targets may have in common. */
+export type SuspectKind = "request" | "prompt part" | "adapter";
+
 /** A request that is held back (blocked on all boxes), or was until an operator released it. */
 export interface HeldRequest {
   readonly request: Fingerprint;
+  /** What is held: one request, or all that share something; one request if absent. */
+  readonly kind?: SuspectKind;
+  /** What the requests share, as their callers write it; absent for one request. */
+  readonly text?: string;
   /** Incremented with each change; of two versions the higher revision wins. */
   readonly revision: number;
   /** Whether the request is still blocked. */
