Crashed targets get no requests once others are listed at their addresses

Cause: entries that disappear together count as a lapse of the list, so that their targets stay in use, though new ones are listed at the same addresses. Both scenarios of fleet.feature failed before. Why this works: one address belongs to one process; a missing target whose address another listed one has can't be running. A target whose entry a store lost by going back is removed only for a younger one.

--- a/packages/fleet/src/fleet.feature
+++ b/packages/fleet/src/fleet.feature
@@ -18,6 +18,25 @@
     And the entry of "t3" disappears
     Then "t1 t2 t3 t4 t5" may get requests
 
+  # Guards against spending the retry budget on targets that have crashed and come back under other ids.
+  Scenario: Crashed targets get no requests once others are listed at their addresses
+    When the entry of "t1" disappears
+    And the entry of "t2" disappears
+    And the entry of "t3" disappears
+    And "t6" is listed at the address of "t1"
+    And "t7" is listed at the address of "t2"
+    And "t8" is listed at the address of "t3"
+    Then "t4 t5 t6 t7 t8" may get requests
+
+  Scenario: Crashed targets get no requests if others were listed at their addresses before
+    When "t6" is listed at the address of "t1"
+    And "t7" is listed at the address of "t2"
+    And "t8" is listed at the address of "t3"
+    And the entry of "t1" disappears
+    And the entry of "t2" disappears
+    And the entry of "t3" disappears
+    Then "t4 t5 t6 t7 t8" may get requests
+
   Scenario: Entries that disappear one after the other are no lapse, however long the first are missing
     Guards against sending requests to removed targets after a store outage has extended their grace period.
     When the entry of "t1" disappears
--- a/packages/fleet/src/fleet.steps.ts
+++ b/packages/fleet/src/fleet.steps.ts
@@ -21,8 +21,11 @@
   return scene;
 }
 
+const addressOf = (id: string) =>
+  `10.0.0.1:${[...id].reduce((sum, char) => sum * 37 + char.charCodeAt(0), 0)}`;
+
 function listed(id: string, leaving = false, born?: Milliseconds): ListedTarget {
-  return { id, born, service, address: `10.0.0.1:${id.length}`, domain: "d", slots: 4, leaving };
+  return { id, born, service, address: addressOf(id), domain: "d", slots: 4, leaving };
 }
 
 function holdingsOf(
@@ -72,6 +75,13 @@
   sceneOf(this).fleet.applyEntry(listed(id));
 });
 
+When(
+  "{string} is listed at the address of {string}",
+  function (this: object, id: string, other: string) {
+    sceneOf(this).fleet.applyEntry({ ...listed(id), address: addressOf(other) });
+  },
+);
+
 When("the entry of {string} disappears", function (this: object, id: string) {
   sceneOf(this).fleet.removeEntry(id);
 });
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -83,6 +83,24 @@
   logger.event("targetMissing", { target: target.listed.id, service: target.listed.service });
 }
 
+/** Whether another listed target has the address of a missing one, which must have ended before. */
+function isAddressTaken({ targets }: FleetState, missing: TargetView): boolean {
+  const { address, id } = missing.listed;
+  return [...targets.values()].some(({ listed, unlistedAt, born }) => {
+    if (listed.id === id || listed.address !== address || unlistedAt !== undefined) return false;
+    if (born === undefined || missing.born === undefined) return !missing.isEntryLost;
+    return born > missing.born;
+  });
+}
+
+/** Removes missing targets that can't be running any more. */
+function removeReplaced(state: FleetState): void {
+  for (const target of [...state.targets.values()]) {
+    if (target.unlistedAt === undefined || !isAddressTaken(state, target)) continue;
+    removeTarget(state, target, "another target has its address");
+  }
+}
+
 /** Applies the complete list; targets that it lacks become missing. */
 export function applyList(
   state: FleetState,
@@ -96,12 +114,14 @@
     if (isRestored && target.missingSince === undefined) target.isEntryLost = true;
     markMissing(state, target);
   }
+  removeReplaced(state);
   notifyChange(state);
 }
 
 /** Applies one new or changed entry. */
 export function applyEntry(state: FleetState, target: ListedTarget): void {
   updateTarget(state, target);
+  removeReplaced(state);
   notifyChange(state);
 }
 
@@ -111,6 +131,7 @@
   if (!target) return;
   if (target.listed.leaving) removeTarget(state, target, "left");
   else markMissing(state, target);
+  removeReplaced(state);
 }
 
 /**
