--- a/packages/completion/src/completion.ts
+++ b/packages/completion/src/completion.ts
@@ -17,6 +17,7 @@
 import type { CompletionJob, CompletionResult } from "./job.js";
 import { createProgress, type Progress } from "./progress.js";
 import { createRetryBudget } from "./retry-budget.js";
+import { sharedTraitsOf } from "./shared-traits.js";
 
 /** Route name under which held-back completions are reported to operators. */
 const completionsRoute = "completions";
@@ -41,11 +42,12 @@
   const store = kernel.find(stateStoreName);
   let attempts = 0;
 
-  const guardedRequest = ({ fingerprint, account, model }: CompletionJob): GuardedRequest => {
-    const facts = { request: fingerprint, service: model.pool, route: completionsRoute, account };
+  const guardedRequest = (job: CompletionJob): GuardedRequest => {
+    const { fingerprint: request, account, model } = job;
+    const identity = { request, service: model.pool, route: completionsRoute, account };
     const engines = () => store.desired().enginesByPool.get(model.pool) ?? [];
     return {
-      attributes: facts,
+      attributes: { ...identity, shared: sharedTraitsOf(job) },
       countTargets: () => engines().length,
       countTargetsInUse: () => engines().filter(({ name }) => load.inFlight(name) > 0).length,
     };
--- a/packages/crash-blame/src/blame-state.ts
+++ b/packages/crash-blame/src/blame-state.ts
@@ -1,21 +1,26 @@
 /** The crash records of a box, and how records from other boxes are merged into them. */
-import type { BlameRecord, Fingerprint, HeldRequest, Milliseconds } from "@linkfall/types";
-import type { TargetCrash } from "./target-crash.js";
+import type { Fingerprint, HeldRequest, Incarnation, Milliseconds } from "@linkfall/types";
+import { type ChangeLog, createChangeLog } from "./change-log.js";
+import { hasSuspect, type SharedInCrash, type TargetCrash } from "./target-crash.js";
 
-/** A value with the sequence number of its last change. */
-export interface Sequenced<Value> {
-  readonly value: Value;
-  readonly sequence: number;
+/** How many requests with a suspect a box has served, and when it said so. */
+export interface ReportedSuccesses {
+  readonly count: number;
+  readonly at: Milliseconds;
 }
 
 export interface BlameState {
-  /** Oldest first. */
-  crashes: readonly Sequenced<TargetCrash>[];
-  /** Time at which a request with recorded crashes was last served successfully. */
-  readonly servedAt: Map<Fingerprint, Sequenced<Milliseconds>>;
-  /** Requests that are held back or have been released, least recently changed first. */
-  readonly held: Map<Fingerprint, Sequenced<HeldRequest>>;
-  lastSequence: number;
+  /** By a key of this box, in the order of their first reports. */
+  readonly crashes: Map<string, TargetCrash>;
+  /** Served requests with suspects of recorded crashes, by the box that served them. */
+  readonly served: Map<Fingerprint, Map<Incarnation, ReportedSuccesses>>;
+  /** Time at which an operator released a suspect; crashes before it don't count. */
+  readonly releasedAt: Map<Fingerprint, Milliseconds>;
+  /** What is held back or has been released, least recently changed first. */
+  readonly held: Map<Fingerprint, HeldRequest>;
+  readonly changes: ChangeLog;
+  /** Number of crashes so far, which makes their keys unique. */
+  crashCount: number;
 }
 
 /** Losses of a target within this time belong to one crash, since a restart takes longer. */
@@ -24,16 +29,37 @@
 const crashTtlMs: Milliseconds = 3_600_000;
 const maxCrashes = 300;
 /** More than the number of requests that run on a target at the same time. */
-const maxRequestsPerCrash = 256;
+export const maxRequestsPerCrash = 256;
+/** What was served of suspects without crashes is dropped beyond this number. */
+const maxServedSuspects = 2_000;
+/** Boxes whose served requests with one suspect are remembered. */
+const maxReportersPerSuspect = 512;
 const maxHeldRequests = 1_000;
 
 export function createBlameState(): BlameState {
-  return { crashes: [], servedAt: new Map(), held: new Map(), lastSequence: 0 };
+  return {
+    crashes: new Map(),
+    served: new Map(),
+    releasedAt: new Map(),
+    held: new Map(),
+    changes: createChangeLog(),
+    crashCount: 0,
+  };
 }
 
-function withNextSequence<Value>(state: BlameState, value: Value): Sequenced<Value> {
-  state.lastSequence += 1;
-  return { value, sequence: state.lastSequence };
+/** Kind of a record, and what identifies it among those of its kind. */
+export type RecordKey =
+  | { readonly kind: "crash"; readonly key: string }
+  | { readonly kind: "served"; readonly suspect: Fingerprint; readonly by: Incarnation }
+  | { readonly kind: "held"; readonly suspect: Fingerprint };
+
+function noteChange({ changes }: BlameState, key: RecordKey): void {
+  changes.append(JSON.stringify(key));
+}
+
+/** Returns the keys of the records that changed after a position. */
+export function changedSince({ changes }: BlameState, sequence: number): readonly RecordKey[] {
+  return changes.changedSince(sequence).map((key) => JSON.parse(key) as RecordKey);
 }
 
 function isSameCrash(left: TargetCrash, right: TargetCrash): boolean {
@@ -46,49 +72,125 @@
   return Math.max(left, right);
 }
 
-/** Merges two reports of one crash; returns `known` itself if `reported` adds no requests. */
+function mergeRequests(
+  known: ReadonlySet<Fingerprint>,
+  reported: ReadonlySet<Fingerprint>,
+): ReadonlySet<Fingerprint> {
+  const added = [...reported].filter((request) => !known.has(request));
+  if (added.length === 0 || known.size >= maxRequestsPerCrash) return known;
+  return new Set([...known, ...added].slice(0, maxRequestsPerCrash));
+}
+
+/** Of two reports of a shared trait the shorter time counts, since the request that had just begun is the more suspect one. */
+function mergeShared(
+  known: TargetCrash["shared"],
+  reported: TargetCrash["shared"],
+): TargetCrash["shared"] {
+  const isNews = ([id, { writingMs }]: readonly [Fingerprint, SharedInCrash]) => {
+    const earlier = known.get(id);
+    return earlier ? writingMs < earlier.writingMs : known.size < maxRequestsPerCrash;
+  };
+  const news = [...reported].filter(isNews);
+  return news.length === 0 ? known : new Map([...known, ...news]);
+}
+
+/** Merges two reports of one crash; returns `known` itself if `reported` adds nothing. */
 function mergeCrash(known: TargetCrash, reported: TargetCrash): TargetCrash {
-  const added = [...reported.requests].filter((request) => !known.requests.has(request));
-  if (added.length === 0 || known.requests.size >= maxRequestsPerCrash) return known;
-  const requests = new Set([...known.requests, ...added].slice(0, maxRequestsPerCrash));
+  const requests = mergeRequests(known.requests, reported.requests);
+  const shared = mergeShared(known.shared, reported.shared);
+  if (requests === known.requests && shared === known.shared) return known;
   const targetsInUse = mostInUse(known.targetsInUse, reported.targetsInUse);
-  return { ...known, at: Math.min(known.at, reported.at), requests, targetsInUse };
+  return { ...known, at: Math.min(known.at, reported.at), requests, shared, targetsInUse };
+}
+
+/** Drops crashes that are too old or too many, and what was served of suspects that no crash has any more. */
+function dropOldCrashes(state: BlameState, now: Milliseconds): void {
+  const { crashes, served } = state;
+  const sizeBefore = crashes.size;
+  for (const [key, { at }] of crashes) if (now - at >= crashTtlMs) crashes.delete(key);
+  evictOldest(crashes, maxCrashes);
+  if (crashes.size === sizeBefore || served.size <= maxServedSuspects) return;
+  for (const suspect of [...served.keys()]) {
+    if (!isSuspect(state, suspect)) served.delete(suspect);
+  }
 }
 
 /** Adds or merges a crash; returns whether the state changed. */
 export function addCrash(state: BlameState, reported: TargetCrash, now: Milliseconds): boolean {
-  const index = state.crashes.findIndex(({ value }) => isSameCrash(value, reported));
-  if (index < 0) {
-    const recent = state.crashes.filter(({ value }) => now - value.at < crashTtlMs);
-    state.crashes = [...recent, withNextSequence(state, reported)].slice(-maxCrashes);
+  const known = [...state.crashes].find(([, crash]) => isSameCrash(crash, reported));
+  if (!known) {
+    state.crashCount += 1;
+    const key = `${state.crashCount}`;
+    state.crashes.set(key, reported);
+    dropOldCrashes(state, now);
+    noteChange(state, { kind: "crash", key });
     return true;
   }
-  const known = state.crashes[index].value;
-  const merged = mergeCrash(known, reported);
-  if (merged === known) return false;
-  state.crashes = state.crashes.with(index, withNextSequence(state, merged));
+  const [key, crash] = known;
+  const merged = mergeCrash(crash, reported);
+  if (merged === crash) return false;
+  state.crashes.set(key, merged);
+  noteChange(state, { kind: "crash", key });
   return true;
 }
 
-/**
- * Records that a request was served successfully, which clears it of earlier crashes. Returns whether the state
- * changed.
- */
-export function addServed(state: BlameState, request: Fingerprint, at: Milliseconds): boolean {
-  if (at <= (state.servedAt.get(request)?.value ?? -Infinity)) return false;
-  const hasCrash = state.crashes.some(({ value }) => value.at < at && value.requests.has(request));
-  if (!hasCrash) return false;
-  state.servedAt.set(request, withNextSequence(state, at));
-  evictOldest(state.servedAt, maxCrashes * maxRequestsPerCrash);
+/** Whether a suspect of the crash has been released since. */
+export function isForgiven({ releasedAt }: BlameState, crash: TargetCrash): boolean {
+  if (releasedAt.size === 0) return false;
+  return [...releasedAt].some(([suspect, at]) => crash.at <= at && hasSuspect(crash, suspect));
+}
+
+/** Whether any crash with the suspect is recorded. */
+export function isSuspect({ crashes }: BlameState, suspect: Fingerprint): boolean {
+  for (const crash of crashes.values()) if (hasSuspect(crash, suspect)) return true;
+  return false;
+}
+
+/** Records how many requests with a suspect a box has served; returns whether the state changed. */
+export function addServed(
+  state: BlameState,
+  suspect: Fingerprint,
+  by: Incarnation,
+  reported: ReportedSuccesses,
+): boolean {
+  if (!isSuspect(state, suspect)) return false;
+  const reporters = state.served.get(suspect) ?? new Map<Incarnation, ReportedSuccesses>();
+  const known = reporters.get(by);
+  if (known && reported.count <= known.count) return false;
+  state.served.set(suspect, reporters.set(by, reported));
+  evictOldest(reporters, maxReportersPerSuspect);
+  evictOldest(state.served, maxCrashes * maxRequestsPerCrash);
+  noteChange(state, { kind: "served", suspect, by });
   return true;
 }
 
-/** Stores a held or released request unless a newer revision is known; returns whether the state changed. */
-export function addHeldRequest(state: BlameState, heldRequest: HeldRequest): boolean {
-  const known = state.held.get(heldRequest.request)?.value;
+/** Sum of the served requests with a suspect that boxes other than `except` have reported. */
+export function reportedServed(
+  state: BlameState,
+  suspect: Fingerprint,
+  except?: Incarnation,
+): number {
+  const reporters = [...(state.served.get(suspect) ?? [])];
+  const from = state.releasedAt.get(suspect) ?? -Infinity;
+  return reporters
+    .filter(([by, { at }]) => by !== except && at > from)
+    .reduce((sum, [, { count }]) => sum + count, 0);
+}
+
+/** Stores a held or released suspect unless a newer revision is known; returns whether the state changed. */
+export function addHeldRequest(
+  state: BlameState,
+  heldRequest: HeldRequest,
+  now: Milliseconds,
+): boolean {
+  const known = state.held.get(heldRequest.request);
   if (known && known.revision >= heldRequest.revision) return false;
+  // What it did before its release is forgiven, since the cause may have been fixed.
+  if (!heldRequest.held) state.releasedAt.set(heldRequest.request, now);
+  evictOldest(state.releasedAt, maxHeldRequests);
   state.held.delete(heldRequest.request);
-  state.held.set(heldRequest.request, withNextSequence(state, heldRequest));
+  state.held.set(heldRequest.request, heldRequest);
+  noteChange(state, { kind: "held", suspect: heldRequest.request });
   if (state.held.size > maxHeldRequests) evictHeldRequest(state);
   return true;
 }
@@ -99,9 +201,8 @@
  */
 function evictHeldRequest(state: BlameState): void {
   const byAccount = new Map<string, Fingerprint[]>();
-  for (const { value } of state.held.values()) {
-    const account = value.account ?? "";
-    byAccount.set(account, [...(byAccount.get(account) ?? []), value.request]);
+  for (const { account = "", request } of state.held.values()) {
+    byAccount.set(account, [...(byAccount.get(account) ?? []), request]);
   }
   const [largest] = [...byAccount.values()].sort((left, right) => right.length - left.length);
   state.held.delete(largest[0]);
@@ -110,73 +211,3 @@
 function evictOldest(map: Map<unknown, unknown>, maxSize: number): void {
   if (map.size > maxSize) map.delete(map.keys().next().value);
 }
-
-/** Whether any crash is recorded for the request. */
-export function isSuspect({ crashes }: BlameState, request: Fingerprint): boolean {
-  return crashes.some(({ value }) => value.requests.has(request));
-}
-
-/**
- * Returns the held requests that explain crashes of the request. A held request explains none if the request was running
- * in all of its crashes, since either of them may then be the cause.
- */
-function explanationsFor(state: BlameState, request: Fingerprint): ReadonlySet<Fingerprint> {
-  const isHeld = (other: Fingerprint) => state.held.get(other)?.value.held === true;
-  const withoutRequest = state.crashes.filter(({ value }) => !value.requests.has(request));
-  return new Set(withoutRequest.flatMap(({ value }) => [...value.requests].filter(isHeld)));
-}
-
-/**
- * Returns the crashes that are relevant for judging a request. Excludes crashes with the request before it was last
- * served, and crashes that a held request explains.
- */
-export function unexplainedCrashes(
-  state: BlameState,
-  request: Fingerprint,
-): readonly TargetCrash[] {
-  const servedAt = state.servedAt.get(request)?.value ?? -Infinity;
-  const explanations = explanationsFor(state, request);
-  return state.crashes
-    .map(({ value }) => value)
-    .filter((crash) => crash.at > servedAt || !crash.requests.has(request))
-    .filter((crash) => ![...crash.requests].some((other) => explanations.has(other)));
-}
-
-/** Returns the records that changed after a sequence number, in the form sent to other boxes. */
-export function recordsSince(
-  state: BlameState,
-  sequence: number,
-  now: Milliseconds,
-): readonly BlameRecord[] {
-  const isNew = (entry: { readonly sequence: number }) => entry.sequence > sequence;
-  const ageMs = (at: Milliseconds) => Math.max(0, Math.round(now - at));
-  const crashes = state.crashes.filter(isNew).map(({ value }): BlameRecord => {
-    const { target, service, at, requests, targetsInUse } = value;
-    const common = { target, service, targetsInUse };
-    return { kind: "end", ...common, ageMs: ageMs(at), requests: [...requests] };
-  });
-  const served = [...state.servedAt].filter(([, entry]) => isNew(entry));
-  const held = [...state.held.values()].filter(isNew);
-  return [
-    ...crashes,
-    ...served.map(([request, { value }]): BlameRecord => {
-      return { kind: "served", request, ageMs: ageMs(value) };
-    }),
-    ...held.map(({ value }): BlameRecord => ({ kind: "held", word: value })),
-  ];
-}
-
-/** Applies one record of another box; returns whether the state changed. */
-export function applyRecord(state: BlameState, record: BlameRecord, now: Milliseconds): boolean {
-  switch (record.kind) {
-    case "end": {
-      const { target, service, ageMs, requests, targetsInUse } = record;
-      const common = { target, service, targetsInUse };
-      return addCrash(state, { ...common, at: now - ageMs, requests: new Set(requests) }, now);
-    }
-    case "served":
-      return addServed(state, record.request, now - record.ageMs);
-    case "held":
-      return addHeldRequest(state, record.word);
-  }
-}
--- a/packages/crash-blame/src/crash-blame.steps.ts
+++ b/packages/crash-blame/src/crash-blame.steps.ts
@@ -58,7 +58,7 @@
 }
 
 function classifyAt(context: Context, box: string, request: string): Verdict {
-  return blameOf(context, box).classify(attributesOf(request), context.targets);
+  return blameOf(context, box).classify(attributesOf(request), context.targets).verdict;
 }
 
 /** Records a crash at a box for each request, and classifies the request as before a retry. */
@@ -70,13 +70,14 @@
   targetsInUse = context.targets,
 ): void {
   const blame = blameOf(context, box);
-  for (const request of requests) blame.recordCrash(target, attributesOf(request), targetsInUse);
+  for (const request of requests)
+    blame.recordCrash(target, attributesOf(request), { targetsInUse });
   for (const request of requests) classifyAt(context, box, request);
 }
 
 function createContext(names: readonly string[], targets: number): Context {
   const clock = createVirtualClock();
-  const boxes = new Map(names.map((name) => [name, createCrashBlame(clock)]));
+  const boxes = new Map(names.map((name) => [name, createCrashBlame(clock, name)]));
   return { clock, boxes, targets };
 }
 
@@ -102,7 +103,7 @@
 When(
   "{string} is served successfully by box {string}",
   function (this: object, request: string, box: string) {
-    blameOf(contextOf(this), box).recordServed(request);
+    blameOf(contextOf(this), box).recordServed(attributesOf(request));
   },
 );
 
@@ -158,7 +159,7 @@
 
 When("box {string} restarts", function (this: object, box: string) {
   const { boxes, clock } = contextOf(this);
-  boxes.set(box, createCrashBlame(clock));
+  boxes.set(box, createCrashBlame(clock, `${box}, restarted`));
 });
 
 When(
@@ -325,7 +326,8 @@
       crash(load, target);
       continue;
     }
-    for (const { request, box } of done) blameOf(load.context, box).recordServed(request);
+    for (const { request, box } of done)
+      blameOf(load.context, box).recordServed(attributesOf(request));
     load.running.set(
       target,
       executions.filter(({ endsAt }) => endsAt > now),
--- a/packages/crash-blame/src/held-request-store.steps.ts
+++ b/packages/crash-blame/src/held-request-store.steps.ts
@@ -40,10 +40,10 @@
   const { clock, blame } = sceneOf(this);
   const attributes = { request, service: "s", route: "r" };
   for (const target of crashedTargets) {
-    blame.recordCrash(`${target}-${request}`, attributes, targetCount);
+    blame.recordCrash(`${target}-${request}`, attributes, { targetsInUse: targetCount });
     await clock.runUntil(clock.now() + settleMs);
   }
-  assert.equal(blame.classify(attributes, targetCount), "guilty");
+  assert.equal(blame.classify(attributes, targetCount).verdict, "guilty");
   await clock.runUntil(clock.now() + writeMs);
 });
 
--- a/packages/crash-blame/src/index.ts
+++ b/packages/crash-blame/src/index.ts
@@ -1,55 +1,88 @@
 /**
- * Detects requests that crash the targets that run them, and holds them back. Crashes are shared between boxes, since
- * callers retry such a request at any box, and each retry would take down another target.
+ * Detects requests that crash the targets that run them, and what such requests have in common, and holds them back. Crashes
+ * are shared between boxes, since callers send such requests to any box, and each would take down another target.
  */
 import { createReceivedUpdates } from "@linkfall/followed-news";
 import { type Clock, serviceName } from "@linkfall/kernel";
-import type { BlameMessage, Fingerprint, HeldRequest, Incarnation } from "@linkfall/types";
+import type {
+  BlameMessage,
+  BlameRecord,
+  Fingerprint,
+  HeldRequest,
+  Incarnation,
+  Milliseconds,
+  SuspectKind,
+} from "@linkfall/types";
 import {
   addCrash,
   addHeldRequest,
   addServed,
-  applyRecord,
   createBlameState,
+  isForgiven,
   isSuspect,
-  recordsSince,
-  unexplainedCrashes,
+  reportedServed,
 } from "./blame-state.js";
-import { judge, type Verdict } from "./judge.js";
+import { applyRecord, recordsSince } from "./blame-records.js";
+import { createExposures } from "./exposures.js";
+import { type Judgement, judge, type Verdict } from "./judge.js";
+import { type SharedTrait, sharedTrait } from "./shared-trait.js";
+import { createSuccessCounter } from "./success-counter.js";
+import type { SharedInCrash } from "./target-crash.js";
 
+export { describeCause } from "./describe-cause.js";
 export { heldRequestSchema } from "./held-request-schema.js";
 export { createHeldRequestStore, type HeldRequestStore } from "./held-request-store.js";
 export { settlingMs, type Verdict } from "./judge.js";
 export { reportDecisions } from "./report-decisions.js";
+export { sharedTrait, type SharedTrait } from "./shared-trait.js";
 export { heldRequestsPath } from "./target-crash.js";
 
 /** Identifies a request, and describes it to operators if it is held back. */
 export interface RequestAttributes {
+  /** Computed on demand, since most requests are never suspected. */
   readonly request: Fingerprint;
   readonly service: string;
   readonly route: string;
   readonly account?: string;
+  /** What the request shares with others. */
+  readonly shared?: readonly SharedTrait[];
+}
+
+/** What a box knows of the target that crashed. */
+export interface CrashDetails {
+  /** Number of the service's targets that were running requests. */
+  readonly targetsInUse: number;
+  /** Time since the response to the request had begun; 0 if it had not. */
+  readonly writingMs?: Milliseconds;
+}
+
+/** The verdict on a request, and what it is due to. */
+export interface Classification {
+  readonly verdict: Verdict;
+  /** What decided it; absent if the verdict is `clear`. */
+  readonly kind?: SuspectKind;
+  readonly text?: string;
 }
 
 export interface CrashBlame {
-  /** Whether no crashes and no held requests are recorded, so that callers need not compute fingerprints. */
+  /** Whether no crashes and nothing held are recorded, so that callers need not compute fingerprints. */
   isEmpty(): boolean;
   /**
-   * Judges a request and holds it back from now on if it is guilty.
+   * Judges a request, and holds it or what it shares with others back from now on if that is guilty.
    *
    * @param targets number of targets of the request's service
    */
-  classify(attributes: RequestAttributes, targets: number): Verdict;
+  classify(attributes: RequestAttributes, targets: number): Classification;
+  /** Records that a target crashed while running the request. */
+  recordCrash(target: string, attributes: RequestAttributes, details: CrashDetails): void;
   /**
-   * Records that a target crashed while running the request.
+   * Records that the request was served successfully.
    *
-   * @param targetsInUse number of the service's targets that were running requests
+   * @param beganAfterMs time from the send to the beginning of the response, if known
    */
-  recordCrash(target: string, attributes: RequestAttributes, targetsInUse: number): void;
-  /** Records that the request was served successfully, which clears it of earlier crashes. */
-  recordServed(request: Fingerprint): void;
+  recordServed(attributes: RequestAttributes, beganAfterMs?: Milliseconds): void;
   heldRequests(): readonly HeldRequest[];
-  /** Releases a held request; returns false if it is not held. */
+  /** Releases what is held under a fingerprint; returns false if nothing is. */
   release(request: Fingerprint): boolean;
   /** Restores a persisted decision. */
   restore(heldRequest: HeldRequest): void;
@@ -61,89 +94,203 @@
   appliedSequence(other: Incarnation): number;
   /** Calls the listener on each change that originates at this box. */
   onChange(listener: () => void): void;
-  /** Calls the listener when this box holds back or releases a request. */
+  /** Calls the listener when this box holds something back or releases it. */
   onDecision(listener: (heldRequest: HeldRequest) => void): void;
 }
 
 export const crashBlameName = serviceName<CrashBlame>("crash-blame");
 
-/** Creates an instance without any records. */
-export function createCrashBlame(clock: Clock): CrashBlame {
+/** One of the things that a request may be held back for. */
+interface Suspect {
+  readonly id: Fingerprint;
+  readonly kind: SuspectKind;
+  readonly text?: string;
+}
+
+/** Order of verdicts; the strictest one on any suspect applies to the request. */
+const strictness: Readonly<Record<Verdict, number>> = {
+  clear: 0,
+  suspect: 1,
+  last_try: 2,
+  unsettled: 3,
+  guilty: 4,
+};
+/** A judgement is made anew after this time, as successes lose weight. */
+const judgementTtlMs: Milliseconds = 1_000;
+/** Traits of one request that a crash record names; the least served ones are the most suspect. */
+const maxTraitsPerRequest = 64;
+/** Requests with a crash whose successes this box counts; the oldest are forgotten. */
+const maxCountedRequests = 10_000;
+/** Crashes with a trait from which on boxes report how often they have served it. */
+const minCrashesToReport = 2;
+/** A count is reported again once it has grown by this factor. */
+const reportGrowth = 1.5;
+/** Other boxes' successes that suffice for each crash, so that this box need not report its own. */
+const sufficientSuccessesPerCrash = 50;
+
+/**
+ * Creates an instance without any records.
+ *
+ * @param self incarnation of this box, under which it reports its successes
+ */
+export function createCrashBlame(clock: Clock, self: Incarnation = ""): CrashBlame {
   const state = createBlameState();
   const applied = createReceivedUpdates();
+  const successes = createSuccessCounter(clock.now, (suspect) => isSuspect(state, suspect));
+  const exposures = createExposures();
+  const requestSuccesses = new Map<Fingerprint, number>();
   const changeListeners: (() => void)[] = [];
   const decisionListeners: ((heldRequest: HeldRequest) => void)[] = [];
+  const judgements = new Map<string, { version: number; at: Milliseconds; judgement: Judgement }>();
 
   const notifyChange = () => {
     for (const listener of changeListeners) listener();
   };
   const decide = (heldRequest: HeldRequest) => {
-    addHeldRequest(state, heldRequest);
+    addHeldRequest(state, heldRequest, clock.now());
     for (const listener of decisionListeners) listener(heldRequest);
     notifyChange();
   };
-  const isHeld = (request: Fingerprint) => state.held.get(request)?.value.held === true;
+  const isHeld = (suspect: Fingerprint) => state.held.get(suspect)?.held === true;
+  const ownServed = (suspect: Fingerprint) =>
+    requestSuccesses.get(suspect) ?? successes.countOf(suspect);
+  const servedByOthers = (suspect: Fingerprint) => reportedServed(state, suspect, self);
+
+  const judgementOn = (service: string, targets: number): Judgement => {
+    const version = state.changes.lastSequence();
+    const key = `${targets} ${service}`;
+    const known = judgements.get(key);
+    const at = clock.now();
+    if (known && known.version === version && at - known.at < judgementTtlMs)
+      return known.judgement;
+    const crashes = [...state.crashes.values()]
+      .filter((crash) => crash.service === service && !isForgiven(state, crash))
+      .sort((left, right) => left.at - right.at);
+    const judgement = judge({
+      crashes,
+      targets,
+      exposureMs: exposures.of(service),
+      held: [...state.held.keys()].filter(isHeld),
+      servedCount: (suspect) => ownServed(suspect) + servedByOthers(suspect),
+    });
+    if (judgements.size > state.crashes.size) judgements.clear();
+    judgements.set(key, { version, at, judgement });
+    return judgement;
+  };
+
+  const suspectsOf = ({ request, service, shared = [] }: RequestAttributes): readonly Suspect[] => [
+    { id: request, kind: "request" },
+    ...shared.map((trait) => ({ id: successes.idOf(service, trait), ...trait })),
+  ];
 
-  const hold = (attributes: RequestAttributes) => {
-    const crashes = unexplainedCrashes(state, attributes.request).filter((crash) =>
-      crash.requests.has(attributes.request),
-    );
+  const hold = (
+    { service, route, account }: RequestAttributes,
+    { id, kind, text }: Suspect,
+    judgement: Judgement,
+  ) => {
+    const revision = (state.held.get(id)?.revision ?? 0) + 1;
     decide({
-      ...attributes,
-      revision: (state.held.get(attributes.request)?.value.revision ?? 0) + 1,
+      request: id,
+      kind,
+      text,
+      revision,
       held: true,
-      targets: crashes.map(({ target }) => target),
+      service,
+      route,
+      account: kind === "request" ? account : undefined,
+      targets: judgement.targetsOf(id),
+      evidence: judgement.evidenceOf(id),
       since: clock.wallTime(),
     });
   };
 
+  const crashesWith = (suspect: Fingerprint): number =>
+    [...state.crashes.values()].filter(({ shared }) => shared.has(suspect)).length;
+  /** Reports how often this box has served a suspect, unless others have reported enough; returns whether it did. */
+  const reportServed = (suspect: Fingerprint): boolean => {
+    const count = ownServed(suspect);
+    const last = state.served.get(suspect)?.get(self)?.count ?? 0;
+    if (count < Math.max(1, last * reportGrowth)) return false;
+    return addServed(state, suspect, self, { count, at: clock.now() });
+  };
+  const reportTrait = (suspect: Fingerprint): boolean => {
+    const crashes = crashesWith(suspect);
+    if (crashes < minCrashesToReport) return false;
+    if (servedByOthers(suspect) >= crashes * sufficientSuccessesPerCrash) return false;
+    return reportServed(suspect);
+  };
+  const traitsOf = (record: BlameRecord): readonly Fingerprint[] => {
+    if (record.kind !== "end") return [];
+    const { service, shared = [] } = record;
+    return shared.map(([kind, text]) => successes.idOf(service, sharedTrait(kind, text)));
+  };
+  const reportTraits = (suspects: Iterable<Fingerprint>) => {
+    const reported = [...new Set(suspects)].filter(reportTrait);
+    if (reported.length > 0) notifyChange();
+  };
+
   return {
-    isEmpty: () => state.crashes.length === 0 && state.held.size === 0,
+    isEmpty: () => state.crashes.size === 0 && state.held.size === 0,
     classify(attributes, targets) {
-      const { request } = attributes;
-      if (isHeld(request)) return "guilty";
-      if (!isSuspect(state, request)) return "clear";
-      const verdict = judge({
-        request,
-        crashes: unexplainedCrashes(state, request),
-        targets,
-        now: clock.now(),
-      });
-      if (verdict === "guilty") hold(attributes);
-      return verdict;
+      const suspects = suspectsOf(attributes);
+      const judgement = judgementOn(attributes.service, targets);
+      let strictest: Classification = { verdict: "clear" };
+      for (const suspect of suspects) {
+        const { id, kind, text } = suspect;
+        const verdict = isHeld(id) ? "guilty" : judgement.verdictOn(id, clock.now());
+        if (verdict === "guilty" && !isHeld(id)) hold(attributes, suspect, judgement);
+        if (strictness[verdict] > strictness[strictest.verdict])
+          strictest = { verdict, kind, text };
+      }
+      return strictest;
     },
-    recordCrash(target, { request, service }, targetsInUse) {
+    recordCrash(target, { request, service, shared = [] }, { targetsInUse, writingMs = 0 }) {
       const now = clock.now();
-      const crash = { target, service, at: now, requests: new Set([request]), targetsInUse };
-      if (addCrash(state, crash, now)) notifyChange();
+      const traits = shared
+        .map((trait) => [successes.idOf(service, trait), { ...trait, writingMs }] as const)
+        .sort(([left], [right]) => successes.countOf(left) - successes.countOf(right))
+        .slice(0, maxTraitsPerRequest);
+      const named: ReadonlyMap<Fingerprint, SharedInCrash> = new Map(traits);
+      const common = { target, service, at: now, targetsInUse };
+      const crash = { ...common, requests: new Set([request]), shared: named };
+      if (!addCrash(state, crash, now)) return;
+      for (const id of named.keys()) reportTrait(id);
+      notifyChange();
     },
-    recordServed(request) {
-      if (addServed(state, request, clock.now())) notifyChange();
+    recordServed(attributes, beganAfterMs) {
+      const { service, shared = [] } = attributes;
+      if (beganAfterMs !== undefined) exposures.record(service, beganAfterMs);
+      const traits = shared.map((trait) => successes.record(service, trait));
+      if (state.crashes.size === 0) return;
+      const { request } = attributes;
+      if (isSuspect(state, request)) {
+        requestSuccesses.set(request, (requestSuccesses.get(request) ?? 0) + 1);
+        if (requestSuccesses.size > maxCountedRequests)
+          requestSuccesses.delete(requestSuccesses.keys().next().value ?? "");
+        if (reportServed(request)) notifyChange();
+      }
+      reportTraits(traits);
     },
-    heldRequests: () =>
-      [...state.held.values()].map(({ value }) => value).filter(({ held }) => held),
+    heldRequests: () => [...state.held.values()].filter(({ held }) => held),
     release(request) {
-      const heldRequest = state.held.get(request)?.value;
+      const heldRequest = state.held.get(request);
       if (!heldRequest?.held) return false;
-      // Clears earlier crashes, since the cause may have been fixed.
-      addServed(state, request, clock.now());
-      decide({
-        ...heldRequest,
-        revision: heldRequest.revision + 1,
-        held: false,
-        since: clock.wallTime(),
-      });
+      // Boxes that take every success for a release learn of it in this way.
+      addServed(state, request, self, { count: 1, at: clock.now() });
+      const revision = heldRequest.revision + 1;
+      decide({ ...heldRequest, revision, held: false, since: clock.wallTime() });
       return true;
     },
-    restore: (heldRequest) => void addHeldRequest(state, heldRequest),
+    restore: (heldRequest) => void addHeldRequest(state, heldRequest, clock.now()),
     changesSince: (sequence) => ({
-      number: state.lastSequence,
+      number: state.changes.lastSequence(),
       records: recordsSince(state, sequence, clock.now()),
     }),
     applyChanges(from, changes) {
       const now = clock.now();
       for (const record of changes.records) applyRecord(state, record, now);
       applied.record(from, changes.number);
+      reportTraits(changes.records.flatMap(traitsOf));
     },
     appliedSequence: applied.latestFrom,
     onChange: (listener) => void changeListeners.push(listener),
--- a/packages/crash-blame/src/judge.ts
+++ b/packages/crash-blame/src/judge.ts
@@ -1,105 +1,270 @@
-/** Decides whether a request causes the crashes of targets. A pure function of the recorded crashes. */
-import type { Fingerprint, Milliseconds } from "@linkfall/types";
-import type { TargetCrash } from "./target-crash.js";
+/**
+ * Decides what causes the crashes of targets: a request, or something that several requests share. A pure function of the
+ * recorded crashes. The best explanation is taken first, and its crashes then count for no other suspect.
+ */
+import type { Fingerprint, Milliseconds, SuspectKind } from "@linkfall/types";
+import { type Evidence, noEvidence, rateWindowMs, weigh, type WeighedCrash } from "./evidence.js";
+import { type CrashTimes, createCrashTimes, shareOfTargets } from "./crash-times.js";
+import { hasSuspect, type TargetCrash } from "./target-crash.js";
 
 export type Verdict =
   /** No crash is attributed to the request. */
   | "clear"
   /** A target crashed while running the request, which may be coincidence. */
   | "suspect"
-  /** Several targets crashed while running the request, and reports from other boxes may be outstanding. */
+  /** Several targets crashed while running such requests, and reports from other boxes may be outstanding. */
   | "unsettled"
   /** Several crashes have other possible causes; the request may be sent once more, without retries. */
   | "last_try"
-  /** The request is considered the cause. */
+  /** The request, or something that it shares with others, is considered the cause. */
   | "guilty";
 
-export interface Evidence {
-  readonly request: Fingerprint;
-  /** Crashes that are not explained by a held request. */
+/** Crashes of one service, and what is known of its suspects. */
+export interface Case {
+  /** In the order of their times. */
   readonly crashes: readonly TargetCrash[];
-  /** Number of targets of the request's service. */
+  /** Number of targets of the service. */
   readonly targets: number;
-  readonly now: Milliseconds;
+  /** Time until responses of the service begin. */
+  readonly exposureMs: Milliseconds;
+  /** What is held back. */
+  readonly held: readonly Fingerprint[];
+  /** Number of served requests with the suspect. */
+  servedCount(suspect: Fingerprint): number;
 }
 
-/** Crashes within this time of each other may share a cause, such as a power failure. */
-const correlatedWindowMs: Milliseconds = 300;
-/** The same for crashes with copies of the request: copies sent in parallel crash at once, retries later. */
-const copyWindowMs: Milliseconds = 10;
+export interface Judgement {
+  /** What the crashes tell of a suspect, without those that others explain. */
+  evidenceOf(suspect: Fingerprint): Evidence;
+  /** Targets that crashed under the suspect. */
+  targetsOf(suspect: Fingerprint): readonly string[];
+  verdictOn(suspect: Fingerprint, now: Milliseconds): Verdict;
+}
+
+/** Time after a crash in which other boxes report the requests that they lost in it. */
+export const settlingMs: Milliseconds = 500;
 /** Crashes of one instant, as boxes notice them; unrelated crashes rarely coincide so closely. */
 const instantMs: Milliseconds = 25;
+/** Crashes within this time of each other may share a cause, such as a power failure. */
+const correlatedWindowMs: Milliseconds = 300;
 /** Fraction of a service's targets that must crash with another one for it to count as a mass failure. */
 const massFailureFraction = 0.3;
-/** Crashes without the request within this time of one with it suggest another cause. */
-const unrelatedCrashWindowMs: Milliseconds = 10_000;
-/** Time after a crash in which other boxes report the requests that they lost in it. */
-export const settlingMs: Milliseconds = 500;
-/** Number of crashes that suffice if they have no other explanation. */
-const minCrashes = 2;
-/** Number of crashes that suffice in any case. */
-const conclusiveCrashes = 3;
-
-const isWithin = (left: TargetCrash, right: TargetCrash, ms: Milliseconds): boolean =>
-  Math.abs(left.at - right.at) <= ms;
-
-/** Whether many targets of the service crashed at the same time, some of them possibly with copies of the request. */
-function isServiceFailure({ request, crashes, targets }: Evidence, crash: TargetCrash): boolean {
-  const simultaneous = crashes.filter((other) => {
-    const hasCopy = other.requests.has(request);
-    return other !== crash && isWithin(crash, other, hasCopy ? copyWindowMs : correlatedWindowMs);
-  });
-  return simultaneous.length >= Math.max(1, targets * massFailureFraction);
+
+/** Evidence that suffices; shared traits are more numerous than repeated requests, and holding one back affects more callers. */
+const sufficientEvidence: Readonly<Record<SuspectKind, number>> = {
+  request: 7.65,
+  adapter: 8.2,
+  "prompt part": 8.2,
+  "prompt beginning": 8.2,
+};
+/** Evidence from which a request is sent without retries. */
+const doubtfulEvidence = 6.3;
+/** Evidence beyond the sufficient one that decides between suspects which explain the same crashes. */
+const decisiveMargin = 2.5;
+/** Suspects whose evidence differs by less explain their crashes equally well. */
+const equalEvidence = 0.5;
+/** The narrower explanation comes first, as holding it back affects fewer callers. */
+const breadth: Readonly<Record<SuspectKind, number>> = {
+  request: 0,
+  adapter: 1,
+  "prompt part": 2,
+  "prompt beginning": 2,
+};
+
+interface SuspectRecord {
+  readonly id: Fingerprint;
+  readonly kind: SuspectKind;
+  /** In the order of their times. */
+  readonly crashes: readonly TargetCrash[];
+}
+
+/** The crashes that count, as seen by one suspect or by many. */
+interface UnexplainedCrashes {
+  readonly explained: ReadonlySet<TargetCrash>;
+  readonly times: CrashTimes;
+}
+
+function recordOf({ crashes }: Case, id: Fingerprint): SuspectRecord {
+  const own = crashes.filter((crash) => hasSuspect(crash, id));
+  return { id, kind: own[0]?.shared.get(id)?.kind ?? "request", crashes: own };
+}
+
+/** The suspects that were running in several crashes; one crash never suffices. */
+function repeatedSuspects(input: Case): readonly SuspectRecord[] {
+  const seen = new Set<Fingerprint>();
+  const repeated = new Set<Fingerprint>();
+  for (const { requests, shared } of input.crashes) {
+    for (const id of [...requests, ...shared.keys()]) (seen.has(id) ? repeated : seen).add(id);
+  }
+  return [...repeated].map((id) => recordOf(input, id)).filter(({ crashes }) => crashes.length > 1);
+}
+
+/** Number of targets that crashed together with this one, itself included. */
+function simultaneousCrashes(
+  { at }: TargetCrash,
+  own: readonly TargetCrash[],
+  { countWithin }: CrashTimes,
+  targets: number,
+): number {
+  const ofInstant = countWithin(at - instantMs, at + instantMs);
+  const near = countWithin(at - correlatedWindowMs, at + correlatedWindowMs);
+  const ownNear = own.filter((other) => Math.abs(other.at - at) <= correlatedWindowMs).length;
+  const others = near - ownNear;
+  const isMassFailure = others >= Math.max(1, targets * massFailureFraction);
+  return isMassFailure ? Math.max(ofInstant, others + 1) : ofInstant;
 }
 
 /**
- * Whether many of the targets that were running requests crashed in the same instant, others without the request. The
- * crash of an idle target goes unnoticed, so that a mass failure looks small compared with all targets.
+ * Rate of crashes of one target, per millisecond, around the time of the suspect's crashes. Those with a request are left out;
+ * those with a shared trait are not, since one that all requests have would leave none.
  */
-function isFailureOfTargetsInUse({ request, crashes }: Evidence, crash: TargetCrash): boolean {
-  const { targetsInUse = Infinity } = crash;
-  const others = crashes.filter(
-    (other) => !other.requests.has(request) && isWithin(crash, other, instantMs),
-  );
-  return others.length > 0 && others.length + 1 >= targetsInUse * massFailureFraction;
+function crashRateAround(
+  kind: SuspectKind,
+  own: readonly TargetCrash[],
+  { shareWithin }: CrashTimes,
+  targets: number,
+): number {
+  const [from, to] = [own[0].at, own[own.length - 1].at];
+  const ownShare = kind === "request" ? shareOfTargets(own, targets) : 0;
+  const share = shareWithin(from - rateWindowMs, to + rateWindowMs) - ownShare;
+  return Math.max(0, share) / (to - from + rateWindowMs);
+}
+
+function weighSuspect(
+  suspect: SuspectRecord,
+  { explained, times }: UnexplainedCrashes,
+  { targets, exposureMs, servedCount }: Case,
+): Evidence {
+  const own = suspect.crashes.filter((crash) => !explained.has(crash));
+  if (own.length === 0) return noEvidence;
+  const weighed = own.map((crash): WeighedCrash => {
+    const weight = 1 / simultaneousCrashes(crash, own, times, targets);
+    const writingMs = crash.shared.get(suspect.id)?.writingMs ?? 0;
+    return { weight, writingMs };
+  });
+  const crashRate = crashRateAround(suspect.kind, own, times, targets);
+  return weigh(weighed, { crashRate, exposureMs, served: servedCount(suspect.id) });
+}
+
+const includesAll = (crashes: readonly TargetCrash[], others: readonly TargetCrash[]): boolean =>
+  others.every((crash) => crashes.includes(crash));
+
+/** Whether a suspect that is held back explains its crashes to another one. */
+function explains(held: SuspectRecord, other: SuspectRecord): boolean {
+  if (!includesAll(other.crashes, held.crashes)) return true;
+  // Either of them may be the cause of crashes that they share.
+  if (other.crashes.length > held.crashes.length) return false;
+  return held.kind !== other.kind;
 }
 
-/** Whether so many other targets crashed at the same time that the request is unlikely to be the cause. */
-function isMassFailure(evidence: Evidence, crash: TargetCrash): boolean {
-  return isServiceFailure(evidence, crash) || isFailureOfTargetsInUse(evidence, crash);
+/** Returns what counts for each suspect, if `held` are the known causes. */
+function createExplanations(input: Case, held: readonly SuspectRecord[]) {
+  const without = (explaining: readonly SuspectRecord[]): UnexplainedCrashes => {
+    const explained = new Set(explaining.flatMap(({ crashes }) => crashes));
+    const unexplained = input.crashes.filter((crash) => !explained.has(crash));
+    return { explained, times: createCrashTimes(unexplained, input.targets) };
+  };
+  const common = without(held);
+  return (suspect: SuspectRecord): UnexplainedCrashes => {
+    const explaining = held.filter((other) => other.id !== suspect.id && explains(other, suspect));
+    return explaining.length === held.length ? common : without(explaining);
+  };
 }
 
-/** Whether another request was running on every crashed target. */
-function hasCommonRequest(request: Fingerprint, crashes: readonly TargetCrash[]): boolean {
-  const [first, ...rest] = crashes;
-  const others = [...first.requests].filter((other) => other !== request);
-  return others.some((other) => rest.every((crash) => crash.requests.has(other)));
+/** Whether another suspect explains the same crashes, and is not merely what the suspected request shares with others. */
+function areRivals(suspect: SuspectRecord, other: SuspectRecord): boolean {
+  if (other.id === suspect.id) return false;
+  if (suspect.kind === "request" && other.kind !== "request") return false;
+  return includesAll(other.crashes, suspect.crashes);
 }
 
-/** Whether the request is the only explanation of its crashes. */
-function isConclusive(
-  request: Fingerprint,
-  crashes: readonly TargetCrash[],
-  unrelated: readonly TargetCrash[],
-): boolean {
-  if (hasCommonRequest(request, crashes)) return false;
-  return !unrelated.some((other) =>
-    crashes.some((crash) => isWithin(crash, other, unrelatedCrashWindowMs)),
+/** Whether the first suspect is the better explanation. */
+function isBetter(left: Weighed, right: Weighed): boolean {
+  const difference = left.evidence.weight - right.evidence.weight;
+  if (Math.abs(difference) > equalEvidence) return difference > 0;
+  return breadth[left.suspect.kind] < breadth[right.suspect.kind];
+}
+
+interface Weighed {
+  readonly suspect: SuspectRecord;
+  readonly evidence: Evidence;
+}
+
+function isDecided({ suspect, evidence: { weight } }: Weighed, all: readonly Weighed[]): boolean {
+  const sufficient = sufficientEvidence[suspect.kind];
+  if (weight < sufficient) return false;
+  if (weight >= sufficient + decisiveMargin) return true;
+  return !all.some(
+    (other) => other.evidence.weight >= weight - equalEvidence && areRivals(suspect, other.suspect),
   );
 }
 
-/**
- * Judges a request by its crashes. A single crash makes every request on the target a suspect. Mass failures don't
- * count, since innocent requests may be part of several of them.
- */
-export function judge(evidence: Evidence): Verdict {
-  const { request, crashes, now } = evidence;
-  const own = crashes.filter((crash) => crash.requests.has(request));
-  if (own.length === 0) return "clear";
-  const unrelated = crashes.filter((crash) => !crash.requests.has(request));
-  const isolated = own.filter((crash) => !isMassFailure(evidence, crash));
-  if (isolated.length < minCrashes) return "suspect";
-  if (isolated.some((crash) => now - crash.at < settlingMs)) return "unsettled";
-  if (isolated.length >= conclusiveCrashes) return "guilty";
-  return isConclusive(request, isolated, unrelated) ? "guilty" : "last_try";
+/** Finds the causes of crashes that are not held back yet, the best explanation first. */
+function findCauses(
+  input: Case,
+  held: readonly SuspectRecord[],
+  suspects: readonly SuspectRecord[],
+): ReadonlyMap<Fingerprint, Evidence> {
+  const found = new Map<Fingerprint, Evidence>();
+  const causes = [...held];
+  for (;;) {
+    const unexplainedFor = createExplanations(input, causes);
+    const weighed = suspects
+      .filter(({ id }) => !found.has(id))
+      .map((suspect) => ({
+        suspect,
+        evidence: weighSuspect(suspect, unexplainedFor(suspect), input),
+      }));
+    const decided = weighed.filter((candidate) => isDecided(candidate, weighed));
+    if (decided.length === 0) return found;
+    const best = decided.reduce((left, right) => (isBetter(right, left) ? right : left));
+    found.set(best.suspect.id, best.evidence);
+    causes.push(best.suspect);
+  }
+}
+
+/** Judges the crashes of a service. */
+export function judge(input: Case): Judgement {
+  const held = input.held
+    .map((id) => recordOf(input, id))
+    .filter(({ crashes }) => crashes.length > 0);
+  const heldIds = new Set(input.held);
+  const unexplainedFor = createExplanations(input, held);
+  let causes: ReadonlyMap<Fingerprint, Evidence> | undefined;
+  // Most suspects are cleared by their own evidence, so that the others need not be weighed.
+  const findCausesOnce = () =>
+    (causes ??= findCauses(
+      input,
+      held,
+      repeatedSuspects(input).filter(({ id }) => !heldIds.has(id)),
+    ));
+  const evidenceOf = (suspect: SuspectRecord) =>
+    weighSuspect(suspect, unexplainedFor(suspect), input);
+
+  return {
+    evidenceOf: (id) => causes?.get(id) ?? evidenceOf(recordOf(input, id)),
+    targetsOf: (id) => recordOf(input, id).crashes.map(({ target }) => target),
+    verdictOn(id, now) {
+      if (heldIds.has(id)) return "guilty";
+      const suspect = recordOf(input, id);
+      if (suspect.crashes.length === 0) return "clear";
+      if (suspect.crashes.length === 1) return "suspect";
+      const { weight } = evidenceOf(suspect);
+      if (weight < doubtfulEvidence) return "suspect";
+      const newest = suspect.crashes[suspect.crashes.length - 1];
+      const isCause = findCausesOnce().has(id);
+      const isExplained = !isCause && isExplainedBy(id);
+      if (isExplained) return "suspect";
+      if (now - newest.at < settlingMs) return "unsettled";
+      return isCause ? "guilty" : "last_try";
+    },
+  };
+
+  /** Whether causes that were found leave too little evidence against the suspect. */
+  function isExplainedBy(id: Fingerprint): boolean {
+    const found = [...findCausesOnce().keys()].map((cause) => recordOf(input, cause));
+    const suspect = recordOf(input, id);
+    const unexplained = createExplanations(input, [...held, ...found])(suspect);
+    return weighSuspect(suspect, unexplained, input).weight < doubtfulEvidence;
+  }
 }
--- a/packages/crash-blame/src/report-decisions.ts
+++ b/packages/crash-blame/src/report-decisions.ts
@@ -5,9 +5,10 @@
 import type { CrashBlame } from "./index.js";
 
 function logDecision(logger: Logger, heldRequest: HeldRequest): void {
-  const { request, held, revision, service, route, account, targets } = heldRequest;
-  const fields = { fingerprint: request, revision, service, route, account };
-  if (held) logger.event("requestHeldBack", { ...fields, targets: targets.join(" ") });
+  const { request, kind, text, held, revision, service, route, account, targets, evidence } =
+    heldRequest;
+  const fields = { fingerprint: request, kind, text, revision, service, route, account };
+  if (held) logger.event("requestHeldBack", { ...fields, targets: targets.join(" "), ...evidence });
   else logger.event("requestReleased", fields);
 }
 
@@ -19,7 +20,7 @@
   blame.onDecision((heldRequest) => logDecision(logger, heldRequest));
   metrics.gauge(
     "linkfall_held_requests",
-    "Requests that are held back because targets crashed while running them.",
+    "Requests, and parts and adapters that requests share, that are held back because targets crashed under them.",
     () => blame.heldRequests().length,
   );
 }
--- a/packages/crash-guard/src/index.ts
+++ b/packages/crash-guard/src/index.ts
@@ -6,12 +6,13 @@
   type CrashBlame,
   crashBlameName,
   createCrashBlame,
+  describeCause,
   reportDecisions,
   type RequestAttributes,
   settlingMs,
 } from "@linkfall/crash-blame";
 import { clockName, type Kernel, serviceName } from "@linkfall/kernel";
-import { logWriterName } from "@linkfall/log-writer";
+import { incarnationName, logWriterName } from "@linkfall/log-writer";
 import { loggerName } from "@linkfall/logger";
 import { metricsName } from "@linkfall/metrics";
 import { targetPortName } from "@linkfall/ports";
@@ -50,7 +51,7 @@
 
 /** Creates and registers the crash records of the box, and reports their decisions to the log and the metrics. */
 export function provideCrashBlame(kernel: Kernel): CrashBlame {
-  const blame = createCrashBlame(kernel.find(clockName));
+  const blame = createCrashBlame(kernel.find(clockName), kernel.find(incarnationName));
   const logger = kernel.find(loggerName);
   reportDecisions(blame, { logger, metrics: kernel.find(metricsName) });
   return kernel.provide(crashBlameName, blame);
@@ -88,13 +89,14 @@
   return {
     refusal({ attributes, countTargets }) {
       if (blame.isEmpty()) return undefined;
-      switch (blame.classify(attributes, countTargets())) {
+      const { verdict, kind } = blame.classify(attributes, countTargets());
+      switch (verdict) {
         case "guilty":
-          return notRun("held_back", "targets crashed while running this request");
+          return notRun("held_back", `targets crashed while running ${describeCause(kind)}`);
         case "unsettled":
           return notRun(
             "held_back",
-            "targets crashed while running this request; the cause is not established yet",
+            `targets crashed while running ${describeCause(kind)}; the cause is not established yet`,
             settlingMs,
           );
         default:
@@ -105,14 +107,16 @@
       // Counted before the probe, in which other requests of targets that crash together end.
       const targetsInUse = countTargetsInUse();
       const listening = await ports.probeListener(address);
-      logger.event("sendLost", { fingerprint: attributes.request, target: name, listening });
+      const { request: fingerprint, shared = [] } = attributes;
+      const traits = shared.map(({ kind, text }) => `${kind} ${text}`).join(", ");
+      logger.event("sendLost", { fingerprint, target: name, listening, shared: traits });
       if (listening !== "refuses") return true;
-      blame.recordCrash(name, attributes, targetsInUse);
-      const verdict = blame.classify(attributes, countTargets());
+      blame.recordCrash(name, attributes, { targetsInUse });
+      const { verdict } = blame.classify(attributes, countTargets());
       return verdict === "clear" || verdict === "suspect";
     },
     recordServed({ attributes }) {
-      if (!blame.isEmpty()) blame.recordServed(attributes.request);
+      blame.recordServed(attributes);
     },
   };
 }
--- a/packages/entry-box/src/provide-blame.ts
+++ b/packages/entry-box/src/provide-blame.ts
@@ -16,9 +16,9 @@
 
 /** Registers the records of requests that crash targets, and the store that persists them. */
 export function provideCrashBlame(runtime: BoxRuntime): CrashBlame {
-  const { kernel, ports } = runtime;
+  const { kernel, ports, incarnation } = runtime;
   const { clock, logger, heldStream } = ports;
-  const blame = kernel.provide(crashBlameName, createCrashBlame(clock));
+  const blame = kernel.provide(crashBlameName, createCrashBlame(clock, incarnation));
   blame.onChange(createPeerNotifier(runtime));
   reportDecisions(blame, { logger, metrics: kernel.find(metricsName) });
   const store = createHeldRequestStore(blame, heldStream, { clock, logger });
--- a/packages/forwarding/src/crash-check.ts
+++ b/packages/forwarding/src/crash-check.ts
@@ -1,5 +1,12 @@
 /** Detects requests that crash the targets running them, and refuses them when they are sent again. */
-import { type RequestAttributes, settlingMs, type Verdict } from "@linkfall/crash-blame";
+import {
+  type Classification,
+  describeCause,
+  type RequestAttributes,
+  settlingMs,
+  sharedTrait,
+  type SharedTrait,
+} from "@linkfall/crash-blame";
 import type { TargetView } from "@linkfall/fleet";
 import type { ListenerStatus } from "@linkfall/ports";
 import type { Milliseconds, RequestMetadata } from "@linkfall/types";
@@ -7,9 +14,29 @@
 import { type ForwardedRequest, weightsKey } from "./forwarded-request.js";
 import { refuse, refusedStatus, type Step } from "./request-step.js";
 
+/** Further parts of one prompt are not judged. */
+const maxSharedParts = 256;
+
+/** What the request has in common with others: its adapter, and all parts of its prompt but the last, which is its own. */
+function sharedTraits({ model, adapter, parts }: RequestMetadata): readonly SharedTrait[] {
+  // Ids are hexadecimal numbers, so that upper and lower case mean the same part.
+  const ids = new Set(parts.slice(0, -1).map(({ id }) => id.toLowerCase()));
+  const partTraits = [...ids].slice(0, maxSharedParts).map((id) => sharedTrait("prompt part", id));
+  if (adapter === undefined) return partTraits;
+  return [...partTraits, sharedTrait("adapter", `${model}/${adapter}`)];
+}
+
 function requestFacts(request: ForwardedRequest): RequestAttributes {
-  const { service, route, account } = request;
-  return { request: request.fingerprint(), service: service.name, route: route.name, account };
+  const { service, route, account, terms } = request;
+  return {
+    get request() {
+      return request.fingerprint();
+    },
+    service: service.name,
+    route: route.name,
+    account,
+    shared: sharedTraits(terms),
+  };
 }
 
 /** Maximum number of parts that a log line names. */
@@ -39,7 +66,7 @@
   ).length;
 }
 
-function assessRequest(context: ForwardContext, request: ForwardedRequest): Verdict {
+function assessRequest(context: ForwardContext, request: ForwardedRequest): Classification {
   const targets = targetsOf(context, request).length;
   return context.blame.classify(requestFacts(request), targets);
 }
@@ -92,14 +119,34 @@
   const listening = await context.targetProbe.isListening(listed.address);
   reportLoss(context, request, listed.id, { listening, targetsInUse });
   if (listening !== "refuses" || (await isOwnLinkLost(context, listed.id))) return true;
-  context.blame.recordCrash(listed.id, requestFacts(request), targetsInUse);
-  const verdict = assessRequest(context, request);
+  const { firstByteAt = context.clock.now() } = request.lastSend ?? {};
+  const writingMs = context.clock.now() - firstByteAt;
+  context.blame.recordCrash(listed.id, requestFacts(request), { targetsInUse, writingMs });
+  const { verdict } = assessRequest(context, request);
   return verdict === "clear" || verdict === "suspect";
 }
 
 /** Records that a target served the request without crashing. */
 export function recordServed({ blame }: ForwardContext, request: ForwardedRequest): void {
-  if (!blame.isEmpty()) blame.recordServed(request.fingerprint());
+  const { startedAt = 0, firstByteAt } = request.lastSend ?? {};
+  const beganAfterMs = firstByteAt === undefined ? undefined : firstByteAt - startedAt;
+  blame.recordServed(requestFacts(request), beganAfterMs);
+}
+
+/** Whether the request must not reach a target, as far as is known now. */
+export function isHeldBack(context: ForwardContext, request: ForwardedRequest): boolean {
+  if (context.blame.isEmpty()) return false;
+  const { verdict } = assessRequest(context, request);
+  return verdict === "guilty" || verdict === "unsettled";
+}
+
+function reportRefusal(
+  { logger, metrics }: ForwardContext,
+  { terms, service }: ForwardedRequest,
+  { verdict, kind, text }: Classification,
+): void {
+  logger.event("crashingRequestRefused", { request: terms.id, verdict, kind, text });
+  metrics.crashingRequestRefused(service.name, verdict, kind ?? "");
 }
 
 /** Refuses a request that is known to crash targets; returns undefined if it may proceed. */
@@ -108,12 +155,25 @@
   request: ForwardedRequest,
 ): Step | undefined {
   if (context.blame.isEmpty()) return undefined;
-  switch (assessRequest(context, request)) {
+  const classification = assessRequest(context, request);
+  const { verdict, kind } = classification;
+  switch (verdict) {
     case "guilty":
+      reportRefusal(context, request, classification);
       // No Retry-After: the request would crash a target again at any time.
-      return refuse(request, refusedStatus, "held back: targets ended while they ran this request");
+      return refuse(
+        request,
+        refusedStatus,
+        `held back: targets ended under ${describeCause(kind)}`,
+      );
     case "unsettled":
-      return refuse(request, refusedStatus, "targets ended under this request", settlingMs);
+      reportRefusal(context, request, classification);
+      return refuse(
+        request,
+        refusedStatus,
+        `targets ended under ${describeCause(kind)}`,
+        settlingMs,
+      );
     case "last_try":
       request.isFinalAttempt = true;
       return undefined;
--- a/packages/forwarding/src/forward-metrics.ts
+++ b/packages/forwarding/src/forward-metrics.ts
@@ -12,6 +12,8 @@
   streamGap(ms: Milliseconds): void;
   /** Counts a lost response by what its target did when it was probed; `refuses`: it has crashed. */
   responseLost(service: string, listening: string): void;
+  /** Counts a request that was refused because of the crashes of targets, by the verdict and by what caused them. */
+  crashingRequestRefused(service: string, verdict: string, cause: string): void;
   /** Counts a retry that was requested from the retry budget. */
   retryRequested(service: string, granted: boolean): void;
   /** A request was refused since the limits that its targets have named are used up. */
@@ -58,6 +60,12 @@
         "Lost responses, by whether their target still accepted connections; it refuses them after a crash.",
         { service, listening },
       ),
+    crashingRequestRefused: (service, verdict, cause) =>
+      metrics.count(
+        "linkfall_crashing_requests_refused_total",
+        "Requests refused because targets crashed under them or under what they share, by verdict and cause.",
+        { service, verdict, cause },
+      ),
     retryRequested: (service, granted) =>
       metrics.count(
         "linkfall_retries_total",
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -6,7 +6,12 @@
 import type { Milliseconds } from "@linkfall/types";
 import { expectedReplicaMs, maxQueueMs } from "./admission.js";
 import { type AttemptResult, isContinuable } from "./attempt.js";
-import { mayRetryAfterLoss, recordServed, refuseCrashingRequest } from "./crash-check.js";
+import {
+  isHeldBack,
+  mayRetryAfterLoss,
+  recordServed,
+  refuseCrashingRequest,
+} from "./crash-check.js";
 import { type ForwardContext, timeLeftMs } from "./forward-context.js";
 import {
   type ForwardedRequest,
@@ -201,9 +206,10 @@
     send: request.sends + 1,
   });
   context.finalAttempts.start(request, target.listed.id);
-  const result = await sendToTarget(context, request, picked, () =>
-    renewPlace(context, request, place),
-  );
+  const mayWrite = async () =>
+    // The cause of crashes may have become known while the request waited for its connection.
+    !isHeldBack(context, request) && (await renewPlace(context, request, place));
+  const result = await sendToTarget(context, request, picked, mayWrite);
   context.finalAttempts.end(request, target.listed.id);
   endPlace(context, place, result);
   return handleResult(context, request, target, result);
@@ -247,6 +253,8 @@
   if (!request.sink.headersSent() && !context.acceptsRoute(request.route)) {
     return refuse(request, refusedStatus, "stopping", retryElsewhereMs);
   }
+  const heldBack = refuseCrashingRequest(context, request);
+  if (heldBack) return heldBack;
   const { forwardLimits } = context;
   if (request.sends >= forwardLimits.maxSends) {
     return refuse(request, refusedStatus, "too many sends", forwardLimits.defaultRetryAfterMs);
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -223,13 +223,18 @@
     "info",
     "The response of a target was lost; if the target still accepts connections, only the connection failed. Names the weights and the shared prompt parts of the request.",
   ),
+  crashingRequestRefused: event(
+    5037,
+    "info",
+    "A request was refused because targets crashed under it, or under a prompt part or an adapter that it shares with others.",
+  ),
   requestHeldBack: event(
     5014,
     "warn",
-    "A request is held back on all boxes: several targets crashed while they ran it.",
-    "Find out why it crashes the engine; release it by its fingerprint once that is fixed (operators/held-requests.md).",
+    "A request, or all that share a prompt part or an adapter (`kind`, `text`), are held back on all boxes: several targets crashed under them.",
+    "Find out why that crashes the engine; release it by its fingerprint once that is fixed (operators/held-requests.md).",
   ),
-  requestReleased: event(5015, "info", "A request that was held back was released."),
+  requestReleased: event(5015, "info", "What was held back was released."),
   heldNotKept: event(
     5017,
     "warn",
--- a/packages/types/src/crash-blame.ts
+++ b/packages/types/src/crash-blame.ts
@@ -1,14 +1,30 @@
 /** Messages between boxes about requests that crash the targets that run them. */
-import type { Milliseconds } from "./identifiers.js";
+import type { Incarnation, Milliseconds } from "./identifiers.js";
 
 /** Hash of a request's content. */
 export type Fingerprint = string;
 
-/** What requests that crashed targets may have in common. */
-export type SuspectKind = "request" | "prompt part" | "adapter";
+/** What requests of a service may have in common. */
+export type SharedKind = "prompt part" | "prompt beginning" | "adapter";
 
-/** A request that is held back (blocked on all boxes), or was until an operator released it. */
+/** What may cause the crashes of targets: one request, or something that several share. */
+export type SuspectKind = "request" | SharedKind;
+
+/** What was known of a suspect when it was held back. */
+export interface HoldEvidence {
+  /** Crashes under it, those that coincide with others in part. */
+  readonly crashes: number;
+  /** Requests with it that were served. */
+  readonly served: number;
+  /** Chance that a request met an unrelated crash. */
+  readonly byChance: number;
+  /** Logarithm of the likelihood ratio. */
+  readonly weight: number;
+}
+
+/** A request, or something that requests share, that is held back (blocked on all boxes), or was until an operator released it. */
 export interface HeldRequest {
+  /** Fingerprint of what is held. */
   readonly request: Fingerprint;
   /** What is held: one request, or all that share something; one request if absent. */
   readonly kind?: SuspectKind;
@@ -24,10 +40,14 @@
   readonly account?: string;
   /** Targets that had crashed while running the request when it was blocked. */
   readonly targets: readonly string[];
+  readonly evidence?: HoldEvidence;
   /** Wall-clock time of the change, ISO 8601; for display only. */
   readonly since: string;
 }
 
+/** Something that lost requests share: its kind, its text, and the shortest time since a response to one had begun. */
+export type SharedRecord = readonly [kind: SharedKind, text: string, writingMs: Milliseconds];
+
 /** One event of a {@link BlameMessage}. Times are sent as ages, because the clocks of boxes are not synchronized. */
 export type BlameRecord =
   /** A target crashed while it ran these requests. */
@@ -37,11 +57,20 @@
       readonly service: string;
       readonly ageMs: Milliseconds;
       readonly requests: readonly Fingerprint[];
+      /** Absent from boxes that don't know shared traits. */
+      readonly shared?: readonly SharedRecord[];
       /** Targets of the service that were running requests; absent from boxes that don't count them. */
       readonly targetsInUse?: number;
     }
-  /** A target answered the request successfully. */
-  | { readonly kind: "served"; readonly request: Fingerprint; readonly ageMs: Milliseconds }
+  /** Requests with a suspect have been served. */
+  | {
+      readonly kind: "served";
+      readonly request: Fingerprint;
+      readonly ageMs: Milliseconds;
+      /** The box that served them, and how many; one request of an unnamed box if absent. */
+      readonly by?: Incarnation;
+      readonly count?: number;
+    }
   /** A request was blocked or released. */
   | { readonly kind: "held"; readonly word: HeldRequest };
 
