--- a/packages/cli/src/commands/held/index.ts
+++ b/packages/cli/src/commands/held/index.ts
@@ -9,17 +9,28 @@
   static override paths = [["held"]];
   static override usage = Command.Usage({
     description:
-      "list the requests that are held back because targets terminated while running them",
+      "list the requests, prompt parts and adapters that are held back because targets terminated under them",
     details: "Queries a box that forwards opaque requests, at its metrics address.",
     examples: [["List all held requests", `linkfall held --box ${exampleUrl}`]],
   });
 
   async execute(): Promise<ExitCode> {
-    const headers = ["REQUEST", "SINCE", "SERVICE", "ROUTE", "ACCOUNT", "TARGETS"];
+    const headers = [
+      "FINGERPRINT",
+      "KIND",
+      "TEXT",
+      "SINCE",
+      "SERVICE",
+      "ROUTE",
+      "ACCOUNT",
+      "TARGETS",
+    ];
     return this.handleResult(await this.client().heldRequests(), (held) =>
       this.printValue(held, headers, () =>
         held.map((entry) => [
           entry.request,
+          entry.kind ?? "request",
+          entry.text ?? "",
           entry.since,
           entry.service,
           entry.route,
@@ -34,9 +45,9 @@
 export class ReleaseCommand extends OperatorCommand {
   static override paths = [["release"]];
   static override usage = Command.Usage({
-    description: "release a request that is held back",
+    description: "release a request, prompt part or adapter that is held back",
     details: "Queries a box that forwards opaque requests, at its metrics address.",
-    examples: [["Release a request", `linkfall release 3f0c51d2a8b94e67 --box ${exampleUrl}`]],
+    examples: [["Release by fingerprint", `linkfall release 3f0c51d2a8b94e67 --box ${exampleUrl}`]],
   });
 
   request = Option.String({ name: "REQUEST" });
