A box that is cut off from targets learns of crashes from its relays

Cause: after a loss behind a relay the box probed the target itself, which its own cut refuses or leaves open. Change: the relay probes after a loss and says in the failure whether the target refuses connections. Why this works: the relay reaches the target, and its probe is the one that boxes make themselves. A stream that ends in order inside an event behind a relay is still not probed.

--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -24,6 +24,7 @@
 import { orderDispatcherName } from "@linkfall/weight-orders";
 import type { BoxRuntime } from "./box-runtime.js";
 import type { HeartbeatReceiver } from "./heartbeat-receiver.js";
+import { listenProbeTimeoutMs } from "./listen-probe.js";
 import { fragileTargetsName } from "./provide-fragile-targets.js";
 import { targetLimitsName } from "./provide-limits.js";
 import { countBoxesWithCallers } from "./boxes-with-callers.js";
@@ -31,8 +32,6 @@
 
 /** Requests that start waiting within this time share one announcement; short compared to a load. */
 const announceDelayMs: Milliseconds = 10;
-/** A stopped target refuses the connection within milliseconds; an unreachable one does not answer. */
-const listenProbeTimeoutMs: Milliseconds = 100;
 const microsecondsPerMillisecond = 1000;
 
 /** Announces demand for models to the lease holder, batching concurrent requests. */
--- a/packages/entry-box/src/provide-relay.ts
+++ b/packages/entry-box/src/provide-relay.ts
@@ -8,7 +8,7 @@
 import { fleetName } from "@linkfall/fleet";
 import { type Random, serviceName } from "@linkfall/kernel";
 import { metricsName } from "@linkfall/metrics";
-import { createExchangeOpener } from "@linkfall/raw-exchange";
+import { createExchangeOpener, isListening } from "@linkfall/raw-exchange";
 import {
   createRelay,
   createTargetPaths,
@@ -19,6 +19,7 @@
 } from "@linkfall/relayed-exchange";
 import { targetReachName } from "@linkfall/target-reach";
 import type { BoxRuntime } from "./box-runtime.js";
+import { listenProbeTimeoutMs } from "./listen-probe.js";
 
 export const relayDiallerName = serviceName<RelayDialler>("relay-dialler");
 
@@ -96,6 +97,9 @@
     openDirect: createExchangeOpener(clock, ports.connectToTarget),
     relays: () => reach.reachesTargets() && !shutdown.hasBegun(),
     find: (target, born) => lookUp(runtime, target, born),
+    refusesConnections: async (address) =>
+      (await isListening(clock, address, listenProbeTimeoutMs, ports.connectToTarget)) ===
+      "refuses",
     onEnd: (end) =>
       metrics.count(
         "linkfall_relayed_exchanges_total",
--- a/packages/errors/src/failures.ts
+++ b/packages/errors/src/failures.ts
@@ -66,6 +66,8 @@
    * target (`no_path`), or nothing, as the relay knows that the target must get no request now (`declined`).
    */
   readonly cause?: "relay" | "no_path" | "declined";
+  /** Whether the target refused connections when a relay probed it after the loss, thus has crashed; absent if no relay did. */
+  readonly targetRefuses?: boolean;
 }
 
 /** The operating system did not allow this process to listen on an address. */
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -41,6 +41,8 @@
       readonly responseStarted: boolean;
       /** What failed if the target did not. */
       readonly cause?: TargetUnreachable["cause"];
+      /** Whether a relay found that the target has crashed; absent if no relay was asked. */
+      readonly targetRefuses?: boolean;
     }
   /** The idle timeout or the deadline passed. */
   | { readonly kind: "silent"; readonly responseStarted: boolean }
@@ -249,9 +251,9 @@
     settle({ kind: "answered", head, body: Buffer.concat(buffered) });
   };
   const handleFailure = (failure: TargetUnreachable) => {
-    const { reason, mayHaveArrived, cause } = failure;
+    const { reason, mayHaveArrived, cause, targetRefuses } = failure;
     if (!mayHaveArrived) return settle({ kind: "not_sent", reason, cause });
-    settle({ kind: "lost", reason, responseStarted: responseStarted(), cause });
+    settle({ kind: "lost", reason, responseStarted: responseStarted(), cause, targetRefuses });
   };
 
   const cancelDeadline = clock.after(Math.max(0, input.deadlineAt - clock.now()), () =>
--- a/packages/forwarding/src/crash-check.ts
+++ b/packages/forwarding/src/crash-check.ts
@@ -103,22 +103,37 @@
   metrics.responseLost(service.name, details.listening);
 }
 
+/** Whether the target of a lost response still accepts connections, as seen by this box or by the relay of the request. */
+async function probeTarget(
+  context: ForwardContext,
+  { listed }: TargetView,
+  refusesRelay: boolean | undefined,
+): Promise<ListenerStatus> {
+  if (refusesRelay !== undefined) return refusesRelay ? "refuses" : "listens";
+  const listening = await context.targetProbe.isListening(listed.address);
+  const isOwnFault = listening === "refuses" && (await isOwnLinkLost(context, listed.id));
+  return isOwnFault ? "unknown" : listening;
+}
+
 /**
  * Probes the target of a lost response and returns whether the request may be sent to another target. A target that
  * refuses connections has crashed, unless this box is cut off from all targets; if it still listens, only the connection
  * was lost. The request is suspected after a crash only.
+ *
+ * @param refusesRelay what the relay of the request found, if it was lost behind one
  */
 export async function mayRetryAfterLoss(
   context: ForwardContext,
   request: ForwardedRequest,
   target: TargetView,
+  refusesRelay?: boolean,
 ): Promise<boolean> {
   const { listed } = target;
   // Counted before the probe, in which other requests of targets that crash together end.
   const targetsInUse = countTargetsInUse(context, request, target);
-  const listening = await context.targetProbe.isListening(listed.address);
+  const listening = await probeTarget(context, target, refusesRelay);
   reportLoss(context, request, listed.id, { listening, targetsInUse });
-  if (listening !== "refuses" || (await isOwnLinkLost(context, listed.id))) return true;
+  if (listening !== "refuses") return true;
   const { firstByteAt = context.clock.now() } = request.lastSend ?? {};
   const writingMs = context.clock.now() - firstByteAt;
   context.blame.recordCrash(listed.id, requestFacts(request), { targetsInUse, writingMs });
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -77,11 +77,11 @@
   context: ForwardContext,
   request: ForwardedRequest,
   target: TargetView,
-  reason: string,
+  { reason, targetRefuses }: Extract<AttemptResult, { kind: "lost" }>,
 ): Promise<Step> {
   request.possibleRuns += 1;
   // Each further target that the request crashes also fails all other requests running there.
-  const retryAllowed = await mayRetryAfterLoss(context, request, target);
+  const retryAllowed = await mayRetryAfterLoss(context, request, target, targetRefuses);
   return retryAllowed
     ? retryOrRefuse(context, request, lostStatus, reason)
     : refuse(request, lostStatus, reason);
@@ -144,7 +144,7 @@
     case "gone":
       return endRequest({ outcome: "gone" });
     case "lost":
-      return handleLoss(context, request, target, result.reason);
+      return handleLoss(context, request, target, result);
     case "silent":
       return handleTimeout(context, request);
     case "not_sent":
--- a/packages/relayed-exchange/src/relay.ts
+++ b/packages/relayed-exchange/src/relay.ts
@@ -20,6 +20,8 @@
   relays(): boolean;
   /** Looks up an incarnation of a target in this box's own view. */
   find(target: string, born?: number): TargetLookup;
+  /** Whether the target at `host:port` refuses connections. */
+  refusesConnections(address: string): Promise<boolean>;
   /** Called when a relayed exchange has ended. */
   onEnd(end: RelayEnd): void;
 }
@@ -75,6 +77,7 @@
   let done = false;
   let exchange: Exchange | undefined;
   let connected = false;
+  let address = "";
   let body = Buffer.alloc(0);
   let receivedBytes = 0;
   let unconsumedBytes = 0;
@@ -111,6 +114,14 @@
     cancelHandOverTimer = clock.after(handOverTimeoutMs, cancelStream);
     await handedOver;
   };
+  /** The other box can't tell a crash from a lost connection, as it does not reach the target. */
+  const reportFailure = async (problem: TargetUnreachable) => {
+    const targetRefuses = problem.mayHaveArrived
+      ? await ports.refusesConnections(address)
+      : undefined;
+    const reported = { ...problem, targetRefuses };
+    finish(connected ? "lost" : "not_sent", { kind: "failure", failure: reported });
+  };
   const listener: ExchangeListener = {
     onHead: (head) => write({ kind: "head", head }),
     onBytes(bytes) {
@@ -122,8 +133,7 @@
       exchange?.pause();
     },
     onComplete: () => finish("complete", { kind: "complete" }),
-    onFailure: (problem) =>
-      finish(connected ? "lost" : "not_sent", { kind: "failure", failure: problem }),
+    onFailure: (problem) => void reportFailure(problem),
   };
 
   const handleOpen = (open: OpenFrame) => {
@@ -139,7 +149,8 @@
     };
     body = Buffer.alloc(open.bodyBytes);
     const { method, path, headers, connectTimeoutMs } = open;
-    const request = { address: admitted, method, path, headers, connectTimeoutMs };
+    address = admitted;
+    const request = { address, method, path, headers, connectTimeoutMs };
     exchange = direct.open(open.target, { ...request, body, beforeWrite }, listener, () => {
       const lost = failure("the relay is cut off from all targets", false, "relay");
       finish("refused", { kind: "failure", failure: lost });
--- a/packages/relayed-exchange/src/relayed-exchange.feature
+++ b/packages/relayed-exchange/src/relayed-exchange.feature
@@ -81,3 +81,16 @@
     When the box sends a request with a body of 10 bytes
     And 3000 ms pass for the boxes and relays
     Then "r1" has reset its connection to the target
+
+  # Guards against crashes behind a relay that nobody notices, as the box itself does not reach the target.
+  Scenario: A box learns from its relay whether the target of a lost response has crashed
+    When the box sends a request with a body of 10 bytes
+    And the target of "r1" crashes
+    Then the exchange fails by the target and may have arrived
+    And the box learns that the target has crashed
+
+  Scenario: A box learns from its relay that only a connection was lost
+    When the box sends a request with a body of 10 bytes
+    And the target of "r1" resets the connection
+    Then the exchange fails by the target and may have arrived
+    And the box learns that the target still accepts connections
--- a/packages/relayed-exchange/src/relayed-exchange.steps.ts
+++ b/packages/relayed-exchange/src/relayed-exchange.steps.ts
@@ -206,6 +206,7 @@
         openDirect: relay.openDirect,
         relays: () => !relay.cutOff,
         find: () => relay.lookup,
+        refusesConnections: () => Promise.resolve(relay.connecting === "refused"),
         onEnd: () => undefined,
       }).accept(pair.far);
       return pair.near;
@@ -356,6 +357,25 @@
   );
 });
 
+When(
+  /^the target of "(.*)" (crashes|resets the connection)$/,
+  async function (this: object, name: string, event: string) {
+    const relay = relayOf(this, name);
+    if (event === "crashes") relay.connecting = "refused";
+    const reason = "socket hang up";
+    for (const { listener } of relay.exchanges)
+      listener.onFailure({ kind: "target_unreachable", reason, mayHaveArrived: true });
+    await settle();
+  },
+);
+
+Then(
+  /^the box learns that the target (has crashed|still accepts connections)$/,
+  function (this: object, state: string) {
+    assert.equal(sceneOf(this).failure?.targetRefuses, state === "has crashed");
+  },
+);
+
 Then("the relays were tried in the order {string}", function (this: object, names: string) {
   assert.equal(sceneOf(this).tried.join(" "), names);
 });
