--- a/packages/bench/src/blame.ts
+++ b/packages/bench/src/blame.ts
@@ -51,7 +51,11 @@
 
 /** Memory of a box that remembers as many crashes as it can, and the time to judge a request. */
 function measureBox(): void {
-  const heapAtStart = process.memoryUsage().heapUsed;
+  const usedBytes = () => {
+    globalThis.gc?.();
+    return process.memoryUsage().heapUsed;
+  };
+  const heapAtStart = usedBytes();
   const clock = createVirtualClock();
   const blame = createCrashBlame(clock, "b0");
   let count = 0;
@@ -74,7 +78,7 @@
       blame.recordCrash(`e${crash}`, attributes(), { targetsInUse: 13 });
   }
   const judgedUs = time(() => blame.classify(attributes(), 13));
-  const bytes = process.memoryUsage().heapUsed - heapAtStart;
+  const bytes = usedBytes() - heapAtStart;
   printLine("");
   printLine(
     `a served request is recorded in ${servedUs} us; a request is judged in ${emptyUs} us without crashes, ` +
--- a/packages/crash-blame/src/index.ts
+++ b/packages/crash-blame/src/index.ts
@@ -115,8 +115,6 @@
   unsettled: 3,
   guilty: 4,
 };
-/** A judgement is made anew after this time, as successes lose weight. */
-const judgementTtlMs: Milliseconds = 1_000;
 /** Traits of one request that a crash record names; the least served ones are the most suspect. */
 const maxTraitsPerRequest = 64;
 /** Requests with a crash whose successes this box counts; the oldest are forgotten. */
@@ -141,7 +139,7 @@
   const requestSuccesses = new Map<Fingerprint, number>();
   const changeListeners: (() => void)[] = [];
   const decisionListeners: ((heldRequest: HeldRequest) => void)[] = [];
-  const judgements = new Map<string, { version: number; at: Milliseconds; judgement: Judgement }>();
+  const judgements = new Map<string, { version: number; judgement: Judgement }>();
 
   const notifyChange = () => {
     for (const listener of changeListeners) listener();
@@ -160,9 +158,7 @@
     const version = state.changes.lastSequence();
     const key = `${targets} ${service}`;
     const known = judgements.get(key);
-    const at = clock.now();
-    if (known && known.version === version && at - known.at < judgementTtlMs)
-      return known.judgement;
+    if (known?.version === version) return known.judgement;
     const crashes = [...state.crashes.values()]
       .filter((crash) => crash.service === service && !isForgiven(state, crash))
       .sort((left, right) => left.at - right.at);
@@ -174,7 +170,7 @@
       servedCount: (suspect) => ownServed(suspect) + servedByOthers(suspect),
     });
     if (judgements.size > state.crashes.size) judgements.clear();
-    judgements.set(key, { version, at, judgement });
+    judgements.set(key, { version, judgement });
     return judgement;
   };
 
@@ -199,7 +195,7 @@
       route,
       account: kind === "request" ? account : undefined,
       targets: judgement.targetsOf(id),
-      evidence: judgement.evidenceOf(id),
+      evidence: judgement.evidenceOf(id, clock.now()),
       since: clock.wallTime(),
     });
   };
--- a/packages/crash-blame/src/judge.ts
+++ b/packages/crash-blame/src/judge.ts
@@ -5,7 +5,7 @@
 import type { Fingerprint, Milliseconds, SuspectKind } from "@linkfall/types";
 import { type Evidence, noEvidence, rateWindowMs, weigh, type WeighedCrash } from "./evidence.js";
 import { type CrashTimes, createCrashTimes, shareOfTargets } from "./crash-times.js";
-import { hasSuspect, type TargetCrash } from "./target-crash.js";
+import type { TargetCrash } from "./target-crash.js";
 
 export type Verdict =
   /** No crash is attributed to the request. */
@@ -35,7 +35,7 @@
 
 export interface Judgement {
   /** What the crashes tell of a suspect, without those that others explain. */
-  evidenceOf(suspect: Fingerprint): Evidence;
+  evidenceOf(suspect: Fingerprint, now: Milliseconds): Evidence;
   /** Targets that crashed under the suspect. */
   targetsOf(suspect: Fingerprint): readonly string[];
   verdictOn(suspect: Fingerprint, now: Milliseconds): Verdict;
@@ -50,6 +50,9 @@
 /** Fraction of a service's targets that must crash with another one for it to count as a mass failure. */
 const massFailureFraction = 0.3;
 
+/** Evidence is weighed anew after this time, as good answers come in. */
+const weighingTtlMs: Milliseconds = 1_000;
+
 /** Evidence that suffices; shared traits are more numerous than repeated requests, and holding one back affects more callers. */
 const sufficientEvidence: Readonly<Record<SuspectKind, number>> = {
   request: 7.65,
@@ -84,32 +87,31 @@
   readonly times: CrashTimes;
 }
 
-function recordOf({ crashes }: Case, id: Fingerprint): SuspectRecord {
-  const own = crashes.filter((crash) => hasSuspect(crash, id));
-  return { id, kind: own[0]?.shared.get(id)?.kind ?? "request", crashes: own };
-}
-
-/** The suspects that were running in several crashes; one crash never suffices. */
-function repeatedSuspects(input: Case): readonly SuspectRecord[] {
-  const seen = new Set<Fingerprint>();
-  const repeated = new Set<Fingerprint>();
-  for (const { requests, shared } of input.crashes) {
-    for (const id of [...requests, ...shared.keys()]) (seen.has(id) ? repeated : seen).add(id);
+/** Finds the crashes of each suspect. */
+function indexSuspects(crashes: readonly TargetCrash[]): ReadonlyMap<Fingerprint, SuspectRecord> {
+  const found = new Map<Fingerprint, { kind: SuspectKind; crashes: TargetCrash[] }>();
+  const add = (crash: TargetCrash, id: Fingerprint, kind: SuspectKind) => {
+    const known = found.get(id);
+    if (known) known.crashes.push(crash);
+    else found.set(id, { kind, crashes: [crash] });
+  };
+  for (const crash of crashes) {
+    for (const request of crash.requests) add(crash, request, "request");
+    for (const [id, { kind }] of crash.shared) add(crash, id, kind);
   }
-  return [...repeated].map((id) => recordOf(input, id)).filter(({ crashes }) => crashes.length > 1);
+  return new Map([...found].map(([id, record]) => [id, { id, ...record }]));
 }
 
 /** Number of targets that crashed together with this one, itself included. */
 function simultaneousCrashes(
   { at }: TargetCrash,
-  own: readonly TargetCrash[],
-  { countWithin }: CrashTimes,
+  own: CrashTimes,
+  all: CrashTimes,
   targets: number,
 ): number {
-  const ofInstant = countWithin(at - instantMs, at + instantMs);
-  const near = countWithin(at - correlatedWindowMs, at + correlatedWindowMs);
-  const ownNear = own.filter((other) => Math.abs(other.at - at) <= correlatedWindowMs).length;
-  const others = near - ownNear;
+  const ofInstant = all.countWithin(at - instantMs, at + instantMs);
+  const [from, to] = [at - correlatedWindowMs, at + correlatedWindowMs];
+  const others = all.countWithin(from, to) - own.countWithin(from, to);
   const isMassFailure = others >= Math.max(1, targets * massFailureFraction);
   return isMassFailure ? Math.max(ofInstant, others + 1) : ofInstant;
 }
@@ -137,8 +139,9 @@
 ): Evidence {
   const own = suspect.crashes.filter((crash) => !explained.has(crash));
   if (own.length === 0) return noEvidence;
+  const ownTimes = createCrashTimes(own, targets);
   const weighed = own.map((crash): WeighedCrash => {
-    const weight = 1 / simultaneousCrashes(crash, own, times, targets);
+    const weight = 1 / simultaneousCrashes(crash, ownTimes, times, targets);
     const writingMs = crash.shared.get(suspect.id)?.writingMs ?? 0;
     return { weight, writingMs };
   });
@@ -146,8 +149,11 @@
   return weigh(weighed, { crashRate, exposureMs, served: servedCount(suspect.id) });
 }
 
-const includesAll = (crashes: readonly TargetCrash[], others: readonly TargetCrash[]): boolean =>
-  others.every((crash) => crashes.includes(crash));
+function includesAll(crashes: readonly TargetCrash[], others: readonly TargetCrash[]): boolean {
+  if (others.length > crashes.length) return false;
+  const included = new Set(crashes);
+  return others.every((crash) => included.has(crash));
+}
 
 /** Whether a suspect that is held back explains its crashes to another one. */
 function explains(held: SuspectRecord, other: SuspectRecord): boolean {
@@ -225,46 +231,53 @@
 
 /** Judges the crashes of a service. */
 export function judge(input: Case): Judgement {
-  const held = input.held
-    .map((id) => recordOf(input, id))
-    .filter(({ crashes }) => crashes.length > 0);
+  const suspects = indexSuspects(input.crashes);
+  const recordOf = (id: Fingerprint): SuspectRecord =>
+    suspects.get(id) ?? { id, kind: "request", crashes: [] };
   const heldIds = new Set(input.held);
+  const held = input.held.map(recordOf).filter(({ crashes }) => crashes.length > 0);
   const unexplainedFor = createExplanations(input, held);
-  let causes: ReadonlyMap<Fingerprint, Evidence> | undefined;
+  const weighings = new Map<Fingerprint, { readonly at: Milliseconds; evidence: Evidence }>();
+  let causes: { readonly at: Milliseconds; found: ReadonlyMap<Fingerprint, Evidence> } | undefined;
+
+  const evidenceAgainst = (suspect: SuspectRecord, now: Milliseconds): Evidence => {
+    const known = weighings.get(suspect.id);
+    if (known && now - known.at < weighingTtlMs) return known.evidence;
+    const evidence = weighSuspect(suspect, unexplainedFor(suspect), input);
+    weighings.set(suspect.id, { at: now, evidence });
+    return evidence;
+  };
   // Most suspects are cleared by their own evidence, so that the others need not be weighed.
-  const findCausesOnce = () =>
-    (causes ??= findCauses(
-      input,
-      held,
-      repeatedSuspects(input).filter(({ id }) => !heldIds.has(id)),
-    ));
-  const evidenceOf = (suspect: SuspectRecord) =>
-    weighSuspect(suspect, unexplainedFor(suspect), input);
+  const findCausesAt = (now: Milliseconds): ReadonlyMap<Fingerprint, Evidence> => {
+    if (causes && now - causes.at < weighingTtlMs) return causes.found;
+    const candidates = [...suspects.values()].filter(
+      // One crash never suffices.
+      ({ id, crashes }) => crashes.length > 1 && !heldIds.has(id),
+    );
+    causes = { at: now, found: findCauses(input, held, candidates) };
+    return causes.found;
+  };
+  /** Whether causes that were found leave too little evidence against the suspect. */
+  const isExplained = (suspect: SuspectRecord, now: Milliseconds): boolean => {
+    const found = [...findCausesAt(now).keys()].map(recordOf);
+    const unexplained = createExplanations(input, [...held, ...found])(suspect);
+    return weighSuspect(suspect, unexplained, input).weight < doubtfulEvidence;
+  };
 
   return {
-    evidenceOf: (id) => causes?.get(id) ?? evidenceOf(recordOf(input, id)),
-    targetsOf: (id) => recordOf(input, id).crashes.map(({ target }) => target),
+    evidenceOf: (id, now) => findCausesAt(now).get(id) ?? evidenceAgainst(recordOf(id), now),
+    targetsOf: (id) => recordOf(id).crashes.map(({ target }) => target),
     verdictOn(id, now) {
       if (heldIds.has(id)) return "guilty";
-      const suspect = recordOf(input, id);
+      const suspect = recordOf(id);
       if (suspect.crashes.length === 0) return "clear";
       if (suspect.crashes.length === 1) return "suspect";
-      const { weight } = evidenceOf(suspect);
-      if (weight < doubtfulEvidence) return "suspect";
+      if (evidenceAgainst(suspect, now).weight < doubtfulEvidence) return "suspect";
+      const isCause = findCausesAt(now).has(id);
+      if (!isCause && isExplained(suspect, now)) return "suspect";
       const newest = suspect.crashes[suspect.crashes.length - 1];
-      const isCause = findCausesOnce().has(id);
-      const isExplained = !isCause && isExplainedBy(id);
-      if (isExplained) return "suspect";
       if (now - newest.at < settlingMs) return "unsettled";
       return isCause ? "guilty" : "last_try";
     },
   };
-
-  /** Whether causes that were found leave too little evidence against the suspect. */
-  function isExplainedBy(id: Fingerprint): boolean {
-    const found = [...findCausesOnce().keys()].map((cause) => recordOf(input, cause));
-    const suspect = recordOf(input, id);
-    const unexplained = createExplanations(input, [...held, ...found])(suspect);
-    return weighSuspect(suspect, unexplained, input).weight < doubtfulEvidence;
-  }
 }
