--- a/packages/crash-blame/src/index.ts
+++ b/packages/crash-blame/src/index.ts
@@ -19,14 +19,12 @@
   addServed,
   createBlameState,
   isForgiven,
-  isSuspect,
-  reportedServed,
 } from "./blame-state.js";
 import { applyRecord, recordsSince } from "./blame-records.js";
 import { createExposures } from "./exposures.js";
 import { type Judgement, judge, type Verdict } from "./judge.js";
 import { type SharedTrait, sharedTrait } from "./shared-trait.js";
-import { createSuccessCounter } from "./success-counter.js";
+import { createSuccessReports } from "./success-reports.js";
 import type { SharedInCrash } from "./target-crash.js";
 
 export { describeCause } from "./describe-cause.js";
@@ -117,14 +115,6 @@
 };
 /** Traits of one request that a crash record names; the least served ones are the most suspect. */
 const maxTraitsPerRequest = 64;
-/** Requests with a crash whose successes this box counts; the oldest are forgotten. */
-const maxCountedRequests = 10_000;
-/** Crashes with a trait from which on boxes report how often they have served it. */
-const minCrashesToReport = 2;
-/** A count is reported again once it has grown by this factor. */
-const reportGrowth = 1.5;
-/** Other boxes' successes that suffice for each crash, so that this box need not report its own. */
-const sufficientSuccessesPerCrash = 50;
 
 /**
  * Creates an instance without any records.
@@ -134,9 +124,8 @@
 export function createCrashBlame(clock: Clock, self: Incarnation = ""): CrashBlame {
   const state = createBlameState();
   const applied = createReceivedUpdates();
-  const successes = createSuccessCounter(clock.now, (suspect) => isSuspect(state, suspect));
+  const successes = createSuccessReports(state, self, clock.now);
   const exposures = createExposures();
-  const requestSuccesses = new Map<Fingerprint, number>();
   const changeListeners: (() => void)[] = [];
   const decisionListeners: ((heldRequest: HeldRequest) => void)[] = [];
   const judgements = new Map<string, { version: number; judgement: Judgement }>();
@@ -150,9 +139,6 @@
     notifyChange();
   };
   const isHeld = (suspect: Fingerprint) => state.held.get(suspect)?.held === true;
-  const ownServed = (suspect: Fingerprint) =>
-    requestSuccesses.get(suspect) ?? successes.countOf(suspect);
-  const servedByOthers = (suspect: Fingerprint) => reportedServed(state, suspect, self);
 
   const judgementOn = (service: string, targets: number): Judgement => {
     const version = state.changes.lastSequence();
@@ -167,7 +153,7 @@
       targets,
       exposureMs: exposures.of(service),
       held: [...state.held.keys()].filter(isHeld),
-      servedCount: (suspect) => ownServed(suspect) + servedByOthers(suspect),
+      servedCount: successes.servedCount,
     });
     if (judgements.size > state.crashes.size) judgements.clear();
     judgements.set(key, { version, judgement });
@@ -200,30 +186,11 @@
     });
   };
 
-  const crashesWith = (suspect: Fingerprint): number =>
-    [...state.crashes.values()].filter(({ shared }) => shared.has(suspect)).length;
-  /** Reports how often this box has served a suspect, unless others have reported enough; returns whether it did. */
-  const reportServed = (suspect: Fingerprint): boolean => {
-    const count = ownServed(suspect);
-    const last = state.served.get(suspect)?.get(self)?.count ?? 0;
-    if (count < Math.max(1, last * reportGrowth)) return false;
-    return addServed(state, suspect, self, { count, at: clock.now() });
-  };
-  const reportTrait = (suspect: Fingerprint): boolean => {
-    const crashes = crashesWith(suspect);
-    if (crashes < minCrashesToReport) return false;
-    if (servedByOthers(suspect) >= crashes * sufficientSuccessesPerCrash) return false;
-    return reportServed(suspect);
-  };
   const traitsOf = (record: BlameRecord): readonly Fingerprint[] => {
     if (record.kind !== "end") return [];
     const { service, shared = [] } = record;
     return shared.map(([kind, text]) => successes.idOf(service, sharedTrait(kind, text)));
   };
-  const reportTraits = (suspects: Iterable<Fingerprint>) => {
-    const reported = [...new Set(suspects)].filter(reportTrait);
-    if (reported.length > 0) notifyChange();
-  };
 
   return {
     isEmpty: () => state.crashes.size === 0 && state.held.size === 0,
@@ -244,28 +211,23 @@
       const now = clock.now();
       const traits = shared
         .map((trait) => [successes.idOf(service, trait), { ...trait, writingMs }] as const)
-        .sort(([left], [right]) => successes.countOf(left) - successes.countOf(right))
+        .sort(([left], [right]) => successes.ownCount(left) - successes.ownCount(right))
         .slice(0, maxTraitsPerRequest);
       const named: ReadonlyMap<Fingerprint, SharedInCrash> = new Map(traits);
       const common = { target, service, at: now, targetsInUse };
       const crash = { ...common, requests: new Set([request]), shared: named };
       if (!addCrash(state, crash, now)) return;
-      for (const id of named.keys()) reportTrait(id);
+      successes.reportTraits(named.keys());
       notifyChange();
     },
     recordServed(attributes, beganAfterMs) {
       const { service, shared = [] } = attributes;
       if (beganAfterMs !== undefined) exposures.record(service, beganAfterMs);
-      const traits = shared.map((trait) => successes.record(service, trait));
+      const traits = shared.map((trait) => successes.recordTrait(service, trait));
       if (state.crashes.size === 0) return;
-      const { request } = attributes;
-      if (isSuspect(state, request)) {
-        requestSuccesses.set(request, (requestSuccesses.get(request) ?? 0) + 1);
-        if (requestSuccesses.size > maxCountedRequests)
-          requestSuccesses.delete(requestSuccesses.keys().next().value ?? "");
-        if (reportServed(request)) notifyChange();
-      }
-      reportTraits(traits);
+      const hasRequestNews = successes.recordRequest(attributes.request);
+      const hasTraitNews = successes.reportTraits(traits);
+      if (hasRequestNews || hasTraitNews) notifyChange();
     },
     heldRequests: () => [...state.held.values()].filter(({ held }) => held),
     release(request) {
@@ -286,7 +248,7 @@
       const now = clock.now();
       for (const record of changes.records) applyRecord(state, record, now);
       applied.record(from, changes.number);
-      reportTraits(changes.records.flatMap(traitsOf));
+      if (successes.reportTraits(changes.records.flatMap(traitsOf))) notifyChange();
     },
     appliedSequence: applied.latestFrom,
     onChange: (listener) => void changeListeners.push(listener),
