--- a/packages/crash-blame/src/crash-blame.feature
+++ b/packages/crash-blame/src/crash-blame.feature
@@ -107,3 +107,13 @@
   Scenario: A request that crashes its targets is held back after at most three crashes, among random crashes and retries at any box
     Then among 13 targets of which one crashes on its own each second, the request crashes at most 3 targets for seeds 1 to 40
     And without other crashes, the request crashes at most 2 targets, or 3 if another request was running on both, for seeds 1 to 40
+
+  Scenario: Requests for an adapter that crashes its targets are held back at every box
+    When targets crash while running requests for the adapter "m1/a1", of which no two are alike, 3 times
+    Then requests for the adapter "m1/a1" are held back at every box
+    And requests for the adapter "m1/a2" may run at every box
+
+  Scenario: Crash records of boxes that know no shared traits count for whole requests
+    When a box of an earlier build reports that 3 targets crashed while running "poison"
+    And 1000 ms pass at all boxes
+    Then "poison" is held back at box "a" and listed as held by every box
--- a/packages/crash-blame/src/crash-blame.steps.ts
+++ b/packages/crash-blame/src/crash-blame.steps.ts
@@ -1,10 +1,12 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { createVirtualClock, pick, seededRandom, type VirtualClock } from "@linkfall/kernel";
+import type { BlameRecord } from "@linkfall/types";
 import {
   createCrashBlame,
   type CrashBlame,
   type RequestAttributes,
+  sharedTrait,
   type Verdict,
 } from "./index.js";
 
@@ -134,6 +136,51 @@
   },
 );
 
+const requestFor = (request: string, adapter: string): RequestAttributes => ({
+  ...attributesOf(request),
+  shared: [sharedTrait("adapter", adapter)],
+});
+
+When(
+  "targets crash while running requests for the adapter {string}, of which no two are alike, {int} times",
+  async function (this: object, adapter: string, times: number) {
+    const context = contextOf(this);
+    const boxes = [...context.boxes.keys()];
+    for (let time = 0; time < times; time++) {
+      const details = { targetsInUse: context.targets };
+      const blame = blameOf(context, boxes[time % boxes.length]);
+      blame.recordCrash(`e${time}`, requestFor(`r${time}`, adapter), details);
+      await advance(context, 1_000);
+    }
+  },
+);
+
+function verdictsOnAdapter({ boxes, targets }: Context, adapter: string): readonly Verdict[] {
+  return [...boxes.values()].map(
+    (blame) => blame.classify(requestFor("another", adapter), targets).verdict,
+  );
+}
+
+Then(
+  /^requests for the adapter "(.*)" (are held back|may run) at every box$/,
+  function (this: object, adapter: string, state: string) {
+    const expected = state === "may run" ? "clear" : "guilty";
+    for (const verdict of verdictsOnAdapter(contextOf(this), adapter))
+      assert.equal(verdict, expected);
+  },
+);
+
+When(
+  "a box of an earlier build reports that {int} targets crashed while running {string}",
+  function (this: object, count: number, request: string) {
+    const records = Array.from({ length: count }, (_, index): BlameRecord => {
+      const common = { target: `e${index}`, service: "engines", targetsInUse: 13 };
+      return { kind: "end", ...common, ageMs: 1_000 * (count - index), requests: [request] };
+    });
+    blameOf(contextOf(this), "a").applyChanges("earlier", { number: count, records });
+  },
+);
+
 Then("{string} is not held back", function (this: object, request: string) {
   const context = contextOf(this);
   for (const box of context.boxes.keys())
--- a/packages/soak/src/scenarios/crashing-requests.feature
+++ b/packages/soak/src/scenarios/crashing-requests.feature
@@ -22,3 +22,13 @@
     And all boxes are replaced at once
     And "dispatch" sends a completion with "crash" 9 times, at all boxes by turns
     Then at most 3 targets have crashed
+
+  # Guards against completions of which no two are alike, but whose prompts begin with what crashes engines.
+  Scenario: Completions whose prompts share a beginning that crashes targets are held back
+    Given an idle deployment
+    And 300 times "x" crashes each target that runs a prompt which begins with it
+    When "dispatch" sends 15 completions whose prompts begin with 300 times "x", no two alike, at all boxes by turns
+    Then at most 5 targets have crashed
+    And the last request is rejected as not run with "held_back"
+    When "dispatch" sends a completion with "another prompt" 3 times, at all boxes by turns
+    Then the last request is answered
--- a/packages/soak/src/scenarios/crashing-requests.steps.ts
+++ b/packages/soak/src/scenarios/crashing-requests.steps.ts
@@ -26,6 +26,29 @@
   worldOf(this).crashTrigger = text;
 });
 
+Given(
+  "{int} times {string} crashes each target that runs a prompt which begins with it",
+  function (this: object, count: number, text: string) {
+    worldOf(this).crashTrigger = text.repeat(count);
+  },
+);
+
+When(
+  "{string} sends {int} completions whose prompts begin with {int} times {string}, no two alike, at all boxes by turns",
+  async function (this: object, _account: string, times: number, count: number, text: string) {
+    const world = worldOf(this);
+    for (let time = 0; time < times; time++) {
+      const box = world.boxes[time % world.boxes.length];
+      const request = requestsByKind["a completion"](`${text.repeat(count)} and ${time}`);
+      scenarioState(this).set("last", await sendAndWait(world, box, "dispatch", request));
+    }
+  },
+);
+
+Then("the last request is answered", function (this: object) {
+  assert.equal(scenarioState(this).get<CallerResponse>("last").status, 200);
+});
+
 /** Sends a request to a box, then advances the clock by at least `waitMs` until it is answered. */
 export async function sendAndWait(
   world: World,
