Logs and metrics tell how a box knows that a target left, and what is sent there after that

Cause: targetLeaving was never logged for list entries (the registry of notices marked the target before the check), targetMissing named neither its source nor the state of the store, and sends to targets without an entry looked like all others. Change: the log event follows the notice; targetMissing has readFrom, isSettled and the position; sentToMissingTarget and sinceMs; linkfall_sends_to_missing_targets_total and _leaving_, by age. Positions of the list move to types.

--- a/packages/desired-feed/src/desired-feed.steps.ts
+++ b/packages/desired-feed/src/desired-feed.steps.ts
@@ -6,9 +6,9 @@
 import { loggerName, recordingLogger } from "@linkfall/logger";
 import type { RecordCodec } from "@linkfall/ports";
 import { createKeyedStore, type KeyedStore } from "@linkfall/test-support";
-import type { ListedTarget, RoutedConfiguration } from "@linkfall/types";
+import type { ListedTarget, ListPosition, RoutedConfiguration } from "@linkfall/types";
 import { Left, Right } from "purify-ts";
-import { createDesiredFeed, type DesiredFeed, type TargetsPosition } from "./index.js";
+import { createDesiredFeed, type DesiredFeed } from "./index.js";
 
 interface Scene {
   readonly clock: VirtualClock;
@@ -20,7 +20,7 @@
   /** Whether this box is a reader of the store. */
   reads: boolean;
   /** How far another box has received the target list. */
-  received: TargetsPosition;
+  received: ListPosition;
 }
 
 const scenes = new WeakMap<object, Scene>();
--- a/packages/desired-feed/src/desired-feed.ts
+++ b/packages/desired-feed/src/desired-feed.ts
@@ -6,7 +6,14 @@
 import { type Logger, loggerName } from "@linkfall/logger";
 import { type Metrics, metricsName } from "@linkfall/metrics";
 import type { KeyedBatch, KeyedRecord, KeyedStreamPort, RecordCodec } from "@linkfall/ports";
-import type { ListedTarget, Milliseconds, Offset } from "@linkfall/types";
+import {
+  isBehind,
+  type ListedTarget,
+  type ListPosition,
+  type ListSource,
+  type Milliseconds,
+  type Offset,
+} from "@linkfall/types";
 import {
   type ActiveConfiguration,
   type ConfigurationTracker,
@@ -19,7 +26,6 @@
 } from "./stream-follower.js";
 import { createStoreReachability, type StoreReachability } from "./store-reachability.js";
 import { createTargetChangeLog, type TargetChangeLog } from "./target-change-log.js";
-import { isBehind, type TargetsPosition } from "./targets-position.js";
 
 /** State of the other boxes that the feed depends on. */
 export interface FeedPeers {
@@ -58,13 +64,13 @@
   /** Whether the store is unreachable, or became reachable less than `settleMs` ago. */
   storeUnsettled(): boolean;
   /** How far the target list is known. */
-  targetsPosition(): TargetsPosition;
+  targetsPosition(): ListPosition;
   /** Returns the active configuration for other boxes. */
   configurationCopy(): ConfigurationCopy;
   /** Applies a configuration received from another box, if it is newer. */
   applyConfigurationCopy(copy: ConfigurationCopy): void;
   /** Returns the changes of the target list from `position` on; all targets if it is of another generation. */
-  targetChangesSince(position: TargetsPosition): TargetChanges;
+  targetChangesSince(position: ListPosition): TargetChanges;
   /** Applies target changes received from another box, if they are newer. */
   applyTargetChanges(changes: TargetChanges): void;
 }
@@ -87,7 +93,7 @@
   readonly reachability: StoreReachability;
   readonly changeLog: TargetChangeLog;
   targetsKnown: boolean;
-  targets: TargetsPosition;
+  targets: ListPosition;
 }
 
 /** Parsed target entries. Entries may be invalid, as other programs write to the list. */
@@ -129,7 +135,8 @@
 function applyFullList(
   context: FeedContext,
   { targets, unreadable }: ParsedEntries,
-  position: TargetsPosition,
+  position: ListPosition,
+  readFrom: ListSource["readFrom"],
 ): void {
   const { fleet } = context.input;
   const isRestored = context.targetsKnown && position.generation > context.targets.generation;
@@ -137,7 +144,16 @@
   context.targets = position;
   context.changeLog.replace(targets, unreadable, position.end);
   for (const id of unreadable) fleet.excludeUnreadable(id);
-  fleet.applyList(targets, isRestored);
+  fleet.applyList(targets, listSource(context, readFrom, position), isRestored);
+}
+
+/** Describes a change of the list up to `position` to the fleet. */
+function listSource(
+  { reachability }: FeedContext,
+  readFrom: ListSource["readFrom"],
+  position: ListPosition,
+): ListSource {
+  return { readFrom, position, isSettled: !reachability.isUnsettled() };
 }
 
 function applyUnreadable(context: FeedContext, id: string, offset: Offset): void {
@@ -150,7 +166,8 @@
   if (offset < context.targets.end) return;
   if (value === undefined) {
     context.changeLog.recordRemoved(key, offset);
-    context.input.fleet.removeEntry(key);
+    const position = { ...context.targets, end: offset + 1 };
+    context.input.fleet.removeEntry(key, listSource(context, "store", position));
     return;
   }
   const target = parseTarget(context, key, value);
@@ -162,7 +179,7 @@
 function applyTargetSnapshot(context: FeedContext, batch: KeyedBatch): void {
   if (isBehind(batch, context.targets)) return;
   const { end, generation } = batch;
-  applyFullList(context, parseEntries(context, batch.records), { end, generation });
+  applyFullList(context, parseEntries(context, batch.records), { end, generation }, "store");
 }
 
 function applyTargetBatch(context: FeedContext, batch: KeyedBatch): void {
@@ -186,6 +203,7 @@
   const { changed, gone, unreadable = [], end } = changes;
   const { fleet } = context.input;
   const lastOffset = end - 1;
+  const source = listSource(context, "box", { ...context.targets, end });
   for (const id of unreadable) applyUnreadable(context, id, lastOffset);
   for (const target of changed) {
     context.changeLog.recordChanged(target, lastOffset);
@@ -193,7 +211,7 @@
   }
   for (const id of gone) {
     context.changeLog.recordRemoved(id, lastOffset);
-    fleet.removeEntry(id);
+    fleet.removeEntry(id, source);
   }
   context.targets = { ...context.targets, end };
 }
@@ -209,7 +227,7 @@
   if (!isBehind(context.targets, position)) return;
   // Changes are relative to the history that they belong to.
   if (!whole && position.generation !== context.targets.generation) return;
-  if (whole) applyFullList(context, { targets, unreadable }, position);
+  if (whole) applyFullList(context, { targets, unreadable }, position, "box");
   else applyReceivedChanges(context, changes);
   // Received entries lack the models, so the next read by this box starts from a full snapshot.
   follower.restart();
--- a/packages/desired-feed/src/index.ts
+++ b/packages/desired-feed/src/index.ts
@@ -2,4 +2,3 @@
 export * from "./desired-feed.js";
 export * from "./stream-follower.js";
 export * from "./target-change-log.js";
-export * from "./targets-position.js";
--- a/packages/entry-box/src/heartbeat-source.ts
+++ b/packages/entry-box/src/heartbeat-source.ts
@@ -8,10 +8,15 @@
   type TargetChanges,
 } from "@linkfall/box-peers";
 import { crashBlameName } from "@linkfall/crash-blame";
-import { desiredFeedName, isBehind } from "@linkfall/desired-feed";
+import { desiredFeedName } from "@linkfall/desired-feed";
 import { fleetName } from "@linkfall/fleet";
 import { orderLeaseName } from "@linkfall/order-lease";
-import type { BlameMessage, LeavingMessage, TargetLimitMessage } from "@linkfall/types";
+import {
+  type BlameMessage,
+  isBehind,
+  type LeavingMessage,
+  type TargetLimitMessage,
+} from "@linkfall/types";
 import type { BoxRuntime } from "./box-runtime.js";
 import { ownLoads, recentDemand } from "./box-loads.js";
 import { ownProfile } from "./own-profile.js";
--- a/packages/fleet/src/fleet.feature
+++ b/packages/fleet/src/fleet.feature
@@ -8,6 +8,11 @@
     And "t1" is listed as ready
     Then "t2 t3 t4 t5" may get requests
 
+  Scenario: The log tells that a target is leaving according to its list entry
+    When "t1" is listed as leaving
+    And "t1" is listed as leaving
+    Then it is logged once that "t1" is leaving according to the list
+
   Scenario: A single target whose entry disappears gets no new requests
     When the entry of "t1" disappears
     Then "t2 t3 t4 t5" may get requests
--- a/packages/fleet/src/fleet.steps.ts
+++ b/packages/fleet/src/fleet.steps.ts
@@ -2,18 +2,37 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { clockName, createKernel, createVirtualClock, type VirtualClock } from "@linkfall/kernel";
 import { loggerName, recordingLogger } from "@linkfall/logger";
-import type { EngineState, EngineInventory, ListedTarget, Milliseconds } from "@linkfall/types";
+import type {
+  EngineState,
+  EngineInventory,
+  ListedTarget,
+  ListSource,
+  Milliseconds,
+} from "@linkfall/types";
 import fc from "fast-check";
 import { createFleet, type Fleet, hasModelLoaded } from "./index.js";
 
+interface LoggedEvent {
+  readonly name: string;
+  readonly detail: object;
+}
+
 interface Scene {
   readonly clock: VirtualClock;
   readonly fleet: Fleet;
+  readonly events: readonly LoggedEvent[];
 }
 
 const scenes = new WeakMap<object, Scene>();
 const service = "s";
 const stepMs = 100;
+let lastOffset = 0;
+
+/** The next change of the list; `isSettled`: whether the store served it without interruption. */
+function nextChange(isSettled: boolean, readFrom: ListSource["readFrom"] = "store"): ListSource {
+  lastOffset += 1;
+  return { readFrom, position: { end: lastOffset, generation: 0 }, isSettled };
+}
 
 function sceneOf(world: object): Scene {
   const scene = scenes.get(world);
@@ -49,21 +68,25 @@
 function createScene(): Scene {
   const clock = createVirtualClock();
   const kernel = createKernel();
+  const events: LoggedEvent[] = [];
   kernel.provide(clockName, clock);
   kernel.provide(
     loggerName,
-    recordingLogger(() => undefined),
+    recordingLogger((name, detail) => void events.push({ name, detail })),
   );
   const fleet = createFleet(kernel, {
     lapse: { graceMs: 1_600, minShare: 0.3 },
     ejection: { consecutiveFailures: 3, initialMs: 1_000, maxMs: 8_000 },
   });
-  return { clock, fleet };
+  return { clock, fleet, events };
 }
 
 Given("a fleet with targets {string} of one service", function (this: object, ids: string) {
   const scene = createScene();
-  scene.fleet.applyList(idsOf(ids).map((id) => listed(id)));
+  scene.fleet.applyList(
+    idsOf(ids).map((id) => listed(id)),
+    nextChange(true),
+  );
   scenes.set(this, scene);
 });
 
@@ -71,6 +94,15 @@
   sceneOf(this).fleet.applyEntry(listed(id, true));
 });
 
+Then(
+  "it is logged once that {string} is leaving according to the list",
+  function (this: object, target: string) {
+    const { events } = sceneOf(this);
+    const logged = events.filter(({ name }) => name === "targetLeaving");
+    assert.deepEqual(logged, [{ name: "targetLeaving", detail: { target, service } }]);
+  },
+);
+
 When("{string} is listed as ready", function (this: object, id: string) {
   sceneOf(this).fleet.applyEntry(listed(id));
 });
@@ -83,7 +115,7 @@
 );
 
 When("the entry of {string} disappears", function (this: object, id: string) {
-  sceneOf(this).fleet.removeEntry(id);
+  sceneOf(this).fleet.removeEntry(id, nextChange(true));
 });
 
 async function passTime(world: object, ms: number, storeUnsettled: boolean): Promise<void> {
@@ -154,7 +186,10 @@
 });
 
 When("{string} are listed as the whole list", function (this: object, ids: string) {
-  sceneOf(this).fleet.applyList(idsOf(ids).map((id) => listed(id)));
+  sceneOf(this).fleet.applyList(
+    idsOf(ids).map((id) => listed(id)),
+    nextChange(true),
+  );
 });
 
 When(
@@ -296,7 +331,7 @@
   const incarnations: EngineInventory[][] = [[holdingsOf(1_000, 0, "m0")]];
   const last = () =>
     incarnations[incarnations.length - 1][incarnations[incarnations.length - 1].length - 1];
-  fleet.applyList([listed("t", false, 1_000)]);
+  fleet.applyList([listed("t", false, 1_000)], nextChange(true));
   const report = ({ kind, incarnationsAgo, ordersAgo }: RandomReport) => {
     if (kind === "list") return fleet.applyEntry(listed("t", false, last().born));
     if (kind === "own_word") return fleet.applyState("t", stateOf(last()), 0);
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -13,6 +13,7 @@
   isSameIncarnation,
   type LeavingNotice,
   type ListedTarget,
+  type ListSource,
   type Milliseconds,
 } from "@linkfall/types";
 import { applyHoldings, noLoad, type TargetLoad, type TargetView } from "./target-view.js";
@@ -54,11 +55,11 @@
    * Applies the complete list; targets that it lacks become missing. If the list was restored from an older copy, their
    * entries may be written again, and they stay in use for the grace period.
    */
-  applyList(list: readonly ListedTarget[], isRestored?: boolean): void;
+  applyList(list: readonly ListedTarget[], source: ListSource, isRestored?: boolean): void;
   /** Applies one new or changed entry. */
   applyEntry(target: ListedTarget): void;
   /** Handles an entry that was deleted from the list. */
-  removeEntry(id: string): void;
+  removeEntry(id: string, source: ListSource): void;
   /** Handles an entry that can't be read: its target gets no new requests; those in flight continue. */
   excludeUnreadable(id: string): void;
   /** Notices of targets that have said in a response that they are leaving; they get no new requests. */
@@ -167,10 +168,11 @@
   const target = state.targets.get(notice.target);
   if (!target || !isSameIncarnation(notice.born, target.born)) return;
   const { id, service, leaving } = target.listed;
-  if (source !== "list")
-    state.logger.event("targetAnnouncedLeaving", { target: id, service, source });
+  if (source === "list") state.logger.event("targetLeaving", { target: id, service });
+  else state.logger.event("targetAnnouncedLeaving", { target: id, service, source });
   if (leaving) return;
   target.listed = { ...target.listed, leaving: true };
+  target.leavingSince = state.clock.now();
   notifyChange(state);
 }
 
@@ -256,9 +258,9 @@
   leavingTargets.onNotice((notice, source) => applyLeavingNotice(state, notice, source));
   return {
     leavingTargets,
-    applyList: (list, isRestored = false) => applyList(state, list, isRestored),
+    applyList: (list, source, isRestored = false) => applyList(state, list, source, isRestored),
     applyEntry: (target) => applyEntry(state, target),
-    removeEntry: (id) => removeEntry(state, id),
+    removeEntry: (id, source) => removeEntry(state, id, source),
     excludeUnreadable: (id) => excludeUnreadable(state, id),
     applyState: (id, reported, ageMs) => applyState(state, id, reported, ageMs),
     applyRelayedHoldings: (id, holdings) => applyRelayedHoldings(state, id, holdings),
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -1,5 +1,5 @@
 /** Applies the target list: adds, updates, marks as missing and removes targets. */
-import { isSameIncarnation, type ListedTarget } from "@linkfall/types";
+import { isSameIncarnation, type ListedTarget, type ListSource } from "@linkfall/types";
 import { applyListedModels, createTargetView, type TargetView } from "./target-view.js";
 import { type FleetState, notifyChange } from "./fleet-state.js";
 import { expireRests } from "./rests.js";
@@ -49,9 +49,6 @@
   recordListedLeaving(state, listed);
   // An entry of an earlier incarnation does not apply to the current one.
   if (!isSameIncarnation(listed.born, target.born)) return;
-  if (listed.leaving && !target.listed.leaving) {
-    state.logger.event("targetLeaving", { target: listed.id, service: listed.service });
-  }
   // A leaving target stays so for the rest of its incarnation.
   const wasLeaving = target.listed.leaving && isSameIncarnation(listed.born, target.listed.born);
   // A box of an earlier version relays entries without the software version.
@@ -66,7 +63,8 @@
 function removeTarget(state: FleetState, target: TargetView, why: string): void {
   const { id } = target.listed;
   state.targets.delete(id);
-  state.logger.event("targetGone", { target: id, why });
+  const missingMs = target.unlistedAt && Math.round(state.clock.now() - target.unlistedAt);
+  state.logger.event("targetGone", { target: id, why, missingMs });
   notifyIncarnationEnded(state, id);
 }
 
@@ -76,11 +74,16 @@
   if (target) removeTarget(state, target, "entry can't be read");
 }
 
-function markMissing({ clock, logger }: FleetState, target: TargetView): void {
+function markMissing(
+  { clock, logger }: FleetState,
+  target: TargetView,
+  { readFrom, position, isSettled }: ListSource,
+): void {
   if (target.missingSince !== undefined) return;
   target.unlistedAt = clock.now();
   target.missingSince = target.unlistedAt;
-  logger.event("targetMissing", { target: target.listed.id, service: target.listed.service });
+  const { id, service } = target.listed;
+  logger.event("targetMissing", { target: id, service, readFrom, isSettled, ...position });
 }
 
 /** Whether another listed target has the address of a missing one, which must have ended before. */
@@ -105,6 +108,7 @@
 export function applyList(
   state: FleetState,
   list: readonly ListedTarget[],
+  source: ListSource,
   isRestored: boolean,
 ): void {
   const ids = new Set(list.map((target) => target.id));
@@ -112,7 +116,7 @@
   for (const target of state.targets.values()) {
     if (ids.has(target.listed.id)) continue;
     if (isRestored && target.missingSince === undefined) target.isEntryLost = true;
-    markMissing(state, target);
+    markMissing(state, target, source);
   }
   removeReplaced(state);
   notifyChange(state);
@@ -126,11 +130,11 @@
 }
 
 /** Handles a deleted entry: a leaving target is removed, any other becomes missing. */
-export function removeEntry(state: FleetState, id: string): void {
+export function removeEntry(state: FleetState, id: string, source: ListSource): void {
   const target = state.targets.get(id);
   if (!target) return;
   if (target.listed.leaving) removeTarget(state, target, "left");
-  else markMissing(state, target);
+  else markMissing(state, target, source);
   removeReplaced(state);
 }
 
--- a/packages/fleet/src/target-view.ts
+++ b/packages/fleet/src/target-view.ts
@@ -38,6 +38,8 @@
   listed: ListedTarget;
   /** Start time of the current incarnation, if known. */
   born?: Milliseconds;
+  /** When this box learned that it is leaving; absent if it does not leave, or was leaving when it was first listed. */
+  leavingSince?: Milliseconds;
   /** When its entry disappeared; absent while it is listed. */
   unlistedAt?: Milliseconds;
   /** Whether the store lost its entry by coming back from an older copy. */
--- a/packages/forwarding/src/forward-metrics.ts
+++ b/packages/forwarding/src/forward-metrics.ts
@@ -24,8 +24,10 @@
   rejectedByFragileTarget(service: string): void;
   /** A request was refused since its fragile targets have no place left. */
   refusedByFragileTargets(service: string): void;
-  /** Counts a send to a target that was known to be leaving. */
-  sentToLeavingTarget(service: string): void;
+  /** Counts a send to a target that was known to be leaving for `sinceMs`. */
+  sentToLeavingTarget(service: string, sinceMs: Milliseconds): void;
+  /** Counts a send to a target whose list entry had been missing for `sinceMs`. */
+  sentToMissingTarget(service: string, sinceMs: Milliseconds): void;
   /** Counts a send to a target within the time for which it asked to get no requests. */
   sentToRestingTarget(service: string): void;
   /** Counts a stream that ended inside an event, by how its end was marked. */
@@ -38,6 +40,16 @@
   weightsWait(ms: Milliseconds): void;
 }
 
+const millisecondsPerSecond = 1000;
+/** Ages from here on share one label. */
+const maxAgeSeconds = 3;
+
+/** Label of an age in whole seconds. */
+function ageLabel(ms: Milliseconds): string {
+  const seconds = Math.floor(ms / millisecondsPerSecond);
+  return seconds < maxAgeSeconds ? String(seconds) : `${maxAgeSeconds}+`;
+}
+
 /** Creates metrics that are recorded in the process registry. */
 export function createForwardMetrics(metrics: Metrics): ForwardMetrics {
   return {
@@ -99,11 +111,17 @@
         "Requests refused because their targets are fragile and have no place left.",
         { service },
       ),
-    sentToLeavingTarget: (service) =>
+    sentToLeavingTarget: (service, sinceMs) =>
       metrics.count(
         "linkfall_sends_to_leaving_targets_total",
-        "Sends to targets that were known to be leaving.",
-        { service },
+        "Sends to targets that were known to be leaving, by the seconds since this box knew it.",
+        { service, seconds: ageLabel(sinceMs) },
+      ),
+    sentToMissingTarget: (service, sinceMs) =>
+      metrics.count(
+        "linkfall_sends_to_missing_targets_total",
+        "Sends to targets without a list entry, by the seconds since this box knew it.",
+        { service, seconds: ageLabel(sinceMs) },
       ),
     sentToRestingTarget: (service) =>
       metrics.count(
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -219,9 +219,10 @@
   const decidesAt = () => worlds.get(this)?.decidesAt ?? 0;
   const { fleet, context } = contextOf(clock, loadedAt, stopsAt, decidesAt);
   const models = [{ name: model, version: 1, adapters: [] }];
-  fleet.applyList([
-    { id: "e1", service: "engines", address, domain: "d1", slots: 8, leaving: false, models },
-  ]);
+  fleet.applyList(
+    [{ id: "e1", service: "engines", address, domain: "d1", slots: 8, leaving: false, models }],
+    { readFrom: "store", position: { end: 1, generation: 0 }, isSettled: true },
+  );
   const route = { name: "none" } as Route;
   const times = { stopsAt: Infinity, decidesAt: 0, queueMs: 0 };
   worlds.set(this, { clock, fleet, context, loadedAt, route, ...times });
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -157,14 +157,23 @@
   if (leaving && !misdirected) fleet.leavingTargets.record({ target: listed.id, born }, "target");
 }
 
-/** Logs and counts a send to a target that is known to be leaving. */
-function reportSendToLeaving(
-  { logger, metrics }: SendContext,
+/** Logs and counts a send to a target that is known to be leaving, or whose list entry has disappeared. */
+function reportSendToDeparting(
+  { clock, logger, metrics }: SendContext,
   { terms, service }: ForwardedRequest,
-  { listed }: TargetView,
+  { listed, leavingSince, unlistedAt }: TargetView,
 ): void {
-  logger.event("sentToLeavingTarget", { request: terms.id, target: listed.id });
-  metrics.sentToLeavingTarget(service.name);
+  const now = clock.now();
+  const detail = { request: terms.id, target: listed.id };
+  if (listed.leaving) {
+    const sinceMs = Math.round(now - (leavingSince ?? now));
+    logger.event("sentToLeavingTarget", { ...detail, sinceMs });
+    metrics.sentToLeavingTarget(service.name, sinceMs);
+  } else if (unlistedAt !== undefined) {
+    const sinceMs = Math.round(now - unlistedAt);
+    logger.event("sentToMissingTarget", { ...detail, sinceMs });
+    metrics.sentToMissingTarget(service.name, sinceMs);
+  }
 }
 
 /** Records a rest that the target asks for, or logs a Retry-After that cannot be read. */
@@ -216,7 +225,7 @@
   let unfinishedBytes: number | undefined;
   let via: string | undefined;
 
-  if (target.listed.leaving) reportSendToLeaving(context, request, target);
+  reportSendToDeparting(context, request, target);
   if (context.fleet.restRemainingMs(target) > 0) reportSendToResting(context, request, target);
   target.ownLoad = addLoad(target.ownLoad, 1, uncachedTokens);
   target.prefixIndex.record(query);
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -270,6 +270,11 @@
     "A request was sent to a target that was known to be leaving.",
     "Report a bug with the log lines of the target.",
   ),
+  sentToMissingTarget: event(
+    5038,
+    "debug",
+    "A request was sent to a target whose list entry had disappeared.",
+  ),
   targetAskedForRest: event(
     5024,
     "info",
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./identifiers.js";
 export * from "./resources.js";
 export * from "./targets.js";
+export * from "./target-list.js";
 export * from "./orders.js";
 export * from "./outcomes.js";
 export * from "./members.js";
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -236,7 +236,11 @@
     lapse: { graceMs: 1_600, minShare: 0.3 },
     ejection: { consecutiveFailures: 3, initialMs: 1_000, maxMs: 8_000 },
   });
-  fleet.applyList(engineIds.map(createListedTarget));
+  fleet.applyList(engineIds.map(createListedTarget), {
+    readFrom: "store",
+    position: { end: engineIds.length, generation: 0 },
+    isSettled: true,
+  });
   const scene: Scene = {
     clock,
     fleet,
