The end of an outage is noticed by the first answer of the store

What callers saw: for up to 2.6 s longer than the outage, boxes counted the store as away, and targets whose entries had lapsed were served on for longer. Cause: the first read after a failure waited for a change, as all do, and an idle stream answers only after its wait. Change: a read after a failed one does not wait.

--- a/packages/desired-feed/src/desired-feed.feature
+++ b/packages/desired-feed/src/desired-feed.feature
@@ -24,6 +24,15 @@
     Then configuration 6 is active
     And the targets "t1 t2 t3" are known
 
+  # Guards against counting the store as unreachable until a read has waited for a change.
+  Scenario: The feed notices the end of an outage although nothing has changed
+    When the store refuses the feed
+    And 3100 ms pass in the feed
+    Then the feed reports the store as unreachable
+    When the store serves the feed
+    And 300 ms pass in the feed
+    Then the feed reports the store as reachable
+
   Scenario: After truncation of the history the feed reads a full snapshot, including removals
     When the store refuses the feed
     And the target "t1" is deleted
--- a/packages/desired-feed/src/desired-feed.steps.ts
+++ b/packages/desired-feed/src/desired-feed.steps.ts
@@ -225,6 +225,10 @@
   assert.ok(!sceneOf(this).feed.reachesStore());
 });
 
+Then("the feed reports the store as reachable", function (this: object) {
+  assert.ok(sceneOf(this).feed.reachesStore());
+});
+
 Then("the targets {string} are known", function (this: object, ids: string) {
   const known = sceneOf(this)
     .fleet.all()
--- a/packages/desired-feed/src/stream-follower.ts
+++ b/packages/desired-feed/src/stream-follower.ts
@@ -57,6 +57,7 @@
   let restarts = 0;
   let stopped = false;
   let pauseMs = times.initialRetryPauseMs;
+  let lastReadFailed = false;
 
   /**
    * Handles the result of a read that started at `from`, undefined for a snapshot. A read that started before a restart still
@@ -68,6 +69,7 @@
     const { end: offset, generation } = batch;
     nextPosition = restarted || isOtherHistory ? undefined : { offset, generation };
     pauseMs = times.initialRetryPauseMs;
+    lastReadFailed = false;
     if (from === undefined) input.onSnapshot(batch);
     else if (!isOtherHistory && batch.records.length > 0) input.onChanges(batch);
     input.onRead();
@@ -79,13 +81,16 @@
       nextPosition = undefined;
       return;
     }
+    lastReadFailed = true;
     input.onRead(failure);
     await sleep(clock, pauseMs);
     pauseMs = Math.min(times.maxRetryPauseMs, pauseMs * 2);
   };
 
+  /** After a failure, an answer shows that the store is back; it must not wait for a change. */
+  const waitMs = () => (lastReadFailed ? 0 : times.maxWaitMs);
   const read = (from: ReadPosition | undefined) =>
-    from === undefined ? port.readNewest() : port.readChanges(from.offset, times.maxWaitMs);
+    from === undefined ? port.readNewest() : port.readChanges(from.offset, waitMs());
 
   /** Resolves with the result of the read, or with undefined if it is abandoned. */
   const readUnlessAbandoned = (from: ReadPosition | undefined) => {
