Requests that wait for a connection are not sent to a target that has left meanwhile

What callers saw: requests reached a target after its box knew that it had left, by up to the time of a connection. Cause: what a box learns between the choice and the connection was not looked at before the request was written. Change: the check before a write covers it; the request is then placed anew, as one whose place is gone.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -187,6 +187,12 @@
   return continueRequest;
 }
 
+/** Whether the target has not left, and is not leaving, since it was picked. */
+function acceptsRequests({ fleet }: ForwardContext, { listed: { id } }: TargetView): boolean {
+  const target = fleet.find(id);
+  return target !== undefined && !target.listed.leaving;
+}
+
 async function sendToPicked(
   context: ForwardContext,
   request: ForwardedRequest,
@@ -207,8 +213,10 @@
   });
   context.finalAttempts.start(request, target.listed.id);
   const mayWrite = async () =>
-    // The cause of crashes may have become known while the request waited for its connection.
-    !isHeldBack(context, request) && (await renewPlace(context, request, place));
+    // The cause of crashes, or that the target leaves, may have become known while the request waited for its connection.
+    !isHeldBack(context, request) &&
+    acceptsRequests(context, target) &&
+    (await renewPlace(context, request, place));
   const result = await sendToTarget(context, request, picked, mayWrite);
   context.finalAttempts.end(request, target.listed.id);
   endPlace(context, place, result);
