Targets that were only cut off from the store get requests as soon as they are listed again

Cause: a return was believed by time only, which guards against late writes. Change: entries carry the target's count of heartbeats; one that has counted three more than its last entry has lived on through the lapse, and its departure is over; others wait as before.

--- a/packages/desired-feed/src/target-change-log.ts
+++ b/packages/desired-feed/src/target-change-log.ts
@@ -6,7 +6,7 @@
 export interface TargetChangeLog {
   /** Replaces all records by the full list as of offset `end`. */
   replace(targets: readonly ListedTarget[], unreadableIds: readonly string[], end: Offset): void;
-  /** Records a new or changed entry; one that only differs in models is ignored. */
+  /** Records a new or changed entry; one that only differs in models or heartbeats is ignored. */
   recordChanged(target: ListedTarget, offset: Offset): void;
   /** Records that an entry was deleted. */
   recordRemoved(id: string, offset: Offset): void;
@@ -32,8 +32,13 @@
   return target;
 }
 
+function withoutHeartbeats({ heartbeats: _, ...target }: ListedTarget): ListedTarget {
+  return target;
+}
+
 const isSame = (left: ListedTarget | undefined, right: ListedTarget): boolean =>
-  left !== undefined && JSON.stringify(left) === JSON.stringify(right);
+  left !== undefined &&
+  JSON.stringify(withoutHeartbeats(left)) === JSON.stringify(withoutHeartbeats(right));
 
 const isRemoved = ({ target, unreadable }: ChangeEntry): boolean => !target && !unreadable;
 
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -198,8 +198,8 @@
   const { service, leaving } = target.listed;
   state.logger.event("targetDeparted", { target: id, service, source, ...position });
   if (target.listedAt && target.unlistedAt === undefined)
-    state.departedTargets.recordListed(id, target.listedAt);
-  if (leaving) return;
+    state.departedTargets.recordListed(target.listed, target.listedAt);
+  if (leaving || !state.departedTargets.hasDeparted(id, target.born)) return;
   target.listed = { ...target.listed, leaving: true };
   target.leavingSince = state.clock.now();
   notifyChange(state);
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -1,5 +1,11 @@
 /** Applies the target list: adds, updates, marks as missing and removes targets. */
-import { isSameIncarnation, type ListedTarget, type ListSource } from "@linkfall/types";
+import {
+  type Departure,
+  isSameIncarnation,
+  type ListedTarget,
+  type ListPosition,
+  type ListSource,
+} from "@linkfall/types";
 import { applyListedModels, createTargetView, type TargetView } from "./target-view.js";
 import { type FleetState, notifyChange } from "./fleet-state.js";
 import { expireRests } from "./rests.js";
@@ -13,14 +19,20 @@
 /** A single entry that disappears is no lapse, even of a service with few targets. */
 const minLapsedEntries = 2;
 
+/** Ends the departure of a target whose entry shows that it lives. */
+function recordListed(state: FleetState, listed: ListedTarget, position: ListPosition): void {
+  if (!state.departedTargets.recordListed(listed, position)) return;
+  state.logger.event("targetReturned", { target: listed.id, after: "heartbeats" });
+}
+
 function addTarget(state: FleetState, listed: ListedTarget, { position }: ListSource): void {
-  const { targets, engineShapes, clock, logger, departedTargets } = state;
+  const { targets, engineShapes, clock, logger } = state;
   const shape = engineShapes.get(listed.service);
+  recordListed(state, listed, position);
   const entry = withLeavingNotice(state, listed, listed.born);
   const target = createTargetView(entry, listed.born, shape, clock.now());
   target.listedAt = position;
   targets.set(listed.id, target);
-  departedTargets.recordListed(listed.id, position);
   recordListedLeaving(state, listed);
   applyPendingHoldings(state, target);
   notifyListed(state, target.listed);
@@ -51,7 +63,7 @@
   recordListedLeaving(state, listed);
   // An entry of an earlier incarnation does not apply to the current one.
   if (!isSameIncarnation(listed.born, target.born)) return;
-  state.departedTargets.recordListed(listed.id, source.position);
+  recordListed(state, listed, source.position);
   // A box of an earlier version relays entries without the software version.
   const softwareVersion = listed.softwareVersion ?? target.listed.softwareVersion;
   target.listed = withLeavingNotice(state, { ...listed, softwareVersion }, target.born);
@@ -113,12 +125,15 @@
   const { id, leaving } = target.listed;
   departedTargets.recordUnlisted(id);
   const hasLeft = source.readFrom === "store" && source.isSettled;
-  if (hasLeft && !leaving)
-    departedTargets.record({ target: id, born: target.born, position: source.position }, "list");
+  if (hasLeft && !leaving) departedTargets.record(departureOf(target, source), "list");
   if (target.listed.leaving) removeTarget(state, target, "left");
   else markMissing(state, target, source);
 }
 
+function departureOf({ listed, born }: TargetView, { position }: ListSource): Departure {
+  return { target: listed.id, born, position, heartbeats: listed.heartbeats };
+}
+
 /** Applies the complete list; targets that it lacks have left, or become missing. */
 export function applyList(
   state: FleetState,
@@ -178,7 +193,7 @@
 function confirmReturns(state: FleetState, isSettled: boolean): void {
   const { departedTargets, targets, logger } = state;
   for (const id of departedTargets.confirmReturns(isSettled)) {
-    logger.event("targetReturned", { target: id });
+    logger.event("targetReturned", { target: id, after: "time" });
     const target = targets.get(id);
     if (!target) continue;
     target.leavingSince = undefined;
--- a/packages/leaving-targets/src/departed-targets.feature
+++ b/packages/leaving-targets/src/departed-targets.feature
@@ -45,3 +45,20 @@
     And 2300 ms pass with a settled list
     And box 1 reads at offset 7 that "t1" has departed
     Then "t1" has departed for box 1
+
+  Scenario: A target that has missed as many heartbeats as make an entry lapse returns at once
+    When box 1 reads at offset 5 that "t1" has departed after heartbeat 7
+    And box 1 reads at offset 6 that "t1" is listed by heartbeat 10
+    Then "t1" has not departed for box 1
+
+  # Guards against late writes of targets that have left.
+  Scenario: A target whose entry tells hardly more heartbeats than the last one has not returned yet
+    When box 1 reads at offset 5 that "t1" has departed after heartbeat 7
+    And box 1 reads at offset 6 that "t1" is listed by heartbeat 9
+    Then "t1" has departed for box 1
+
+  Scenario: A target returns at once for a box that was told of its departure
+    When box 1 reads at offset 5 that "t1" has departed after heartbeat 7
+    And box 2 applies the departures of box 1
+    And box 2 reads at offset 6 that "t1" is listed by heartbeat 12
+    Then "t1" has not departed for box 2
--- a/packages/leaving-targets/src/departed-targets.steps.ts
+++ b/packages/leaving-targets/src/departed-targets.steps.ts
@@ -29,17 +29,20 @@
 });
 
 When(
-  "box {int} reads at offset {int} that {string} has departed",
-  function (this: object, box: number, offset: number, target: string) {
-    boxOf(this, box).recordUnlisted(target);
-    boxOf(this, box).record({ target, position: positionAt(offset) }, "list");
+  /^box (\d) reads at offset (\d+) that "([^"]*)" has departed(?: after heartbeat (\d+))?$/,
+  function (this: object, box: string, offset: string, target: string, beat: string | null) {
+    const departed = boxOf(this, Number(box));
+    const heartbeats = beat === null ? undefined : Number(beat);
+    departed.recordUnlisted(target);
+    departed.record({ target, position: positionAt(Number(offset)), heartbeats }, "list");
   },
 );
 
 When(
-  "box {int} reads at offset {int} that {string} is listed",
-  function (this: object, box: number, offset: number, target: string) {
-    boxOf(this, box).recordListed(target, positionAt(offset));
+  /^box (\d) reads at offset (\d+) that "([^"]*)" is listed(?: by heartbeat (\d+))?$/,
+  function (this: object, box: string, offset: string, id: string, beat: string | null) {
+    const heartbeats = beat === null ? undefined : Number(beat);
+    boxOf(this, Number(box)).recordListed({ id, heartbeats }, positionAt(Number(offset)));
   },
 );
 
--- a/packages/leaving-targets/src/departed-targets.ts
+++ b/packages/leaving-targets/src/departed-targets.ts
@@ -18,6 +18,13 @@
 /** Whether this box read from the store that the entry had disappeared, or was told by another box. */
 export type DepartureSource = "list" | "box";
 
+/** What an entry of the list tells of its target's life. */
+export interface ListEntry {
+  readonly id: string;
+  /** Number of heartbeats that its target had counted; absent if unknown. */
+  readonly heartbeats?: number;
+}
+
 export interface DepartedTargets {
   /** Records a departure; ignored if the same or a later one of this incarnation is known. */
   record(departure: Departure, source: DepartureSource): void;
@@ -25,8 +32,11 @@
   hasDeparted(target: string, born: Milliseconds | undefined): boolean;
   /** Drops the departure of an incarnation of the target other than the one that started at `born`. */
   startIncarnation(target: string, born: Milliseconds | undefined): void;
-  /** Records that the list contains the target at this position. */
-  recordListed(target: string, position: ListPosition): void;
+  /**
+   * Records that the list contains the target at this position; returns whether that ends a departure. It does if the
+   * target has counted as many heartbeats since its last entry as must be missed before an entry lapses.
+   */
+  recordListed(entry: ListEntry, position: ListPosition): boolean;
   /** Records that the list does not contain the target. */
   recordUnlisted(target: string): void;
   /**
@@ -47,6 +57,15 @@
   onDeparture(listener: (departure: Departure, source: DepartureSource) => void): void;
 }
 
+/** An entry lapses after this many heartbeats of its target have been missed. */
+const heartbeatsUntilLapse = 3;
+
+/** Whether the entry was written by a target that had lived on after it had departed. */
+function wasWrittenSince({ heartbeats: before }: Departure, { heartbeats }: ListEntry): boolean {
+  if (before === undefined || heartbeats === undefined) return false;
+  return heartbeats - before >= heartbeatsUntilLapse;
+}
+
 /** Creates a registry without departures; a target has returned once it has been listed again for `returnMs`. */
 export function createDepartedTargets(clock: Clock, returnMs: Milliseconds): DepartedTargets {
   const log = createNoticeLog<Departure>(clock);
@@ -85,10 +104,14 @@
       log.delete(target);
       forgetReturn(target);
     },
-    recordListed(target, position) {
-      const departure = log.get(target);
-      if (departure === undefined || listedAgainAt.has(target)) return;
-      if (isBehind(departure.position, position)) listedAgainAt.set(target, clock.now());
+    recordListed(entry, position) {
+      const departure = log.get(entry.id);
+      if (departure === undefined || returned.has(entry.id)) return false;
+      if (!isBehind(departure.position, position)) return false;
+      if (!listedAgainAt.has(entry.id)) listedAgainAt.set(entry.id, clock.now());
+      if (!wasWrittenSince(departure, entry)) return false;
+      returned.add(entry.id);
+      return true;
     },
     recordUnlisted(target) {
       if (!returned.has(target)) listedAgainAt.delete(target);
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -178,7 +178,7 @@
   targetReturned: event(
     4021,
     "info",
-    "A target that had left is listed again for long enough and receives requests.",
+    "A target that had left is listed again, by its heartbeats or for long enough, and receives requests.",
   ),
   targetGone: event(4014, "info", "A target is considered gone."),
   orderAnswered: event(4015, "info", "An engine replied to an order, or the order timed out."),
--- a/packages/types/src/leaving-targets.ts
+++ b/packages/types/src/leaving-targets.ts
@@ -19,6 +19,8 @@
 export interface Departure extends LeavingNotice {
   /** Position of the list after the entry had disappeared. */
   readonly position: ListPosition;
+  /** Number of heartbeats that the last entry told; absent if unknown. */
+  readonly heartbeats?: number;
 }
 
 /** The departures that are new since the receiver's last acknowledged message. */
--- a/packages/types/src/routed-targets.ts
+++ b/packages/types/src/routed-targets.ts
@@ -43,6 +43,8 @@
   /** Maximum number of concurrent requests. */
   readonly slots: number;
   readonly leaving: boolean;
+  /** Number that rises with each heartbeat of the target, as of the entry; absent if unknown. */
+  readonly heartbeats?: number;
   /** Loaded models at the time of the listing; absent for targets of plain services. */
   readonly models?: readonly LoadedModel[];
 }
