Departures and notices of leaving have a module of their own in the fleet

Change: both move to departures.ts, and marking an entry as leaving stands once; no behaviour changes.

--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -4,21 +4,15 @@
   createDepartedTargets,
   createLeavingTargets,
   type DepartedTargets,
-  type DepartureSource,
   type LeavingTargets,
-  type NoticeSource,
 } from "@linkfall/leaving-targets";
 import { loggerName } from "@linkfall/logger";
 import {
-  type Departure,
   type DepartureMessage,
   type EngineInventory,
   type EngineSpec,
   type EngineState,
   type Incarnation,
-  isBehind,
-  isSameIncarnation,
-  type LeavingNotice,
   type ListedTarget,
   type ListSource,
   type Milliseconds,
@@ -30,6 +24,7 @@
   notifyChange,
   targetsOfService,
 } from "./fleet-state.js";
+import { applyDeparture, applyDepartures, applyLeavingNotice } from "./departures.js";
 import { keepPendingHoldings, viewForDirectReport, viewForRelayedReport } from "./incarnations.js";
 import {
   acceptsInMs,
@@ -174,50 +169,6 @@
   if (target && applyHoldings(target, holdings, state.clock.now())) notifyChange(state);
 }
 
-/** Marks the target of a new notice as leaving. */
-function applyLeavingNotice(state: FleetState, notice: LeavingNotice, source: NoticeSource): void {
-  const target = state.targets.get(notice.target);
-  if (!target || !isSameIncarnation(notice.born, target.born)) return;
-  const { id, service, leaving } = target.listed;
-  if (source === "list") state.logger.event("targetLeaving", { target: id, service });
-  else state.logger.event("targetAnnouncedLeaving", { target: id, service, source });
-  if (leaving) return;
-  target.listed = { ...target.listed, leaving: true };
-  target.leavingSince = state.clock.now();
-  notifyChange(state);
-}
-
-/** Marks the target of a new departure as leaving; its entry may still be listed here. */
-function applyDeparture(
-  state: FleetState,
-  { target: id, born, position }: Departure,
-  source: DepartureSource,
-): void {
-  const target = state.targets.get(id);
-  if (!target || !isSameIncarnation(born, target.born)) return;
-  const { service, leaving } = target.listed;
-  state.logger.event("targetDeparted", { target: id, service, source, ...position });
-  if (target.listedAt && target.unlistedAt === undefined)
-    state.departedTargets.recordListed(target.listed, target.listedAt);
-  if (leaving || !state.departedTargets.hasDeparted(id, target.born)) return;
-  target.listed = { ...target.listed, leaving: true };
-  target.leavingSince = state.clock.now();
-  notifyChange(state);
-}
-
-/** Whether this box has a later entry of the target, by which the departure is over. */
-function isListedSince({ targets }: FleetState, { target: id, position }: Departure): boolean {
-  const target = targets.get(id);
-  if (target?.listedAt === undefined || target.unlistedAt !== undefined) return false;
-  // A later generation of the store may contain an older copy of the entry.
-  return target.listedAt.generation === position.generation && isBehind(position, target.listedAt);
-}
-
-function applyDepartures(state: FleetState, from: Incarnation, message: DepartureMessage): void {
-  const departures = message.departures.filter((departure) => !isListedSince(state, departure));
-  state.departedTargets.applyDepartures(from, { ...message, departures });
-}
-
 function setWithheldModels(
   state: FleetState,
   models: ReadonlyMap<string, readonly string[]>,
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -1,13 +1,8 @@
 /** Applies the target list: adds, updates, marks as missing and removes targets. */
-import {
-  type Departure,
-  isSameIncarnation,
-  type ListedTarget,
-  type ListPosition,
-  type ListSource,
-} from "@linkfall/types";
+import { isSameIncarnation, type ListedTarget, type ListSource } from "@linkfall/types";
 import { applyListedModels, createTargetView, type TargetView } from "./target-view.js";
 import { type FleetState, notifyChange } from "./fleet-state.js";
+import { confirmReturns, departureOf, recordListed } from "./departures.js";
 import { expireRests } from "./rests.js";
 import {
   applyPendingHoldings,
@@ -19,12 +14,6 @@
 /** A single entry that disappears is no lapse, even of a service with few targets. */
 const minLapsedEntries = 2;
 
-/** Ends the departure of a target whose entry shows that it lives. */
-function recordListed(state: FleetState, listed: ListedTarget, position: ListPosition): void {
-  if (!state.departedTargets.recordListed(listed, position)) return;
-  state.logger.event("targetReturned", { target: listed.id, after: "heartbeats" });
-}
-
 function addTarget(state: FleetState, listed: ListedTarget, { position }: ListSource): void {
   const { targets, engineShapes, clock, logger } = state;
   const shape = engineShapes.get(listed.service);
@@ -130,10 +119,6 @@
   else markMissing(state, target, source);
 }
 
-function departureOf({ listed, born }: TargetView, { position }: ListSource): Departure {
-  return { target: listed.id, born, position, heartbeats: listed.heartbeats };
-}
-
 /** Applies the complete list; targets that it lacks have left, or become missing. */
 export function applyList(
   state: FleetState,
@@ -189,19 +174,6 @@
   );
 }
 
-/** Puts departed targets back into use that have been listed again for long enough. */
-function confirmReturns(state: FleetState, isSettled: boolean): void {
-  const { departedTargets, targets, logger } = state;
-  for (const id of departedTargets.confirmReturns(isSettled)) {
-    logger.event("targetReturned", { target: id, after: "time" });
-    const target = targets.get(id);
-    if (!target) continue;
-    target.leavingSince = undefined;
-    target.listed = withLeavingNotice(state, { ...target.listed, leaving: false }, target.born);
-    notifyChange(state);
-  }
-}
-
 /** Removes targets that have been missing for longer than the grace period, and drops what is no longer needed. */
 export function expireMissing(state: FleetState, isSettled: boolean): void {
   const now = state.clock.now();
