--- a/packages/soak/src/scenarios/planted-faults.ts
+++ b/packages/soak/src/scenarios/planted-faults.ts
@@ -279,7 +279,7 @@
   {
     name: "generations-of-the-list-not-compared",
     promise: "a store that comes back from an older copy",
-    file: "desired-feed/dist/targets-position.js",
+    file: "types/dist/target-list.js",
     find: "if (left.generation !== right.generation)",
     replace: "if (false)",
     scenario: "Changes are applied after the store has come back from an older copy",
