What goes after an outage has ended is its target's word

Cause: a going was a word only if the list had been served for settle_ms. That time is for targets that renew their entries; what lapsed while the store was away is gone in the first answer after it.

Change: a going is judged by whether its answer continues an uninterrupted reading: the answer before it reached the end of the list, and no failure, gap or older copy lies between (list-continuity). The first answer after an interruption is judged as before, so entries that lapsed are served on. A suspended box judged its first answer by the time before; it is an interruption now. settle_ms is left for what is missing and for returns.

--- a/packages/desired-feed/src/desired-feed.feature
+++ b/packages/desired-feed/src/desired-feed.feature
@@ -33,6 +33,27 @@
     And 300 ms pass in the feed
     Then the feed reports the store as reachable
 
+  # Guards against taking entries that lapsed during an outage for targets that left.
+  Scenario: Targets whose entries are gone in the first answer after an outage may get requests
+    When the store refuses the feed
+    And 1000 ms pass in the feed
+    And the target "t1" is deleted
+    And the target "t2" is deleted
+    And the store serves the feed
+    And 500 ms pass in the feed
+    Then the targets "t1 t2" may get requests
+
+  # Guards against judging entries by an outage that had ended before they disappeared.
+  Scenario: Targets whose entries are gone in a later answer after an outage get no requests
+    When the store refuses the feed
+    And 1000 ms pass in the feed
+    And the store serves the feed
+    And 500 ms pass in the feed
+    And the target "t1" is deleted
+    And the target "t2" is deleted
+    And 100 ms pass in the feed
+    Then no target of the feed may get requests
+
   Scenario: After truncation of the history the feed reads a full snapshot, including removals
     When the store refuses the feed
     And the target "t1" is deleted
--- a/packages/desired-feed/src/desired-feed.steps.ts
+++ b/packages/desired-feed/src/desired-feed.steps.ts
@@ -47,13 +47,13 @@
   parseTarget: (id, text) =>
     text === "{"
       ? Left({ kind: "invalid_input", problems: [{ field: "", reason: "not JSON" }] })
-      : Right({ id, service: text, address: "10.0.0.1:1", domain: "d", slots: 1, leaving: false }),
+      : Right(targetOf(id, text)),
 };
 
 const idsOf = (text: string) => text.split(" ");
 
-function targetOf(id: string): ListedTarget {
-  return { id, service: "s", address: "10.0.0.1:1", domain: "d", slots: 1, leaving: false };
+function targetOf(id: string, service = "s"): ListedTarget {
+  return { id, service, address: `${id}.example:1`, domain: "d", slots: 1, leaving: false };
 }
 
 Given(
@@ -154,7 +154,7 @@
     feed.applyTargetChanges({
       end: feed.targetsPosition().end + (when === "a later" ? 5 : -1),
       whole: true,
-      changed: idsOf(ids).map(targetOf),
+      changed: idsOf(ids).map((id) => targetOf(id)),
       gone: [],
     });
   },
@@ -175,7 +175,7 @@
     feed.applyTargetChanges({
       end: feed.targetsPosition().end + 2,
       whole: false,
-      changed: idsOf(changed).map(targetOf),
+      changed: idsOf(changed).map((id) => targetOf(id)),
       gone: idsOf(gone),
     });
   },
@@ -285,7 +285,7 @@
 When(
   "another box that has read generation {int} of the store up to {int} sends the whole list {string}",
   function (this: object, generation: number, end: number, ids: string) {
-    const changed = idsOf(ids).map(targetOf);
+    const changed = idsOf(ids).map((id) => targetOf(id));
     sceneOf(this).feed.applyTargetChanges({ generation, end, whole: true, changed, gone: [] });
   },
 );
@@ -298,3 +298,7 @@
   const usable = sceneOf(this).fleet.usableTargets("s");
   assert.deepEqual(usable.map(({ listed }) => listed.id).sort(), idsOf(ids));
 });
+
+Then("no target of the feed may get requests", function (this: object) {
+  assert.deepEqual(sceneOf(this).fleet.usableTargets("s"), []);
+});
--- a/packages/desired-feed/src/desired-feed.ts
+++ b/packages/desired-feed/src/desired-feed.ts
@@ -160,7 +160,7 @@
   readFrom: ListSource["readFrom"],
   position: ListPosition,
 ): ListSource {
-  return { readFrom, position, isSettled: reachability.isListSettled() };
+  return { readFrom, position, isContinuous: reachability.isListContinuous() };
 }
 
 function applyUnreadable(context: FeedContext, id: string, offset: Offset): void {
@@ -263,8 +263,10 @@
   const clock = kernel.find(clockName);
   const context = createContext(kernel, input);
   const { configuration, reachability, changeLog } = context;
-  const recordReadOf = (stream: FollowedStream) => (failure?: LogFailure) =>
-    reachability.recordRead(stream, failure);
+  const recordReadsOf = (stream: FollowedStream) => ({
+    onAnswer: (isWhole: boolean) => reachability.recordAnswer(stream, isWhole),
+    onFailure: (failure: LogFailure) => reachability.recordFailure(stream, failure),
+  });
   const applyConfigurations = (batch: KeyedBatch) => applyConfigurationBatch(context, batch);
   const configurationFollower = createStreamFollower({
     clock,
@@ -273,7 +275,7 @@
     isReader: input.peers.readsStore,
     onSnapshot: applyConfigurations,
     onChanges: applyConfigurations,
-    onRead: recordReadOf("configuration"),
+    ...recordReadsOf("configuration"),
   });
   input.targetStream.onNewGeneration(reachability.recordReturn);
   const targetFollower = createStreamFollower({
@@ -283,7 +285,7 @@
     isReader: input.peers.readsStore,
     onSnapshot: (batch) => applyTargetSnapshot(context, batch),
     onChanges: (batch) => applyTargetBatch(context, batch),
-    onRead: recordReadOf("targets"),
+    ...recordReadsOf("targets"),
   });
 
   return {
--- a/packages/desired-feed/src/store-reachability.ts
+++ b/packages/desired-feed/src/store-reachability.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
 import type { Milliseconds } from "@linkfall/types";
+import { createListContinuity } from "./list-continuity.js";
 
 /** Streams that a reader follows. */
 export type FollowedStream = "configuration" | "targets";
@@ -13,8 +14,12 @@
   isReachable(): boolean;
   /** Whether the target list has been served without interruption for the time in which running targets renew entries. */
   isListSettled(): boolean;
-  /** Records a read of a stream, or its failure. */
-  recordRead(stream: FollowedStream, failure?: LogFailure): void;
+  /** Whether the answer that is being handled contains only changes of the target list that were made while it was served. */
+  isListContinuous(): boolean;
+  /** Records an answer that has been handled; `isWhole`: the stream was applied up to its end at that time. */
+  recordAnswer(stream: FollowedStream, isWhole: boolean): void;
+  /** Records a read that failed. */
+  recordFailure(stream: FollowedStream, failure: LogFailure): void;
   /** Records that the store has come back from an older copy. */
   recordReturn(): void;
 }
@@ -49,13 +54,12 @@
   let wasListServed = true;
   /** Start of the uninterrupted service of the list. */
   let listServedSince = -Infinity;
-  /** Time of the latest answered read of the list, by `Clock.elapsed`; absent while this box is not a reader. */
-  let listReadAt: Milliseconds | undefined;
+  const continuity = createListContinuity(clock, maxReadGapMs);
 
   const readsStore = (): boolean => {
     if (peers.readsStore()) return true;
     failedStreams.clear();
-    listReadAt = undefined;
+    continuity.recordEnd();
     return false;
   };
   const isReachable = (): boolean =>
@@ -71,10 +75,9 @@
     wasListServed = now;
     return now;
   };
-  const recordListRead = () => {
-    const now = clock.elapsed();
-    if (now - (listReadAt ?? now) > maxReadGapMs) restartSettling();
-    listReadAt = now;
+  const recordListAnswer = (isWhole: boolean) => {
+    if (continuity.hasGap()) restartSettling();
+    continuity.recordAnswer(isWhole);
   };
   const updateReachable = (stream?: FollowedStream, reason?: string) => {
     const now = isReachable();
@@ -83,19 +86,30 @@
     wasReachable = now;
   };
 
+  const isListSettled = () => {
+    updateReachable();
+    return updateList() && clock.now() - listServedSince >= settleMs;
+  };
+
   return {
     isReachable,
-    isListSettled() {
-      updateReachable();
-      return updateList() && clock.now() - listServedSince >= settleMs;
+    isListSettled,
+    isListContinuous: () => continuity.isContinuous() ?? isListSettled(),
+    recordAnswer(stream, isWhole) {
+      failedStreams.delete(stream);
+      if (stream === "targets") recordListAnswer(isWhole);
+      updateReachable(stream);
+      updateList();
     },
-    recordRead(stream, failure) {
-      if (failure) failedStreams.add(stream);
-      else failedStreams.delete(stream);
-      if (stream === "targets" && !failure) recordListRead();
-      updateReachable(stream, failure && reasonOf(failure));
+    recordFailure(stream, failure) {
+      failedStreams.add(stream);
+      if (stream === "targets") continuity.recordInterruption();
+      updateReachable(stream, reasonOf(failure));
       updateList();
     },
-    recordReturn: restartSettling,
+    recordReturn() {
+      continuity.recordInterruption();
+      restartSettling();
+    },
   };
 }
--- a/packages/desired-feed/src/stream-follower.ts
+++ b/packages/desired-feed/src/stream-follower.ts
@@ -34,8 +34,10 @@
   onSnapshot(batch: KeyedBatch): void;
   /** Handles changes in offset order. */
   onChanges(batch: KeyedBatch): void;
-  /** Handles the failure of a read, or `undefined` after a successful one. */
-  onRead(failure?: LogFailure): void;
+  /** Called after an answer was handled; `isWhole`: the stream was applied up to its end at that time. */
+  onAnswer(isWhole: boolean): void;
+  /** Handles the failure of a read. */
+  onFailure(failure: LogFailure): void;
 }
 
 /** Interval at which a box that does not read the stream checks whether it has become a reader. */
@@ -72,7 +74,7 @@
     lastReadFailed = false;
     if (from === undefined) input.onSnapshot(batch);
     else if (!isOtherHistory && batch.records.length > 0) input.onChanges(batch);
-    input.onRead();
+    input.onAnswer(!restarted && !isOtherHistory && !batch.isPartial);
   };
 
   const handleFailure = async (failure: LogFailure) => {
@@ -82,7 +84,7 @@
       return;
     }
     lastReadFailed = true;
-    input.onRead(failure);
+    input.onFailure(failure);
     await sleep(clock, pauseMs);
     pauseMs = Math.min(times.maxRetryPauseMs, pauseMs * 2);
   };
--- a/packages/fleet/src/departures.ts
+++ b/packages/fleet/src/departures.ts
@@ -1,4 +1,4 @@
-/** Targets that say that they leave, or whose entries disappeared while the list was settled. */
+/** Targets that say that they leave, or whose entries disappeared while the store served the list. */
 import type { DepartureSource, NoticeSource } from "@linkfall/leaving-targets";
 import {
   type Departure,
--- a/packages/fleet/src/fleet-state.ts
+++ b/packages/fleet/src/fleet-state.ts
@@ -31,7 +31,7 @@
   readonly targets: Map<string, TargetView>;
   /** Targets that have said in a response that they are leaving. */
   readonly leavingTargets: LeavingTargets;
-  /** Targets whose entries disappeared while the list was settled. */
+  /** Targets whose entries disappeared while the store served the list. */
   readonly departedTargets: DepartedTargets;
   /** Rests that targets have asked for, by target id. */
   readonly rests: Map<string, Rest>;
--- a/packages/fleet/src/fleet.steps.ts
+++ b/packages/fleet/src/fleet.steps.ts
@@ -28,10 +28,10 @@
 const stepMs = 100;
 let lastOffset = 0;
 
-/** The next change of the list; `isSettled`: whether the store served it without interruption. */
-function nextChange(isSettled: boolean, readFrom: ListSource["readFrom"] = "store"): ListSource {
+/** The next change of the list; `isContinuous`: whether the store served the list without interruption. */
+function nextChange(isContinuous: boolean, readFrom: ListSource["readFrom"] = "store"): ListSource {
   lastOffset += 1;
-  return { readFrom, position: { end: lastOffset, generation: 0 }, isSettled };
+  return { readFrom, position: { end: lastOffset, generation: 0 }, isContinuous };
 }
 
 function sceneOf(world: object): Scene {
@@ -207,7 +207,7 @@
   "{string} are listed as the whole list of a store that has come back",
   function (this: object, ids: string) {
     const position = { end: 1, generation: 1 };
-    const source: ListSource = { readFrom: "store", position, isSettled: false };
+    const source: ListSource = { readFrom: "store", position, isContinuous: false };
     const list = idsOf(ids).map((id) => listed(id));
     sceneOf(this).fleet.applyList(list, source, true);
   },
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -54,19 +54,19 @@
 /** Tracks the targets of all services from the target list, direct and relayed reports, and request outcomes. */
 export interface Fleet {
   /**
-   * Applies the complete list; targets that it lacks have left if the list is settled, else they become missing. If the
+   * Applies the complete list; targets that it lacks have left if the change is continuous, else they become missing. If the
    * list was restored from an older copy, their entries may be written again, and they stay in use for the grace period.
    */
   applyList(list: readonly ListedTarget[], source: ListSource, isRestored?: boolean): void;
   /** Applies one new or changed entry. */
   applyEntry(target: ListedTarget, source: ListSource): void;
-  /** Handles an entry that was deleted from the list: its target has left if the list is settled, else it is missing. */
+  /** Handles an entry that was deleted from the list: its target has left if the change is continuous, else it is missing. */
   removeEntry(id: string, source: ListSource): void;
   /** Handles an entry that can't be read: its target gets no new requests; those in flight continue. */
   excludeUnreadable(id: string): void;
   /** Notices of targets that have said in a response that they are leaving; they get no new requests. */
   readonly leavingTargets: LeavingTargets;
-  /** Targets whose entries disappeared while the list was settled; they get no new requests. */
+  /** Targets whose entries disappeared while the store served the list; they get no new requests. */
   readonly departedTargets: DepartedTargets;
   /** Applies departures that another box has recorded, except of targets that have been listed here since. */
   applyDepartures(from: Incarnation, message: DepartureMessage): void;
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -78,12 +78,12 @@
 function markMissing(
   { clock, logger }: FleetState,
   target: TargetView,
-  { readFrom, position, isSettled }: ListSource,
+  { readFrom, position, isContinuous }: ListSource,
 ): void {
   if (target.unlistedAt !== undefined) return;
   target.unlistedAt = clock.now();
   const { id, service } = target.listed;
-  logger.event("targetMissing", { target: id, service, readFrom, isSettled, ...position });
+  logger.event("targetMissing", { target: id, service, readFrom, isContinuous, ...position });
 }
 
 /** Whether another listed target has the address of a missing one, which must have ended before. */
@@ -105,15 +105,15 @@
 }
 
 /**
- * Handles a target that the list no longer contains. While the list is settled, running targets renew their entries, so
- * that an entry only disappears if its target leaves, however many disappear with it. Only a reader of the store knows
- * whether the list was settled when it read this; other boxes are sent the departure.
+ * Handles a target that the list no longer contains. While the store serves the list, running targets renew their entries,
+ * so that an entry only disappears if its target leaves, however many disappear with it. Only a reader of the store knows
+ * whether it was interrupted before it read this; other boxes are sent the departure.
  */
 function handleUnlisted(state: FleetState, target: TargetView, source: ListSource): void {
   const { departedTargets } = state;
   const { id, leaving } = target.listed;
   departedTargets.recordUnlisted(id);
-  const hasLeft = source.readFrom === "store" && source.isSettled;
+  const hasLeft = source.readFrom === "store" && source.isContinuous;
   if (hasLeft && !leaving) departedTargets.record(departureOf(target, source), "list");
   if (target.listed.leaving) removeTarget(state, target, "left");
   else markMissing(state, target, source);
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -221,7 +221,7 @@
   const models = [{ name: model, version: 1, adapters: [] }];
   fleet.applyList(
     [{ id: "e1", service: "engines", address, domain: "d1", slots: 8, leaving: false, models }],
-    { readFrom: "store", position: { end: 1, generation: 0 }, isSettled: true },
+    { readFrom: "store", position: { end: 1, generation: 0 }, isContinuous: true },
   );
   const route = { name: "none" } as Route;
   const times = { stopsAt: Infinity, decidesAt: 0, queueMs: 0 };
--- a/packages/leaving-targets/src/departed-targets.ts
+++ b/packages/leaving-targets/src/departed-targets.ts
@@ -1,5 +1,5 @@
 /**
- * Remembers targets whose list entries disappeared while the store was settled, which is how a target leaves that has not
+ * Remembers targets whose list entries disappeared while the store served the list, which is how a target leaves that has not
  * announced it, and replicates these departures between boxes. Unlike a notice of leaving, a departure ends when the
  * target is listed again: it may have been cut off from the store only.
  */
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -173,7 +173,7 @@
   targetDeparted: event(
     4020,
     "info",
-    "A target's entry disappeared while the store was settled: it has left and receives no new requests.",
+    "A target's entry disappeared while the store served the list: it has left and receives no new requests.",
   ),
   targetReturned: event(
     4021,
--- a/packages/ports/src/keyed-stream-port.ts
+++ b/packages/ports/src/keyed-stream-port.ts
@@ -20,6 +20,8 @@
 export interface KeyedBatch {
   readonly records: readonly KeyedRecord[];
   readonly end: Offset;
+  /** Whether the stream already had more records than these; absent if not. */
+  readonly isPartial?: boolean;
   /** Generation of the store that answered. */
   readonly generation: StoreGeneration;
 }
--- a/packages/types/src/target-list.ts
+++ b/packages/types/src/target-list.ts
@@ -21,6 +21,9 @@
   readonly readFrom: "store" | "box";
   /** Position after the change. */
   readonly position: ListPosition;
-  /** Whether the store has served this list without interruption, so that running targets could renew their entries. */
-  readonly isSettled: boolean;
+  /**
+   * Whether the change continues an uninterrupted reading of the list. Entries that lapsed because their targets could not
+   * reach the store disappear before the reading goes on.
+   */
+  readonly isContinuous: boolean;
 }
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -239,7 +239,7 @@
   fleet.applyList(engineIds.map(createListedTarget), {
     readFrom: "store",
     position: { end: engineIds.length, generation: 0 },
-    isSettled: true,
+    isContinuous: true,
   });
   const scene: Scene = {
     clock,
