An entry that lapsed and is deleted once more is no second going

Callers: a target whose entry had lapsed in an outage, and which lived, got no requests for 0.2 to 0.6 s after the store was back, until it was listed again.

Cause: the store deletes such an entry a second time; the box took this, read 0.6 s after the first answer, for its target's going.

Scenario of the feed failed before and holds.

Change: only an entry that was listed until this answer can go.

--- a/packages/desired-feed/src/desired-feed.feature
+++ b/packages/desired-feed/src/desired-feed.feature
@@ -43,6 +43,18 @@
     And 500 ms pass in the feed
     Then the targets "t1 t2" may get requests
 
+  # Guards against taking a second deletion of an entry that lapsed for its target's going.
+  Scenario: A target whose lapsed entry is deleted once more may get requests
+    When the store refuses the feed
+    And 1000 ms pass in the feed
+    And the target "t1" is deleted
+    And the target "t2" is deleted
+    And the store serves the feed
+    And 500 ms pass in the feed
+    And the target "t1" is deleted
+    And 100 ms pass in the feed
+    Then the targets "t1 t2" may get requests
+
   # Guards against judging entries by an outage that had ended before they disappeared.
   Scenario: Targets whose entries are gone in a later answer after an outage get no requests
     When the store refuses the feed
--- a/packages/fleet/src/target-list.ts
+++ b/packages/fleet/src/target-list.ts
@@ -113,7 +113,8 @@
   const { departedTargets } = state;
   const { id, leaving } = target.listed;
   departedTargets.recordUnlisted(id);
-  const hasLeft = source.readFrom === "store" && source.isContinuous;
+  const wasListed = target.unlistedAt === undefined;
+  const hasLeft = wasListed && source.readFrom === "store" && source.isContinuous;
   if (hasLeft && !leaving) departedTargets.record(departureOf(target, source), "list");
   if (target.listed.leaving) removeTarget(state, target, "left");
   else markMissing(state, target, source);
