A request that no fragile target has a place for is refused at once

Cause: a box remembers for 10 ms that a target has no place. Asking three targets in turn takes longer on a busy box, so that the first was asked again after the last, until the deadline left no time.

Change: a request asks each target once since its last send, and waits up to 200 ms at the last one, as before.

--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -59,6 +59,7 @@
     deadlineAt: request.arrivedAt + timeoutMs,
     streamPosition: { lastEventId: terms.resumeAfter },
     triedTargets: new Set(),
+    targetsWithoutPlace: new Set(),
     possibleRuns: 0,
     sends: 0,
     unwrittenSends: 0,
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -200,6 +200,7 @@
   acquired: HeldPlace,
 ): Promise<Step> {
   const place: SendPlace = { current: acquired, ended: false };
+  request.targetsWithoutPlace.clear();
   const { target, choice, alternatives } = picked;
   context.logger.event("targetChosen", {
     request: request.terms.id,
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -36,6 +36,8 @@
   readonly streamPosition: StreamPosition;
   /** Targets that are excluded from further attempts. */
   readonly triedTargets: Set<string>;
+  /** Fragile targets that had no place for the request since its last send. */
+  readonly targetsWithoutPlace: Set<string>;
   /** Number of sends after which the request may have run. */
   possibleRuns: number;
   /** Clock reading at which the first bytes of a response body arrived. */
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -310,6 +310,7 @@
     deadlineAt: clock.now() + route.timeoutMs,
     streamPosition: {},
     triedTargets: new Set(),
+    targetsWithoutPlace: new Set(),
     possibleRuns: 0,
     sends: 0,
     unwrittenSends: 0,
--- a/packages/forwarding/src/fragile-targets.ts
+++ b/packages/forwarding/src/fragile-targets.ts
@@ -40,6 +40,8 @@
   const waitMs = picked.alternatives > 0 ? 0 : maxWaitMs;
   const holdMs = Math.max(0, request.deadlineAt - clock.now());
   const place = await fragileTargets.acquirePlace(id, Math.max(0, waitMs), holdMs);
+  // Asked again and again, targets without a place would keep the request until its deadline.
+  if (!place) request.targetsWithoutPlace.add(id);
   if (!place || canStillBeSent(context, request, picked)) return place;
   fragileTargets.endPlace(place, "unused");
   return undefined;
--- a/packages/forwarding/src/pick-target.ts
+++ b/packages/forwarding/src/pick-target.ts
@@ -263,7 +263,10 @@
   if (untried.length === 0) return { kind: "all_tried" };
   const connectable = untried.filter((target) => hasFreeConnection(target, request));
   if (connectable.length === 0) return { kind: "no_connection" };
-  const eligible = connectable.filter(({ listed }) => !context.fragileTargets.isFull(listed.id));
+  const eligible = connectable.filter(
+    ({ listed: { id } }) =>
+      !request.targetsWithoutPlace.has(id) && !context.fragileTargets.isFull(id),
+  );
   if (eligible.length === 0) return { kind: "no_place" };
   return pickAmong(context, request, eligible, loaded);
 }
