--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -1,6 +1,7 @@
 /** Clients: each sends one request after the other on a connection that it keeps. */
 import { Buffer } from "node:buffer";
 import { Agent, request as httpRequest } from "node:http";
+import { connect } from "node:net";
 import { performance } from "node:perf_hooks";
 import { clearTimeout, setTimeout } from "node:timers";
 import { randomBytes } from "node:crypto";
@@ -73,3 +74,56 @@
   };
   return loop();
 }
+
+/** Sends one request whose body comes in chunks of the given size, on a connection of its own. */
+export function upload({ front, path, deadlineMs, record, bodyBytes, chunkBytes }) {
+  const requestId = randomBytes(8).toString("hex");
+  const [host, port] = front.split(":");
+  const startedAt = performance.now();
+  const chunk = `${chunkBytes.toString(16)}\r\n${"x".repeat(chunkBytes)}\r\n`;
+  const chunksPerBlock = Math.ceil(65_536 / chunk.length);
+  const block = chunk.repeat(chunksPerBlock);
+  let remainingBlocks = Math.floor(bodyBytes / chunkBytes / chunksPerBlock);
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), host);
+    let received = "";
+    let settled = false;
+    const finish = (end) => {
+      if (settled) return;
+      settled = true;
+      clearTimeout(timer);
+      socket.destroy();
+      const ms = Math.round(performance.now() - startedAt);
+      record.line(`client: upload ${requestId} at ${front}: ${JSON.stringify(end)} after ${ms} ms`);
+      resolve({ requestId, ms, ...end });
+    };
+    const timer = setTimeout(() => finish({ error: "gave up" }), deadlineMs);
+    const sendBlocks = () => {
+      while (remainingBlocks > 0) {
+        remainingBlocks -= 1;
+        if (!socket.write(block)) return;
+      }
+      socket.removeListener("drain", sendBlocks);
+      socket.write("0\r\n\r\n");
+    };
+    socket.once("connect", () => {
+      const head = [
+        `POST ${path} HTTP/1.1`,
+        "Host: feeds.example",
+        `Linkfall-Request-Id: ${requestId}`,
+        `Linkfall-Deadline-Ms: ${deadlineMs}`,
+        "Transfer-Encoding: chunked",
+      ];
+      socket.write(`${head.join("\r\n")}\r\n\r\n`);
+      socket.on("drain", sendBlocks);
+      sendBlocks();
+    });
+    socket.on("data", (bytes) => {
+      received += bytes.toString("latin1");
+      const status = /^HTTP\/1\.1 (\d{3})[^]*\r\n\r\n/.exec(received)?.[1];
+      if (status !== undefined) finish({ status: Number(status) });
+    });
+    socket.once("error", (problem) => finish({ error: problem.code }));
+    socket.once("close", () => finish({ error: "closed" }));
+  });
+}
--- a/review/lib/configuration.mjs
+++ b/review/lib/configuration.mjs
@@ -10,7 +10,7 @@
   return { name, host, path_prefix: `/${name}/`, service, max_attempts: 2, priority: 1, ...fields };
 }
 
-/** Returns version 1, with the routes `wave-snippet`, `station-status` and `public-notice`. */
+/** Returns version 1, with the routes `wave-snippet`, `station-status`, `aftershock-bulletin` and `public-notice`. */
 export function configuration() {
   return {
     version: 1,
@@ -25,6 +25,13 @@
         timeout_ms: 1_000,
         target_latency_ms: 193,
       }),
+      route("aftershock-bulletin", streamService, {
+        kind: "streaming",
+        resumable: false,
+        timeout_ms: 12_000,
+        target_latency_ms: 5_000,
+        target_gap_ms: 400,
+      }),
       route("public-notice", streamService, {
         kind: "streaming",
         resumable: false,
