--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -18,7 +18,10 @@
   const record = openRecord(folder);
   const closers = [];
   const isTroubled = process.env.TROUBLE !== "0";
+  let ending = false;
   const end = async (verdict) => {
+    if (ending) return;
+    ending = true;
     for (const close of closers.splice(0).reverse()) await close();
     record.say(Object.entries(verdicts).find(([, code]) => code === verdict)[0]);
     await record.close();
@@ -30,6 +33,7 @@
   };
   process.once("SIGTERM", () => stop("signal"));
   process.once("SIGINT", () => stop("signal"));
+  process.once("uncaughtException", (problem) => stop(problem.stack));
   setTimeout(() => stop("took too long"), maxRunMs).unref();
   try {
     await end(await play({ root, record, isTroubled, closers }));
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -30,7 +30,8 @@
       response.writeHead(200, { "Linkfall-Instance-Id": id });
       return response.end();
     }
-    const body = await readBody(message);
+    const body = await readBody(message).catch(() => undefined);
+    if (body === undefined) return record.line(`server ${id}: a request broke off inside its body`);
     const requestId = message.headers["linkfall-request-id"];
     if (message.headers["linkfall-expect-instance"] !== id) {
       response.writeHead(421, { "Linkfall-Not-Run": "1" });
