--- a/review/lib/configuration.mjs
+++ b/review/lib/configuration.mjs
@@ -10,7 +10,7 @@
   return { name, host, path_prefix: `/${name}/`, service, max_attempts: 2, priority: 1, ...fields };
 }
 
-/** Returns version 1, with the routes `wave-snippet`, `station-status`, `aftershock-bulletin` and `public-notice`. */
+/** Returns version 1; `quake-bulletin` is the only kind of stream that may be resumed. */
 export function configuration(plainTimeoutMs = 1_000) {
   return {
     version: 1,
@@ -32,6 +32,13 @@
         target_latency_ms: 5_000,
         target_gap_ms: 400,
       }),
+      route("quake-bulletin", streamService, {
+        kind: "streaming",
+        resumable: true,
+        timeout_ms: 15_000,
+        target_latency_ms: 800,
+        target_gap_ms: 400,
+      }),
       route("public-notice", streamService, {
         kind: "streaming",
         resumable: false,
