Log each request that a stopping box cuts off

The logs had a count of the requests that were open when a box exits, and nothing of each: whether it waited or ran at a target, for how long, and under which id. requestCutByStop (5051) now has a line for each. For that the front keeps its open requests with how far they have come, and a send records from when on the target may be running the request. No decision changes.

--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -161,6 +161,15 @@
   check();
 }
 
+/** Logs the requests that the exit of the process cuts off. */
+function logOpenRequests({ ports: { clock, logger } }: BoxRuntime, front: Front): void {
+  for (const { path, arrivedAt, progress } of front.openRequests()) {
+    const { id: request, mayHaveRun = false, sends = 0 } = progress?.() ?? {};
+    const ms = Math.round(clock.now() - arrivedAt);
+    logger.event("requestCutByStop", { request, path, ms, mayHaveRun, sends });
+  }
+}
+
 /** Creates a box that does nothing until it is started. */
 export function createEntryBox(settings: EntrySettings, ports: EntryBoxPorts): EntryBox {
   const runtime = createBoxRuntime(settings, ports);
@@ -200,16 +209,16 @@
       announceReady(runtime, feed);
     },
     async drain() {
-      logger.event("boxDraining", { inFlight: front.openRequests() });
+      logger.event("boxDraining", { inFlight: front.openRequests().size });
       shutdown.begin();
       peers.sendHeartbeats();
       dispatch.stop();
       void streamVersions.handOver();
       void lease.release();
-      const openRequests = () => front.openRequests() + relay.openExchanges();
-      await shutdown.finish({ ...front, openRequests });
+      await shutdown.finish(front, () => front.openRequests().size + relay.openExchanges());
       await streamVersions.handOver();
-      logger.event("boxStopped", { inFlight: front.openRequests() });
+      logOpenRequests(runtime, front);
+      logger.event("boxStopped", { inFlight: front.openRequests().size });
       front.closeAll();
       await kernel.stop();
       peerClient.close();
--- a/packages/entry-box/src/front.ts
+++ b/packages/entry-box/src/front.ts
@@ -5,6 +5,7 @@
 import type { HeldBytes } from "@linkfall/held-bytes";
 import type { Clock } from "@linkfall/kernel";
 import type { CallerLimits, Milliseconds } from "@linkfall/types";
+import type { OpenRequest, RequestProgress } from "./open-requests.js";
 import { readBody } from "./read-body.js";
 
 /** A request before its body has been read. */
@@ -20,6 +21,8 @@
   readonly body: Buffer;
   readonly sink: ResponseSink;
   readonly arrivedAt: Milliseconds;
+  /** Registers how far the request has come, once it is forwarded. */
+  trackProgress(progress: () => RequestProgress): void;
 }
 
 export interface FrontOptions {
@@ -47,8 +50,8 @@
 
 export interface Front {
   listen(): Promise<void>;
-  /** Number of requests without a complete response. */
-  openRequests(): number;
+  /** Requests without a complete response. */
+  openRequests(): ReadonlySet<OpenRequest>;
   /** Time since the last request arrived. */
   idleMs(): Milliseconds;
   /** Accepts no new connections and closes idle ones. */
@@ -106,18 +109,15 @@
 
 /** Creates the server; it does not listen until `listen` is called. */
 export function createFront(options: FrontOptions): Front {
-  let openRequests = 0;
-  const { clock } = options;
+  const openRequests = new Set<OpenRequest>();
+  const { clock, held } = options;
   let lastRequestAt = clock.now();
 
-  const serve = async (message: IncomingMessage, response: ServerResponse) => {
-    const arrivedAt = clock.now();
+  const serve = async (message: IncomingMessage, response: ServerResponse, open: OpenRequest) => {
+    const { path, sink, arrivedAt } = open;
     lastRequestAt = arrivedAt;
     const limits = options.limits() ?? defaultLimits;
     applyLimits(server, limits);
-    const { held } = options;
-    const sink = createResponseSink(response, options.isClosing, held);
-    const path = message.url ?? "";
     if (!path.startsWith("/")) return rejectUnread(response, 400);
     const hold = held?.holdBody();
     if (hold) response.once("close", () => hold.close());
@@ -147,6 +147,7 @@
       body: body.bytes,
       sink,
       arrivedAt,
+      trackProgress: (progress) => void (open.progress = progress),
     });
     hold?.close();
     if (held) await whenClosed(response);
@@ -158,14 +159,17 @@
       connectionsCheckingInterval: connectionCheckIntervalMs,
     },
     (message, response) => {
-      openRequests += 1;
+      const path = message.url ?? "";
+      const sink = createResponseSink(response, options.isClosing, held);
+      const open: OpenRequest = { path, arrivedAt: clock.now(), sink };
+      openRequests.add(open);
       const endWithDefect = (defect: unknown) => {
-        options.onDefect(message.url ?? "", defect);
+        options.onDefect(path, defect);
         endDefective(response);
       };
-      void serve(message, response)
+      void serve(message, response, open)
         .catch(endWithDefect)
-        .finally(() => void (openRequests -= 1));
+        .finally(() => void openRequests.delete(open));
     },
   );
   server.requestTimeout = 0;
--- a/packages/entry-box/src/gauges.ts
+++ b/packages/entry-box/src/gauges.ts
@@ -50,7 +50,7 @@
   metrics.gauge(
     "linkfall_requests_open",
     "Requests without a complete response.",
-    front.openRequests,
+    () => front.openRequests().size,
   );
   metrics.gauge(
     "linkfall_boxes_heard",
--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -5,6 +5,7 @@
   type ForwardContext,
   type ForwardedRequest,
   forwardRequest,
+  mayHaveRun,
   type RequestOutcome,
 } from "@linkfall/forwarding";
 import { findUnwritableHeader } from "@linkfall/header-syntax";
@@ -169,6 +170,11 @@
       details,
     );
   }
+  request.trackProgress(() => ({
+    id: terms.id,
+    mayHaveRun: mayHaveRun(forwarded),
+    sends: forwarded.sends,
+  }));
   const end = await forwardRequest(forward, forwarded);
   settleQuota(context.quota, admission.use, forwarded, end);
   recordEnd(context, forwarded, end, admission.use?.units);
--- a/packages/entry-box/src/planned-stop.ts
+++ b/packages/entry-box/src/planned-stop.ts
@@ -11,7 +11,7 @@
   /** Whether a request of the route can still finish before the process has to exit. */
   accepts(route: Pick<Route, "streaming" | "objectiveMs">): boolean;
   /** Resolves when the process may exit. */
-  finish(front: Pick<Front, "idleMs" | "openRequests" | "close">): Promise<void>;
+  finish(front: Pick<Front, "idleMs" | "close">, openRequests: () => number): Promise<void>;
 }
 
 /** Part of the grace period reserved for the process to exit. */
@@ -44,14 +44,14 @@
       if (streaming && elapsedMs() > graceMs * streamAdmissionFraction) return false;
       return finishMs - elapsedMs() > objectiveMs * maxObjectivesPerAnswer;
     },
-    async finish(front) {
+    async finish(front, openRequests) {
       // Callers that cached this address may still connect until it expires.
       const listenMs = Math.min(lifetimeMs * staleAddressFactor, finishMs / 2);
       while (elapsedMs() < listenMs && (elapsedMs() < lifetimeMs || front.idleMs() < lifetimeMs)) {
         await sleep(clock, pollMs);
       }
       front.close();
-      while (front.openRequests() > 0 && elapsedMs() < finishMs) await sleep(clock, pollMs);
+      while (openRequests() > 0 && elapsedMs() < finishMs) await sleep(clock, pollMs);
     },
   };
 }
--- a/packages/entry-box/src/request-defects.steps.ts
+++ b/packages/entry-box/src/request-defects.steps.ts
@@ -111,5 +111,5 @@
 });
 
 Then("no request remains open", function (this: object) {
-  assert.equal(scenarioState(this).get<DefectiveFront>("front").front.openRequests(), 0);
+  assert.equal(scenarioState(this).get<DefectiveFront>("front").front.openRequests().size, 0);
 });
--- a/packages/forwarding/src/forwarded-request.ts
+++ b/packages/forwarding/src/forwarded-request.ts
@@ -12,6 +12,8 @@
   firstByteAt?: Milliseconds;
   /** Number of reads of its stream after the first, about one for each event. */
   events?: number;
+  /** Whether the target may be running the request: it is being written or has been, and the send has not ended. */
+  mayBeRunning?: boolean;
 }
 
 export interface ForwardedRequest {
@@ -64,6 +66,11 @@
   unwrittenSends: number;
 }
 
+/** Whether a target may have run the request, or may be running it. */
+export function mayHaveRun({ possibleRuns, lastSend }: ForwardedRequest): boolean {
+  return possibleRuns > 0 || lastSend?.mayBeRunning === true;
+}
+
 /** How a request ended, for logs and metrics. */
 export type RequestOutcome =
   | { readonly outcome: "answered"; readonly status: number }
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -294,7 +294,10 @@
       body: request.body,
       connectTimeoutMs: sendLimits.connectTimeoutMs,
     },
-    mayWrite,
+    async mayWrite() {
+      sendTimes.mayBeRunning = await mayWrite();
+      return sendTimes.mayBeRunning;
+    },
     mayAbandon,
     onOpened: (unsentBytes) =>
       void (endBody = context.targetBodies.begin(listed.id, request.body.length, unsentBytes)),
@@ -343,6 +346,7 @@
       );
     },
   });
+  sendTimes.mayBeRunning = false;
   if (result.kind === "lost" && result.defect !== undefined)
     reportDefect(context.logger, { request: terms.id, path: request.path }, result.defect);
   endPrefill();
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -416,6 +416,12 @@
     "A connection was closed to stay within a bound; `reason` names it, `state` says what the connection did.",
     "See operators/misbehaving-clients.md.",
   ),
+  requestCutByStop: event(
+    5051,
+    "warn",
+    "A request was still open when the box had to exit; `mayHaveRun` says whether a target may have run it.",
+    "Compare the longest time limits of the routes with the grace period.",
+  ),
   outcomeUnknown: event(
     5004,
     "warn",
