Take requests in a planned stop by their time limit

Callers that used connections of a stopping box late in the grace period saw them closed without an answer, for requests that a target was running. Whether a request still fits was asked by twice its route's objective, which says what most requests take, not what one may take. Now a request is taken if its own time limit ends within the grace period, or in the first 0.3 of it, when those with a longer limit have most of the period left; others are refused at once, to come back at another box. Nothing that is taken later can be cut.

--- a/packages/entry-box/src/forward-context.ts
+++ b/packages/entry-box/src/forward-context.ts
@@ -102,7 +102,7 @@
     restQueue: createRestQueue(),
     domain: settings.box.domain,
     announceDemand: createDemandAnnouncer(runtime),
-    acceptsRoute: runtime.shutdown.accepts,
+    acceptsRequest: runtime.shutdown.accepts,
     boxCount: () => countBoxesWithCallers(runtime),
     expectedWeightsMs: receiver.expectedWeightsMs,
     loadsDecidedAt: receiver.loadsDecidedAt,
--- a/packages/entry-box/src/planned-stop.steps.ts
+++ b/packages/entry-box/src/planned-stop.steps.ts
@@ -33,9 +33,13 @@
 });
 
 Then(
-  /^an? (stream|answer) with an objective of (\d+) ms is (taken|not taken)$/,
-  function (this: object, kind: string, objectiveMs: string, outcome: string) {
-    const route = { streaming: kind === "stream", objectiveMs: Number(objectiveMs) };
-    assert.equal(sceneOf(this).shutdown.accepts(route), outcome === "taken");
+  /^a request with an objective of (\d+) ms and a time limit of (\d+) ms is (taken|not taken)$/,
+  function (this: object, objectiveMs: string, timeLimitMs: string, outcome: string) {
+    const { clock, shutdown } = sceneOf(this);
+    const request = {
+      route: { objectiveMs: Number(objectiveMs) },
+      deadlineAt: clock.now() + Number(timeLimitMs),
+    };
+    assert.equal(shutdown.accepts(request), outcome === "taken");
   },
 );
--- a/packages/entry-box/src/planned-stop.ts
+++ b/packages/entry-box/src/planned-stop.ts
@@ -1,15 +1,16 @@
 /** Graceful shutdown: the box is no longer advertised, serves until callers have moved away, then exits. */
 import type { EntrySettings } from "@linkfall/entry-settings";
 import { type Clock, sleep } from "@linkfall/kernel";
-import type { Milliseconds, Route } from "@linkfall/types";
+import type { ForwardContext } from "@linkfall/forwarding";
+import type { Milliseconds } from "@linkfall/types";
 import type { Front } from "./front.js";
 
 export interface GracefulShutdown {
   /** Starts the grace period; further calls have no effect. */
   begin(): void;
   hasBegun(): boolean;
-  /** Whether a request of the route can still finish before the process has to exit. */
-  accepts(route: Pick<Route, "streaming" | "objectiveMs">): boolean;
+  /** Whether a request that is sent now can still finish before the process has to exit. */
+  readonly accepts: ForwardContext["acceptsRequest"];
   /** Resolves when the process may exit. */
   finish(front: Pick<Front, "idleMs" | "close">, openRequests: () => number): Promise<void>;
 }
@@ -19,11 +20,13 @@
 const pollMs: Milliseconds = 50;
 /** Some callers cache addresses this many times longer than their lifetime. */
 const staleAddressFactor = 3;
-/** A response without streaming is expected within this many times its route's objective. */
+/** Few requests take longer than this many times their route's objective. */
 const maxObjectivesPerAnswer = 2;
-/** Streams are accepted only in this first fraction of the grace period, since their objective covers only the first
- * event and their duration is unknown. */
-const streamAdmissionFraction = 0.3;
+/**
+ * Requests whose time limit is behind the end of the grace period are accepted in this first fraction of it only: most of them
+ * finish long before their time limit, but not in any time that the objective tells.
+ */
+const openEndedAdmissionFraction = 0.3;
 
 export function createGracefulShutdown(
   clock: Clock,
@@ -39,10 +42,10 @@
       beganAt ??= clock.now();
     },
     hasBegun: () => beganAt !== undefined,
-    accepts({ streaming, objectiveMs }) {
-      if (beganAt === undefined) return true;
-      if (streaming && elapsedMs() > graceMs * streamAdmissionFraction) return false;
-      return finishMs - elapsedMs() > objectiveMs * maxObjectivesPerAnswer;
+    accepts({ route, deadlineAt }) {
+      if (beganAt === undefined || deadlineAt <= beganAt + finishMs) return true;
+      if (elapsedMs() > graceMs * openEndedAdmissionFraction) return false;
+      return finishMs - elapsedMs() > route.objectiveMs * maxObjectivesPerAnswer;
     },
     async finish(front, openRequests) {
       // Callers that cached this address may still connect until it expires.
--- a/packages/forwarding/src/dispatched-requests.ts
+++ b/packages/forwarding/src/dispatched-requests.ts
@@ -80,7 +80,7 @@
   picked: PickedTarget,
 ): Promise<DispatchOutcome> {
   return context.dispatch.acquire(toDispatchRequest(context, request, picked), {
-    isGone: () => request.sink.isCallerGone() || !context.acceptsRoute(request.route),
+    isGone: () => request.sink.isCallerGone() || !context.acceptsRequest(request),
     onGone: request.sink.onCallerGone,
   });
 }
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -32,6 +32,13 @@
   readonly defaultRetryAfterMs: Milliseconds;
 }
 
+/** What decides whether a request can complete before a planned shutdown. */
+export interface AcceptableRequest {
+  readonly route: Pick<Route, "objectiveMs">;
+  /** Clock reading by which the response has to be complete. */
+  readonly deadlineAt: Milliseconds;
+}
+
 export interface ForwardContext extends SendContext {
   readonly demand: ModelDemandMeter;
   readonly random: Random;
@@ -52,8 +59,8 @@
   readonly domain: string;
   /** Reports demand for weights to the scheduler immediately instead of with the next heartbeat. */
   announceDemand(): void;
-  /** Whether a request of the route that is sent now can complete before a planned shutdown of the box. */
-  acceptsRoute(route: Route): boolean;
+  /** Whether a request that is sent now can complete before a planned shutdown of the box. */
+  acceptsRequest(request: AcceptableRequest): boolean;
   /** Number of boxes that share the retry budget. */
   boxCount(): number;
   /** Time until the weights are expected to be loaded; undefined if no load is known. */
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -208,6 +208,11 @@
   return continueRequest;
 }
 
+/** Whether the request can complete before a planned shutdown; a response that has begun goes on as far as it comes. */
+function mayStillFinish(context: ForwardContext, request: ForwardedRequest): boolean {
+  return request.sink.headersSent() || context.acceptsRequest(request);
+}
+
 /** Whether the target has not left, and is not leaving, since it was picked. */
 function acceptsRequests({ fleet }: ForwardContext, { listed: { id } }: TargetView): boolean {
   const target = fleet.find(id);
@@ -320,7 +325,7 @@
   if (timeLeftMs(context, request) <= context.forwardLimits.minTimeLeftMs)
     return refuseTimedOut(request);
   // A request that cannot complete before a planned shutdown would be cut off by it.
-  if (!request.sink.headersSent() && !context.acceptsRoute(request.route)) {
+  if (!mayStillFinish(context, request)) {
     return refuse(request, refusedStatus, "stopping", retryElsewhereMs);
   }
   const heldBack = refuseCrashingRequest(context, request);
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -183,7 +183,7 @@
     restQueue: createRestQueue(),
     domain: "d1",
     announceDemand: () => undefined,
-    acceptsRoute: () => clock.now() < stopsAt(),
+    acceptsRequest: () => clock.now() < stopsAt(),
     boxCount: () => 1,
     expectedWeightsMs: ({ model }) => {
       const at = loadedAt.get(model);
