Ask again before a request is written whether it can finish before a stop

Callers of a stopping box were cut although their requests had come in time: whether the grace period has room for a request was asked when a step of its forwarding began, and a step may wait for a connection, a permit or a place before the request is written, or for the end of a rest without asking again. Now the last check before the first byte asks too, so that a request which has not been sent is refused with "come back now" instead; and every wait for a change of the fleet ends after a quarter of a second at the latest, which only waits for weights did.

Both new scenarios of forwarding.feature failed without the change (held beyond 300 ms) and pass with it.

--- a/packages/forwarding/src/change-waiter.ts
+++ b/packages/forwarding/src/change-waiter.ts
@@ -3,8 +3,11 @@
 import type { Milliseconds } from "@linkfall/types";
 import type { ResponseSink } from "./response-sink.js";
 
+/** Longest wait, after which a request checks for a planned shutdown of its box. */
+const maxWaitMs: Milliseconds = 250;
+
 export interface ChangeWaiter {
-  /** Resolves at the next change, when the caller disconnects, or after `timeoutMs`. */
+  /** Resolves at the next change, when the caller disconnects, or after `timeoutMs`, at the latest after a quarter of a second. */
   wait(timeoutMs: Milliseconds, sink: ResponseSink): Promise<void>;
   /** Wakes all waiting requests. */
   wakeAll(): void;
@@ -21,7 +24,7 @@
           waiters.delete(end);
           resolve();
         };
-        const cancel = clock.after(timeoutMs, end);
+        const cancel = clock.after(Math.min(timeoutMs, maxWaitMs), end);
         waiters.add(end);
         sink.onCallerGone(end);
       }),
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -242,7 +242,9 @@
   });
   context.finalAttempts.start(request, target.listed.id);
   const mayWrite = async () =>
-    // The cause of crashes, or that the target leaves, may have become known while the request waited for its connection.
+    // The cause of crashes, or that the target or this box leaves, may have become known while the request waited for its
+    // connection.
+    mayStillFinish(context, request) &&
     !isHeldBack(context, request) &&
     acceptsRequests(context, target) &&
     (await renewPlace(context, request, place));
--- a/packages/forwarding/src/forwarding.feature
+++ b/packages/forwarding/src/forwarding.feature
@@ -27,6 +27,21 @@
     When a request for "m2" arrives
     Then it is refused with 503 within 600 ms
 
+  # Guards against waits that outlast the time in which a stopping box could still serve the request.
+  Scenario: A request that waits for the end of a rest is refused in time before a planned shutdown
+    Given the engine asks for a rest of 350 ms
+    And the box accepts no requests after 50 ms
+    When a request for "m1" arrives
+    Then it is refused with 503 within 300 ms
+
+  # Guards against requests that a stopping box took in time and writes to a target when too little time is left.
+  Scenario: A request whose connection comes too late for a planned shutdown is not written
+    Given the connection to the engine takes 200 ms
+    And the box accepts no requests after 100 ms
+    When a request for "m1" arrives
+    Then it is refused with 503 within 300 ms
+    And no byte of it was written
+
   Scenario: A stream that would start late is refused instead of delaying running streams
     Given the engine has prompts for 1000 ms of prefill queued
     When a request for "m1" arrives
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -19,7 +19,7 @@
 import { createTargetReach } from "@linkfall/target-reach";
 import { createModelDemandMeter } from "@linkfall/model-demand";
 import type { RawHeaders, RequestCodec } from "@linkfall/ports";
-import { createExchangeOpener, tcpConnector } from "@linkfall/raw-exchange";
+import { createExchangeOpener, type OpenExchange, tcpConnector } from "@linkfall/raw-exchange";
 import { createRetryBudget } from "@linkfall/retry-budget";
 import type { DeclaredModel, Milliseconds, Route, RoutedService } from "@linkfall/types";
 import {
@@ -47,7 +47,9 @@
 interface ForwardingWorld {
   readonly clock: VirtualClock;
   readonly fleet: Fleet;
-  readonly context: ForwardContext;
+  context: ForwardContext;
+  /** Whether the request was written to the engine, if the scenario stands in for its connection. */
+  written: boolean;
   /** Time at which each model is expected to be loaded. */
   readonly loadedAt: Map<string, Milliseconds>;
   route: Route;
@@ -237,7 +239,7 @@
   );
   const route = { name: "none" } as Route;
   const times = { stopsAt: Infinity, decidesAt: 0, queueMs: 0 };
-  worlds.set(this, { clock, fleet, context, loadedAt, route, ...times });
+  worlds.set(this, { clock, fleet, context, loadedAt, route, written: false, ...times });
 });
 
 Given(
@@ -272,6 +274,29 @@
   stateOf(this).stopsAt = ms;
 });
 
+Given("the engine asks for a rest of {int} ms", function (this: object, forMs: number) {
+  stateOf(this).fleet.recordRest({ target: "e1", forMs });
+});
+
+Given("the connection to the engine takes {int} ms", function (this: object, connectMs: number) {
+  const state = stateOf(this);
+  const opener = (): OpenExchange => (request) => {
+    let aborted = false;
+    const write = async () => {
+      await request.beforeWrite?.();
+      state.written = !aborted;
+    };
+    state.clock.after(connectMs, () => void write());
+    return {
+      progress: () => ({ written: false, unsentBytes: 0 }),
+      abort: () => void (aborted = true),
+      pause: () => undefined,
+      resume: () => undefined,
+    };
+  };
+  state.context = { ...state.context, paths: { opener } };
+});
+
 Given("no lease holder plans loads for {int} ms", function (this: object, ms: number) {
   stateOf(this).decidesAt = ms;
 });
@@ -420,6 +445,10 @@
   },
 );
 
+Then("no byte of it was written", function (this: object) {
+  assert.equal(stateOf(this).written, false);
+});
+
 Then("it is sent to the engine", function (this: object) {
   assert.ok((stateOf(this).request?.sends ?? 0) > 0);
 });
--- a/packages/forwarding/src/wait-for-weights.ts
+++ b/packages/forwarding/src/wait-for-weights.ts
@@ -12,9 +12,6 @@
   type Step,
 } from "./request-step.js";
 
-/** Interval at which a held request checks for a planned shutdown of its box. */
-const stopCheckIntervalMs: Milliseconds = 250;
-
 /** Logs a hold and reports its demand, once per request. */
 function recordHold(
   context: ForwardContext,
@@ -99,7 +96,7 @@
   const endWait = context.demand.recordWait(weights);
   recordHold(context, request, expectedMs);
   const startedAt = context.clock.now();
-  await context.changeWaiter.wait(Math.min(maxWaitMs, stopCheckIntervalMs), request.sink);
+  await context.changeWaiter.wait(maxWaitMs, request.sink);
   endWait();
   context.metrics.weightsWait(context.clock.now() - startedAt);
   return request.sink.isCallerGone() ? endRequest({ outcome: "gone" }) : continueRequest;
