Begin no request behind a response that closes the connection

A request that waits for the response before it was begun when that response was complete, although it had said Connection: close; only the listener of new requests asked for that. The same holds for every response that closes its connection: 413, 408, 400, a refusal for memory.

Requests behind such a response are not begun now and are counted and logged (requestsNotBegun, 5052). A stopping box keeps a connection open as long as requests wait on it, so that these are answered and the last answer closes it.

The new scenario of connection-bounds.feature fails with the check taken out.

--- a/packages/connection-bounds/src/bound-connections.ts
+++ b/packages/connection-bounds/src/bound-connections.ts
@@ -26,10 +26,18 @@
   /** Bound on bytes that have been read and wait for their turn; absent if there is none. */
   readonly held?: HeldBytes;
   onClosed(reason: ClosedReason, state: ConnectionState): void;
+  /** Called with the number of requests that are not begun since the response before them has closed their connection. */
+  onNotBegun(requests: number): void;
   /** Called with an exception that was thrown while the bytes of a connection were parsed, before the connection is closed. */
   onDefect(defect: unknown): void;
 }
 
+/** What the bounds know of the server's connections. */
+export interface BoundedConnections {
+  /** Whether the client of the connection has sent requests that wait for the response to the one before. */
+  hasEarlyRequests(socket: Socket): boolean;
+}
+
 /** A request that its client has sent before it had the response to the one before. */
 interface EarlyRequest {
   readonly message: IncomingMessage;
@@ -63,7 +71,7 @@
 export function boundConnections(
   server: Server | TlsServer,
   options: ConnectionBoundsOptions,
-): void {
+): BoundedConnections {
   const table = createConnectionTable<Socket>();
   const connections = new Map<Socket, Connection>();
   const maxBytesOutside = options.maxHeaderBytes + maxBytesBesideHead;
@@ -124,6 +132,11 @@
     });
     response.once("close", () => {
       if (socket.destroyed) return;
+      // The response was the last one on its connection.
+      if (socket.writableEnded) {
+        if (early.length > 0) options.onNotBegun(early.splice(0).length);
+        return;
+      }
       const next = early.shift();
       if (early.length === 0) reader?.resume();
       if (next) begin(connection, next);
@@ -169,4 +182,8 @@
     });
     makeRoom(socket);
   });
+
+  return {
+    hasEarlyRequests: (socket) => (connections.get(socket)?.early.length ?? 0) > 0,
+  };
 }
--- a/packages/connection-bounds/src/connection-bounds.feature
+++ b/packages/connection-bounds/src/connection-bounds.feature
@@ -50,6 +50,13 @@
     When a client sends a request 400 ms after it has connected
     Then the client has got the response 408 and no request was begun
 
+  # Guards against requests that run although their connection closes with the response to the one before.
+  Scenario: A request is not begun on a connection that closes with the response before it
+    Given a server with at most 10 connections that answers after 100 ms
+    When a client sends requests for "/last" and "/ahead" at once
+    Then the client gets one response, to "/last", and its connection is closed
+    And 1 request was reported as not begun, and only "/last" was begun
+
   # Guards against bytes that are read without end though no request needs them.
   Scenario: A client that sends bytes behind a request to switch the protocol is cut off
     Given a server with at most 10 connections that answers at once
--- a/packages/connection-bounds/src/connection-bounds.steps.ts
+++ b/packages/connection-bounds/src/connection-bounds.steps.ts
@@ -11,6 +11,8 @@
   readonly server: Server;
   readonly port: number;
   readonly clients: Socket[];
+  /** Number of requests that were reported as not begun. */
+  notBegun: number;
   readonly closed: { readonly reason: string; readonly state: string }[];
   /** Paths of the requests that were begun, in order. */
   readonly begun: string[];
@@ -19,6 +21,8 @@
 }
 
 const maxHeaderBytes = 16_384;
+/** Path of a request whose response closes the connection. */
+const lastPath = "/last";
 const settlingMs = 100;
 const checkIntervalMs = 50;
 const maxWaitMs = 5_000;
@@ -44,7 +48,10 @@
       scene.open += 1;
       scene.maxOpen = Math.max(scene.maxOpen, scene.open);
       response.once("finish", () => (scene.open -= 1));
-      const answer = () => response.end(message.url);
+      const answer = () => {
+        response.shouldKeepAlive = message.url !== lastPath;
+        response.end(message.url);
+      };
       if (behaviour === "reads bodies") message.resume().once("end", answer);
       else {
         message.resume();
@@ -55,12 +62,13 @@
       turns: createReadTurns(systemClock()),
       maxConnections: Number(max),
       maxHeaderBytes,
+      onNotBegun: (requests) => void (scene.notBegun += requests),
       onClosed: (reason, state) => void scene.closed.push({ reason, state }),
       onDefect: (defect) => assert.fail(String(defect)),
     });
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as { port: number };
-    const counts = { open: 0, maxOpen: 0 };
+    const counts = { open: 0, maxOpen: 0, notBegun: 0 };
     const scene: Scene = { server, port, clients: [], closed: [], begun: [], ...counts };
     scenes.push(scene);
     scenarioState(this).set("bounded server", scene);
@@ -268,3 +276,31 @@
     await Promise.race([closed, sleep(maxWaitMs)]);
   },
 );
+
+When(
+  "a client sends requests for {string} and {string} at once",
+  async function (this: object, first: string, second: string) {
+    const socket = await connectClient(sceneOf(this));
+    const received = receive(socket, () => false);
+    socket.write(get(first) + get(second));
+    scenarioState(this).set("received", await received);
+  },
+);
+
+Then(
+  "the client gets one response, to {string}, and its connection is closed",
+  function (this: object, path: string) {
+    const received = scenarioState(this).get<string>("received");
+    assert.equal(received.split("HTTP/1.1 ").length - 1, 1);
+    assert.ok(received.endsWith(path), received);
+  },
+);
+
+Then(
+  "{int} request was reported as not begun, and only {string} was begun",
+  function (this: object, notBegun: number, path: string) {
+    const scene = sceneOf(this);
+    assert.equal(scene.notBegun, notBegun);
+    assert.deepEqual(scene.begun, [path]);
+  },
+);
--- a/packages/entry-box/src/front.ts
+++ b/packages/entry-box/src/front.ts
@@ -1,6 +1,7 @@
 /** The HTTP server that callers connect to: reads requests within the configured limits and passes them on. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { BoundedConnections } from "@linkfall/connection-bounds";
 import { type ResponseSink, createResponseSink, localReplyHeaders } from "@linkfall/forwarding";
 import type { HeldBytes } from "@linkfall/held-bytes";
 import type { Clock } from "@linkfall/kernel";
@@ -31,7 +32,7 @@
   readonly maxHeaderBytes: number;
   readonly clock: Clock;
   /** Bounds the connections of the server. */
-  boundConnections(server: Server): void;
+  boundConnections(server: Server): BoundedConnections;
   /** Called for each accepted connection. */
   onConnection(): void;
   limits(): CallerLimits | undefined;
@@ -160,7 +161,9 @@
     },
     (message, response) => {
       const path = message.url ?? "";
-      const sink = createResponseSink(response, options.isClosing, held);
+      // Requests that have been sent ahead are answered before the connection is closed.
+      const isLast = () => options.isClosing() && !bounded.hasEarlyRequests(message.socket);
+      const sink = createResponseSink(response, isLast, held);
       const open: OpenRequest = { path, arrivedAt: clock.now(), sink };
       openRequests.add(open);
       const endWithDefect = (defect: unknown) => {
@@ -175,7 +178,7 @@
   server.requestTimeout = 0;
   applyLimits(server, defaultLimits);
   server.on("clientError", rejectMalformed);
-  options.boundConnections(server);
+  const bounded = options.boundConnections(server);
   server.on("connection", options.onConnection);
 
   const separator = options.address.lastIndexOf(":");
--- a/packages/entry-box/src/provide-connection-bounds.ts
+++ b/packages/entry-box/src/provide-connection-bounds.ts
@@ -1,6 +1,10 @@
 /** Provides the bounds on the connections of the box's ports. */
 import type { Server } from "node:http";
-import { boundConnections, createReadTurns } from "@linkfall/connection-bounds";
+import {
+  type BoundedConnections,
+  boundConnections,
+  createReadTurns,
+} from "@linkfall/connection-bounds";
 import type { EntrySettings } from "@linkfall/entry-settings";
 import type { HeldBytes } from "@linkfall/held-bytes";
 import { metricsName } from "@linkfall/metrics";
@@ -11,7 +15,11 @@
 export type BoxPort = "front" | "directory" | "ready" | "metrics";
 
 /** Bounds the connections of the server of a port; to be called before it listens. */
-export type PortBounds = (server: Server, port: BoxPort, maxHeaderBytes: number) => void;
+export type PortBounds = (
+  server: Server,
+  port: BoxPort,
+  maxHeaderBytes: number,
+) => BoundedConnections;
 
 /** Descriptors of a process that are not for sockets. */
 const descriptorsForFiles = 200;
@@ -49,6 +57,14 @@
       maxHeaderBytes,
       maxConnections: maxConnectionsAt(port, settings),
       onDefect: (defect) => reportDefect(ports.logger, { path: port }, defect),
+      onNotBegun(requests) {
+        metrics.count(
+          "linkfall_requests_not_begun_total",
+          "Times that requests sent ahead were not begun as the response before them closed their connection, by port.",
+          { port },
+        );
+        ports.logger.event("requestsNotBegun", { port, requests });
+      },
       onClosed(reason, state) {
         metrics.count(
           "linkfall_connections_closed_total",
--- a/packages/http-front/src/http-front.ts
+++ b/packages/http-front/src/http-front.ts
@@ -38,6 +38,8 @@
   onDefect(path: string, defect: unknown): void;
   /** Called when a connection is closed to stay within a bound. */
   onConnectionClosed?(reason: ClosedReason, state: ConnectionState): void;
+  /** Called with the number of requests that are not begun since the response before them has closed their connection. */
+  onNotBegun?(requests: number): void;
 }
 
 /** What the clients of all fronts of a process may take together. */
@@ -148,6 +150,7 @@
     maxHeaderBytes: input.limits.maxHeaderBytes,
     onDefect: (defect) => input.onDefect("", defect),
     onClosed: (reason, state) => input.onConnectionClosed?.(reason, state),
+    onNotBegun: (requests) => input.onNotBegun?.(requests),
   });
   server.on("clientError", respondToMalformed);
 
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -416,6 +416,11 @@
     "A connection was closed to stay within a bound; `reason` names it, `state` says what the connection did.",
     "See operators/misbehaving-clients.md.",
   ),
+  requestsNotBegun: event(
+    5052,
+    "info",
+    "Requests that were sent ahead of a response were not begun, since that response closed their connection.",
+  ),
   requestCutByStop: event(
     5051,
     "warn",
