Read what has arrived before a stopping box closes idle connections

Bytes that wait for their turn to be parsed looked idle to Node's server as well.

The front now lets the event loop poll and the waiting turns pass before it closes the idle connections. The new scenario blocks the loop for 300 ms while five requests arrive on kept connections; it fails without the change (none of the five is answered).

--- a/packages/connection-bounds/src/bound-connections.ts
+++ b/packages/connection-bounds/src/bound-connections.ts
@@ -36,6 +36,8 @@
 export interface BoundedConnections {
   /** Whether the client of the connection has sent requests that wait for the response to the one before. */
   hasEarlyRequests(socket: Socket): boolean;
+  /** Resolves when the requests that have arrived on the server's connections by now have been begun, or after a bounded time. */
+  readArrived(): Promise<void>;
 }
 
 /** A request that its client has sent before it had the response to the one before. */
@@ -56,6 +58,9 @@
 
 /** A head may come with bytes of the body before it, and a client may send line ends between requests. */
 const maxBytesBesideHead = 131_072;
+/** Iterations of the event loop in which `readArrived` waits for the turns of connections. */
+const maxIterations = 50;
+const endOfIteration = () => new Promise<void>((resolve) => setImmediate(resolve));
 
 /** Node's server parses what its `data` listener gets; returns that listener, which is then called with slices. */
 function takeParser(socket: Socket): ((bytes: Buffer) => void) | undefined {
@@ -185,5 +190,16 @@
 
   return {
     hasEarlyRequests: (socket) => (connections.get(socket)?.early.length ?? 0) > 0,
+    async readArrived() {
+      // The current iteration may be past its poll for bytes.
+      await endOfIteration();
+      await endOfIteration();
+      for (
+        let iterations = 0;
+        options.turns.hasWaiting() && iterations < maxIterations;
+        iterations++
+      )
+        await endOfIteration();
+    },
   };
 }
--- a/packages/connection-bounds/src/read-turns.ts
+++ b/packages/connection-bounds/src/read-turns.ts
@@ -27,6 +27,8 @@
    * called when it has no room for them, or has dropped them for others.
    */
   add(socket: Socket, parse: (bytes: Buffer) => void, options: TurnOptions): TurnReader;
+  /** Whether bytes or connections wait for their turn. */
+  hasWaiting(): boolean;
 }
 
 export interface TurnOptions {
@@ -101,6 +103,7 @@
   };
 
   return {
+    hasWaiting: () => waiting.size + waitingToRead.size > 0,
     add(socket, parse, { hold, onNoRoom, onDefect }) {
       /** Reads that are not passed on completely; of the first one, the bytes before `offset` have been. */
       const reads: Buffer[] = [];
--- /dev/null
+++ b/packages/entry-box/src/front-close.feature
@@ -0,0 +1,7 @@
+Feature: A front that stops listening loses no request that has arrived
+
+  # Guards against idle connections that are closed although a request has arrived on them and was not read yet.
+  Scenario: Requests that arrived during a long iteration of the event loop are answered
+    Given a front that is about to stop listening, with 5 kept connections
+    When a request arrives on each of them while the event loop is blocked for 300 ms, and the front stops listening then
+    Then each of the 5 requests is answered
--- /dev/null
+++ b/packages/entry-box/src/front-close.steps.ts
@@ -0,0 +1,106 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { systemClock } from "@linkfall/kernel";
+import { freeAddresses } from "@linkfall/stand-ins";
+import { scenarioState } from "@linkfall/test-support";
+import { boundForTest } from "./bound-for-test.steps.js";
+import { createFront, type Front, respondLocally } from "./front.js";
+
+interface KeptConnection {
+  readonly socket: Socket;
+  received: string;
+  readonly closed: Promise<unknown>;
+}
+
+interface ClosingFront {
+  readonly front: Front;
+  readonly connections: readonly KeptConnection[];
+}
+
+const fronts: Front[] = [];
+const sockets: Socket[] = [];
+const okResponse = "HTTP/1.1 200 ";
+const maxWaitMs = 2_000;
+const sceneOf = (world: object) => scenarioState(world).get<ClosingFront>("closing front");
+
+After({ name: "front-close" }, async () => {
+  for (const socket of sockets.splice(0)) socket.destroy();
+  for (const front of fronts.splice(0)) {
+    await front.close();
+    front.closeAll();
+  }
+});
+
+const sendRequest = (socket: Socket) => socket.write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+
+async function openKeptConnection(address: string): Promise<KeptConnection> {
+  const [host, port] = address.split(":");
+  const socket = connect(Number(port), host);
+  sockets.push(socket);
+  socket.on("error", () => undefined);
+  const connection = {
+    socket,
+    received: "",
+    closed: new Promise((resolve) => socket.once("close", resolve)),
+  };
+  socket.on("data", (bytes: Buffer) => (connection.received += bytes.toString()));
+  const answered = once(socket, "data");
+  sendRequest(socket);
+  await answered;
+  return connection;
+}
+
+Given(
+  "a front that is about to stop listening, with {int} kept connections",
+  async function (this: object, count: number) {
+    const [address] = await freeAddresses(1);
+    const clock = systemClock();
+    let isClosing = false;
+    const front = createFront({
+      address,
+      maxHeaderBytes: 16_384,
+      clock,
+      timeLimitMs: () => undefined,
+      onBodyRejected: () => undefined,
+      boundConnections: (server) => boundForTest(server, clock),
+      onConnection: () => undefined,
+      limits: () => undefined,
+      isClosing: () => isClosing,
+      handle: async ({ sink }) => respondLocally(sink, 200),
+      onDefect: (_, defect) => assert.fail(String(defect)),
+    });
+    fronts.push(front);
+    await front.listen();
+    const connections = await Promise.all(
+      Array.from({ length: count }, () => openKeptConnection(address)),
+    );
+    isClosing = true;
+    scenarioState(this).set("closing front", { front, connections } satisfies ClosingFront);
+  },
+);
+
+function blockEventLoop(ms: number): void {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+}
+
+When(
+  "a request arrives on each of them while the event loop is blocked for {int} ms, and the front stops listening then",
+  function (this: object, ms: number) {
+    const { front, connections } = sceneOf(this);
+    for (const { socket } of connections) sendRequest(socket);
+    blockEventLoop(ms);
+    void front.close();
+  },
+);
+
+Then("each of the {int} requests is answered", async function (this: object, count: number) {
+  const { connections } = sceneOf(this);
+  const limit = new Promise((resolve) => setTimeout(resolve, maxWaitMs));
+  await Promise.race([limit, Promise.all(connections.map(({ closed }) => closed))]);
+  const answers = connections.map(({ received }) => received.split(okResponse).length - 1);
+  // The first answer is the one to the request that opened the connection.
+  assert.deepEqual(answers, Array(count).fill(2));
+});
--- a/packages/entry-box/src/front.ts
+++ b/packages/entry-box/src/front.ts
@@ -55,8 +55,10 @@
   openRequests(): ReadonlySet<OpenRequest>;
   /** Time since the last request arrived. */
   idleMs(): Milliseconds;
-  /** Accepts no new connections and closes idle ones. */
-  close(): void;
+  /** Resolves when the requests that have arrived by now have been begun. */
+  readArrived(): Promise<void>;
+  /** Accepts no new connections and closes those that are idle when all that has arrived on them has been read. */
+  close(): Promise<void>;
   closeAll(): void;
 }
 
@@ -194,7 +196,9 @@
       }),
     openRequests: () => openRequests,
     idleMs: () => clock.now() - lastRequestAt,
-    close() {
+    readArrived: bounded.readArrived,
+    async close() {
+      await bounded.readArrived();
       server.close();
       server.closeIdleConnections();
     },
--- a/packages/entry-box/src/planned-stop.ts
+++ b/packages/entry-box/src/planned-stop.ts
@@ -53,7 +53,7 @@
       while (elapsedMs() < listenMs && (elapsedMs() < lifetimeMs || front.idleMs() < lifetimeMs)) {
         await sleep(clock, pollMs);
       }
-      front.close();
+      await front.close();
       while (openRequests() > 0 && elapsedMs() < finishMs) await sleep(clock, pollMs);
     },
   };
