Answer the requests that are open when the grace period ends

The box closed all connections, although a final answer could still go out.

Now, when the time is over, a request that no target has got is answered 503 with "come back now", since another box can serve it, and one that may have run gets 502, which promises nothing. Its work ends as if its caller had left, so that it is not sent afterwards. Responses that have begun go on until the process exits and are broken off visibly then, also for HTTP/1.0. The last answers have 200 ms of the time that is reserved for the exit. Connections that had sent nothing yet could send a request while the box told others of its streams, after the last look at what is open: the box looks again after it now, and the call is bounded by the grace period.

--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -161,7 +161,7 @@
   check();
 }
 
-/** Logs the requests that the exit of the process cuts off. */
+/** Logs the requests that are cut since the box has to exit. */
 function logOpenRequests({ ports: { clock, logger } }: BoxRuntime, front: Front): void {
   for (const { path, arrivedAt, progress } of front.openRequests()) {
     const { id: request, mayHaveRun = false, sends = 0 } = progress?.() ?? {};
@@ -215,9 +215,12 @@
       dispatch.stop();
       void streamVersions.handOver();
       void lease.release();
-      await shutdown.finish(front, () => front.openRequests().size + relay.openExchanges());
-      await streamVersions.handOver();
-      logOpenRequests(runtime, front);
+      await shutdown.finish({
+        front,
+        openRequests: () => front.openRequests().size + relay.openExchanges(),
+        handOver: streamVersions.handOver,
+        onCut: () => logOpenRequests(runtime, front),
+      });
       logger.event("boxStopped", { inFlight: front.openRequests().size });
       front.closeAll();
       await kernel.stop();
--- a/packages/entry-box/src/front.ts
+++ b/packages/entry-box/src/front.ts
@@ -6,7 +6,7 @@
 import type { HeldBytes } from "@linkfall/held-bytes";
 import type { Clock } from "@linkfall/kernel";
 import type { CallerLimits, Milliseconds } from "@linkfall/types";
-import type { OpenRequest, RequestProgress } from "./open-requests.js";
+import { cutOpenRequest, type OpenRequest, type RequestProgress } from "./open-requests.js";
 import { readBody } from "./read-body.js";
 
 /** A request before its body has been read. */
@@ -24,6 +24,8 @@
   readonly arrivedAt: Milliseconds;
   /** Registers how far the request has come, once it is forwarded. */
   trackProgress(progress: () => RequestProgress): void;
+  /** Status with which the request was ended since the box has to exit; undefined if it was not. */
+  cutStatus(): number | undefined;
 }
 
 export interface FrontOptions {
@@ -59,6 +61,9 @@
   readArrived(): Promise<void>;
   /** Accepts no new connections and closes those that are idle when all that has arrived on them has been read. */
   close(): Promise<void>;
+  /** Ends open requests whose responses have not begun with a final response. */
+  cutOpenRequests(): void;
+  /** Closes all connections; responses that are not complete look cut off. */
   closeAll(): void;
 }
 
@@ -151,6 +156,7 @@
       sink,
       arrivedAt,
       trackProgress: (progress) => void (open.progress = progress),
+      cutStatus: () => open.cutStatus,
     });
     hold?.close();
     if (held) await whenClosed(response);
@@ -202,7 +208,11 @@
       server.close();
       server.closeIdleConnections();
     },
-    closeAll: () => server.closeAllConnections(),
+    cutOpenRequests: () => openRequests.forEach(cutOpenRequest),
+    closeAll() {
+      for (const { sink } of openRequests) sink.abort();
+      server.closeAllConnections();
+    },
   };
 }
 
--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -175,7 +175,12 @@
     mayHaveRun: mayHaveRun(forwarded),
     sends: forwarded.sends,
   }));
-  const end = await forwardRequest(forward, forwarded);
+  const forwardedEnd = await forwardRequest(forward, forwarded);
+  const cutStatus = request.cutStatus();
+  const end: RequestOutcome =
+    cutStatus === undefined
+      ? forwardedEnd
+      : { outcome: "refused", status: cutStatus, reason: "stopping" };
   settleQuota(context.quota, admission.use, forwarded, end);
   recordEnd(context, forwarded, end, admission.use?.units);
 }
--- a/packages/entry-box/src/planned-stop.ts
+++ b/packages/entry-box/src/planned-stop.ts
@@ -11,12 +11,25 @@
   hasBegun(): boolean;
   /** Whether a request that is sent now can still finish before the process has to exit. */
   readonly accepts: ForwardContext["acceptsRequest"];
-  /** Resolves when the process may exit. */
-  finish(front: Pick<Front, "idleMs" | "close">, openRequests: () => number): Promise<void>;
+  /** Resolves when no request is open, or when there is no time left to wait for the others; the process may exit then. */
+  finish(draining: DrainingBox): Promise<void>;
 }
 
-/** Part of the grace period reserved for the process to exit. */
+/** What a box that shuts down gracefully has to end. */
+export interface DrainingBox {
+  readonly front: Pick<Front, "idleMs" | "readArrived" | "close" | "cutOpenRequests">;
+  /** Number of requests of callers, and of other boxes, without a complete response. */
+  openRequests(): number;
+  /** Hands over what other boxes need to go on. */
+  handOver(): Promise<void>;
+  /** Called before requests are cut because there is no time left. */
+  onCut(): void;
+}
+
+/** Part of the grace period reserved for the last responses and for the process to exit. */
 const exitReserveMs: Milliseconds = 500;
+/** Time in which callers take the last responses. */
+const lastResponsesMs: Milliseconds = 200;
 const pollMs: Milliseconds = 50;
 /** Some callers cache addresses this many times longer than their lifetime. */
 const staleAddressFactor = 3;
@@ -47,14 +60,26 @@
       if (elapsedMs() > graceMs * openEndedAdmissionFraction) return false;
       return finishMs - elapsedMs() > route.objectiveMs * maxObjectivesPerAnswer;
     },
-    async finish(front, openRequests) {
+    async finish({ front, openRequests, handOver, onCut }) {
       // Callers that cached this address may still connect until it expires.
       const listenMs = Math.min(lifetimeMs * staleAddressFactor, finishMs / 2);
       while (elapsedMs() < listenMs && (elapsedMs() < lifetimeMs || front.idleMs() < lifetimeMs)) {
         await sleep(clock, pollMs);
       }
       await front.close();
-      while (openRequests() > 0 && elapsedMs() < finishMs) await sleep(clock, pollMs);
+      const waitForRequests = async (untilMs: Milliseconds) => {
+        while (openRequests() > 0 && elapsedMs() < untilMs) await sleep(clock, pollMs);
+      };
+      // Connections that are open and have sent nothing yet may send a request while others are told.
+      do {
+        await waitForRequests(finishMs);
+        await Promise.race([handOver(), sleep(clock, Math.max(pollMs, finishMs - elapsedMs()))]);
+        await front.readArrived();
+      } while (openRequests() > 0 && elapsedMs() < finishMs);
+      if (openRequests() === 0) return;
+      onCut();
+      front.cutOpenRequests();
+      await waitForRequests(elapsedMs() + lastResponsesMs);
     },
   };
 }
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -312,6 +312,7 @@
     abort: () => undefined,
     send: (status, headers) => void (state.response = { status, headers }),
     isCallerGone: () => false,
+    detach: () => undefined,
     onCallerGone: () => undefined,
   };
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./forward-context.js";
 export * from "./forward.js";
 export * from "./forwarded-request.js";
+export { lostStatus, refusedStatus } from "./request-step.js";
 export * from "./target-probe.js";
 export * from "./pick-target.js";
 export { createRestQueue, type RestQueue } from "./resting-targets.js";
--- a/packages/forwarding/src/request-defects.steps.ts
+++ b/packages/forwarding/src/request-defects.steps.ts
@@ -71,6 +71,7 @@
       abort: () => undefined,
       send: () => undefined,
       isCallerGone: () => false,
+      detach: () => undefined,
       onCallerGone(listener) {
         if (where === "as its caller disconnects") clock.after(1, listener);
       },
--- a/packages/forwarding/src/response-sink.ts
+++ b/packages/forwarding/src/response-sink.ts
@@ -19,6 +19,8 @@
   /** Sends a complete response. */
   send(status: number, headers: RawHeaders, body: Buffer): void;
   isCallerGone(): boolean;
+  /** Ends the work for the response as if the caller had left; what has been sent still goes to the caller. */
+  detach(): void;
   onCallerGone(listener: () => void): void;
   /** Counts bytes that are kept until more of the response is known; does nothing where held bytes have no bound. */
   setUnforwarded?(bytes: number): void;
@@ -47,10 +49,12 @@
   let callerGone = false;
   const listeners: (() => void)[] = [];
   response.on("error", () => undefined);
-  onCallerDisconnect(response, () => {
+  const detach = () => {
+    if (callerGone) return;
     callerGone = true;
     for (const listener of listeners) listener();
-  });
+  };
+  onCallerDisconnect(response, detach);
 
   const writeHead = (status: number, headers: RawHeaders) => {
     if (callerGone || response.headersSent) return;
@@ -78,6 +82,7 @@
       else response.end(body);
     },
     isCallerGone: () => callerGone,
+    detach,
     onCallerGone: (listener) => void listeners.push(listener),
     setUnforwarded: queue?.setUnforwarded,
   };
--- a/packages/forwarding/src/silent-streams.steps.ts
+++ b/packages/forwarding/src/silent-streams.steps.ts
@@ -41,6 +41,7 @@
     abort: () => undefined,
     send: () => undefined,
     isCallerGone: () => false,
+    detach: () => undefined,
     onCallerGone: () => undefined,
   };
 }
