Count the grace period of a stop from its signal, not from the end of the start

A box that got SIGTERM while it started began to stop when its start had finished; one whose start does not finish went on until it was killed, so that callers whose requests were open then got no answer.

The stop now begins at the signal: the box is no longer ready and its answers close their connections at once, and it waits for the start at most until the grace period ends.

--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -46,7 +46,7 @@
 
 export interface EntryBox {
   start(): Promise<void>;
-  /** Shuts down gracefully; resolves when the process may exit. */
+  /** Shuts down gracefully, also while the box starts; resolves when the process may exit. */
   drain(): Promise<void>;
   /** Applies settings read while the box runs: new seeds immediately, everything else at the next start. */
   applySettings(read: EntrySettings): void;
@@ -196,21 +196,24 @@
   const blame = kernel.find(crashBlameName);
   const heldStore = kernel.find(heldStoreName);
   const ready = () => feed.ready() && heldStore.ready() && !shutdown.hasBegun();
+  const start = async () => {
+    logger.event("boxStarted", { incarnation });
+    addSeeds(peers, settings.box.seeds);
+    await peerServer.listen(settings.box.peer_listen_address ?? settings.box.peer_address);
+    await front.listen();
+    await kernel.start();
+    const self = { box: settings.box.name, peerAddress: settings.box.peer_address };
+    void followRegistry(ports, ports.boxStream, self, peers, shutdown.hasBegun);
+    announceReady(runtime, feed);
+  };
+  let started = Promise.resolve();
 
   return {
-    async start() {
-      logger.event("boxStarted", { incarnation });
-      addSeeds(peers, settings.box.seeds);
-      await peerServer.listen(settings.box.peer_listen_address ?? settings.box.peer_address);
-      await front.listen();
-      await kernel.start();
-      const self = { box: settings.box.name, peerAddress: settings.box.peer_address };
-      void followRegistry(ports, ports.boxStream, self, peers, shutdown.hasBegun);
-      announceReady(runtime, feed);
-    },
+    start: () => (started = start()),
     async drain() {
       logger.event("boxDraining", { inFlight: front.openRequests().size });
       shutdown.begin();
+      await shutdown.within(started);
       peers.sendHeartbeats();
       dispatch.stop();
       void streamVersions.handOver();
--- a/packages/entry-box/src/planned-stop.ts
+++ b/packages/entry-box/src/planned-stop.ts
@@ -11,6 +11,8 @@
   hasBegun(): boolean;
   /** Whether a request that is sent now can still finish before the process has to exit. */
   readonly accepts: ForwardContext["acceptsRequest"];
+  /** Resolves when the work is done, or when the grace period leaves no time to wait for it. */
+  within(work: Promise<void>): Promise<void>;
   /** Resolves when no request is open, or when there is no time left to wait for the others; the process may exit then. */
   finish(draining: DrainingBox): Promise<void>;
 }
@@ -50,6 +52,8 @@
   const graceMs = settings.stop.grace_ms;
   const finishMs = graceMs - exitReserveMs;
   const elapsedMs = () => (beganAt === undefined ? 0 : clock.now() - beganAt);
+  const within = (work: Promise<void>) =>
+    Promise.race([work, sleep(clock, Math.max(pollMs, finishMs - elapsedMs()))]);
   return {
     begin() {
       beganAt ??= clock.now();
@@ -60,6 +64,7 @@
       if (elapsedMs() > graceMs * openEndedAdmissionFraction) return false;
       return finishMs - elapsedMs() > route.objectiveMs * maxObjectivesPerAnswer;
     },
+    within,
     async finish({ front, openRequests, handOver, onCut }) {
       // Callers that cached this address may still connect until it expires.
       const listenMs = Math.min(lifetimeMs * staleAddressFactor, finishMs / 2);
@@ -73,7 +78,7 @@
       // Connections that are open and have sent nothing yet may send a request while others are told.
       do {
         await waitForRequests(finishMs);
-        await Promise.race([handOver(), sleep(clock, Math.max(pollMs, finishMs - elapsedMs()))]);
+        await within(handOver());
         await front.readArrived();
       } while (openRequests() > 0 && elapsedMs() < finishMs);
       if (openRequests() === 0) return;
