Answer what callers have sent when a box of the older line stops

Callers that reuse connections of a box of the older line kept it from stopping: its responses never said that the connection closes, and the stop waited for a moment without a request (still there 15.2 s after SIGTERM, when the callers of the new scenario gave up, where entries and tickets had expired after 3 s). At such a moment it stopped its services first and its server afterwards, so that requests on open connections came to a box without services; it closed idle connections before it had read what had arrived on them (0 of 5 answered in the new scenario), and cut what was open 5 s later without a word.

Responses close their connections from the begin of the stop now, unless further requests wait on them. The front reads what has arrived, stops listening and closes its connections while the services still run. A request that is open after 5 s gets a refusal: not run if its body had not come, an unknown outcome otherwise.

--- a/packages/box/src/create-box.ts
+++ b/packages/box/src/create-box.ts
@@ -54,6 +54,16 @@
 const drainPollMs: Milliseconds = 100;
 const readyPollMs: Milliseconds = 100;
 
+/** The server for callers, as far as a planned stop needs it. */
+export interface DrainingFront {
+  /** From now on responses close their connections. */
+  closeBehindResponses(): void;
+  /** Accepts no new connections and closes idle ones. */
+  stopListening(): Promise<void>;
+  /** Resolves when all connections are closed. */
+  close(): Promise<void>;
+}
+
 /** A box and its entry points for callers, operators and peers. */
 export interface Box {
   readonly incarnation: Incarnation;
@@ -64,9 +74,9 @@
   start(): Promise<void>;
   /**
    * Performs a planned stop: announces it, waits until entries and tickets of this box have expired
-   * and its requests have completed, then stops the services.
+   * and its requests have completed, closes the server for callers if there is one, then stops the services.
    */
-  drain(): Promise<void>;
+  drain(front?: DrainingFront): Promise<void>;
   /** Stops immediately, without draining. */
   stop(): Promise<void>;
 }
@@ -179,15 +189,19 @@
     else clock.after(readyPollMs, logWhenReady);
   };
 
-  const drain = async () => {
+  const drain = async (front?: DrainingFront) => {
     logger.event("boxDraining", { inFlight: callers.open() });
+    front?.closeBehindResponses();
     membership.leave();
     phase = "leaving_answers";
     leavingSinceMs = clock.now();
     const leasesReleased = kernel.find(leaseHolderName).releaseAll();
     while (answersEndInMs() > 0) await sleep(clock, drainPollMs);
     phase = "finishing_requests";
+    await front?.stopListening();
     while (callers.open() > 0) await sleep(clock, drainPollMs);
+    // Requests that come on open connections meanwhile are still served.
+    await front?.close();
     await leasesReleased;
     await kernel.find(auditName).flush();
     await kernel.stop();
--- a/packages/daemon/src/processes.feature
+++ b/packages/daemon/src/processes.feature
@@ -23,6 +23,11 @@
     When a box is stopped while it serves streams
     Then all streams complete and the box exits with 0
 
+  # Guards against a stop that goes on as long as callers use their connections, or closes them under a request.
+  Scenario: A box is stopped while callers go on using their connections
+    When a box is stopped while 10 callers send one request after the other on connections that they keep
+    Then each of their requests got a complete answer, and the box exits with 0 within 10000 ms
+
   Scenario: A box receives SIGHUP under load
     Guards against a missing signal handler: the default action would end the process and all streams through it.
 
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -103,8 +103,7 @@
   const daemon: Daemon = {
     box,
     async drain() {
-      await box.drain();
-      await callerServer.close();
+      await box.drain(callerServer);
       await operatorServer.close();
       peerServer.close();
       peerClient.close();
--- a/packages/http-front/src/http-front.ts
+++ b/packages/http-front/src/http-front.ts
@@ -12,10 +12,11 @@
 } from "@linkfall/connection-bounds";
 import type { AddressUnavailable } from "@linkfall/errors";
 import { createHeldBytes, type HeldBytes } from "@linkfall/held-bytes";
-import { type Clock, type Random, systemRandom } from "@linkfall/kernel";
+import { type Clock, type Random, sleep, systemRandom } from "@linkfall/kernel";
 import type { CallerRequest, CallerResponse } from "@linkfall/ports";
 import { notRun, refusalResponse } from "@linkfall/refusals";
 import { type Either, Left, Right } from "purify-ts";
+import { endOpenRequest, type OpenRequest } from "./open-requests.js";
 import { readBody, requestHeaders, type RequestLimits } from "./read-request.js";
 import { writeResponse } from "./write-response.js";
 
@@ -51,12 +52,21 @@
 export interface HttpFront {
   /** Starts listening; resolves with the address. */
   listen(): Promise<Either<AddressUnavailable, string>>;
-  /** Stops listening and closes all connections once their responses are sent or a timeout has passed. */
+  /** From now on a response closes its connection, unless the caller has sent further requests on it. */
+  closeBehindResponses(): void;
+  /** Accepts no new connections, and closes those that are idle when all that has arrived on them has been read. */
+  stopListening(): Promise<void>;
+  /**
+   * Stops listening and closes all connections once their responses are sent. When a timeout has passed, requests whose
+   * responses have not begun are ended with a refusal, and responses that have begun are cut.
+   */
   close(): Promise<void>;
 }
 
 /** Time for open connections to finish when the server closes. */
 const closeTimeoutMs = 5_000;
+/** Time in which callers take the last responses. */
+const lastResponsesMs = 200;
 const internalErrorStatus = 500;
 const defaultMaxConnections = 1_000;
 const defaultMaxHeldBytes = 64_000_000;
@@ -105,10 +115,12 @@
 export function createHttpFront(input: HttpFrontInput): HttpFront {
   const { turns, held } =
     input.bounds ?? createFrontBounds(input.clock, systemRandom(), input.limits);
-  const serve = async (message: IncomingMessage, serverResponse: ServerResponse) => {
+  const openRequests = new Set<OpenRequest>();
+  let isClosing = false;
+  const serve = async (message: IncomingMessage, open: OpenRequest) => {
+    const { serverResponse, callerGone } = open;
     const hold = held.holdBody();
     serverResponse.once("close", () => hold.close());
-    const callerGone = new AbortController();
     onCallerDisconnect(serverResponse, () => callerGone.abort());
     serverResponse.on("error", () => callerGone.abort());
     const body = await readBody(input.clock, message, input.limits, held, hold);
@@ -120,15 +132,22 @@
         // The rest of the request is not read, so the connection cannot be reused.
         return { ...refused, headers: { ...refused.headers, connection: "close" } };
       },
-      Right: (bytes) =>
-        input.handle({
+      Right(bytes) {
+        open.isHandled = true;
+        return input.handle({
           method: message.method ?? "GET",
           path: message.url ?? "/",
           headers: requestHeaders(message),
           body: bytes,
           signal: callerGone.signal,
-        }),
+        });
+      },
     });
+    // The request was ended since the front has to close.
+    if (serverResponse.headersSent) return;
+    // Requests that have been sent ahead are answered before the connection is closed.
+    if (isClosing && !bounded.hasEarlyRequests(message.socket))
+      serverResponse.shouldKeepAlive = false;
     await writeResponse(serverResponse, response, callerGone.signal);
   };
 
@@ -137,13 +156,19 @@
     handshakeTimeout: input.limits.bodyTimeoutMs,
     ...input.tls,
   };
-  const listener = (message: IncomingMessage, serverResponse: ServerResponse) =>
-    void serve(message, serverResponse).catch((defect) => {
+  const listener = (message: IncomingMessage, serverResponse: ServerResponse) => {
+    const open = { serverResponse, callerGone: new AbortController(), isHandled: false };
+    openRequests.add(open);
+    const endWithDefect = (defect: unknown) => {
       input.onDefect(message.url ?? "", defect);
       endDefective(serverResponse);
-    });
+    };
+    void serve(message, open)
+      .catch(endWithDefect)
+      .finally(() => void openRequests.delete(open));
+  };
   const server = input.tls ? createTls(options, listener) : createPlain(options, listener);
-  boundConnections(server, {
+  const bounded = boundConnections(server, {
     turns,
     held,
     maxConnections: input.limits.maxConnections ?? defaultMaxConnections,
@@ -154,6 +179,15 @@
   });
   server.on("clientError", respondToMalformed);
 
+  let closed: Promise<void> | undefined;
+  const closeBehindResponses = () => void (isClosing = true);
+  const stopListening = async () => {
+    closeBehindResponses();
+    await bounded.readArrived();
+    closed ??= new Promise((resolve) => server.close(() => resolve()));
+    server.closeIdleConnections();
+  };
+
   const portSeparator = input.address.lastIndexOf(":");
   const host = input.address.slice(0, portSeparator).replace(/^\[|\]$/g, "");
   return {
@@ -166,14 +200,16 @@
           resolve(Right(`${host}:${(server.address() as AddressInfo).port}`));
         });
       }),
-    close: () =>
-      new Promise((resolve) => {
-        const cancel = input.clock.after(closeTimeoutMs, () => server.closeAllConnections());
-        server.close(() => {
-          cancel();
-          resolve();
-        });
-        server.closeIdleConnections();
-      }),
+    closeBehindResponses,
+    stopListening,
+    async close() {
+      await stopListening();
+      const cancel = input.clock.after(closeTimeoutMs, () => {
+        openRequests.forEach(endOpenRequest);
+        void sleep(input.clock, lastResponsesMs).then(() => server.closeAllConnections());
+      });
+      await closed;
+      cancel();
+    },
   };
 }
