--- a/packages/caller-service/src/caller-service.ts
+++ b/packages/caller-service/src/caller-service.ts
@@ -117,8 +117,13 @@
   return {
     async handle(request, forwarded = false) {
       open += 1;
-      const response = await handle(request, forwarded);
-      return withBodyEnd(response, () => void (open -= 1));
+      try {
+        const response = await handle(request, forwarded);
+        return withBodyEnd(response, () => void (open -= 1));
+      } catch (defect) {
+        open -= 1;
+        throw defect;
+      }
     },
     retainedResults: runner.retainedResults,
     open: () => open,
