Decline requests that are handed over to a relay that stops

A box that is cut off opens an exchange by way of a relay and hands the request over later, up to 2 s after the connection to the target stands. A relay that had got SIGTERM in between sent the request, although it may be gone before the target has answered; the caller then gets an error for a request that may have run, or a broken stream. Whether the relay relays was asked when the exchange was opened only.

It is asked again at hand-over now. The request has not been sent then, and goes by another relay at once. The new scenario failed before: the stopping relay sent it.

--- a/packages/relayed-exchange/src/relay.ts
+++ b/packages/relayed-exchange/src/relay.ts
@@ -16,7 +16,7 @@
   readonly clock: Clock;
   readonly reach: ExchangeReach;
   readonly openDirect: OpenExchange;
-  /** Whether this box currently relays, thus reaches targets and is not stopping. */
+  /** Whether this box currently relays, thus reaches targets and is not stopping; asked again before a request is sent. */
   relays(): boolean;
   /** Looks up an incarnation of a target in this box's own view. */
   find(target: string, born?: number): TargetLookup;
@@ -53,6 +53,8 @@
   cause?: TargetUnreachable["cause"],
 ): TargetUnreachable => ({ kind: "target_unreachable", reason, mayHaveArrived, cause });
 
+const doesNotRelay = failure("the relay does not relay now", false, "relay");
+
 interface Load {
   exchanges: number;
   bodyBytes: number;
@@ -61,7 +63,7 @@
 /** Returns why the exchange cannot be opened, or the address of its target. */
 function admit(ports: RelayPorts, load: Load, open: OpenFrame): TargetUnreachable | string {
   const { bodyBytes, target, born } = open;
-  if (!ports.relays()) return failure("the relay does not relay now", false, "relay");
+  if (!ports.relays()) return doesNotRelay;
   const isSize = Number.isInteger(bodyBytes) && bodyBytes >= 0;
   if (!isSize || bodyBytes > maxBodyBytes)
     return failure("the body is too large for a relay", false, "relay");
@@ -163,6 +165,10 @@
   };
   const handleSend = () => {
     if (!connected || receivedBytes !== body.length) return cancelStream();
+    if (!ports.relays()) {
+      finish("refused", { kind: "failure", failure: doesNotRelay });
+      return exchange?.abort();
+    }
     cancelHandOverTimer();
     handOver();
   };
--- a/packages/relayed-exchange/src/relayed-exchange.feature
+++ b/packages/relayed-exchange/src/relayed-exchange.feature
@@ -57,6 +57,17 @@
     Then "r2" has sent the whole body once
     And the relays were tried in the order "r1 r2"
 
+  # Guards against requests that a relay sends although it may be gone before they end.
+  Scenario: A relay that begins to stop before a request is handed over does not send it
+    Given the box hands no request over
+    When the box sends a request with a body of 10 bytes
+    And "r1" begins to stop
+    And the box hands the request over
+    And the target responds with "one", "two" and completes
+    Then "r2" has sent the whole body once
+    And "r1" has reset its connection to the target
+    And the relays were tried in the order "r1 r2"
+
   Scenario: A target that the relay cannot connect to is told from a relay that fails
     Given connections of "r1" to the target are refused
     When the box sends a request with a body of 10 bytes
--- a/packages/relayed-exchange/src/relayed-exchange.steps.ts
+++ b/packages/relayed-exchange/src/relayed-exchange.steps.ts
@@ -32,6 +32,7 @@
 interface BoxStandIn {
   connecting: Connecting;
   cutOff: boolean;
+  stopping: boolean;
   lookup: TargetLookup;
   readonly exchanges: DirectExchange[];
   readonly reach: ExchangeReach;
@@ -47,6 +48,8 @@
   readonly breakStream: Map<string, () => void>;
   readonly received: Buffer[];
   handsOver: boolean;
+  /** Hands over the request that waits for it. */
+  handOver(): void;
   complete: boolean;
   failure?: TargetUnreachable;
   exchange?: Exchange;
@@ -77,6 +80,7 @@
   const box: BoxStandIn = {
     connecting: "established",
     cutOff: false,
+    stopping: false,
     lookup: { kind: "address", address: "127.0.0.1:1" },
     exchanges: [],
     reach: {
@@ -161,6 +165,7 @@
     breakStream: new Map(),
     received: [],
     handsOver: true,
+    handOver: () => undefined,
     complete: false,
   });
 });
@@ -204,7 +209,7 @@
         clock,
         reach: relay.reach,
         openDirect: relay.openDirect,
-        relays: () => !relay.cutOff,
+        relays: () => !relay.cutOff && !relay.stopping,
         find: () => relay.lookup,
         refusesConnections: () => Promise.resolve(relay.connecting === "refused"),
         onEnd: () => undefined,
@@ -227,7 +232,10 @@
       headers: [],
       body: Buffer.alloc(size, "b"),
       connectTimeoutMs,
-      beforeWrite: () => (scene.handsOver ? Promise.resolve() : new Promise<void>(() => undefined)),
+      beforeWrite: () =>
+        scene.handsOver
+          ? Promise.resolve()
+          : new Promise<void>((resolve) => (scene.handOver = resolve)),
     };
     scene.exchange = paths.opener({ id: "t1" }, hooks)(request, {
       onHead: () => undefined,
@@ -324,6 +332,17 @@
   await settle();
 });
 
+When("{string} begins to stop", function (this: object, name: string) {
+  relayOf(this, name).stopping = true;
+});
+
+When("the box hands the request over", async function (this: object) {
+  const scene = sceneOf(this);
+  scene.handsOver = true;
+  scene.handOver();
+  await settle();
+});
+
 When("the box is found to be cut off", async function (this: object) {
   sceneOf(this).self.findCutOff();
   await settle();
