--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -51,6 +51,8 @@
   /** Applies settings read while the box runs: new seeds immediately, everything else at the next start. */
   applySettings(read: EntrySettings): void;
   ready(): boolean;
+  /** Whether a graceful shutdown has begun. */
+  isStopping(): boolean;
   /** Box addresses for a caller in the given failure domain. */
   entries(domain?: string): EntryAddresses;
   metricsText(): string;
@@ -232,6 +234,7 @@
     },
     applySettings: createSettingsUpdater(settings, peers, logger),
     ready,
+    isStopping: shutdown.hasBegun,
     entries: (domain) => ({
       addresses: chooseEntries(servingBoxes(runtime), domain),
       lifetimeMs: settings.callers.entries_lifetime_ms,
