--- a/packages/process-soak/src/tests/supervised-process.ts
+++ b/packages/process-soak/src/tests/supervised-process.ts
@@ -14,6 +14,14 @@
   readonly restartDelayMs: number;
 }
 
+/** What happened to a process: a signal of the supervisor, or its end. */
+export interface ProcessEvent {
+  readonly kind: NodeJS.Signals | "ended";
+  readonly incarnation: number;
+  /** By this process's monotonic clock, in milliseconds. */
+  readonly at: number;
+}
+
 /** A process under supervision. */
 export interface SupervisedProcess {
   readonly name: string;
@@ -26,6 +34,8 @@
   signal(signal: NodeJS.Signals): void;
   /** Exit codes of exits that no signal of the supervisor caused, in order; -1 without a code. */
   unexpectedExitCodes(): readonly number[];
+  /** Signals that reached a running process, and ends, in order. */
+  history(): readonly ProcessEvent[];
   /** Kills the process and does not restart it. */
   stop(): Promise<void>;
 }
@@ -36,12 +46,15 @@
 /** Starts a process and keeps it running until it is stopped. */
 export function superviseProcess(options: ProcessOptions): SupervisedProcess {
   const unexpectedExitCodes: number[] = [];
+  const history: ProcessEvent[] = [];
   let incarnation = 0;
   let stopped = false;
   let exitExpected = false;
   let child: ChildProcess | undefined;
   let restartTimer: NodeJS.Timeout | undefined;
 
+  const record = (kind: ProcessEvent["kind"]) =>
+    void history.push({ kind, incarnation, at: performance.now() });
   const start = () => {
     incarnation += 1;
     exitExpected = false;
@@ -53,6 +66,7 @@
     closeSync(log);
     child.once("exit", (code) => {
       child = undefined;
+      record("ended");
       if (!exitExpected) unexpectedExitCodes.push(code ?? -1);
       if (!stopped) restartTimer = setTimeout(start, options.restartDelayMs);
     });
@@ -66,9 +80,11 @@
     processId: () => child?.pid,
     signal(signal) {
       if (terminatingSignals.has(signal)) exitExpected = true;
+      if (child) record(signal);
       child?.kill(signal);
     },
     unexpectedExitCodes: () => unexpectedExitCodes,
+    history: () => history,
     async stop() {
       stopped = true;
       clearTimeout(restartTimer);
