Write no rejection before the response to a request that runs

A caller that had sent a part of its next head, or four requests of 600 bytes at once, got 408 for a request that its target was running and went on running, and that it may repeat after such a promise; with bytes that are no HTTP behind it, 400. The front answered whatever the parser could not take, or a head that was late, on the connection, where the client takes it for the answer that it waits for. The box itself makes such heads late: it does not read on while requests wait.

While the client waits for a response nothing else is written now: a late head goes on, and bytes that are no request close the connection behind the last response.

--- a/packages/connection-bounds/src/bound-connections.ts
+++ b/packages/connection-bounds/src/bound-connections.ts
@@ -1,11 +1,13 @@
 /** Bounds what the clients of an HTTP server take from the process: connections, turns of the event loop, and memory. */
-import { type IncomingMessage, type RequestListener, Server, type ServerResponse } from "node:http";
+import type { Server } from "node:http";
 import { Server as TlsServer } from "node:https";
 import type { Socket } from "node:net";
 import type { HeldBytes } from "@linkfall/held-bytes";
-import { match } from "ts-pattern";
+import { type Connection, isBusy } from "./connection.js";
 import { type ConnectionState, createConnectionTable } from "./connection-table.js";
+import { trackHandshakes } from "./handshakes.js";
 import type { ReadTurns, TurnReader } from "./read-turns.js";
+import { beginInOrder } from "./request-order.js";
 
 /** Why a connection was closed before its client closed it. */
 export type ClosedReason =
@@ -28,6 +30,12 @@
   onClosed(reason: ClosedReason, state: ConnectionState): void;
   /** Called with the number of requests that are not begun since the response before them has closed their connection. */
   onNotBegun(requests: number): void;
+  /**
+   * Called when bytes of a connection are no request, when a head does not come in time, or when the connection fails. Not called
+   * while the client waits for a response, before which nothing may be written: the connection closes behind that response, or goes
+   * on if only a head is late.
+   */
+  onMalformed?(problem: NodeJS.ErrnoException, socket: Socket): void;
   /** Called with an exception that was thrown while the bytes of a connection were parsed, before the connection is closed. */
   onDefect(defect: unknown): void;
 }
@@ -40,22 +48,6 @@
   readArrived(): Promise<void>;
 }
 
-/** A request that its client has sent before it had the response to the one before. */
-interface EarlyRequest {
-  readonly message: IncomingMessage;
-  readonly response: ServerResponse;
-}
-
-interface Connection {
-  readonly socket: Socket;
-  readonly reader: TurnReader | undefined;
-  readonly early: EarlyRequest[];
-  /** Bytes read since the last request, its body not counted. */
-  bytesOutside: number;
-  /** Response that the client waits for, or has had. */
-  response?: ServerResponse;
-}
-
 /** A head may come with bytes of the body before it, and a client may send line ends between requests. */
 const maxBytesBesideHead = 131_072;
 /** Iterations of the event loop in which `readArrived` waits for the turns of connections. */
@@ -69,6 +61,30 @@
   return parse;
 }
 
+/** Code of a head that has not come in time. */
+const lateHeadCode = "ERR_HTTP_REQUEST_TIMEOUT";
+/** Codes of bytes that the parser takes for no request begin so; others are of the connection itself. */
+const malformedCodePrefix = "HPE_";
+
+/** Keeps what is wrong with the bytes behind a request from being written before the response to it. */
+function rejectMalformed(
+  server: Server | TlsServer,
+  find: (socket: Socket) => Connection | undefined,
+  reject: NonNullable<ConnectionBoundsOptions["onMalformed"]>,
+): void {
+  server.on("clientError", (problem: NodeJS.ErrnoException, socket: Socket) => {
+    const { code = "" } = problem;
+    const connection = find(socket);
+    const isRequestComplete = connection?.response?.req.complete === true;
+    if (!connection || !isRequestComplete) return reject(problem, socket);
+    if (code === lateHeadCode) return;
+    if (!code.startsWith(malformedCodePrefix)) return reject(problem, socket);
+    connection.isMalformed = true;
+    const { response, early } = connection;
+    if (response && !response.headersSent && early.length === 0) response.shouldKeepAlive = false;
+  });
+}
+
 /**
  * Bounds the connections of the server and begins the requests of each one after the other. It replaces the server's listener of
  * requests, and is to be called before the server listens.
@@ -123,62 +139,14 @@
     });
   };
 
-  const listeners = server.listeners("request") as RequestListener[];
-  const begin = (connection: Connection, { message, response }: EarlyRequest) => {
-    const { socket, reader, early } = connection;
-    table.setState(socket, "reading");
-    connection.bytesOutside = 0;
-    connection.response = response;
-    message.once("end", () => {
-      if (response.closed) return;
-      table.setState(socket, "serving");
-      connection.bytesOutside = 0;
-      reader?.recordRequest();
-    });
-    response.once("close", () => {
-      if (socket.destroyed) return;
-      // The response was the last one on its connection.
-      if (socket.writableEnded) {
-        if (early.length > 0) options.onNotBegun(early.splice(0).length);
-        return;
-      }
-      const next = early.shift();
-      if (early.length === 0) reader?.resume();
-      if (next) begin(connection, next);
-      else table.setState(socket, "idle");
-    });
-    for (const listener of listeners) listener.call(server, message, response as never);
-  };
-  server.removeAllListeners("request");
-  server.on("request", (message: IncomingMessage, response: ServerResponse) => {
-    const connection = connections.get(message.socket);
-    // The connection has been closed, and the parser is still inside its last bytes, or its client has had a final rejection.
-    if (!connection || message.socket.writableEnded) return;
-    const isBusy = match(table.stateOf(connection.socket))
-      .with("reading", "serving", () => true)
-      .otherwise(() => false);
-    if (!isBusy) return begin(connection, { message, response });
-    connection.early.push({ message, response });
-    connection.reader?.suspend();
-  });
-  /** Connections that have not completed a TLS handshake, by the address of their client. */
-  const handshakes = new Map<string, Socket>();
-  const clientOf = ({ remoteAddress, remotePort }: Socket) => `${remoteAddress}:${remotePort}`;
+  beginInOrder(server, { table, find: (socket) => connections.get(socket), ...options });
+  const findBusy = (socket: Socket) =>
+    isBusy(table.stateOf(socket)) ? connections.get(socket) : undefined;
+  if (options.onMalformed) rejectMalformed(server, findBusy, options.onMalformed);
+  const endHandshake = trackHandshakes(server, table, makeRoom);
   const isTls = server instanceof TlsServer;
-  if (isTls)
-    server.on("connection", (socket: Socket) => {
-      const client = clientOf(socket);
-      handshakes.set(client, socket);
-      table.add(socket);
-      socket.once("close", () => {
-        table.remove(socket);
-        handshakes.delete(client);
-      });
-      makeRoom(socket);
-    });
   server.on(isTls ? "secureConnection" : "connection", (socket: Socket) => {
-    const inHandshake = handshakes.get(clientOf(socket));
-    if (inHandshake) table.remove(inHandshake);
+    endHandshake(socket);
     connections.set(socket, { socket, reader: addReader(socket), early: [], bytesOutside: 0 });
     table.add(socket);
     socket.once("close", () => {
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -123,7 +123,8 @@
   const front = createFront({
     address: settings.box.front_address,
     maxHeaderBytes: settings.callers.max_header_bytes,
-    boundConnections: (server) => boundPort(server, "front", settings.callers.max_header_bytes),
+    boundConnections: (server, onMalformed) =>
+      boundPort(server, "front", settings.callers.max_header_bytes, onMalformed),
     clock: ports.clock,
     onConnection: createAcceptQueueMonitor({ ...ports, metrics }).connectionAccepted,
     limits: () => feed.activeConfiguration()?.configuration.limits,
--- a/packages/entry-box/src/front-close.steps.ts
+++ b/packages/entry-box/src/front-close.steps.ts
@@ -64,7 +64,7 @@
       clock,
       timeLimitMs: () => undefined,
       onBodyRejected: () => undefined,
-      boundConnections: (server) => boundForTest(server, clock),
+      boundConnections: (server, onMalformed) => boundForTest(server, clock, onMalformed),
       onConnection: () => undefined,
       limits: () => undefined,
       isClosing: () => isClosing,
--- a/packages/entry-box/src/front.ts
+++ b/packages/entry-box/src/front.ts
@@ -1,7 +1,7 @@
 /** The HTTP server that callers connect to: reads requests within the configured limits and passes them on. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { BoundedConnections } from "@linkfall/connection-bounds";
+import type { BoundedConnections, ConnectionBoundsOptions } from "@linkfall/connection-bounds";
 import { type ResponseSink, createResponseSink, localReplyHeaders } from "@linkfall/forwarding";
 import type { HeldBytes } from "@linkfall/held-bytes";
 import type { Clock } from "@linkfall/kernel";
@@ -34,7 +34,10 @@
   readonly maxHeaderBytes: number;
   readonly clock: Clock;
   /** Bounds the connections of the server. */
-  boundConnections(server: Server): BoundedConnections;
+  boundConnections(
+    server: Server,
+    onMalformed: NonNullable<ConnectionBoundsOptions["onMalformed"]>,
+  ): BoundedConnections;
   /** Called for each accepted connection. */
   onConnection(): void;
   limits(): CallerLimits | undefined;
@@ -185,8 +188,7 @@
   );
   server.requestTimeout = 0;
   applyLimits(server, defaultLimits);
-  server.on("clientError", rejectMalformed);
-  const bounded = options.boundConnections(server);
+  const bounded = options.boundConnections(server, rejectMalformed);
   server.on("connection", options.onConnection);
 
   const separator = options.address.lastIndexOf(":");
--- a/packages/entry-box/src/held-bodies.steps.ts
+++ b/packages/entry-box/src/held-bodies.steps.ts
@@ -53,7 +53,7 @@
       clock,
       timeLimitMs: () => timeLimitMs,
       onBodyRejected: () => undefined,
-      boundConnections: (server) => boundForTest(server, systemClock()),
+      boundConnections: (server, onMalformed) => boundForTest(server, systemClock(), onMalformed),
       onConnection: () => undefined,
       limits: () => undefined,
       isClosing: () => false,
--- a/packages/entry-box/src/late-bodies.steps.ts
+++ b/packages/entry-box/src/late-bodies.steps.ts
@@ -42,7 +42,7 @@
       address,
       maxHeaderBytes: 16_384,
       clock: systemClock(),
-      boundConnections: (server) => boundForTest(server, systemClock()),
+      boundConnections: (server, onMalformed) => boundForTest(server, systemClock(), onMalformed),
       onConnection: () => undefined,
       limits: () => undefined,
       isClosing: () => false,
--- a/packages/entry-box/src/provide-connection-bounds.ts
+++ b/packages/entry-box/src/provide-connection-bounds.ts
@@ -3,6 +3,7 @@
 import {
   type BoundedConnections,
   boundConnections,
+  type ConnectionBoundsOptions,
   createReadTurns,
 } from "@linkfall/connection-bounds";
 import type { EntrySettings } from "@linkfall/entry-settings";
@@ -19,6 +20,7 @@
   server: Server,
   port: BoxPort,
   maxHeaderBytes: number,
+  onMalformed?: ConnectionBoundsOptions["onMalformed"],
 ) => BoundedConnections;
 
 /** Descriptors of a process that are not for sockets. */
@@ -50,8 +52,9 @@
 ): PortBounds {
   const metrics = kernel.find(metricsName);
   const turns = createReadTurns(ports.clock);
-  return (server, port, maxHeaderBytes) =>
+  return (server, port, maxHeaderBytes, onMalformed) =>
     boundConnections(server, {
+      onMalformed,
       turns,
       held,
       maxHeaderBytes,
--- a/packages/entry-box/src/request-defects.steps.ts
+++ b/packages/entry-box/src/request-defects.steps.ts
@@ -44,7 +44,7 @@
       clock: systemClock(),
       timeLimitMs: () => timeLimitMs,
       onBodyRejected: () => undefined,
-      boundConnections: (server) => boundForTest(server, systemClock()),
+      boundConnections: (server, onMalformed) => boundForTest(server, systemClock(), onMalformed),
       onConnection: () => undefined,
       limits: () => undefined,
       isClosing: () => false,
--- a/packages/entry-box/src/uploads.steps.ts
+++ b/packages/entry-box/src/uploads.steps.ts
@@ -40,7 +40,7 @@
     clock: systemClock(),
     timeLimitMs: () => timeLimitMs,
     onBodyRejected: () => undefined,
-    boundConnections: (server) => boundForTest(server, systemClock()),
+    boundConnections: (server, onMalformed) => boundForTest(server, systemClock(), onMalformed),
     onConnection: () => undefined,
     limits: () => ({
       maxHeaderBytes: 16_384,
--- a/packages/http-front/src/http-front.ts
+++ b/packages/http-front/src/http-front.ts
@@ -173,11 +173,11 @@
     held,
     maxConnections: input.limits.maxConnections ?? defaultMaxConnections,
     maxHeaderBytes: input.limits.maxHeaderBytes,
+    onMalformed: respondToMalformed,
     onDefect: (defect) => input.onDefect("", defect),
     onClosed: (reason, state) => input.onConnectionClosed?.(reason, state),
     onNotBegun: (requests) => input.onNotBegun?.(requests),
   });
-  server.on("clientError", respondToMalformed);
 
   let closed: Promise<void> | undefined;
   const closeBehindResponses = () => void (isClosing = true);
