--- a/packages/connection-bounds/src/bound-connections.ts
+++ b/packages/connection-bounds/src/bound-connections.ts
@@ -42,7 +42,7 @@
 
 /** What the bounds know of the server's connections. */
 export interface BoundedConnections {
-  /** Whether the client of the connection has sent requests that wait for the response to the one before. */
+  /** Whether the client of the connection has sent bytes that wait for the response to the request before. */
   hasEarlyRequests(socket: Socket): boolean;
   /** Resolves when the requests that have arrived on the server's connections by now have been begun, or after a bounded time. */
   readArrived(): Promise<void>;
@@ -157,7 +157,10 @@
   });
 
   return {
-    hasEarlyRequests: (socket) => (connections.get(socket)?.early.length ?? 0) > 0,
+    hasEarlyRequests(socket) {
+      const { early = [], reader } = connections.get(socket) ?? {};
+      return early.length > 0 || reader?.hasBytes() === true;
+    },
     async readArrived() {
       // The current iteration may be past its poll for bytes.
       await endOfIteration();
--- a/packages/connection-bounds/src/read-turns.ts
+++ b/packages/connection-bounds/src/read-turns.ts
@@ -44,6 +44,8 @@
   resume(): void;
   /** The connection has sent a complete request. */
   recordRequest(): void;
+  /** Whether bytes have been read that are not passed on yet. */
+  hasBytes(): boolean;
 }
 
 /** A connection as the turns see it. */
@@ -208,6 +210,7 @@
           if (isWaiting()) enqueue(reader);
         },
         recordRequest: () => void (ownMs = 0),
+        hasBytes: () => reads.length > 0,
       };
     },
   };
