Write no request whose work has been ended

Callers that are told 503 when a box has to exit are promised that their request never runs. That promise hung on one listener: the last check before a request is written took the answer that the box itself had given for a response that goes on, and a listener that is added after the end was never called.

The check asks whether anybody still waits, and late listeners are called at once. A caller that has left is not counted as told. New scenario: a request whose work is ended while its connection is made is not written.

--- a/packages/entry-box/src/open-requests.ts
+++ b/packages/entry-box/src/open-requests.ts
@@ -35,7 +35,7 @@
  */
 export function cutOpenRequest(open: OpenRequest): void {
   const { sink, progress } = open;
-  if (sink.headersSent()) return;
+  if (sink.headersSent() || sink.isCallerGone()) return;
   const mayHaveRun = progress?.().mayHaveRun === true;
   open.cutStatus = mayHaveRun ? lostStatus : refusedStatus;
   const headers = localReplyHeaders(mayHaveRun ? undefined : 0);
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -244,6 +244,7 @@
   const mayWrite = async () =>
     // The cause of crashes, or that the target or this box leaves, may have become known while the request waited for its
     // connection.
+    !request.sink.isCallerGone() &&
     mayStillFinish(context, request) &&
     !isHeldBack(context, request) &&
     acceptsRequests(context, target) &&
--- a/packages/forwarding/src/forwarding.feature
+++ b/packages/forwarding/src/forwarding.feature
@@ -42,6 +42,13 @@
     Then it is refused with 503 within 300 ms
     And no byte of it was written
 
+  # Guards against requests that run although their caller was told, as the box has to exit, that they never will.
+  Scenario: A request whose work is ended while its connection is made is not written
+    Given the connection to the engine takes 200 ms
+    When a request for "m1" arrives
+    And its work is ended after 100 ms
+    Then no byte of it was written after 400 ms
+
   Scenario: A stream that would start late is refused instead of delaying running streams
     Given the engine has prompts for 1000 ms of prefill queued
     When a request for "m1" arrives
--- a/packages/forwarding/src/forwarding.steps.ts
+++ b/packages/forwarding/src/forwarding.steps.ts
@@ -303,6 +303,8 @@
 
 /** Records the response that the caller would get. */
 function sinkOf(state: ForwardingWorld): ResponseSink {
+  let detached = false;
+  const listeners: (() => void)[] = [];
   return {
     headersSent: () => state.response !== undefined,
     writeHead: () => undefined,
@@ -311,9 +313,12 @@
     end: () => undefined,
     abort: () => undefined,
     send: (status, headers) => void (state.response = { status, headers }),
-    isCallerGone: () => false,
-    detach: () => undefined,
-    onCallerGone: () => undefined,
+    isCallerGone: () => detached,
+    detach() {
+      detached = true;
+      for (const listener of listeners) listener();
+    },
+    onCallerGone: (listener) => void listeners.push(listener),
   };
 }
 
@@ -446,6 +451,18 @@
   },
 );
 
+When("its work is ended after {int} ms", async function (this: object, ms: number) {
+  const { clock, request } = stateOf(this);
+  await clock.runUntil(ms);
+  request?.sink.detach();
+});
+
+Then("no byte of it was written after {int} ms", async function (this: object, ms: number) {
+  const state = stateOf(this);
+  await state.clock.runUntil(ms);
+  assert.deepEqual([state.written, state.outcome?.outcome], [false, "gone"]);
+});
+
 Then("no byte of it was written", function (this: object) {
   assert.equal(stateOf(this).written, false);
 });
--- a/packages/forwarding/src/response-sink.ts
+++ b/packages/forwarding/src/response-sink.ts
@@ -83,7 +83,10 @@
     },
     isCallerGone: () => callerGone,
     detach,
-    onCallerGone: (listener) => void listeners.push(listener),
+    onCallerGone(listener) {
+      if (callerGone) listener();
+      else listeners.push(listener);
+    },
     setUnforwarded: queue?.setUnforwarded,
   };
 }
