Charge accounts for requests that may run when a box exits

An account got its charge back for a request that a target was running when its box exited: such a request ends as if its caller had left, so that it counted as never run, and was logged so. A request that a stopping box can't serve any more is refused before its account is charged.

--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -6,6 +6,7 @@
   type ForwardedRequest,
   forwardRequest,
   mayHaveRun,
+  refusedStatus,
   type RequestOutcome,
 } from "@linkfall/forwarding";
 import { findUnwritableHeader } from "@linkfall/header-syntax";
@@ -35,6 +36,7 @@
 
 const notReadyRetryMs: Milliseconds = 500;
 const overLimitStatus = 429;
+const stoppingReason = "stopping";
 
 /** Computes the fingerprint on first use, since most requests never need it. */
 function lazyFingerprint(content: RequestContent): () => string {
@@ -125,6 +127,12 @@
   });
 }
 
+/** Records that the exit of the box has ended the request; one that has not been refused may have run. */
+export function recordCut(request: ForwardedRequest, status: number): RequestOutcome {
+  if (status !== refusedStatus) request.possibleRuns = Math.max(1, request.possibleRuns);
+  return { outcome: "refused", status, reason: stoppingReason };
+}
+
 /** Handles one request under the configuration in force when it arrives. */
 export async function handleRequest(context: RequestContext, request: FrontRequest): Promise<void> {
   const { feed, codec, forward } = context;
@@ -155,6 +163,8 @@
     context.ranksRoutesOfAccounts,
   );
   if (!forwarded) return reject(503, "no such service", notReadyRetryMs);
+  // Its account's limit is not charged for what this box can't serve any more.
+  if (!forward.acceptsRequest(forwarded)) return reject(refusedStatus, stoppingReason, 0);
   const admission = await admitToQuota(context.quota, caller.account, terms, version);
   if (admission.kind === "refused") {
     const details = { account: forwarded.account, version, retryAfterMs: admission.retryAfterMs };
@@ -177,10 +187,7 @@
   }));
   const forwardedEnd = await forwardRequest(forward, forwarded);
   const cutStatus = request.cutStatus();
-  const end: RequestOutcome =
-    cutStatus === undefined
-      ? forwardedEnd
-      : { outcome: "refused", status: cutStatus, reason: "stopping" };
+  const end = cutStatus === undefined ? forwardedEnd : recordCut(forwarded, cutStatus);
   settleQuota(context.quota, admission.use, forwarded, end);
   recordEnd(context, forwarded, end, admission.use?.units);
 }
