Keep the whole reserve of a stop for the exit of the process

A begun response to a caller of HTTP/1.0 has a scenario, too. Requests of event 5051 say whether their response had begun.

--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -166,10 +166,17 @@
 
 /** Logs the requests that are cut since the box has to exit. */
 function logOpenRequests({ ports: { clock, logger } }: BoxRuntime, front: Front): void {
-  for (const { path, arrivedAt, progress } of front.openRequests()) {
+  for (const { path, arrivedAt, progress, sink } of front.openRequests()) {
     const { id: request, mayHaveRun = false, sends = 0 } = progress?.() ?? {};
     const ms = Math.round(clock.now() - arrivedAt);
-    logger.event("requestCutByStop", { request, path, ms, mayHaveRun, sends });
+    logger.event("requestCutByStop", {
+      request,
+      path,
+      ms,
+      mayHaveRun,
+      sends,
+      begun: sink.headersSent(),
+    });
   }
 }
 
--- a/packages/entry-box/src/front-close.feature
+++ b/packages/entry-box/src/front-close.feature
@@ -5,3 +5,9 @@
     Given a front that is about to stop listening, with 5 kept connections
     When a request arrives on each of them while the event loop is blocked for 300 ms, and the front stops listening then
     Then each of the 5 requests is answered
+
+  # Guards against responses that look complete although they were cut: these callers are sent neither a length nor chunks.
+  Scenario: A caller of HTTP/1.0 sees that its response was cut by the end of the front
+    Given a front that has begun a response to a caller of HTTP/1.0
+    When the front closes all connections
+    Then that caller's connection is reset
--- a/packages/entry-box/src/front-close.steps.ts
+++ b/packages/entry-box/src/front-close.steps.ts
@@ -6,7 +6,7 @@
 import { freeAddresses } from "@linkfall/stand-ins";
 import { scenarioState } from "@linkfall/test-support";
 import { boundForTest } from "./bound-for-test.steps.js";
-import { createFront, type Front, respondLocally } from "./front.js";
+import { createFront, type Front, type FrontOptions, respondLocally } from "./front.js";
 
 interface KeptConnection {
   readonly socket: Socket;
@@ -52,27 +52,38 @@
   return connection;
 }
 
+async function startFront(
+  isClosing: () => boolean,
+  handle: FrontOptions["handle"],
+): Promise<{ readonly front: Front; readonly address: string }> {
+  const [address] = await freeAddresses(1);
+  const clock = systemClock();
+  const front = createFront({
+    address,
+    maxHeaderBytes: 16_384,
+    clock,
+    timeLimitMs: () => undefined,
+    onBodyRejected: () => undefined,
+    boundConnections: (server, onMalformed) => boundForTest(server, clock, onMalformed),
+    onConnection: () => undefined,
+    limits: () => undefined,
+    isClosing,
+    handle,
+    onDefect: (_, defect) => assert.fail(String(defect)),
+  });
+  fronts.push(front);
+  await front.listen();
+  return { front, address };
+}
+
 Given(
   "a front that is about to stop listening, with {int} kept connections",
   async function (this: object, count: number) {
-    const [address] = await freeAddresses(1);
-    const clock = systemClock();
     let isClosing = false;
-    const front = createFront({
-      address,
-      maxHeaderBytes: 16_384,
-      clock,
-      timeLimitMs: () => undefined,
-      onBodyRejected: () => undefined,
-      boundConnections: (server, onMalformed) => boundForTest(server, clock, onMalformed),
-      onConnection: () => undefined,
-      limits: () => undefined,
-      isClosing: () => isClosing,
-      handle: async ({ sink }) => respondLocally(sink, 200),
-      onDefect: (_, defect) => assert.fail(String(defect)),
-    });
-    fronts.push(front);
-    await front.listen();
+    const { front, address } = await startFront(
+      () => isClosing,
+      async ({ sink }) => respondLocally(sink, 200),
+    );
     const connections = await Promise.all(
       Array.from({ length: count }, () => openKeptConnection(address)),
     );
@@ -104,3 +115,38 @@
   // The first answer is the one to the request that opened the connection.
   assert.deepEqual(answers, Array(count).fill(2));
 });
+
+Given(
+  /^a front that has begun a response to a caller of HTTP\/1.0$/,
+  async function (this: object) {
+    const { front, address } = await startFront(
+      () => true,
+      ({ sink }) => {
+        sink.writeHead(200, ["Content-Type", "text/plain"]);
+        sink.write(Buffer.from("a part"));
+        return new Promise(() => undefined);
+      },
+    );
+    const [host, port] = address.split(":");
+    const socket = connect(Number(port), host);
+    sockets.push(socket);
+    const ended = new Promise<string>((resolve) => {
+      socket.once("end", () => resolve("ended"));
+      socket.once("error", () => resolve("reset"));
+    });
+    socket.write("GET /x HTTP/1.0\r\nHost: x\r\n\r\n");
+    await once(socket, "data");
+    scenarioState(this).set("begun response", { front, ended });
+  },
+);
+
+const begunResponseOf = (world: object) =>
+  scenarioState(world).get<{ front: Front; ended: Promise<string> }>("begun response");
+
+When("the front closes all connections", function (this: object) {
+  begunResponseOf(this).front.closeAll();
+});
+
+Then("that caller's connection is reset", async function (this: object) {
+  assert.equal(await begunResponseOf(this).ended, "reset");
+});
--- a/packages/entry-box/src/front.ts
+++ b/packages/entry-box/src/front.ts
@@ -177,6 +177,7 @@
       const sink = createResponseSink(response, isLast, held);
       const open: OpenRequest = { path, arrivedAt: clock.now(), sink };
       openRequests.add(open);
+      response.once("close", () => void openRequests.delete(open));
       const endWithDefect = (defect: unknown) => {
         options.onDefect(path, defect);
         endDefective(response);
--- a/packages/entry-box/src/planned-stop.ts
+++ b/packages/entry-box/src/planned-stop.ts
@@ -28,9 +28,9 @@
   onCut(): void;
 }
 
-/** Part of the grace period reserved for the last responses and for the process to exit. */
+/** Part of the grace period reserved for the process to exit. */
 const exitReserveMs: Milliseconds = 500;
-/** Time in which callers take the last responses. */
+/** Time before it in which callers take the last responses. */
 const lastResponsesMs: Milliseconds = 200;
 const pollMs: Milliseconds = 50;
 /** Some callers cache addresses this many times longer than their lifetime. */
@@ -50,7 +50,7 @@
   let beganAt: Milliseconds | undefined;
   const lifetimeMs = settings.callers.entries_lifetime_ms;
   const graceMs = settings.stop.grace_ms;
-  const finishMs = graceMs - exitReserveMs;
+  const finishMs = graceMs - exitReserveMs - lastResponsesMs;
   const elapsedMs = () => (beganAt === undefined ? 0 : clock.now() - beganAt);
   const within = (work: Promise<void>) =>
     Promise.race([work, sleep(clock, Math.max(pollMs, finishMs - elapsedMs()))]);
@@ -85,6 +85,9 @@
       onCut();
       front.cutOpenRequests();
       await waitForRequests(elapsedMs() + lastResponsesMs);
+      // What has arrived since then is answered before its connection is closed.
+      await front.readArrived();
+      front.cutOpenRequests();
     },
   };
 }
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -424,7 +424,7 @@
   requestCutByStop: event(
     5051,
     "warn",
-    "A request was still open when the box had to exit; `mayHaveRun` says whether a target may have run it: its caller gets an error, the others are told to come back.",
+    "A request was still open when the box had to exit; `mayHaveRun` says whether a target may have run it: its caller gets an error, the others are told to come back. A response that had `begun` is broken off.",
     "Compare the longest time limits of the routes with the grace period.",
   ),
   outcomeUnknown: event(
