Bound the bodies of rejections and failures in bytes and time

Callers saw a request that got a rejection (421, "not run") whose body had no end wait until its deadline, with the first bytes of the rejection passed on as if they were its answer; a 500 without end was passed on without a bound and counted as a success of its target. Beside it the box took more memory than its machine has.

Cause: the end of a body was awaited whatever its head had settled, with the deadline as the only bound; beyond 1 MB a body was passed on whatever its status.

A sound body ends its connection in order as before.

--- a/packages/forwarding/src/attempt-types.ts
+++ b/packages/forwarding/src/attempt-types.ts
@@ -26,6 +26,8 @@
       readonly kind: "not_run";
       readonly status: number;
       readonly misdirected: boolean;
+      /** Whether the body of the response went on beyond its bound. */
+      readonly endless?: true;
     }
   /** A complete response, not yet sent to the caller. */
   | {
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -7,6 +7,7 @@
 import type { Exchange, ResponseHead } from "@linkfall/raw-exchange";
 import type { Milliseconds } from "@linkfall/types";
 import type { AttemptInput, AttemptResult, StreamPosition } from "./attempt-types.js";
+import { bodyBoundsOf, type BodyBounds } from "./body-bounds.js";
 import { findHeadProblem } from "./response-check.js";
 import { isDeclaredEventStream, isForwardedByEvents } from "./response-content.js";
 import type { ResponseSink } from "./response-sink.js";
@@ -56,6 +57,9 @@
   let settled = false;
   let waitingForCaller = false;
   let cancelIdleTimer = () => undefined as void;
+  let cancelBodyTimer = () => undefined as void;
+  let bodyBounds: BodyBounds | undefined;
+  let bodyBytes = 0;
 
   let exchange: Exchange | undefined;
 
@@ -64,6 +68,7 @@
     settled = true;
     if (isStream() && splitter.isInsideEvent()) position.isEventUnfinished = true;
     cancelIdleTimer();
+    cancelBodyTimer();
     cancelDeadline();
     exchange?.abort();
     sink.setUnforwarded?.(0);
@@ -153,6 +158,15 @@
 
   const isStream = () => input.streaming && head !== undefined && isForwardedByEvents(head);
 
+  /** Ends the attempt at a rejection or a failure of the target, whose body is not complete within its bound. */
+  const settleIncomplete = (endless?: true) => {
+    if (head && facts?.notRun) {
+      const { misdirected } = facts;
+      return settle({ kind: "not_run", status: head.status, misdirected, endless });
+    }
+    settle({ kind: "lost", reason: "an error without end", responseStarted: responseStarted() });
+  };
+
   const handleHead = (response: ResponseHead) => {
     hasAnswered = true;
     restartIdleTimer();
@@ -165,9 +179,17 @@
     head = response;
     facts = parsed;
     input.onResponseHead(response, parsed);
+    bodyBounds = bodyBoundsOf(response, parsed);
+    if (bodyBounds)
+      cancelBodyTimer = clock.after(
+        bodyBounds.maxMs,
+        guard(() => settleIncomplete()),
+      );
   };
   const handleBytes = (bytes: Buffer) => {
     if (settled || !head) return;
+    bodyBytes += bytes.length;
+    if (bodyBounds && bodyBytes > bodyBounds.maxBytes) return settleIncomplete(true);
     restartIdleTimer();
     const previousBytesAt = lastBytesAt;
     lastBytesAt = clock.now();
@@ -214,6 +236,8 @@
     settle({ kind: "answered", head, body: buffered.take(), ...behind });
   };
   const handleFailure = (failure: TargetUnreachable) => {
+    // The head has said that the request did not run, whatever became of the body.
+    if (facts?.notRun) return settleIncomplete();
     const { reason, mayHaveArrived, cause, targetRefuses } = failure;
     if (!mayHaveArrived) return settle({ kind: "not_sent", reason, cause });
     settle({ kind: "lost", reason, responseStarted: responseStarted(), cause, targetRefuses });
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -122,6 +122,7 @@
       // The relay may be the one that is silent.
       return via === undefined ? fleet.recordFailure(id, "silent") : undefined;
     case "not_run":
+      if (result.endless) fleet.recordFailure(id, "a rejection without end");
       if (request.terms.model === undefined) return;
       // A target with free slots that refuses is about to unload the weights or has not finished loading them.
       // Adapters are announced before they are fully loaded; refusals for lack of one expire sooner.
