Let targets that send without end give way before others

Callers of other servers got 503 with Retry-After: 9 to 13 of 40 requests were served at once while the only server of another service sent signed successes without an event, or one event, without end. The box took more memory than its machine has.

Cause: what is kept until more of a response is known (up to 1 MB of an answer, 4 MB of an event, for each response) took the room of all, and gave way to nobody; the events of streams on plain routes were kept without being counted.

Now at most half of the bound is kept. Beyond it, or when a body finds no room, the largest response gives way of the target of which most is kept: an answer is passed on from there, an event that goes on is lost and counts against its target. Responses of less than 64 KiB never give way. A sound event of another target stays, as its target keeps less than one that sends without end on several connections.

The random operations of held-bytes.feature let responses give way too, which makes the check stricter. Event 5053 and a metric tell when it happens.

--- a/packages/entry-box/src/provide-held-bytes.ts
+++ b/packages/entry-box/src/provide-held-bytes.ts
@@ -47,6 +47,9 @@
   const droppedBodies = now.droppedBodies - before.droppedBodies;
   if (droppedBodies > 0)
     logger.event("incompleteBodiesDropped", { count: droppedBodies, ...detail });
+  const droppedUnforwarded = now.droppedUnforwarded - before.droppedUnforwarded;
+  if (droppedUnforwarded > 0)
+    logger.event("unforwardedResponsesGaveWay", { count: droppedUnforwarded, ...detail });
   if (now.pausedResponses > 0 && before.pausedResponses === 0)
     logger.event("targetsHeldBack", { count: now.pausedResponses, ...detail });
 }
@@ -86,6 +89,11 @@
     "Request bodies dropped since the start to make room for others, as they were not complete.",
     () => held.summary().droppedBodies,
   );
+  metrics.gauge(
+    "linkfall_unforwarded_responses_gave_way",
+    "Times since the start that parts of responses were passed on early or dropped, as too many bytes were kept of them.",
+    () => held.summary().droppedUnforwarded,
+  );
   metrics.gauge(
     "linkfall_targets_held_back",
     "Responses that are not read from their targets until their callers read.",
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -3,7 +3,7 @@
 import { createChunkBuffer } from "@linkfall/chunk-buffer";
 import type { TargetUnreachable } from "@linkfall/errors";
 import { createEventSplitter, type StreamEvent } from "@linkfall/event-stream";
-import type { RawHeaders, ResponseMetadata } from "@linkfall/ports";
+import type { ResponseMetadata } from "@linkfall/ports";
 import type { Exchange, ResponseHead } from "@linkfall/raw-exchange";
 import type { Milliseconds } from "@linkfall/types";
 import type { AttemptInput, AttemptResult, StreamPosition } from "./attempt-types.js";
@@ -127,7 +127,8 @@
   };
   const splitEvents = (bytes: Buffer) => {
     const events = splitter.push(bytes);
-    if (isStream()) sink.setUnforwarded?.(splitter.restBytes());
+    countKept();
+    if (settled) return [];
     if (splitter.restBytes() <= maxEventBytes) return events;
     settle({ kind: "lost", reason: "an event without end", responseStarted: responseStarted() });
     return [];
@@ -148,13 +149,25 @@
   const bufferOrForward = (response: ResponseHead, bytes: Buffer) => {
     if (forwarding) return forward(bytes);
     buffered.append(bytes);
-    sink.setUnforwarded?.(buffered.size());
-    if (buffered.size() <= maxBufferedBytes) return;
+    countKept();
+    if (!settled && buffered.size() > maxBufferedBytes) forwardBuffered(response);
+  };
+  const forwardBuffered = (response: ResponseHead) => {
     if (responseStarted()) return settle(notTheStream(response));
     startForwarding(response);
-    sink.setUnforwarded?.(0);
-    forward(buffered.take());
+    const kept = buffered.take();
+    countKept();
+    forward(kept);
   };
+  /** There is no room to keep what has not been forwarded: an answer is passed on from here, the rest is given up. */
+  const giveWay = () => {
+    if (settled || !head) return;
+    if (!isStream() && !bodyBounds && buffered.size() > 0) return forwardBuffered(head);
+    const reason = "no room for an event that goes on";
+    settle({ kind: "lost", reason, responseStarted: responseStarted() });
+  };
+  const source = { target: input.request.address, onGiveWay: guard(giveWay) };
+  const countKept = () => sink.setUnforwarded?.(splitter.restBytes() + buffered.size(), source);
 
   const isStream = () => input.streaming && head !== undefined && isForwardedByEvents(head);
 
@@ -279,11 +292,3 @@
   };
   guard(open)();
 }
-
-/** Headers of a response that the box generates itself. */
-export const localReplyHeaders = (retryAfterMs?: Milliseconds): RawHeaders => {
-  const headers = ["Content-Type", "application/json"];
-  if (retryAfterMs === undefined) return headers;
-  const seconds = (Math.ceil(retryAfterMs / 10) / 100).toString();
-  return [...headers, "Retry-After", seconds];
-};
--- a/packages/forwarding/src/held-queue.ts
+++ b/packages/forwarding/src/held-queue.ts
@@ -1,6 +1,6 @@
 /** Keeps the bytes of a response for a caller that is behind, counted against the bound of the box. */
 import type { ServerResponse } from "node:http";
-import type { HeldBytes } from "@linkfall/held-bytes";
+import type { HeldBytes, UnforwardedSource } from "@linkfall/held-bytes";
 
 /** Larger buffers are written in parts, so that the box notices when their caller takes some of the bytes. */
 const maxWriteBytes = 65_536;
@@ -16,7 +16,7 @@
   onRoom(listener: () => void): void;
   /** Ends the response when all bytes, the last ones included, are written. */
   end(last?: Buffer): void;
-  setUnforwarded(bytes: number): void;
+  setUnforwarded(bytes: number, source?: UnforwardedSource): void;
 }
 
 /** Creates the queue of one response; `abort` is called if the response has to be ended because of the bound. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./local-reply.js";
 export * from "./response-sink.js";
 export * from "./attempt.js";
 export { createFinalAttempts, type FinalAttempts } from "./crash-check.js";
--- a/packages/forwarding/src/request-step.ts
+++ b/packages/forwarding/src/request-step.ts
@@ -1,6 +1,6 @@
 /** Result of one step of forwarding a request: continue, or end with a final response. */
 import type { Milliseconds } from "@linkfall/types";
-import { localReplyHeaders } from "./attempt.js";
+import { localReplyHeaders } from "./local-reply.js";
 import type { ForwardedRequest, RequestOutcome } from "./forwarded-request.js";
 
 export type Step =
--- a/packages/forwarding/src/response-sink.ts
+++ b/packages/forwarding/src/response-sink.ts
@@ -1,7 +1,7 @@
 /** Writes the response to one caller: the head once, then the body, ended or aborted so that truncation is visible. */
 import type { ServerResponse } from "node:http";
 import { onCallerDisconnect } from "@linkfall/caller-presence";
-import type { HeldBytes } from "@linkfall/held-bytes";
+import type { HeldBytes, UnforwardedSource } from "@linkfall/held-bytes";
 import type { RawHeaders } from "@linkfall/ports";
 import { createHeldQueue } from "./held-queue.js";
 
@@ -23,7 +23,7 @@
   detach(): void;
   onCallerGone(listener: () => void): void;
   /** Counts bytes that are kept until more of the response is known; does nothing where held bytes have no bound. */
-  setUnforwarded?(bytes: number): void;
+  setUnforwarded?(bytes: number, source?: UnforwardedSource): void;
 }
 
 /** Statuses whose responses have no body. */
--- a/packages/held-bytes/src/held-bytes.feature
+++ b/packages/held-bytes/src/held-bytes.feature
@@ -83,6 +83,38 @@
     Then it is refused with a Retry-After from 200 to 7500 ms
     And the incomplete bodies "" were dropped
 
+  # Guards against targets that send without end and thereby end sound responses of others.
+  Scenario: The largest response of the target of which most is kept gives way beyond half of the bound
+    Given a bound of 1000000 bytes
+    When 150000 bytes of response "a" from "t1" are not forwarded yet
+    And 160000 bytes of response "b" from "t1" are not forwarded yet
+    And 180000 bytes of response "c" from "t2" are not forwarded yet
+    Then the responses "" gave way
+    When 190000 bytes of response "c" from "t2" are not forwarded yet
+    And 100000 bytes of response "d" from "t1" are not forwarded yet
+    Then the responses "b" gave way
+    And 440000 bytes are held
+
+  # Guards against bodies that are refused because of targets that send without end.
+  Scenario: A body finds room when a response that goes on gives way
+    Given a bound of 1000000 bytes
+    When 450000 bytes of response "a" from "t1" are not forwarded yet
+    And 500000 bytes of the incomplete body "b" arrive
+    And a body of 200000 bytes is announced
+    Then it is accepted
+    And the responses "" gave way
+    When a request body of 200000 bytes arrives
+    Then it is accepted
+    And the responses "a" gave way
+    And the incomplete bodies "" were dropped
+
+  # Guards against small events that give way though many of them make up the sum.
+  Scenario: Small unforwarded parts of responses do not give way
+    Given a bound of 1000000 bytes
+    When 9000 bytes of each of 60 responses from "t1" are not forwarded yet
+    Then the responses "" gave way
+    And 540000 bytes are held
+
   # Guards against callers that announce bodies and thereby end those of others.
   Scenario: An announced body drops no other one
     Given a bound of 1000000 bytes
--- a/packages/held-bytes/src/held-bytes.steps.ts
+++ b/packages/held-bytes/src/held-bytes.steps.ts
@@ -21,6 +21,7 @@
   readonly readsOn: Map<string, boolean>;
   readonly resumed: string[];
   readonly ended: string[];
+  readonly gaveWay: string[];
   accepted?: boolean;
   refusedBytes: number;
 }
@@ -39,6 +40,7 @@
     readsOn: new Map(),
     resumed: [],
     ended: [],
+    gaveWay: [],
     refusedBytes: 0,
   });
 });
@@ -58,6 +60,34 @@
   },
 );
 
+When(
+  "{int} bytes of response {string} from {string} are not forwarded yet",
+  function (this: object, bytes: number, name: string, target: string) {
+    const { held, responses, gaveWay } = worldOf(this);
+    const hold =
+      responses.get(name) ?? held.holdResponse({ onRoom: () => undefined, onEnd: () => undefined });
+    responses.set(name, hold);
+    hold.setUnforwarded(bytes, { target, onGiveWay: () => void gaveWay.push(name) });
+  },
+);
+
+When(
+  "{int} bytes of each of {int} responses from {string} are not forwarded yet",
+  function (this: object, bytes: number, count: number, target: string) {
+    const { held, gaveWay } = worldOf(this);
+    for (let index = 0; index < count; index++)
+      held
+        .holdResponse({ onRoom: () => undefined, onEnd: () => undefined })
+        .setUnforwarded(bytes, { target, onGiveWay: () => void gaveWay.push(String(index)) });
+  },
+);
+
+Then("the responses {string} gave way", function (this: object, names: string) {
+  assert.equal(worldOf(this).gaveWay.join(" "), names);
+  const { held, gaveWay } = worldOf(this);
+  assert.equal(held.summary().droppedUnforwarded, gaveWay.length);
+});
+
 When("the caller of response {string} disconnects", function (this: object, name: string) {
   worldOf(this).responses.get(name)?.close();
 });
@@ -189,7 +219,11 @@
           } else if (!hold.closed) {
             expected.set(`${kind} ${index}`, bytes);
             if (kind === "unread") hold.response.setUnread(bytes);
-            else hold.response.setUnforwarded(bytes);
+            else
+              hold.response.setUnforwarded(bytes, {
+                target: `t${index % 3}`,
+                onGiveWay: () => void expected.delete(`unforwarded ${index}`),
+              });
           }
           const sum = Object.values(held.summary().bytes).reduce((total, part) => total + part);
           const wanted = [...expected.values()].reduce((total, part) => total + part, 0);
--- a/packages/held-bytes/src/held-bytes.ts
+++ b/packages/held-bytes/src/held-bytes.ts
@@ -1,70 +1,11 @@
 /** Accounts for the bytes that a box holds, and decides in which order it gives way when they reach their bound. */
 import type { Clock, Random } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
+import type { HeldBytes, HeldKind, ResponseListener, UnforwardedSource } from "./held-types.js";
 import { createReleaseRate } from "./release-rate.js";
+import { findLargestUnforwarded } from "./largest-unforwarded.js";
 
-/**
- * What bytes are held for: bodies of requests, parts of responses that are not forwarded yet, and responses that wait for
- * their callers.
- */
-export const heldKinds = ["request_bodies", "unforwarded_responses", "unread_responses"] as const;
-export type HeldKind = (typeof heldKinds)[number];
-
-/** Callbacks of a response that is held. */
-export interface ResponseListener {
-  /** There is room to read on from the target, after `setUnread` returned false. */
-  onRoom(): void;
-  /** The response has to be ended; its bytes are to be dropped. */
-  onEnd(): void;
-}
-
-/** The bytes of one response. */
-export interface ResponseHold {
-  /** Sets the bytes that the caller has not taken yet; false if no more of them are to be read from the target. */
-  setUnread(bytes: number): boolean;
-  /** Sets the bytes that are kept until more of the response is known. */
-  setUnforwarded(bytes: number): void;
-  /** The caller has taken some bytes. */
-  recordTaken(): void;
-  close(): void;
-}
-
-/** The bytes of one request body. */
-export interface BodyHold {
-  /** Whether so many bytes would find room now; counts a refusal if not. */
-  hasRoom(bytes: number): boolean;
-  /** Adds bytes; false if there is no room, in which case nothing was added. */
-  add(bytes: number): boolean;
-  /**
-   * Lets the body give way to others until it is complete: `onDrop` is called when its bytes have been dropped, after which nothing
-   * is to be added.
-   */
-  allowDrop(onDrop: () => void): void;
-  /** The body is complete: it gives way to no other one from here on. */
-  complete(): void;
-  close(): void;
-}
-
-export interface HeldBytesSummary {
-  readonly bytes: Readonly<Record<HeldKind, number>>;
-  readonly maxBytes: number;
-  /** Responses that were ended to stay within the bound. */
-  readonly endedResponses: number;
-  /** Request bodies that found no room. */
-  readonly refusedBodies: number;
-  /** Incomplete request bodies that were dropped to make room for others. */
-  readonly droppedBodies: number;
-  /** Targets that are not read now since the callers of their responses do not read. */
-  readonly pausedResponses: number;
-}
-
-export interface HeldBytes {
-  holdBody(): BodyHold;
-  holdResponse(listener: ResponseListener): ResponseHold;
-  /** Time after which so many bytes are expected to find room. */
-  retryAfterMs(bytes: number): Milliseconds;
-  summary(): HeldBytesSummary;
-}
+export * from "./held-types.js";
 
 /**
  * Share of the bound from which targets are not read for callers that do not read. A quarter is left for request bodies and for
@@ -73,6 +14,13 @@
 const pauseShare = 0.75;
 /** Share of the bound below which paused targets are read again, so that they do not alternate with each read. */
 const resumeShare = 0.6;
+/**
+ * Share of the bound that may be kept of responses until more of them is known. The rest is for bodies and for callers that are
+ * slow, whatever targets send.
+ */
+const unforwardedShare = 0.5;
+/** Less than this gives way to nothing: events and answers of common sizes. A hundredth of a small bound. */
+const minGiveWayBytes = 65_536;
 /** Largest read from a connection: what a response that is read again may add before it can be paused. */
 const readBytes = 65_536;
 /**
@@ -97,6 +45,7 @@
 interface HeldResponse extends ResponseListener {
   unreadBytes: number;
   unforwardedBytes: number;
+  source?: UnforwardedSource;
   /** Clock reading at which the caller last took bytes, or fell behind. */
   takenAt: Milliseconds;
 }
@@ -112,6 +61,8 @@
   const behind = new Set<HeldResponse>();
   /** Responses whose targets are not read, the one that was paused first is resumed first. */
   const paused = new Set<HeldResponse>();
+  /** Responses of which bytes are not forwarded yet. */
+  const unforwarded = new Set<HeldResponse>();
   /** Bodies that give way to others. */
   const incomplete = new Set<HeldBody>();
   const released = createReleaseRate(clock);
@@ -119,6 +70,7 @@
   let endedResponses = 0;
   let refusedBodies = 0;
   let droppedBodies = 0;
+  let droppedUnforwarded = 0;
 
   const change = (kind: HeldKind, by: number) => {
     bytes[kind] += by;
@@ -137,6 +89,7 @@
   const drop = (response: HeldResponse) => {
     behind.delete(response);
     paused.delete(response);
+    unforwarded.delete(response);
     const { unreadBytes, unforwardedBytes } = response;
     response.unreadBytes = 0;
     response.unforwardedBytes = 0;
@@ -155,6 +108,27 @@
     return total + further <= maxBytes;
   };
 
+  const findUnforwarded = () =>
+    findLargestUnforwarded(unforwarded, Math.min(minGiveWayBytes, maxBytes / 100));
+  /** Lets the largest unforwarded responses give way until so many further bytes fit; false if they still do not. */
+  const dropUnforwarded = (further: number): boolean => {
+    while (total + further > maxBytes) if (!giveWay()) return false;
+    return true;
+  };
+  const giveWay = (): boolean => {
+    const response = findUnforwarded();
+    if (!response) return false;
+    unforwarded.delete(response);
+    change("unforwarded_responses", -response.unforwardedBytes);
+    response.unforwardedBytes = 0;
+    droppedUnforwarded += 1;
+    response.source?.onGiveWay();
+    return true;
+  };
+  const boundUnforwarded = () => {
+    while (bytes.unforwarded_responses > maxBytes * unforwardedShare) if (!giveWay()) return;
+  };
+
   /**
    * Returns the incomplete body that gives way to `asking`, which would have `bytes`: the largest one of which nothing has arrived
    * for a while, otherwise the largest one, if it is larger than that.
@@ -197,11 +171,15 @@
         hasRoom(further) {
           if (total + further <= maxBytes || endUnread(further)) return true;
           // An announced body drops no other one before its bytes arrive.
-          return findDroppable(body, further) !== undefined || refuse();
+          const gives = findUnforwarded() ?? findDroppable(body, further);
+          return gives !== undefined || refuse();
         },
         add(further) {
           const fits =
-            total + further <= maxBytes || endUnread(further) || dropIncomplete(body, further);
+            total + further <= maxBytes ||
+            endUnread(further) ||
+            dropUnforwarded(further) ||
+            dropIncomplete(body, further);
           if (!fits) return refuse();
           if (body.onDrop) incomplete.add(body);
           body.bytes += further;
@@ -251,11 +229,17 @@
           paused.add(response);
           return false;
         },
-        setUnforwarded(unforwardedBytes) {
+        setUnforwarded(unforwardedBytes, source) {
           if (closed) return;
+          const grows = unforwardedBytes > response.unforwardedBytes;
           change("unforwarded_responses", unforwardedBytes - response.unforwardedBytes);
           response.unforwardedBytes = unforwardedBytes;
-          if (total > maxBytes) endUnread(0);
+          response.source = source;
+          if (unforwardedBytes > 0) unforwarded.add(response);
+          else unforwarded.delete(response);
+          if (!grows) return;
+          boundUnforwarded();
+          if (total > maxBytes && !endUnread(0)) dropUnforwarded(0);
         },
         recordTaken() {
           response.takenAt = clock.now();
@@ -282,6 +266,7 @@
       endedResponses,
       refusedBodies,
       droppedBodies,
+      droppedUnforwarded,
       pausedResponses: paused.size,
     }),
   };
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -410,6 +410,12 @@
     "The box held as many bytes as it may; requests whose bodies were not complete were refused to make room for others.",
     "See operators/slow-callers.md.",
   ),
+  unforwardedResponsesGaveWay: event(
+    5053,
+    "warn",
+    "Too many bytes were kept of responses that go on: those of the target of which most were kept were passed on early, or given up where they were parts of events.",
+    "Look for `sendEnded` with the reason `no room for an event that goes on`: its target may send events without end.",
+  ),
   connectionClosed: event(
     5050,
     "info",
