Bound the bodies that the older line discards

A call that a server of the older line rejected as not started waited for the end of the rejection's body: with a body that never ends, never comes or comes byte by byte, the caller waited up to its deadline, though another server could have served it.

Cause: discardBody read to the end with no bound on bytes or time.

Evidence: with the function as it stood, three of four scenarios of discard-body.feature failed, still reading after 3,000 ms.

Now at most 64 KiB and 100 ms are spent on it, then the connection is closed; a short body leaves its connection open for further calls. All four pass.

--- a/packages/plain-call/src/forward-response.ts
+++ b/packages/plain-call/src/forward-response.ts
@@ -65,8 +65,3 @@
     body: forwardBody(clock, load, forwarded),
   };
 }
-
-/** Reads a small body to its end, so that its connection can be reused. */
-export async function discardBody(response: TargetResponse): Promise<void> {
-  for await (const part of response.body) if (part.isLeft()) return;
-}
--- a/packages/plain-call/src/index.ts
+++ b/packages/plain-call/src/index.ts
@@ -9,7 +9,8 @@
 import { targetWatchName } from "@linkfall/target-watch";
 import type { Milliseconds, ServiceTarget } from "@linkfall/types";
 import { maxAttempts, refusalAfterLoss, refusalWithoutTargets } from "./call-refusals.js";
-import { discardBody, forwardResponse, isNotStarted } from "./forward-response.js";
+import { discardBody } from "./discard-body.js";
+import { forwardResponse, isNotStarted } from "./forward-response.js";
 import { endToEndHeaders, type PlainCall } from "./plain-call.js";
 
 export type { PlainCall } from "./plain-call.js";
@@ -108,7 +109,9 @@
       const address = chooseAddress(candidates);
       tried.add(address);
       const startedAt = clock.now();
-      const sent = await sendTo(call, address, signal);
+      const discarding = new AbortController();
+      const sendSignal = AbortSignal.any([signal, discarding.signal]);
+      const sent = await sendTo(call, address, sendSignal);
       const failure = sent.swap().toMaybe().extract();
       if (failure) {
         // A failure after which the call may have run takes precedence over later failures.
@@ -141,7 +144,7 @@
           onDone,
         });
       }
-      await discardBody(response);
+      await discardBody(clock, response, () => discarding.abort());
       load.requestEnded(address, undefined);
     }
   };
