--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -3,10 +3,11 @@
 import { createChunkBuffer } from "@linkfall/chunk-buffer";
 import type { TargetUnreachable } from "@linkfall/errors";
 import { createEventSplitter, type StreamEvent } from "@linkfall/event-stream";
-import type { RawHeaders, ResponseMetadata } from "@linkfall/ports";
+import type { ResponseMetadata } from "@linkfall/ports";
 import type { Exchange, ResponseHead } from "@linkfall/raw-exchange";
 import type { Milliseconds } from "@linkfall/types";
 import type { AttemptInput, AttemptResult, StreamPosition } from "./attempt-types.js";
+import { bodyBoundsOf, type BodyBounds } from "./body-bounds.js";
 import { findHeadProblem } from "./response-check.js";
 import { isDeclaredEventStream, isForwardedByEvents } from "./response-content.js";
 import type { ResponseSink } from "./response-sink.js";
@@ -56,6 +57,9 @@
   let settled = false;
   let waitingForCaller = false;
   let cancelIdleTimer = () => undefined as void;
+  let cancelBodyTimer = () => undefined as void;
+  let bodyBounds: BodyBounds | undefined;
+  let bodyBytes = 0;
 
   let exchange: Exchange | undefined;
 
@@ -64,6 +68,7 @@
     settled = true;
     if (isStream() && splitter.isInsideEvent()) position.isEventUnfinished = true;
     cancelIdleTimer();
+    cancelBodyTimer();
     cancelDeadline();
     exchange?.abort();
     sink.setUnforwarded?.(0);
@@ -122,7 +127,8 @@
   };
   const splitEvents = (bytes: Buffer) => {
     const events = splitter.push(bytes);
-    if (isStream()) sink.setUnforwarded?.(splitter.restBytes());
+    countKept();
+    if (settled) return [];
     if (splitter.restBytes() <= maxEventBytes) return events;
     settle({ kind: "lost", reason: "an event without end", responseStarted: responseStarted() });
     return [];
@@ -143,16 +149,37 @@
   const bufferOrForward = (response: ResponseHead, bytes: Buffer) => {
     if (forwarding) return forward(bytes);
     buffered.append(bytes);
-    sink.setUnforwarded?.(buffered.size());
-    if (buffered.size() <= maxBufferedBytes) return;
+    countKept();
+    if (!settled && buffered.size() > maxBufferedBytes) forwardBuffered(response);
+  };
+  const forwardBuffered = (response: ResponseHead) => {
     if (responseStarted()) return settle(notTheStream(response));
     startForwarding(response);
-    sink.setUnforwarded?.(0);
-    forward(buffered.take());
+    const kept = buffered.take();
+    countKept();
+    forward(kept);
+  };
+  /** There is no room to keep what has not been forwarded: an answer is passed on from here, the rest is given up. */
+  const giveWay = () => {
+    if (settled || !head) return;
+    if (!isStream() && !bodyBounds && buffered.size() > 0) return forwardBuffered(head);
+    const reason = "no room for an event that goes on";
+    settle({ kind: "lost", reason, responseStarted: responseStarted() });
   };
+  const source = { target: input.request.address, onGiveWay: guard(giveWay) };
+  const countKept = () => sink.setUnforwarded?.(splitter.restBytes() + buffered.size(), source);
 
   const isStream = () => input.streaming && head !== undefined && isForwardedByEvents(head);
 
+  /** Ends the attempt at a rejection or a failure of the target, whose body is not complete within its bound. */
+  const settleIncomplete = (endless?: true) => {
+    if (head && facts?.notRun) {
+      const { misdirected } = facts;
+      return settle({ kind: "not_run", status: head.status, misdirected, endless });
+    }
+    settle({ kind: "lost", reason: "an error without end", responseStarted: responseStarted() });
+  };
+
   const handleHead = (response: ResponseHead) => {
     hasAnswered = true;
     restartIdleTimer();
@@ -165,9 +192,17 @@
     head = response;
     facts = parsed;
     input.onResponseHead(response, parsed);
+    bodyBounds = bodyBoundsOf(response, parsed);
+    if (bodyBounds)
+      cancelBodyTimer = clock.after(
+        bodyBounds.maxMs,
+        guard(() => settleIncomplete()),
+      );
   };
   const handleBytes = (bytes: Buffer) => {
     if (settled || !head) return;
+    bodyBytes += bytes.length;
+    if (bodyBounds && bodyBytes > bodyBounds.maxBytes) return settleIncomplete(true);
     restartIdleTimer();
     const previousBytesAt = lastBytesAt;
     lastBytesAt = clock.now();
@@ -214,6 +249,8 @@
     settle({ kind: "answered", head, body: buffered.take(), ...behind });
   };
   const handleFailure = (failure: TargetUnreachable) => {
+    // The head has said that the request did not run, whatever became of the body.
+    if (facts?.notRun) return settleIncomplete();
     const { reason, mayHaveArrived, cause, targetRefuses } = failure;
     if (!mayHaveArrived) return settle({ kind: "not_sent", reason, cause });
     settle({ kind: "lost", reason, responseStarted: responseStarted(), cause, targetRefuses });
@@ -255,11 +292,3 @@
   };
   guard(open)();
 }
-
-/** Headers of a response that the box generates itself. */
-export const localReplyHeaders = (retryAfterMs?: Milliseconds): RawHeaders => {
-  const headers = ["Content-Type", "application/json"];
-  if (retryAfterMs === undefined) return headers;
-  const seconds = (Math.ceil(retryAfterMs / 10) / 100).toString();
-  return [...headers, "Retry-After", seconds];
-};
