Take shared reads of the store out of the records of streams

No change of behaviour: a read that starts after the call, shared by callers that come together, with an interval by the number of boxes.

--- a/packages/stream-versions/src/stored-streams.ts
+++ b/packages/stream-versions/src/stored-streams.ts
@@ -3,13 +3,14 @@
  * records are never changed or taken back, and the store drops them by itself.
  */
 import type { LogFailure } from "@linkfall/errors";
-import { type Clock, sleep } from "@linkfall/kernel";
+import type { Clock } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
 import type { KeyedBatch, KeyedStreamPort, StoreGeneration } from "@linkfall/ports";
 import type { Milliseconds, Offset } from "@linkfall/types";
 import type { Either } from "purify-ts";
 import { z } from "zod";
 import type { BegunStreams, StreamKey } from "./messages.js";
+import { inTime, shareReads } from "./shared-reads.js";
 
 /** The store's log of streams; its records are read in order, their keys only name their writer. */
 export type StreamLog = Pick<KeyedStreamPort, "put" | "readChanges" | "onNewGeneration">;
@@ -47,11 +48,6 @@
 const maxRetryMs: Milliseconds = 2_000;
 /** Time after which the sender of a record is answered though the store has not taken it. */
 const maxWriteWaitMs: Milliseconds = 300;
-/** Time for which a caller waits for the store. */
-const maxReadWaitMs: Milliseconds = 300;
-/** Least time between two reads of a box, and for each box of the deployment. */
-const minReadIntervalMs: Milliseconds = 50;
-const readIntervalPerBoxMs: Milliseconds = 5;
 /** Streams of one record of the store, well below its size limit. */
 const maxStreamsPerWrite = 2_000;
 /** Streams that wait for the store, and that are kept of those read; the oldest are dropped first. */
@@ -175,9 +171,6 @@
   const versions: Versions = new Map();
   let position: Offset = 0;
   let generation: StoreGeneration | undefined;
-  let reading: Promise<boolean> | undefined;
-  let next: Promise<boolean> | undefined;
-  let startedAt = -Infinity;
 
   /** Applies the records; returns whether there are more. */
   const apply = ({ records, end, isPartial, generation: current }: KeyedBatch): boolean => {
@@ -210,21 +203,9 @@
       if (!answer.map(apply).orDefault(true)) return true;
     }
   };
-  /** Starts a read after the one that is under way, whose answer may be older than what is looked for. */
-  const startNext = async (): Promise<boolean> => {
-    await reading;
-    const intervalMs = Math.max(minReadIntervalMs, readIntervalPerBoxMs * boxCount());
-    const delayMs = startedAt + intervalMs - clock.now();
-    if (delayMs > 0) await sleep(clock, delayMs);
-    next = undefined;
-    startedAt = clock.now();
-    reading = readToEnd();
-    return reading;
-  };
-
   return {
     versions,
-    catchUp: () => (next ??= startNext()),
+    catchUp: shareReads({ clock, boxCount, read: readToEnd }),
   };
 }
 
@@ -236,8 +217,7 @@
   return {
     ...writer,
     async find(key) {
-      const inTime = sleep(clock, maxReadWaitMs).then(() => false);
-      const isRead = await Promise.race([reader.catchUp(), inTime]);
+      const isRead = await inTime(clock, reader.catchUp());
       const version = reader.versions.get(key);
       if (version !== undefined) return { kind: "found", version };
       return { kind: isRead ? "missing" : "unread" };
