Ask the other boxes about streams that name no attempt, too

What callers saw: a stream that had begun at v2 and was taken up without naming its first attempt, at a box whose link to the store had fallen silent, went on at v1. Cause: nobody was asked for such a stream; the box's own list decided, however old it was.

Fix: where this box knows one version it looks such a stream up like any other, under its own attempt, so that the others tell which versions they have seen, or the store does. Where it knows several, the stream is refused at once as before, with no question asked.

--- a/packages/forwarding/src/taken-up-streams.ts
+++ b/packages/forwarding/src/taken-up-streams.ts
@@ -11,14 +11,17 @@
   return route.streaming && (terms.resumeAfter !== undefined || terms.resumes !== undefined);
 }
 
-function lookUp(
+const unknown: StreamVersion = { kind: "unknown", servedElsewhere: [], allAnswered: true };
+
+/** Looks up a stream that names no attempt, too, where one version may have begun all: others may know of further ones. */
+async function lookUp(
   { streamVersions, softwareVersions }: ForwardContext,
   request: ForwardedRequest,
 ): Promise<StreamVersion> {
   const { terms, service } = request;
-  if (terms.resumes !== undefined) return streamVersions.lookUp(streamKeyOf(request), service.name);
-  const soleVersion = softwareVersions.soleVersion(service.name);
-  return Promise.resolve({ kind: "unknown", servedElsewhere: [], allAnswered: true, soleVersion });
+  const isNamed = terms.resumes !== undefined;
+  if (!isNamed && softwareVersions.soleVersion(service.name) === undefined) return unknown;
+  return streamVersions.lookUp(streamKeyOf(request), service.name);
 }
 
 function versionOf(found: StreamVersion): string | undefined {
