Keep the versions that other boxes have recorded when a box writes its own

What callers saw: streams that began at v2 while a box was cut off, v2 gone again, the list's history dropped; taken up at that box 4 s after its link to the store worked again, 12 of 24 went on at v1, all 24 went on. Cause: a box that hears of no other one takes itself for the writer of the record of versions and replaced "v1 v2" by the "v1" that it knew, so that neither it nor any box that starts later could read of v2.

Fix: before a write the record is read, what others have recorded since is taken over, and the write succeeds only where that read ended. What was read before is not taken over again, so that a version ends a minute after its last target as before.

The store's stand-in in software-versions.steps.ts keeps offsets and refuses conditional writes, as the real one does.

--- a/packages/software-versions/src/software-versions.feature
+++ b/packages/software-versions/src/software-versions.feature
@@ -75,6 +75,15 @@
     When the box reads the records again
     Then several versions may have begun a stream
 
+  # Guards against a box that was cut off and replaces the record by what it knew before.
+  Scenario: A box that was out of step adds its versions to those that another box has recorded
+    When target "t1" of version "v1" is listed
+    And 1 s have gone by
+    And another box records the versions "v1 v2"
+    And target "t3" of version "v3" is listed
+    And 1 s have gone by
+    Then the versions "v1 v2 v3" are recorded
+
   # Guards against versions that never end, as each reading of the records renews them.
   Scenario: Reading the records again does not renew a version that has gone
     When target "t1" of version "v1" is listed
--- a/packages/software-versions/src/software-versions.steps.ts
+++ b/packages/software-versions/src/software-versions.steps.ts
@@ -8,7 +8,7 @@
 
 interface Scene {
   readonly clock: VirtualClock;
-  readonly records: Map<string, string>;
+  readonly records: Map<string, KeyedRecord>;
   readonly generationListeners: ((generation: number) => void)[];
   isAway: boolean;
   isWriter: boolean;
@@ -30,18 +30,26 @@
 
 const runFor = (clock: VirtualClock, ms: number) => clock.runUntil(clock.now() + ms);
 
+/** Returns the offset of the record. */
+function append(scene: Scene, key: string, value: string): number {
+  const offset = scene.writes;
+  scene.records.set(key, { key, value, offset });
+  scene.writes += 1;
+  return offset;
+}
+
 function streamOf(scene: Scene): KeyedStreamPort {
-  const newest = (): KeyedRecord[] =>
-    [...scene.records].map(([key, value], offset) => ({ key, value, offset }));
   return {
     readNewest: async () =>
-      scene.isAway ? away : Right({ records: newest(), end: scene.writes, generation: 0 }),
+      scene.isAway
+        ? away
+        : Right({ records: [...scene.records.values()], end: scene.writes, generation: 0 }),
     readChanges: async () => Right({ records: [], end: scene.writes, generation: 0 }),
-    async put(key, value) {
+    async put(key, value, at) {
       if (scene.isAway) return away;
-      scene.records.set(key, value);
-      scene.writes += 1;
-      return Right({ offset: scene.writes, generation: 0 });
+      const end = scene.writes;
+      if (at !== undefined && at !== end) return Left({ kind: "end_moved", end });
+      return Right({ offset: append(scene, key, value), generation: 0 });
     },
     onNewGeneration: (listener) => void scene.generationListeners.push(listener),
   };
@@ -63,7 +71,7 @@
 Given("a store and a box that has read it", async function (this: object) {
   const scene = {
     clock: createVirtualClock(),
-    records: new Map<string, string>(),
+    records: new Map<string, KeyedRecord>(),
     generationListeners: [],
     isAway: false,
     isWriter: true,
@@ -118,7 +126,13 @@
 });
 
 When("another box records the versions {string}", function (this: object, versions: string) {
-  sceneOf(this).records.set(service, JSON.stringify({ versions: versions.split(" ") }));
+  append(sceneOf(this), service, JSON.stringify({ versions: versions.split(" ") }));
+});
+
+Then("the versions {string} are recorded", function (this: object, versions: string) {
+  const { value = "{}" } = sceneOf(this).records.get(service) ?? {};
+  const record = JSON.parse(value) as { readonly versions: readonly string[] };
+  assert.deepEqual([...record.versions].sort(), versions.split(" "));
 });
 
 When("the box reads the records again", async function (this: object) {
--- a/packages/software-versions/src/software-versions.ts
+++ b/packages/software-versions/src/software-versions.ts
@@ -86,9 +86,7 @@
     ...ports,
     current: () => new Map([...usesByService.keys()].map((name) => [name, knownVersionsOf(name)])),
     onRestored(service, versions) {
-      const known = versionsOf(service);
-      // Reading a version again must not lengthen the time for which it counts.
-      for (const version of versions) if (!known.includes(version)) useOf({ service, version });
+      for (const version of versions) useOf({ service, version });
     },
   });
   const knowsHistory = () => records.isRead() || clock.now() - startedAt > lifeMs;
--- a/packages/software-versions/src/version-records.ts
+++ b/packages/software-versions/src/version-records.ts
@@ -2,7 +2,7 @@
 import { type Clock, type Service, sleep } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
 import type { KeyedStreamPort } from "@linkfall/ports";
-import type { Milliseconds } from "@linkfall/types";
+import type { Milliseconds, Offset } from "@linkfall/types";
 import { z } from "zod";
 
 /** Delay before a failed read is retried, and interval at which the records are compared with the list. */
@@ -19,7 +19,7 @@
   isWriter(service: string): boolean;
   /** Versions by service, as they have to be recorded. */
   current(): ReadonlyMap<string, readonly string[]>;
-  /** Called with the versions of each service that has a record, each time that they are read. */
+  /** Called with the versions of each service of which another box has written a record since the last call. */
   onRestored(service: string, versions: readonly string[]): void;
 }
 
@@ -30,6 +30,11 @@
   read(): Promise<boolean>;
 }
 
+interface KnownRecord {
+  readonly signature: string;
+  readonly offset: Offset;
+}
+
 function parseVersions(text: string): readonly string[] | undefined {
   try {
     return recordSchema.safeParse(JSON.parse(text)).data?.versions;
@@ -42,37 +47,57 @@
 
 export function createVersionRecords(ports: VersionRecordsPorts): VersionRecords {
   const { clock, logger, stream } = ports;
-  /** Signature of the newest record of each service that this box has read or written. */
-  const recorded = new Map<string, string>();
+  /** The newest record of each service that this box has read or written. */
+  const recorded = new Map<string, KnownRecord>();
   let isRead = false;
   let stopped = false;
 
-  const restore = (service: string, text: string) => {
+  /** Takes over what another box has recorded since this one last read or wrote. */
+  const restore = (service: string, text: string, offset: Offset) => {
+    if (offset <= (recorded.get(service)?.offset ?? -1)) return;
     const versions = parseVersions(text);
     if (!versions) return logger.event("badRecord", { key: service, problem: "no versions" });
-    recorded.set(service, signatureOf(versions));
+    recorded.set(service, { signature: signatureOf(versions), offset });
     ports.onRestored(service, versions);
   };
-  const read = async (): Promise<boolean> => {
+  /** Returns the end of the records, undefined if they could not be read. */
+  const read = async (): Promise<Offset | undefined> => {
     const answer = await stream.readNewest();
     answer.ifLeft(({ kind }) => logger.event("softwareVersionsUnread", { reason: kind }));
     answer.ifRight(({ records }) => {
-      for (const { key, value } of records) if (value !== undefined) restore(key, value);
+      for (const { key, value, offset } of records)
+        if (value !== undefined) restore(key, value, offset);
       isRead = true;
     });
-    return answer.isRight();
+    return answer
+      .map(({ end }) => end)
+      .toMaybe()
+      .extract();
   };
-  const write = async (service: string, versions: readonly string[]) => {
-    const written = await stream.put(service, JSON.stringify({ versions }));
-    written.ifRight(() => void recorded.set(service, signatureOf(versions)));
-    written.ifLeft(({ kind }) =>
-      logger.event("softwareVersionsNotKept", { service, reason: kind }),
+  const write = async (service: string, versions: readonly string[], end: Offset) => {
+    const written = await stream.put(service, JSON.stringify({ versions }), end);
+    written.ifRight(
+      ({ offset }) => void recorded.set(service, { signature: signatureOf(versions), offset }),
     );
+    written.ifLeft(({ kind }) => {
+      // Another box has recorded versions meanwhile, which are read before the next try.
+      if (kind === "end_moved") return;
+      logger.event("softwareVersionsNotKept", { service, reason: kind });
+    });
+  };
+  /** Returns the versions if they have to be recorded by this box. */
+  const changedVersions = (service: string): readonly string[] | undefined => {
+    const versions = ports.current().get(service) ?? [];
+    const isRecorded = recorded.get(service)?.signature === signatureOf(versions);
+    return isRecorded || !ports.isWriter(service) ? undefined : versions;
   };
   const writeChanged = async () => {
-    for (const [service, versions] of ports.current()) {
-      if (recorded.get(service) === signatureOf(versions) || !ports.isWriter(service)) continue;
-      await write(service, versions);
+    for (const service of ports.current().keys()) {
+      if (!changedVersions(service)) continue;
+      // A box that was out of step must not replace what others have recorded meanwhile.
+      const end = await read();
+      const versions = changedVersions(service);
+      if (end !== undefined && versions) await write(service, versions, end);
     }
   };
   const run = async () => {
@@ -87,7 +112,7 @@
 
   return {
     isRead: () => isRead,
-    read,
+    read: async () => (await read()) !== undefined,
     async start() {
       void run();
     },
