--- a/packages/stream-versions/src/stream-versions.feature
+++ b/packages/stream-versions/src/stream-versions.feature
@@ -70,45 +70,6 @@
     When boxes "5 6 7 8" hang, and this is not known yet
     Then box 1 finds within 100 ms that a stream is unknown
 
-  # Guards against taking the silence of other boxes for proof that one version began a stream.
-  Scenario: Where other boxes hang and the store does not answer, no version is inferred
-    Given 8 boxes whose targets are of the versions "v1"
-    When boxes "5 6 7 8" hang, and this is not known yet
-    And the store does not tell the versions
-    Then box 1 infers no version, and not all have answered
-
-  # Guards against inferring a version from a list that was read before the stream began.
-  Scenario: Where other boxes hang and the store tells a further version, no version is inferred
-    Given 8 boxes whose targets are of the versions "v1"
-    When boxes "5 6 7 8" hang, and this is not known yet
-    And the store tells the versions "v1 v2"
-    Then box 1 infers no version, and not all have answered
-
-  Scenario: Where other boxes hang and the store tells one version, it is inferred
-    Given 8 boxes whose targets are of the versions "v1"
-    When boxes "5 6 7 8" hang, and this is not known yet
-    And the store tells the versions "v1"
-    Then box 1 infers version "v1" within 150 ms
-
-  # Guards against taking a question that nobody was asked for one that all have answered.
-  Scenario: A box that hears of few others infers no version by itself
-    Given 8 boxes whose targets are of the versions "v1"
-    When boxes "2 3 4 5 6 7 8" are down
-    And the boxes that are up hear of few others
-    And the store does not tell the versions
-    Then box 1 infers no version, and not all have answered
-
-  Scenario: Where all boxes answer, the store is not asked for the versions
-    Given 8 boxes whose targets are of the versions "v1"
-    Then box 1 infers version "v1" within 20 ms
-    And the versions were read 0 times
-
-  Scenario: Streams that are looked up together share reads of the versions
-    Given 8 boxes whose targets are of the versions "v1"
-    When boxes "5 6 7 8" are down, and this is not known yet
-    And 200 unknown streams are looked up at box 1 in 200 ms
-    Then the versions were read at least once and at most 6 times
-
   Scenario: Streams that begin together share messages
     When box 1 begins 100 streams at version "v1"
     Then at most 7 messages were sent
