Let most boxes vouch for the only version while the store is away

Cause: one box that does not answer leaves the confirmation to the store. Fix: an answer says of which only version its box knows by a list that it takes for current; where most boxes are heard and most of the asked, this one included, say so, that is enough once the store has not told. A box that is out of step gets no such answers.

--- a/packages/stream-versions/src/inferred-versions.feature
+++ b/packages/stream-versions/src/inferred-versions.feature
@@ -5,7 +5,7 @@
 
   # Guards against taking the silence of other boxes for proof that one version began a stream.
   Scenario: Where other boxes hang and the store does not answer, no version is inferred
-    When boxes "5 6 7 8" hang, and this is not known yet
+    When boxes "3 4 5 6 7 8" hang, and this is not known yet
     And the store does not tell the versions
     Then box 1 infers no version, and not all have answered
 
@@ -20,6 +20,19 @@
     And the store tells the versions "v1"
     Then box 1 infers version "v1" within 150 ms
 
+  # Guards against refusing the streams of a box that was killed while the store is away.
+  Scenario: Where most boxes answer and the store does not, the version is inferred
+    When boxes "5" hang, and this is not known yet
+    And the store does not tell the versions
+    Then box 1 infers version "v1" within 400 ms
+
+  # Guards against taking the answers of boxes that are out of step together for those of most.
+  Scenario: Where most of the asked boxes answer but few boxes are heard, no version is inferred
+    When boxes "8" hang, and this is not known yet
+    And the boxes that are up hear of few others
+    And the store does not tell the versions
+    Then box 1 infers no version, and not all have answered
+
   # Guards against taking a question that nobody was asked for one that all have answered.
   Scenario: A box that hears of few others infers no version by itself
     When boxes "2 3 4 5 6 7 8" are down
--- a/packages/stream-versions/src/messages.ts
+++ b/packages/stream-versions/src/messages.ts
@@ -28,6 +28,11 @@
   readonly known: Readonly<Record<StreamKey, string | null>>;
   /** Software versions that the services of the wanted streams have had within the life of a stream. */
   readonly served: Readonly<Record<string, readonly string[]>>;
+  /**
+   * The only version at which a stream of the service can have begun, by a list that the recipient takes for current; without
+   * the services of which there may be several. Absent from earlier versions.
+   */
+  readonly sole?: Readonly<Record<string, string>>;
   /** Whether the recipient records streams in the store if it is asked to; absent from earlier versions. */
   readonly records?: boolean;
 }
--- a/packages/stream-versions/src/stream-versions.ts
+++ b/packages/stream-versions/src/stream-versions.ts
@@ -46,6 +46,13 @@
 
 type UnknownVersion = Extract<StreamVersion, { kind: "unknown" }>;
 
+/** What the asked boxes answered of a stream that none of them knows. */
+interface Answers {
+  readonly unknown: UnknownVersion;
+  /** Whether most boxes, this one included, answered that they know of this box's only version and of no other. */
+  readonly isVouched: boolean;
+}
+
 /** How many boxes are told of a stream, besides the one that began it, and how many are asked for it. */
 export interface KeeperCounts {
   readonly told: number;
@@ -139,13 +146,17 @@
 
   /** Asks the boxes; the first that knows the stream decides. */
   const askOthers = (key: StreamKey, service: string, addresses: readonly string[]) =>
-    new Promise<StreamVersion>((resolve) => {
+    new Promise<StreamVersion | Answers>((resolve) => {
       const replies: (StreamVersionsReply | undefined)[] = [];
       const settleAsUnknown = () => {
         const served = replies.flatMap((reply) => reply?.served[service] ?? []);
         const answers = replies.filter((reply) => reply !== undefined);
         const allAnswered = answers.length === addresses.length;
-        resolve({ kind: "unknown", servedElsewhere: [...new Set(served)], allAnswered });
+        const sole = ports.soleVersion(service);
+        const vouching = answers.filter((reply) => reply.sole?.[service] === sole).length;
+        const isVouched = vouching > 0 && (vouching + 1) * 2 > addresses.length + 1;
+        const servedElsewhere = [...new Set(served)];
+        resolve({ unknown: { kind: "unknown", servedElsewhere, allAnswered }, isVouched });
       };
       const settleIfAll = () => {
         if (replies.length === addresses.length) settleAsUnknown();
@@ -172,11 +183,13 @@
     return servedElsewhere.every((version) => version === sole) ? sole : undefined;
   };
   /** Whether a version that has joined before the question is known here or in the answers; reads the store if need be. */
-  const isCurrent = async (service: string, { allAnswered }: UnknownVersion) => {
+  const isCurrent = async (service: string, { unknown: { allAnswered }, isVouched }: Answers) => {
     if (allAnswered && ports.reachesMajority()) return true;
-    const isRead = await inTime(clock, readVersions());
-    if (!isRead) ports.logger.event("softwareVersionsUnconfirmed", { service, allAnswered });
-    return isRead;
+    if (await inTime(clock, readVersions())) return true;
+    // While the store is away, a box that was killed must not cost the streams of the others.
+    if (isVouched && ports.reachesMajority()) return true;
+    ports.logger.event("softwareVersionsUnconfirmed", { service, allAnswered });
+    return false;
   };
   const askStore = async (key: StreamKey, unknown: UnknownVersion): Promise<StreamVersion> => {
     const found = await stored.find(key);
@@ -186,11 +199,12 @@
     return toKnown(found.version, "store");
   };
 
-  const settleUnknown = async (key: StreamKey, service: string, unknown: UnknownVersion) => {
+  const settleUnknown = async (key: StreamKey, service: string, answers: Answers) => {
+    const { unknown } = answers;
     const infer = () => inferVersion(service, unknown.servedElsewhere);
     if (infer() === undefined) return askStore(key, unknown);
     // A box that is out of step hears neither of the streams of others nor of the versions that began them.
-    if (!(await isCurrent(service, unknown))) return { ...unknown, allAnswered: false };
+    if (!(await isCurrent(service, answers))) return { ...unknown, allAnswered: false };
     const soleVersion = infer();
     return soleVersion === undefined ? askStore(key, unknown) : { ...unknown, soleVersion };
   };
@@ -212,7 +226,7 @@
       if (record) return toKnown(record.version, "here");
       await ports.hasMetOthers();
       const found = await askOthers(key, service, othersFor(key, keeperCounts.asked));
-      return found.kind === "unknown" ? settleUnknown(key, service, found) : found;
+      return "kind" in found ? found : settleUnknown(key, service, found);
     },
     tellAll(service) {
       for (const [key, record] of records.all()) {
@@ -244,9 +258,14 @@
         return record ? [[key, record.version] as const] : [];
       });
       const served = wanted.map(({ service }) => [service, ports.versionsOf(service)] as const);
+      const sole = wanted.flatMap(({ service }) => {
+        const version = ports.soleVersion(service);
+        return version === undefined ? [] : [[service, version] as const];
+      });
       return {
         known: Object.fromEntries(known),
         served: Object.fromEntries(served),
+        sole: Object.fromEntries(sole),
         records: true,
       };
     },
