--- a/packages/process-soak/src/planned-stop-checks.feature
+++ b/packages/process-soak/src/planned-stop-checks.feature
@@ -53,7 +53,8 @@
     Examples:
       | sent  | status | ended | judged            |
       | 13000 | 502    | 13510 | reported for "r1" |
-      | 11200 | 502    | 13510 | not reported      |
+      | 11501 | 502    | 13510 | reported for "r1" |
+      | 11500 | 502    | 13510 | not reported      |
       | 13000 | 502    | 13400 | not reported      |
       | 13000 | 503    | 13510 | not reported      |
 
--- a/packages/process-soak/src/planned-stop-checks.steps.ts
+++ b/packages/process-soak/src/planned-stop-checks.steps.ts
@@ -88,7 +88,8 @@
     status: number,
     endedAt: number,
   ) {
-    stateOf(this).requests.push({ ...request, id, box, sentAt, wholeAt: sentAt, endedAt, status });
+    const times = { sentAt, wholeAt: sentAt, endedAt, timeLimitMs: 3_000 };
+    stateOf(this).requests.push({ ...request, ...times, id, box, status });
   },
 );
 
