--- a/packages/process-soak/src/tests/planned-stop-checks.ts
+++ b/packages/process-soak/src/tests/planned-stop-checks.ts
@@ -133,16 +133,20 @@
   });
 }
 
+/** Time from SIGTERM to the end of the process, without its pauses; undefined if it was killed or still runs. */
+function stopMs({ at, endedAt, pausedMs, wasKilled }: PlannedStop): number | undefined {
+  return wasKilled || endedAt === undefined ? undefined : Math.round(endedAt - at - pausedMs);
+}
+
 /** Checks that each box that was stopped as planned had ended within the grace period. */
 export function checkEndsWithinGrace({
   stops,
   graceMs,
 }: Pick<StopRecord, "stops" | "graceMs">): readonly Finding[] {
-  return stops.flatMap(({ box, at, endedAt, pausedMs, wasKilled }) => {
-    if (wasKilled || endedAt === undefined) return [];
-    const takenMs = endedAt - at - pausedMs;
+  return stops.flatMap((stop) => {
+    const takenMs = stopMs(stop) ?? 0;
     if (takenMs <= graceMs) return [];
-    const detail = `${box} ended ${Math.round(takenMs)} ms after SIGTERM`;
+    const detail = `${stop.box} ended ${takenMs} ms after SIGTERM`;
     return [{ promise: "a planned stop ends within the grace period", detail }];
   });
 }
@@ -198,8 +202,9 @@
   const late = delays.filter(({ afterMs }) => afterMs >= record.graceMs * lateFraction);
   const count = (matches: (status?: number) => boolean) =>
     delays.filter(({ request: { status } }) => matches(status)).length;
+  const longestMs = Math.max(0, ...record.stops.map((stop) => stopMs(stop) ?? 0));
   return [
-    `${record.stops.length} stops, ${record.requests.length} requests, ${delays.length} of them open after SIGTERM`,
+    `${record.stops.length} stops of up to ${longestMs} ms, ${record.requests.length} requests, ${delays.length} of them open after SIGTERM`,
     `${late.length} came late`,
     `${count((status) => status === okStatus)} served`,
     `${count((status) => refusedStatuses.has(status))} refused`,
