--- a/packages/entry-box/src/planned-stop.ts
+++ b/packages/entry-box/src/planned-stop.ts
@@ -83,11 +83,15 @@
       } while (openRequests() > 0 && elapsedMs() < finishMs);
       if (openRequests() === 0) return;
       onCut();
-      front.cutOpenRequests();
-      await waitForRequests(elapsedMs() + lastResponsesMs);
+      const lastResponsesUntilMs = elapsedMs() + lastResponsesMs;
+      const endOpenRequests = async () => {
+        front.cutOpenRequests();
+        await waitForRequests(lastResponsesUntilMs);
+      };
+      await endOpenRequests();
       // What has arrived since then is answered before its connection is closed.
       await front.readArrived();
-      front.cutOpenRequests();
+      await endOpenRequests();
     },
   };
 }
