Accept the connections that wait before a stopping box stops listening

Callers that had connected just before a stopping box stopped listening saw their connections reset 316 ms after they had sent a whole request. It had not run, but they can't know that. Node accepts one connection in an iteration of the event loop, and the box let two iterations pass before it closed its listening socket; the kernel resets what waits in the queue then.

The box now goes on until two iterations have brought no connection and no bytes, in at most 100, and no longer than the grace period allows.

--- a/packages/connection-bounds/src/bound-connections.ts
+++ b/packages/connection-bounds/src/bound-connections.ts
@@ -44,14 +44,19 @@
 export interface BoundedConnections {
   /** Whether the client of the connection has sent bytes that wait for the response to the request before. */
   hasEarlyRequests(socket: Socket): boolean;
-  /** Resolves when the requests that have arrived on the server's connections by now have been begun, or after a bounded time. */
+  /**
+   * Resolves when the requests that have arrived by now have been begun, also on connections that wait to be accepted, or after a
+   * bounded number of iterations of the event loop.
+   */
   readArrived(): Promise<void>;
 }
 
 /** A head may come with bytes of the body before it, and a client may send line ends between requests. */
 const maxBytesBesideHead = 131_072;
-/** Iterations of the event loop in which `readArrived` waits for the turns of connections. */
-const maxIterations = 50;
+/** Iterations of the event loop in which `readArrived` waits at most: Node accepts one connection in each. */
+const maxIterations = 100;
+/** Iterations without anything new after which all that had arrived has been read: the first may be past its poll for bytes. */
+const quietIterations = 2;
 const endOfIteration = () => new Promise<void>((resolve) => setImmediate(resolve));
 
 /** Node's server parses what its `data` listener gets; returns that listener, which is then called with slices. */
@@ -144,6 +149,8 @@
     isBusy(table.stateOf(socket)) ? connections.get(socket) : undefined;
   if (options.onMalformed) rejectMalformed(server, findBusy, options.onMalformed);
   const endHandshake = trackHandshakes(server, table, makeRoom);
+  let accepted = 0;
+  server.on("connection", () => void (accepted += 1));
   const isTls = server instanceof TlsServer;
   server.on(isTls ? "secureConnection" : "connection", (socket: Socket) => {
     endHandshake(socket);
@@ -162,15 +169,13 @@
       return early.length > 0 || reader?.hasBytes() === true;
     },
     async readArrived() {
-      // The current iteration may be past its poll for bytes.
-      await endOfIteration();
-      await endOfIteration();
-      for (
-        let iterations = 0;
-        options.turns.hasWaiting() && iterations < maxIterations;
-        iterations++
-      )
+      let quiet = 0;
+      for (let count = 0; quiet < quietIterations && count < maxIterations; count++) {
+        const acceptedBefore = accepted;
         await endOfIteration();
+        const isQuiet = accepted === acceptedBefore && !options.turns.hasWaiting();
+        quiet = isQuiet ? quiet + 1 : 0;
+      }
     },
   };
 }
--- a/packages/entry-box/src/front-close.feature
+++ b/packages/entry-box/src/front-close.feature
@@ -5,3 +5,9 @@
     Given a front that is about to stop listening, with 5 kept connections
     When a request arrives on each of them while the event loop is blocked for 300 ms, and the front stops listening then
     Then each of the 5 requests is answered
+
+  # Guards against connections that are reset since they still wait to be accepted when the front stops listening.
+  Scenario: Requests on connections that were not accepted yet are answered
+    Given a front that is about to stop listening, with 0 kept connections
+    When 40 clients have connected and sent a request each, and the front stops listening then
+    Then each of the 40 clients is answered
--- a/packages/entry-box/src/front-close.steps.ts
+++ b/packages/entry-box/src/front-close.steps.ts
@@ -15,8 +15,9 @@
 }
 
 interface ClosingFront {
+  readonly address: string;
   readonly front: Front;
-  readonly connections: readonly KeptConnection[];
+  connections: readonly KeptConnection[];
 }
 
 const fronts: Front[] = [];
@@ -35,7 +36,7 @@
 
 const sendRequest = (socket: Socket) => socket.write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
 
-async function openKeptConnection(address: string): Promise<KeptConnection> {
+async function openConnection(address: string): Promise<KeptConnection> {
   const [host, port] = address.split(":");
   const socket = connect(Number(port), host);
   sockets.push(socket);
@@ -46,8 +47,14 @@
     closed: new Promise((resolve) => socket.once("close", resolve)),
   };
   socket.on("data", (bytes: Buffer) => (connection.received += bytes.toString()));
-  const answered = once(socket, "data");
-  sendRequest(socket);
+  await once(socket, "connect");
+  return connection;
+}
+
+async function openKeptConnection(address: string): Promise<KeptConnection> {
+  const connection = await openConnection(address);
+  const answered = once(connection.socket, "data");
+  sendRequest(connection.socket);
   await answered;
   return connection;
 }
@@ -77,7 +84,11 @@
       Array.from({ length: count }, () => openKeptConnection(address)),
     );
     isClosing = true;
-    scenarioState(this).set("closing front", { front, connections } satisfies ClosingFront);
+    scenarioState(this).set("closing front", {
+      address,
+      front,
+      connections,
+    } satisfies ClosingFront);
   },
 );
 
@@ -96,11 +107,31 @@
   },
 );
 
-Then("each of the {int} requests is answered", async function (this: object, count: number) {
-  const { connections } = sceneOf(this);
+When(
+  "{int} clients have connected and sent a request each, and the front stops listening then",
+  async function (this: object, count: number) {
+    const scene = sceneOf(this);
+    // The kernel completes connections that the server has not accepted.
+    scene.connections = await Promise.all(
+      Array.from({ length: count }, () => openConnection(scene.address)),
+    );
+    for (const { socket } of scene.connections) sendRequest(socket);
+    void scene.front.close();
+  },
+);
+
+/** Number of answers on each connection, once all connections have closed. */
+async function countAnswers(connections: readonly KeptConnection[]): Promise<readonly number[]> {
   const limit = new Promise((resolve) => setTimeout(resolve, maxWaitMs));
   await Promise.race([limit, Promise.all(connections.map(({ closed }) => closed))]);
-  const answers = connections.map(({ received }) => received.split(okResponse).length - 1);
+  return connections.map(({ received }) => received.split(okResponse).length - 1);
+}
+
+Then("each of the {int} clients is answered", async function (this: object, count: number) {
+  assert.deepEqual(await countAnswers(sceneOf(this).connections), Array(count).fill(1));
+});
+
+Then("each of the {int} requests is answered", async function (this: object, count: number) {
   // The first answer is the one to the request that opened the connection.
-  assert.deepEqual(answers, Array(count).fill(2));
+  assert.deepEqual(await countAnswers(sceneOf(this).connections), Array(count).fill(2));
 });
--- a/packages/entry-box/src/planned-stop.ts
+++ b/packages/entry-box/src/planned-stop.ts
@@ -71,7 +71,7 @@
       while (elapsedMs() < listenMs && (elapsedMs() < lifetimeMs || front.idleMs() < lifetimeMs)) {
         await sleep(clock, pollMs);
       }
-      await front.close();
+      await within(front.close());
       const waitForRequests = async (untilMs: Milliseconds) => {
         while (openRequests() > 0 && elapsedMs() < untilMs) await sleep(clock, pollMs);
       };
