Remember which targets gave way, so that a sound large event stays

Cause: each time a response without end gave way, its target kept less than the one with the large event, which was chosen next.

What a target gave up within the last 5 s counts with what is kept of it, so that one which goes on stays first.

--- a/packages/held-bytes/src/held-bytes.feature
+++ b/packages/held-bytes/src/held-bytes.feature
@@ -95,6 +95,19 @@
     Then the responses "b" gave way
     And 440000 bytes are held
 
+  # Guards against a large event that gives way because the target without end was made to give way before.
+  Scenario: A target that gave way lately does so again before a target of which more is kept
+    Given a bound of 1000000 bytes
+    When 400000 bytes of response "a" from "t1" are not forwarded yet
+    And 200000 bytes of response "b" from "t2" are not forwarded yet
+    Then the responses "a" gave way
+    When 400000 bytes of response "b" from "t2" are not forwarded yet
+    And 120000 bytes of response "c" from "t1" are not forwarded yet
+    Then the responses "a c" gave way
+    When 6000 ms go by
+    And 120000 bytes of response "d" from "t1" are not forwarded yet
+    Then the responses "a c b" gave way
+
   # Guards against bodies that are refused because of targets that send without end.
   Scenario: A body finds room when a response that goes on gives way
     Given a bound of 1000000 bytes
--- a/packages/held-bytes/src/held-bytes.ts
+++ b/packages/held-bytes/src/held-bytes.ts
@@ -2,6 +2,7 @@
 import type { Clock, Random } from "@linkfall/kernel";
 import type { Milliseconds } from "@linkfall/types";
 import type { HeldBytes, HeldKind, ResponseListener, UnforwardedSource } from "./held-types.js";
+import { createRecentDrops } from "./recent-drops.js";
 import { createReleaseRate } from "./release-rate.js";
 import { findLargestUnforwarded } from "./largest-unforwarded.js";
 
@@ -66,6 +67,7 @@
   /** Bodies that give way to others. */
   const incomplete = new Set<HeldBody>();
   const released = createReleaseRate(clock);
+  const recentDrops = createRecentDrops(clock);
   let total = 0;
   let endedResponses = 0;
   let refusedBodies = 0;
@@ -109,7 +111,11 @@
   };
 
   const findUnforwarded = () =>
-    findLargestUnforwarded(unforwarded, Math.min(minGiveWayBytes, maxBytes / 100));
+    findLargestUnforwarded(
+      unforwarded,
+      Math.min(minGiveWayBytes, maxBytes / 100),
+      recentDrops.bytesOf,
+    );
   /** Lets the largest unforwarded responses give way until so many further bytes fit; false if they still do not. */
   const dropUnforwarded = (further: number): boolean => {
     while (total + further > maxBytes) if (!giveWay()) return false;
@@ -119,6 +125,7 @@
     const response = findUnforwarded();
     if (!response) return false;
     unforwarded.delete(response);
+    if (response.source) recentDrops.record(response.source.target, response.unforwardedBytes);
     change("unforwarded_responses", -response.unforwardedBytes);
     response.unforwardedBytes = 0;
     droppedUnforwarded += 1;
--- a/packages/held-bytes/src/largest-unforwarded.ts
+++ b/packages/held-bytes/src/largest-unforwarded.ts
@@ -7,12 +7,13 @@
 }
 
 /**
- * Returns the largest response of the target of which most bytes are kept, so that a target which sends without end gives way before
- * a large event of another one; undefined if it has fewer than `minBytes`.
+ * Returns the largest response of the target of which most bytes are kept or gave way lately, so that a target which sends without
+ * end gives way before a large event of another one. Responses of fewer than `minBytes` do not count.
  */
 export function findLargestUnforwarded<Response extends Unforwarded>(
   responses: Iterable<Response>,
   minBytes: number,
+  droppedBytesOf: (target: string) => number,
 ): Response | undefined {
   const byTarget = new Map<string, { sum: number; largest: Response }>();
   for (const response of responses) {
@@ -20,7 +21,8 @@
     if (!source || unforwardedBytes < minBytes) continue;
     const entry = byTarget.get(source.target);
     if (!entry) {
-      byTarget.set(source.target, { sum: unforwardedBytes, largest: response });
+      const sum = unforwardedBytes + droppedBytesOf(source.target);
+      byTarget.set(source.target, { sum, largest: response });
       continue;
     }
     entry.sum += unforwardedBytes;
