--- a/packages/soak/src/scenarios/planted-faults.ts
+++ b/packages/soak/src/scenarios/planted-faults.ts
@@ -368,8 +368,8 @@
     name: "incomplete-bodies-keep-their-room",
     promise: "clients that do not keep to the limits cost others nothing",
     file: "held-bytes/dist/held-bytes.js",
-    find: "|| dropIncomplete(body, further)",
-    replace: "",
+    find: "dropIncomplete(body, further);",
+    replace: "false;",
     scenario: "Incomplete bodies give way, the largest one of which nothing arrives first",
   },
   {
@@ -383,7 +383,7 @@
   {
     name: "requests-sent-ahead-begin-at-once",
     promise: "clients that do not keep to the limits cost others nothing",
-    file: "connection-bounds/dist/bound-connections.js",
+    file: "connection-bounds/dist/request-order.js",
     find: "connection.early.push({ message, response });",
     replace: "return begin(connection, { message, response });",
     scenario: "Requests that are sent ahead are begun one after the other",
