--- a/packages/process-soak/src/planned-stop-checks.feature
+++ b/packages/process-soak/src/planned-stop-checks.feature
@@ -52,10 +52,10 @@
 
     Examples:
       | sent  | status | ended | judged            |
-      | 13000 | 502    | 13510 | reported for "r1" |
-      | 11501 | 502    | 13510 | reported for "r1" |
+      | 13000 | 502    | 13300 | reported for "r1" |
+      | 11501 | 502    | 13300 | reported for "r1" |
       | 11500 | 502    | 13510 | not reported      |
-      | 13000 | 502    | 13400 | not reported      |
+      | 13000 | 502    | 13299 | not reported      |
       | 13000 | 503    | 13510 | not reported      |
 
   Scenario: A process that ends after the grace period is reported, its pauses aside
--- a/packages/process-soak/src/tests/planned-stop-checks.ts
+++ b/packages/process-soak/src/tests/planned-stop-checks.ts
@@ -159,7 +159,7 @@
 const lostStatus = 502;
 
 /** The requests that are open in this last part of the grace period are cut, in milliseconds. */
-const exitReserveMs = 500;
+const exitReserveMs = 700;
 
 /** The planned stop of the life of the box that got the request; undefined if the request ended before, or none came. */
 function ownStop(
