Log what decides a claim of the order lease, and count claims by reason

leaseTaken named neither the former holder nor why it was taken for gone, so that the hypotheses on changes of the lease between live boxes (late order, taken back, late claimant, old statement) could not be told apart. It now carries the reason, the holder, how long the claimant had not heard it, what the holder last said of its lease, the claimant's rank, and how late the claimant's own check was; linkfall_lease_claims_total counts claims by reason.

--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -10,6 +10,7 @@
   type VirtualClock,
 } from "@linkfall/kernel";
 import { loggerName, recordingLogger } from "@linkfall/logger";
+import { createMetrics, metricsName } from "@linkfall/metrics";
 import type { KeyedStreamPort } from "@linkfall/ports";
 import { createKeyedStore, type KeyedStore, type StoreAccess } from "@linkfall/test-support";
 import { createOrderLease, type LeaseOptions, type LeasePeers, type OrderLease } from "./index.js";
@@ -74,6 +75,7 @@
     loggerName,
     recordingLogger(() => undefined),
   );
+  kernel.provide(metricsName, createMetrics());
   const find = (other: string) => boxes.find((box) => box.name === other);
   const peers: LeasePeers = {
     sinceLastMessageMs: (other) => {
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -6,6 +6,7 @@
 import type { LogFailure } from "@linkfall/errors";
 import { clockName, type Kernel, randomName, repeatEvery } from "@linkfall/kernel";
 import { loggerName } from "@linkfall/logger";
+import { metricsName } from "@linkfall/metrics";
 import type { KeyedBatch, KeyedStreamPort, StoreGeneration } from "@linkfall/ports";
 import type { Epoch, Incarnation, Milliseconds, Offset } from "@linkfall/types";
 import type { Either } from "purify-ts";
@@ -24,6 +25,15 @@
 /** Time in which a superseded holder is notified of a new claim. */
 const claimNoticeMs: Milliseconds = 300;
 
+/** Why a box claims the lease. */
+type ClaimReason =
+  | "free"
+  | "holder is an earlier incarnation"
+  | "holder is leaving"
+  | "holder has lost the store"
+  | "holder is silent"
+  | "own claim has ended";
+
 interface LeaseState {
   /** Newest observed claim. */
   claim: Claim;
@@ -66,6 +76,7 @@
 ): OrderLease {
   const clock = kernel.find(clockName);
   const logger = kernel.find(loggerName);
+  const metrics = kernel.find(metricsName);
   const startedAt = clock.now();
   const state: LeaseState = {
     claim: { holder: releasedHolder, epoch: noClaimEpoch },
@@ -84,6 +95,9 @@
   };
   let stopping = false;
   let reading = false;
+  let checkedAt = startedAt;
+  /** Time by which the newest check was late, which delays the messages of other boxes as well. */
+  let checkLateMs: Milliseconds = 0;
 
   const isHeld = () =>
     state.claim.holder === self && !state.isClaimLost && state.claim.epoch > state.endedEpoch;
@@ -183,7 +197,25 @@
     return Math.max(unknownUntil, ...known.map(holderOrdersUntil));
   };
 
-  const claim = async () => {
+  /** Records a claim that succeeded, with what decided it. */
+  const recordTaken = (reason: ClaimReason, holder: Incarnation) => {
+    metrics.count("linkfall_lease_claims_total", "Claims of the order lease, by reason.", {
+      reason,
+    });
+    logger.event("leaseTaken", {
+      pool: leaseKey,
+      epoch: state.claim.epoch,
+      ordersInMs: Math.round(state.ordersFrom - clock.now()),
+      reason,
+      holder,
+      holderSilentMs: Math.round(peers.sinceLastMessageMs(holder) ?? Infinity),
+      holderLeaseMs: peers.remainingLeaseMs(holder),
+      rank: peers.rank(),
+      checkLateMs: Math.round(checkLateMs),
+    });
+  };
+
+  const claim = async (reason: ClaimReason) => {
     const epochBefore = state.claim.epoch;
     const read = await stream.readNewest();
     if (read.isLeft()) return;
@@ -200,6 +232,7 @@
     appended.ifRight((position) => {
       // The store has come back from an older copy meanwhile: the claim is found, and its time determined, by reading.
       if (position.generation !== generation) return;
+      const previousHolder = state.claim.holder;
       const isFirst = state.claim.epoch === noClaimEpoch && generation === 0;
       const epoch = epochOf(generation, position.offset);
       applyClaim({ holder: self, epoch });
@@ -209,11 +242,7 @@
       state.ordersFrom = isFirst
         ? clock.now()
         : Math.max(clock.now() + claimNoticeMs, previousHoldersOrderUntil);
-      logger.event("leaseTaken", {
-        pool: leaseKey,
-        epoch,
-        ordersInMs: Math.round(state.ordersFrom - clock.now()),
-      });
+      recordTaken(reason, previousHolder);
       peers.announceClaim();
     });
   };
@@ -243,7 +272,7 @@
   const renew = async () => {
     if (isHeld() && clock.elapsed() - state.provenAt < options.leaseMs / proofsPerLease) return;
     await prove();
-    if (state.claim.holder === self && !isHeld()) await claim();
+    if (state.claim.holder === self && !isHeld()) await claim("own claim has ended");
   };
 
   /** Whether a holder that still sends messages can no longer prove its lease. */
@@ -253,32 +282,41 @@
     return peers.remainingLeaseMs(holder) < options.leaseMs * minRemainingShare;
   };
 
-  const isHolderGone = (): boolean => {
+  /** Why the lease can be claimed; undefined while the holder is presumed to keep it. */
+  const reasonToClaim = (): ClaimReason | undefined => {
     const { holder } = state.claim;
-    if (holder === releasedHolder) return true;
+    if (holder === releasedHolder) return "free";
     const sinceLastMessageMs = peers.sinceLastMessageMs(holder);
     if (sinceLastMessageMs !== undefined) {
       state.holderLastSeenAt = Math.max(state.holderLastSeenAt, clock.now() - sinceLastMessageMs);
     }
-    if (peers.isLeaving(holder)) return true;
-    if (sinceLastMessageMs !== undefined && hasLostStore(holder)) return true;
-    return clock.now() - state.holderLastSeenAt > options.holderTimeoutMs;
+    if (peers.isLeaving(holder)) return "holder is leaving";
+    if (sinceLastMessageMs !== undefined && hasLostStore(holder)) {
+      return "holder has lost the store";
+    }
+    const silentMs = clock.now() - state.holderLastSeenAt;
+    return silentMs > options.holderTimeoutMs ? "holder is silent" : undefined;
   };
 
   const check = async () => {
+    checkLateMs = Math.max(0, clock.now() - checkedAt - options.checkMs);
+    checkedAt = clock.now();
     if (stopping) return;
     if (peers.isCutOffFromEngines()) return giveUp();
     if (state.claim.holder === self) return renew();
     // An earlier incarnation of this box has certainly ended, so there is no need to wait.
-    if (peers.isOwnEarlierIncarnation(state.claim.holder)) return claim();
-    if (!isHolderGone()) {
+    if (peers.isOwnEarlierIncarnation(state.claim.holder)) {
+      return claim("holder is an earlier incarnation");
+    }
+    const reason = reasonToClaim();
+    if (!reason) {
       state.holderGoneSince = undefined;
       return;
     }
     state.holderGoneSince ??= clock.now();
     const claimAt = state.holderGoneSince + peers.rank() * options.rankStepMs;
     if (clock.now() < claimAt) return;
-    await claim();
+    await claim(reason);
   };
 
   const loop = repeatEvery(clock, kernel.find(randomName), options.checkMs, check);
