Ask a silent lease holder through the store before its lease is claimed

Cause: a claimant judged the holder by its own clock and by what it had last heard. A claimant that is late, or whose links are cut, found a holder silent that everybody else heard and that reached the store; the former holder then found the new one silent at once, since when it had last been heard was kept from before the claim. No record told that the holder lived: its proofs are reads, which nobody else sees. With engines that fence, a holder also went on for a whole lease time after its last proof while the next one started after a third of it.

Change: before a box claims from a holder that has not said itself that it stopped, it appends a probe to the stream of claims. The holder finds it with its next proof and appends a renewal, which makes the claim's condition fail. A proof is worth something only if it is from before the probe or answers it, and the claimant waits for the validity of earlier proofs, so that a holder that is late stops first. The validity is half of the lease time where engines fence, and the whole of it elsewhere. A holder that hears less than half as many boxes as the sender of the probe releases the lease instead: it does not receive the demand. A box that has lost the lease does not claim for a lease time. Whether a claim is allowed is asked again between the last read and the append. The probe is harmless, so silence is asked about after 1.3 s instead of 1.8 s, and a holder that has ended is replaced after 2.8 s as before.

--- a/packages/box-peers/src/peers.ts
+++ b/packages/box-peers/src/peers.ts
@@ -43,6 +43,8 @@
   sightings(): readonly Sighting[];
   /** Time since the last heartbeat from the box itself. */
   sinceHeartbeatMs(incarnation: Incarnation): Milliseconds | undefined;
+  /** Number of other boxes that sent a heartbeat within the last `ms`. */
+  countHeardWithin(ms: Milliseconds): number;
   /** Time since the last heartbeat from any other box; 0 if none is known. */
   sinceAnyHeartbeatMs(): Milliseconds;
   /** Time without a heartbeat after which a box is suspected. */
@@ -173,6 +175,10 @@
       const member = table.find(incarnation);
       return member && clock.elapsed() - member.lastHeartbeatAt;
     },
+    countHeardWithin(ms) {
+      const heardSince = clock.elapsed() - ms;
+      return table.all().filter(({ lastHeartbeatAt }) => lastHeartbeatAt >= heardSince).length;
+    },
     sinceAnyHeartbeatMs() {
       const lastHeartbeatAt = table.all().map((member) => member.lastHeartbeatAt);
       return lastHeartbeatAt.length === 0 ? 0 : clock.elapsed() - Math.max(...lastHeartbeatAt);
--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -37,6 +37,7 @@
   const feed = kernel.find(desiredFeedName);
   return {
     sinceLastMessageMs: peers.sinceHeartbeatMs,
+    countHeardWithin: peers.countHeardWithin,
     isOwnEarlierIncarnation: (holder) =>
       holder !== incarnation && boxOf(holder) === settings.box.name,
     remainingLeaseMs: (holder) => peers.findStatus(holder)?.ordersForMs ?? 0,
--- a/packages/entry-settings/src/index.ts
+++ b/packages/entry-settings/src/index.ts
@@ -120,7 +120,7 @@
       lease_ms: milliseconds(3_000),
       /** Whether all engines reject orders of an epoch lower than the highest one they have received. */
       engines_fence: z.union([z.boolean(), z.stringbool()]).default(false),
-      silent_ms: milliseconds(1_800),
+      silent_ms: milliseconds(1_300),
       rank_step_ms: milliseconds(300),
       check_ms: milliseconds(150),
     })
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -164,6 +164,17 @@
   leaseTaken: event(4001, "info", "This box acquired the lease of a pool."),
   leaseLost: event(4002, "warn", "This box lost the lease of a pool."),
   leaseReleased: event(4003, "info", "This box released the lease of a pool."),
+  leaseProbed: event(
+    4022,
+    "info",
+    "This box does not hear the holder of the lease and asks it through the store to renew it.",
+  ),
+  leaseRenewed: event(
+    4023,
+    "info",
+    "This box renewed its lease because another box does not hear it.",
+    "If it repeats, check the links between the boxes.",
+  ),
   fenceStands: event(
     4004,
     "info",
--- a/packages/order-lease/src/contract.ts
+++ b/packages/order-lease/src/contract.ts
@@ -26,6 +26,8 @@
 export interface LeasePeers {
   /** Time since the last message from the box; undefined if it is not known, 0 for this box. */
   sinceLastMessageMs(incarnation: Incarnation): Milliseconds | undefined;
+  /** Number of other boxes of which a message was received within `ms`. */
+  countHeardWithin(ms: Milliseconds): number;
   /**
    * Whether it is an earlier incarnation of this box. The platform starts a box only after its previous process has ended, so
    * an earlier incarnation sends no more orders.
--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -135,3 +135,70 @@
 
   Scenario: No two boxes may send orders at once and epochs grow, with boxes that are cut off from the engines
     Then for 40 seeds with boxes that are cut off no two boxes may send orders at once
+
+  # Guards against a claim by a box that doesn't hear the holder because it is late or cut off itself.
+  Scenario Outline: A box that hears no other box does not take the lease from a holder that reaches the store, <engines>
+    Given boxes "a b c" that are connected to each other and to the store<engines>
+    And "a" holds the lease
+    When "b" hears no other box
+    And 12 s go by
+    Then only "a" may send orders
+    And the epoch is unchanged
+
+    Examples:
+      | engines                   |
+      |                           |
+      | , with engines that fence |
+
+  # Guards against two boxes that take the lease from each other, as each finds the other one silent.
+  Scenario: A box that lost the lease does not take it back at once
+    Given boxes "a b c" that are connected to each other and to the store, with engines that fence
+    And "a" holds the lease
+    When "a" falls silent
+    Then within 8 s another box may give orders under a higher epoch
+    When the store serves "a"
+    And "a" hears no other box
+    And 8 s go by
+    Then only "b" may send orders
+
+  # Guards against a holder that receives no demand and keeps the lease.
+  Scenario Outline: A holder that is cut off from the other boxes hands the lease over and does not take it back, <engines>
+    Given boxes "a b c" that are connected to each other and to the store<engines>
+    And "a" holds the lease
+    When "a" is cut off from the other boxes
+    Then within 4 s another box may give orders under a higher epoch
+    And "a" may not send orders
+    When 8 s go by
+    Then exactly one box may send orders
+    And "a" may not send orders
+    When "a" is connected to the other boxes again
+    And 8 s go by
+    Then exactly one box may send orders
+    And "a" may not send orders
+
+    Examples:
+      | engines                   |
+      |                           |
+      | , with engines that fence |
+
+  # Guards against a former holder that orders until it has read the new claim.
+  Scenario: A holder whose reads get no response stops before another box may send orders, though engines fence
+    Given boxes "a b c" that are connected to each other and to the store, with engines that fence
+    And "a" holds the lease
+    When "b" is cut off from the other boxes
+    And 1 s go by
+    And the store loses the responses to "a"
+    Then no other box may send orders before the lease of "a" has expired
+    And within 8 s another box may give orders under a higher epoch
+
+  Scenario Outline: Boxes do not take turns at sending orders, with boxes that hear no others and reach the store<engines>
+    Then for 40 seeds with boxes that hear no others no two boxes take turns at sending orders<engines>
+
+    Examples:
+      | engines                   |
+      |                           |
+      | , with engines that fence |
+
+  # Guards against a former holder that sends orders until it has read the new claim, as engines reject them anyway.
+  Scenario: No two boxes may send orders at once, with engines that fence and all disturbances
+    Then for 40 seeds with engines that fence and all disturbances no two boxes may send orders at once
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -30,6 +30,8 @@
   readonly name: string;
   readonly lease: OrderLease;
   silent: boolean;
+  /** Since when it has received no messages of other boxes; undefined if it receives them. */
+  deafSince: number | undefined;
   leaving: boolean;
   /** Whether it reaches no engine; it is cut off if another box does. */
   reachesNoEngine: boolean;
@@ -44,6 +46,7 @@
   readonly store: KeyedStore;
   readonly boxes: LeaseBox[];
   readonly access: Map<string, StoreAccess>;
+  readonly options: LeaseOptions;
   /** Epoch of the holder at the start of the scenario. */
   initialEpoch: number;
 }
@@ -79,9 +82,14 @@
   const find = (other: string) => boxes.find((box) => box.name === other);
   const peers: LeasePeers = {
     sinceLastMessageMs: (other) => {
-      const box = find(other);
-      return box && (other === name ? 0 : clock.now() - box.lastMessageAt);
+      const sender = find(other);
+      if (other === name) return 0;
+      return sender && clock.now() - Math.min(sender.lastMessageAt, box.deafSince ?? Infinity);
     },
+    countHeardWithin: (ms) =>
+      boxes.filter(
+        (other) => other !== box && (peers.sinceLastMessageMs(other.name) ?? Infinity) <= ms,
+      ).length,
     isOwnEarlierIncarnation: (other) =>
       other !== name && firstIncarnation(other) === firstIncarnation(name),
     isLeaving: (other) => find(other)?.leaving ?? false,
@@ -98,6 +106,7 @@
   const state = {
     name,
     silent: false,
+    deafSince: undefined,
     leaving: false,
     reachesNoEngine: false,
     lastMessageAt: 0,
@@ -110,15 +119,20 @@
       return lease;
     },
   };
-  const lease = createOrderLease(kernel, name, port, peers, options);
+  const lease = createOrderLease(kernel, name, port, peers, scene.options);
   boxes.push(box);
   return box;
 }
 
-function createScene(names: readonly string[], seed: number): Scene {
+function createScene(
+  names: readonly string[],
+  seed: number,
+  leaseOptions: LeaseOptions = options,
+): Scene {
   const clock = createVirtualClock();
   const store = createKeyedStore(clock);
-  const scene: Scene = { clock, store, boxes: [], access: new Map(), initialEpoch: 0 };
+  const access = new Map<string, StoreAccess>();
+  const scene: Scene = { clock, store, boxes: [], access, options: leaseOptions, initialEpoch: 0 };
   for (const name of names) addBox(scene, name, seed);
   return scene;
 }
@@ -138,7 +152,8 @@
       box.lastMessageAt = clock.now();
       box.reported = { remainingLeaseMs: box.lease.remainingLeaseMs() };
       const observed = box.lease.observedLease();
-      if (observed) for (const other of boxes) if (!other.silent) other.lease.observe(observed);
+      const receivers = boxes.filter((other) => !other.silent && other.deafSince === undefined);
+      if (observed) for (const other of receivers) other.lease.observe(observed);
     }
     onStep();
   }
@@ -192,6 +207,15 @@
   },
 );
 
+Given(
+  "boxes {string} that are connected to each other and to the store, with engines that fence",
+  async function (this: object, names: string) {
+    const scene = createScene(names.split(" "), 1, { ...options, enginesFence: true });
+    scenes.set(this, scene);
+    for (const box of scene.boxes) await box.lease.start();
+  },
+);
+
 Given("{string} holds the lease", async function (this: object, name: string) {
   const scene = sceneOf(this);
   await passTime(scene, 2_000);
@@ -212,6 +236,28 @@
   setAccess(scene, name, "refuses");
 });
 
+When("{string} hears no other box", function (this: object, name: string) {
+  const scene = sceneOf(this);
+  boxOf(scene, name).deafSince = scene.clock.now();
+});
+
+When("{string} hears the other boxes again", function (this: object, name: string) {
+  boxOf(sceneOf(this), name).deafSince = undefined;
+});
+
+When("{string} is cut off from the other boxes", function (this: object, name: string) {
+  const scene = sceneOf(this);
+  const box = boxOf(scene, name);
+  box.silent = true;
+  box.deafSince = scene.clock.now();
+});
+
+When("{string} is connected to the other boxes again", function (this: object, name: string) {
+  const box = boxOf(sceneOf(this), name);
+  box.silent = false;
+  box.deafSince = undefined;
+});
+
 When("{string} reaches no engine", function (this: object, name: string) {
   boxOf(sceneOf(this), name).reachesNoEngine = true;
 });
@@ -390,9 +436,40 @@
   (scene, _box, seed) => goBack(scene, 1 + (seed % 2)),
 ];
 
-async function checkOneHolder(seed: number, allowed: readonly Disturbance[]): Promise<void> {
+/** Boxes that hear no others, or aren't heard by them either, and reach the store. */
+const disturbancesOfMessages: readonly Disturbance[] = [
+  ({ clock }, box) => void (box.deafSince = box.deafSince === undefined ? clock.now() : undefined),
+  ({ clock }, box) => {
+    box.silent = !box.silent;
+    box.deafSince = box.silent ? clock.now() : undefined;
+  },
+];
+
+/** Fails if a box sends orders again within the lease time of another box's orders that came after its own. */
+function createTurnCheck(scene: Scene, seed: number): () => void {
+  const lastOrderAt = new Map<string, number>();
+  let current: string | undefined;
+  return () => {
+    const holder = holders(scene)[0];
+    if (!holder) return;
+    const { name } = holder;
+    const sinceOwnMs = scene.clock.now() - (lastOrderAt.get(name) ?? -Infinity);
+    const isTurn = current !== undefined && current !== name && sinceOwnMs < options.leaseMs;
+    assert.ok(!isTurn, `seed ${seed}: ${name} orders ${sinceOwnMs} ms after its last turn`);
+    current = name;
+    lastOrderAt.set(name, scene.clock.now());
+  };
+}
+
+async function checkOneHolder(
+  seed: number,
+  allowed: readonly Disturbance[],
+  leaseOptions: LeaseOptions = options,
+): Promise<void> {
   const random = seededRandom(seed);
-  const scene = createScene(["a", "b", "c", "d"], seed);
+  const scene = createScene(["a", "b", "c", "d"], seed, leaseOptions);
+  const checkTurns =
+    allowed === disturbancesOfMessages ? createTurnCheck(scene, seed) : () => undefined;
   for (const box of scene.boxes) await box.lease.start();
   let highestEpoch = 0;
   const holderByEpoch = new Map<number, string>();
@@ -408,6 +485,7 @@
       assert.equal(holder, box.name, `seed ${seed}: epoch ${epoch} of ${holder} and ${box.name}`);
       holderByEpoch.set(epoch, box.name);
     }
+    checkTurns();
   };
   for (let step = 0; step < 12; step++) {
     const box = pick(random, scene.boxes);
@@ -416,6 +494,7 @@
   }
   for (const box of scene.boxes) {
     box.silent = false;
+    box.deafSince = undefined;
     box.reachesNoEngine = false;
     setAccess(scene, box.name, "serves");
   }
@@ -473,3 +552,29 @@
     for (let seed = 1; seed <= seeds; seed++) await checkOneHolder(seed, disturbancesWithCuts);
   },
 );
+
+Then(
+  /^for (\d+) seeds with boxes that hear no others no two boxes take turns at sending orders(, with engines that fence)?$/,
+  manySeedsOptions,
+  async (seeds: string, fence: string | undefined) => {
+    const leaseOptions = { ...options, enginesFence: fence !== undefined };
+    for (let seed = 1; seed <= Number(seeds); seed++)
+      await checkOneHolder(seed, disturbancesOfMessages, leaseOptions);
+  },
+);
+
+const allDisturbances: readonly Disturbance[] = [
+  ...disturbancesWithLosses,
+  ...disturbancesWithCuts,
+  ...disturbancesOfMessages,
+];
+
+Then(
+  "for {int} seeds with engines that fence and all disturbances no two boxes may send orders at once",
+  manySeedsOptions,
+  async (seeds: number) => {
+    const leaseOptions = { ...options, enginesFence: true };
+    for (let seed = 1; seed <= seeds; seed++)
+      await checkOneHolder(seed, allDisturbances, leaseOptions);
+  },
+);
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -1,7 +1,8 @@
 /**
  * Lease on sending orders, claimed by a conditional append to a keyed stream. The generation of the store and the offset of
  * the claim determine the epoch, which serves as fencing token. The holder proves that there is no newer claim by reading
- * the stream.
+ * the stream. A box that doesn't hear the holder appends a probe, and claims only if the holder does not answer it in the time
+ * for which earlier proofs are valid.
  */
 import type { LogFailure } from "@linkfall/errors";
 import { clockName, type Kernel, randomName, repeatEvery } from "@linkfall/kernel";
@@ -12,16 +13,27 @@
 import type { Either } from "purify-ts";
 import { type Claim, epochOf, firstOffset, noClaimEpoch } from "./claim.js";
 import type { LeaseOptions, LeasePeers, OrderLease } from "./contract.js";
+import {
+  createHolderProbes,
+  encodeProbe,
+  encodeRenewal,
+  type HolderProbe,
+} from "./holder-probes.js";
 
 const leaseKey = "orders";
 /** Marks a released lease in place of the holder. */
 const releasedHolder = "-";
 /** Proof reads per lease time. They don't wait for changes, so an idle stream is answered at once. */
 const proofsPerLease = 6;
-/** Check intervals added to the proof interval, after which a holder has certainly read the stream again. */
-const proofMarginChecks = 3;
-/** A holder with a smaller share of its lease left is presumed to have lost the store. */
+/**
+ * Share of the lease time for which a proof is valid if engines fence. A shorter validity lets another box replace a holder that
+ * has failed sooner, and more time without orders in an outage of the store does not matter to engines that keep serving.
+ */
+const fencedProofShare = 0.5;
+/** A holder with a smaller share of its proof's validity left is presumed to have lost the store. */
 const minRemainingShare = 0.35;
+/** A holder releases the lease to a box that hears more than this many times as many boxes. */
+const betterConnectedFactor = 2;
 /** Time in which a superseded holder is notified of a new claim. */
 const claimNoticeMs: Milliseconds = 300;
 
@@ -43,8 +55,6 @@
   generationSeenAt: Milliseconds;
   /** Whether the store has come back from a copy without the observed claim. */
   isClaimLost: boolean;
-  /** Holder of a claim that the store has lost, and which may send orders until it reads the store again. */
-  lostHolder: Incarnation | undefined;
   /** When this box observed that claim. */
   claimObservedAt: Milliseconds;
   /** Offset at which the next read starts; undefined if it reads the newest records. */
@@ -64,6 +74,8 @@
   holderLastSeenAt: Milliseconds;
   /** Highest epoch that was rejected by an engine or given up by this box; it is never used again. */
   endedEpoch: Epoch;
+  /** When this box last gave up the lease, or learned that another box had claimed it. */
+  lostAt: Milliseconds;
 }
 
 /** Creates the lease of one box, which claims and renews it while it is started. */
@@ -83,7 +95,6 @@
     generation: 0,
     generationSeenAt: startedAt,
     isClaimLost: false,
-    lostHolder: undefined,
     claimObservedAt: startedAt,
     nextOffset: undefined,
     provenUntil: -Infinity,
@@ -92,7 +103,11 @@
     holderGoneSince: undefined,
     holderLastSeenAt: startedAt,
     endedEpoch: -1,
+    lostAt: -Infinity,
   };
+  const probes = createHolderProbes(clock);
+  /** Time for which a proof permits to send orders. */
+  const proofValidMs = options.enginesFence ? options.leaseMs * fencedProofShare : options.leaseMs;
   let stopping = false;
   let reading = false;
   let checkedAt = startedAt;
@@ -109,12 +124,13 @@
     state.isClaimLost = false;
     state.holderGoneSince = undefined;
     state.claimObservedAt = clock.now();
+    state.holderLastSeenAt = clock.now();
     // This box's claim is found by reading if its response was lost. The time until which the previous holder may send orders
     // is then unknown, and at most a full lease.
     if (holder === self) state.ordersFrom = clock.now() + options.leaseMs;
-    if (wasHeld && holder !== self) {
-      logger.event("leaseLost", { pool: leaseKey, epoch, holder });
-    }
+    if (!wasHeld || holder === self) return;
+    state.lostAt = clock.now();
+    logger.event("leaseLost", { pool: leaseKey, epoch, holder });
   };
 
   /** Starts to read a store that has come back from an older copy, which need not have the observed claim. */
@@ -123,14 +139,15 @@
     state.generationSeenAt = clock.now();
     state.nextOffset = undefined;
     state.provenUntil = -Infinity;
+    probes.clear();
     // Another box may have told of a claim in this generation already.
     if (state.claim.epoch >= epochOf(generation, firstOffset)) return;
     state.isClaimLost = true;
-    state.lostHolder = state.claim.holder;
   };
 
   const applyBatch = ({ records, end, generation }: KeyedBatch) => {
     for (const record of records) {
+      probes.apply(record);
       if (record.key !== leaseKey) continue;
       const epoch = epochOf(generation, record.offset);
       applyClaim({ holder: record.value ?? releasedHolder, epoch });
@@ -153,48 +170,131 @@
     return isOtherHistory ? stream.readNewest() : read;
   };
 
-  /** Reads the stream, which either shows a newer claim or proves that there is none. */
-  const prove = async () => {
-    if (reading) return;
+  /** Reads and applies the stream; resolves to false unless all records up to its end have been applied. */
+  const follow = async (): Promise<boolean> => {
+    if (reading) return false;
     reading = true;
-    const sentAt = clock.elapsed();
     const read = await readStream();
     reading = false;
-    read.ifLeft(handleReadFailure).ifRight((batch) => {
-      // An answer of an earlier generation proves nothing.
-      if (batch.generation < state.generation) return;
-      if (batch.generation > state.generation) startGeneration(batch.generation);
-      applyBatch(batch);
-      state.provenAt = sentAt;
-      if (isHeld()) state.provenUntil = sentAt + options.leaseMs;
+    return read.ifLeft(handleReadFailure).caseOf({
+      Left: () => false,
+      Right(batch) {
+        // An answer of an earlier generation proves nothing.
+        if (batch.generation < state.generation) return false;
+        if (batch.generation > state.generation) startGeneration(batch.generation);
+        applyBatch(batch);
+        return batch.isPartial !== true;
+      },
     });
   };
 
-  /**
-   * Time for which a holder without contact may still send orders, as it may have just proven its lease. If engines reject
-   * lower epochs, it is enough to wait until a holder that reaches the store has read the new claim.
-   */
-  const proofIntervalMs = options.leaseMs / proofsPerLease + proofMarginChecks * options.checkMs;
-  const uncontactedHolderMs = options.enginesFence ? proofIntervalMs : options.leaseMs;
+  /** Records that the stream had no newer claim at `sentAt`. */
+  const recordProof = (sentAt: Milliseconds) => {
+    state.provenAt = sentAt;
+    if (isHeld()) state.provenUntil = sentAt + proofValidMs;
+  };
 
-  /** Returns the time until which the observed holder may send orders. */
-  const holderOrdersUntil = (holder: Incarnation): Milliseconds => {
-    if (holder === releasedHolder || holder === self) return clock.now();
-    if (peers.isOwnEarlierIncarnation(holder)) return clock.now();
-    const sinceLastMessageMs = peers.sinceLastMessageMs(holder);
-    if (sinceLastMessageMs !== undefined && sinceLastMessageMs <= options.holderTimeoutMs) {
-      return clock.now() + peers.remainingLeaseMs(holder);
-    }
-    return clock.now() + uncontactedHolderMs;
+  /** Appends a record directly after those that this box has read; resolves to its offset, or undefined if it was not appended. */
+  const appendNext = async (key: string, value: string): Promise<Offset | undefined> => {
+    const { generation, nextOffset } = state;
+    if (nextOffset === undefined) return undefined;
+    const appended = await stream.put(key, value, nextOffset);
+    return appended.caseOf({
+      Left: () => undefined,
+      Right(position) {
+        // The store has come back from an older copy meanwhile: the record is found by reading.
+        if (position.generation !== generation || state.generation !== generation) return undefined;
+        state.nextOffset = position.offset + 1;
+        return position.offset;
+      },
+    });
+  };
+
+  /** Appends that no box holds the lease. */
+  const appendRelease = async (reason: string): Promise<boolean> => {
+    const { generation } = state;
+    const offset = await appendNext(leaseKey, releasedHolder);
+    if (offset === undefined) return false;
+    applyClaim({ holder: releasedHolder, epoch: epochOf(generation, offset) });
+    logger.event("leaseReleased", { pool: leaseKey, reason });
+    return true;
+  };
+
+  /** Whether the sender of the probe receives the demand of many more boxes than this one. */
+  const isBetterConnected = ({ boxesHeard }: HolderProbe): boolean =>
+    boxesHeard > peers.countHeardWithin(options.holderTimeoutMs) * betterConnectedFactor;
+
+  /** Ends the own epoch for good and appends the release; without it, other boxes claim the lease when its proof has expired. */
+  const yieldLease = async (reason: string) => {
+    state.endedEpoch = Math.max(state.endedEpoch, state.claim.epoch);
+    state.lostAt = clock.now();
+    if (await appendRelease(reason)) peers.announceClaim();
+  };
+
+  /** Answers a probe, which proves the lease as reading does. */
+  const answerProbe = async (probe: HolderProbe) => {
+    if (isBetterConnected(probe)) return yieldLease("another box hears more boxes");
+    const sentAt = clock.elapsed();
+    const record = encodeRenewal(probe.epoch);
+    const offset = await appendNext(record.key, record.value);
+    if (offset === undefined) return;
+    probes.apply({ ...record, offset });
+    recordProof(sentAt);
+    logger.event("leaseRenewed", { pool: leaseKey, epoch: probe.epoch });
+  };
+
+  /** Reads the stream, which either shows a newer claim or proves that there is none. */
+  const prove = async () => {
+    const sentAt = clock.elapsed();
+    if (!(await follow())) return;
+    const probe = probes.findPending(state.claim.epoch);
+    // The sender of a probe waits only for proofs from before it, so that later ones have to be visible to it.
+    if (probe && isHeld()) await answerProbe(probe);
+    else recordProof(sentAt);
+  };
+
+  /** Whether a holder has said that it sends no more orders. */
+  const hasStopped = (holder: Incarnation): boolean =>
+    peers.isLeaving(holder) && peers.remainingLeaseMs(holder) === 0;
+
+  /** Whether a box may still send orders as the holder, so that its earlier proofs have to expire first. */
+  const mayStillOrder = (holder: Incarnation): boolean => {
+    if (holder === releasedHolder || holder === self) return false;
+    return !peers.isOwnEarlierIncarnation(holder) && !hasStopped(holder);
   };
 
   /** Returns the time until which any earlier holder may send orders. */
   const earlierHoldersOrderUntil = (): Milliseconds => {
-    const known = [state.claim.holder, state.lostHolder].filter((holder) => holder !== undefined);
-    // The store may have lost a claim that this box has never observed.
-    const unknownUntil =
-      state.generation > 0 ? state.generationSeenAt + uncontactedHolderMs : -Infinity;
-    return Math.max(unknownUntil, ...known.map(holderOrdersUntil));
+    const { claim, generation, generationSeenAt } = state;
+    // The store may have lost a claim, and its holder sends orders until it reads the store again.
+    const lostUntil = generation > 0 ? generationSeenAt + proofValidMs : -Infinity;
+    if (!mayStillOrder(claim.holder)) return lostUntil;
+    const probedAt = probes.findPending(claim.epoch)?.seenAt ?? clock.now();
+    return Math.max(lostUntil, probedAt + proofValidMs);
+  };
+
+  /** When this box may claim the lease of a holder that does not answer the probe. Orders follow only later. */
+  const claimableAt = (probe: HolderProbe): Milliseconds =>
+    probe.seenAt + proofValidMs - claimNoticeMs;
+
+  /** Whether the holder, as far as the stream has been read, has ended or has left a probe unanswered for long enough. */
+  const mayClaim = (): boolean => {
+    if (!mayStillOrder(state.claim.holder)) return true;
+    const probe = probes.findPending(state.claim.epoch);
+    return probe !== undefined && clock.now() >= claimableAt(probe);
+  };
+
+  /** Reads whether the holder has answered a pending probe; appends one if there is none. */
+  const probeHolder = async () => {
+    if (!(await follow())) return;
+    const { holder, epoch } = state.claim;
+    if (!mayStillOrder(holder)) return;
+    if (probes.findPending(epoch)) return;
+    const record = encodeProbe(epoch, peers.countHeardWithin(options.holderTimeoutMs));
+    const offset = await appendNext(record.key, record.value);
+    if (offset === undefined) return;
+    probes.apply({ ...record, offset });
+    logger.event("leaseProbed", { pool: leaseKey, epoch, holder });
   };
 
   /** Records a claim that succeeded, with what decided it. */
@@ -223,28 +323,24 @@
       if (batch.generation > state.generation) startGeneration(batch.generation);
       if (batch.generation === state.generation) applyBatch(batch);
     });
-    // Another box has claimed the lease since.
-    if (state.claim.epoch !== epochBefore && state.claim.holder !== releasedHolder) return;
-    const { generation, nextOffset } = state;
+    // An own claim whose response was lost is found by this read.
+    if (state.claim.epoch !== epochBefore && state.claim.holder === self) return;
+    // Another box has claimed the lease since, or the holder has renewed it.
+    if (!mayClaim()) return;
+    const { generation } = state;
+    const previousHolder = state.claim.holder;
+    const isFirst = state.claim.epoch === noClaimEpoch && generation === 0;
     const sentAt = clock.elapsed();
     const previousHoldersOrderUntil = earlierHoldersOrderUntil();
-    const appended = await stream.put(leaseKey, self, nextOffset);
-    appended.ifRight((position) => {
-      // The store has come back from an older copy meanwhile: the claim is found, and its time determined, by reading.
-      if (position.generation !== generation) return;
-      const previousHolder = state.claim.holder;
-      const isFirst = state.claim.epoch === noClaimEpoch && generation === 0;
-      const epoch = epochOf(generation, position.offset);
-      applyClaim({ holder: self, epoch });
-      state.lostHolder = undefined;
-      state.nextOffset = position.offset + 1;
-      state.provenUntil = sentAt + options.leaseMs;
-      state.ordersFrom = isFirst
-        ? clock.now()
-        : Math.max(clock.now() + claimNoticeMs, previousHoldersOrderUntil);
-      recordTaken(reason, previousHolder);
-      peers.announceClaim();
-    });
+    const offset = await appendNext(leaseKey, self);
+    if (offset === undefined) return;
+    applyClaim({ holder: self, epoch: epochOf(generation, offset) });
+    state.provenUntil = sentAt + proofValidMs;
+    state.ordersFrom = isFirst
+      ? clock.now()
+      : Math.max(clock.now() + claimNoticeMs, previousHoldersOrderUntil);
+    recordTaken(reason, previousHolder);
+    peers.announceClaim();
   };
 
   /**
@@ -254,32 +350,25 @@
   const giveUp = async () => {
     if (state.claim.holder !== self) return;
     state.endedEpoch = Math.max(state.endedEpoch, state.claim.epoch);
-    await prove();
-    const { generation, nextOffset } = state;
-    if (state.claim.holder !== self || nextOffset === undefined) return;
-    const appended = await stream.put(leaseKey, releasedHolder, nextOffset);
-    appended.ifRight((position) => {
-      // The store has come back from an older copy meanwhile: the record is found by reading.
-      if (position.generation !== generation) return;
-      applyClaim({ holder: releasedHolder, epoch: epochOf(generation, position.offset) });
-      state.nextOffset = position.offset + 1;
-      logger.event("leaseReleased", { pool: leaseKey, reason: "cut off from all targets" });
-      peers.announceClaim();
-    });
+    await follow();
+    if (state.claim.holder === self) await yieldLease("cut off from all targets");
   };
 
   /** Proves the lease when due; after a rejected order, claims it again unless another box holds it. */
   const renew = async () => {
     if (isHeld() && clock.elapsed() - state.provenAt < options.leaseMs / proofsPerLease) return;
     await prove();
-    if (state.claim.holder === self && !isHeld()) await claim("own claim has ended");
+    if (state.claim.holder !== self || isHeld()) return;
+    const probe = probes.findPending(state.claim.epoch);
+    if (probe && isBetterConnected(probe)) return yieldLease("another box hears more boxes");
+    await claim("own claim has ended");
   };
 
   /** Whether a holder that still sends messages can no longer prove its lease. */
   const hasLostStore = (holder: Incarnation): boolean => {
-    const sinceClaim = clock.now() - state.claimObservedAt;
-    if (sinceClaim < options.leaseMs) return false;
-    return peers.remainingLeaseMs(holder) < options.leaseMs * minRemainingShare;
+    const confirmedAt = Math.max(state.claimObservedAt, probes.answeredAt(state.claim.epoch));
+    if (clock.now() - confirmedAt < options.leaseMs) return false;
+    return peers.remainingLeaseMs(holder) < proofValidMs * minRemainingShare;
   };
 
   /** Why the lease can be claimed; undefined while the holder is presumed to keep it. */
@@ -294,7 +383,8 @@
     if (sinceLastMessageMs !== undefined && hasLostStore(holder)) {
       return "holder has lost the store";
     }
-    const silentMs = clock.now() - state.holderLastSeenAt;
+    const lastSeenAt = Math.max(state.holderLastSeenAt, probes.answeredAt(state.claim.epoch));
+    const silentMs = clock.now() - lastSeenAt;
     return silentMs > options.holderTimeoutMs ? "holder is silent" : undefined;
   };
 
@@ -314,9 +404,14 @@
       return;
     }
     state.holderGoneSince ??= clock.now();
-    const claimAt = state.holderGoneSince + peers.rank() * options.rankStepMs;
-    if (clock.now() < claimAt) return;
-    await claim(reason);
+    // A former holder that claimed at once would take turns at sending orders with the box that replaced it.
+    const claimFrom = Math.max(
+      state.holderGoneSince + peers.rank() * options.rankStepMs,
+      state.lostAt + options.leaseMs,
+    );
+    if (clock.now() < claimFrom) return;
+    if (!mayClaim()) await probeHolder();
+    if (mayClaim()) await claim(reason);
   };
 
   const loop = repeatEvery(clock, kernel.find(randomName), options.checkMs, check);
@@ -335,15 +430,15 @@
     },
     remainingLeaseMs() {
       if (!isHeld() || stopping) return 0;
-      if (peers.isStoreDownForAll()) return options.leaseMs;
+      if (peers.isStoreDownForAll()) return proofValidMs;
       return Math.max(0, Math.round(state.provenUntil - clock.elapsed()));
     },
     async release() {
       const wasHeld = isHeld();
       stopping = true;
-      if (!wasHeld || state.nextOffset === undefined) return;
-      await stream.put(leaseKey, releasedHolder, state.nextOffset);
-      logger.event("leaseReleased", { pool: leaseKey });
+      if (!wasHeld || (await appendRelease("the box is stopping"))) return;
+      await follow();
+      if (state.claim.holder === self) await appendRelease("the box is stopping");
     },
     start: loop.start,
     stop: async () => {
