Let an expired lease stay expired in an outage of the store

Two boxes could order at a time: a holder whose proof had expired sent orders again as soon as all boxes that it heard were without the store, although another box, cut off from these, had claimed the lease meanwhile.

Cause: the exception for an outage of the store was asked instead of the validity of the proof, not in addition to it, so that it revived a lease long after it had lapsed.

Change: in an outage a valid proof is kept valid; one that has expired needs a read. Engines that fence are excepted, as they reject the former holder's orders.

--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -202,3 +202,17 @@
   # Guards against a former holder that sends orders until it has read the new claim, as engines reject them anyway.
   Scenario: No two boxes may send orders at once, with engines that fence and all disturbances
     Then for 40 seeds with engines that fence and all disturbances no two boxes may send orders at once
+
+  # Guards against orders under an expired lease that another box has claimed out of sight.
+  Scenario: A holder whose lease has expired does not send orders again when no box that it hears reaches the store
+    Given boxes "a b c d" that are connected to each other and to the store
+    And "a" holds the lease
+    When "a" is cut off from the other boxes
+    And "d" is cut off from the other boxes
+    And the store refuses "a"
+    And the store refuses "b"
+    And the store refuses "c"
+    Then within 12 s another box may give orders under a higher epoch
+    When "a" is connected to the other boxes again
+    And 1 s go by
+    Then only "d" may send orders
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -188,6 +188,22 @@
     });
   };
 
+  /**
+   * Whether this box's proof is valid. In an outage of the store, engines that fence reject its orders if another box has claimed
+   * the lease after all, so that an expired proof is enough for them.
+   */
+  const isProven = (): boolean => {
+    if (clock.elapsed() < state.provenUntil) return true;
+    return options.enginesFence && peers.isStoreDownForAll();
+  };
+
+  /** Keeps a valid proof valid while no box reaches the store. An expired one stays expired, as others may have claimed since. */
+  const keepProofInOutage = () => {
+    const isValid = clock.elapsed() < state.provenUntil;
+    if (isHeld() && isValid && peers.isStoreDownForAll())
+      state.provenUntil = clock.elapsed() + proofValidMs;
+  };
+
   /** Records that the stream had no newer claim at `sentAt`. */
   const recordProof = (sentAt: Milliseconds) => {
     state.provenAt = sentAt;
@@ -393,6 +409,7 @@
     checkedAt = clock.now();
     if (stopping) return;
     if (peers.isCutOffFromEngines()) return giveUp();
+    keepProofInOutage();
     if (state.claim.holder === self) return renew();
     // An earlier incarnation of this box has certainly ended, so there is no need to wait.
     if (peers.isOwnEarlierIncarnation(state.claim.holder)) {
@@ -419,8 +436,7 @@
     epoch() {
       const now = clock.now();
       if (!isHeld() || stopping || now < state.ordersFrom) return undefined;
-      if (clock.elapsed() >= state.provenUntil && !peers.isStoreDownForAll()) return undefined;
-      return state.claim.epoch;
+      return isProven() ? state.claim.epoch : undefined;
     },
     observedLease: () => (state.claim.epoch === noClaimEpoch ? undefined : state.claim),
     observe: applyClaim,
@@ -430,7 +446,7 @@
     },
     remainingLeaseMs() {
       if (!isHeld() || stopping) return 0;
-      if (peers.isStoreDownForAll()) return proofValidMs;
+      if (isProven() && peers.isStoreDownForAll()) return proofValidMs;
       return Math.max(0, Math.round(state.provenUntil - clock.elapsed()));
     },
     async release() {
