--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -216,3 +216,10 @@
     When "a" is connected to the other boxes again
     And 1 s go by
     Then only "d" may send orders
+
+  Scenario: A box that reads of a new holder does not take it for silent at once
+    Given "a" holds the lease
+    When "c" is cut off from the other boxes
+    And "a" falls silent
+    Then within 8 s another box may give orders under a higher epoch
+    And the store has no probe of that holder
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -540,6 +540,17 @@
   },
 );
 
+Then("the store has no probe of that holder", function (this: object) {
+  const scene = sceneOf(this);
+  const epoch = holders(scene)[0].lease.epoch();
+  const probes = scene.store.records().filter(({ key }) => key === "probe");
+  assert.ok(probes.length > 0);
+  assert.deepEqual(
+    probes.filter(({ value }) => value?.startsWith(`${epoch} `)),
+    [],
+  );
+});
+
 Then("the store has a claim again", async function (this: object) {
   const { store } = sceneOf(this);
   assert.ok(store.records().length > 0);
