Check in the soak that a holder in touch keeps the order lease

The soak of real processes judged one order giver for each epoch only, so that a lease that went from one live box to another and back broke nothing. It now checks that no box claims the lease of a holder that is in touch and has not released it, and that boxes in touch do not take turns at an engine.

--- a/packages/process-soak/src/invariant-checks.feature
+++ b/packages/process-soak/src/invariant-checks.feature
@@ -52,6 +52,30 @@
     Given an order from "b3" in epoch 5 at "e2"
     Then the check "one order giver" reports "epoch 5"
 
+  Scenario: Two lease holders take turns at one engine
+    Given an order from "b1" in epoch 4 at "e1" after 0 ms
+    And an order from "b2" in epoch 5 at "e1" after 1000 ms
+    And an order from "b1" in epoch 6 at "e2" after 1500 ms
+    And an order from "b1" in epoch 6 at "e1" after 3100 ms
+    Then the check "no turns" passes
+    Given an order from "b2" in epoch 7 at "e1" after 3500 ms
+    Then the check "no turns" reports "b2, b1 and b2 within 2500 ms"
+
+  Scenario: Two lease holders take turns while one of them is disturbed
+    Given an order from "b3" in epoch 4 at "e1" after 0 ms
+    And an order from "b2" in epoch 5 at "e1" after 100 ms
+    And an order from "b3" in epoch 6 at "e1" after 300 ms
+    Then the check "no turns" passes
+
+  Scenario: A box claims the lease of a holder in touch
+    Given "b1" claims the lease after 0 ms
+    And the lease is released after 100 ms
+    And "b3" claims the lease after 200 ms
+    And "b2" claims the lease after 300 ms
+    Then the check "holders keep the lease" passes
+    Given "b1" claims the lease after 900 ms
+    Then the check "holders keep the lease" reports "b1 claimed it from b2"
+
   Scenario: An incarnation of a box loses its configuration
     Given a probe of "b1" in life 1 that knows version 3
     And a probe of "b1" in life 2 that does not know version 3
--- a/packages/process-soak/src/invariant-checks.steps.ts
+++ b/packages/process-soak/src/invariant-checks.steps.ts
@@ -13,6 +13,9 @@
   checkNoForgedHeaders,
   checkNoConfigurationRollback,
   checkRejectedNotRun,
+  checkHoldersKeepLease,
+  checkNoTurns,
+  type LeaseRecord,
   checkOneHolderPerEpoch,
   checkCompleteAnswers,
   checkContinuousStreams,
@@ -31,6 +34,7 @@
   readonly outcomes: Outcome[];
   readonly runs: TargetRun[];
   readonly orders: ReceivedOrder[];
+  readonly leaseRecords: LeaseRecord[];
   readonly probes: RouteProbe[];
   readonly cutBoxes: Set<string>;
 }
@@ -42,6 +46,7 @@
     outcomes: [],
     runs: [],
     orders: [],
+    leaseRecords: [],
     probes: [],
     cutBoxes: new Set(),
   };
@@ -161,6 +166,28 @@
   },
 );
 
+Given(
+  "an order from {string} in epoch {int} at {string} after {int} ms",
+  function (this: object, holder: string, epoch: number, engine: string, at: number) {
+    stateOf(this).orders.push({ engine, holder, epoch, at });
+  },
+);
+
+Given(
+  "{string} claims the lease after {int} ms",
+  function (this: object, holder: string, at: number) {
+    stateOf(this).leaseRecords.push({ holder, at });
+  },
+);
+
+Given("the lease is released after {int} ms", function (this: object, at: number) {
+  stateOf(this).leaseRecords.push({ at });
+});
+
+/** Disturbs box b3 until shortly before the orders of the scenario. */
+const contactRecord = { disruptions: [{ subject: "b3", from: -500, until: -100 }], contactMs: 500 };
+const leaseMs = 3_000;
+
 Given(
   /^a probe of "(.*)" in life (\d+) that (knows|does not know) version (\d+)$/,
   function (this: object, box: string, incarnation: string, knows: string, version: string) {
@@ -195,6 +222,9 @@
   "requests belong to accounts": ({ outcomes, runs }) =>
     checkAccountsOfRuns(outcomes, runs, ["key"]),
   "one order giver": ({ orders }) => checkOneHolderPerEpoch(orders),
+  "holders keep the lease": ({ leaseRecords }) =>
+    checkHoldersKeepLease(leaseRecords, contactRecord),
+  "no turns": ({ orders }) => checkNoTurns(orders, contactRecord, leaseMs),
   "a configuration does not revert": ({ probes }) =>
     checkNoConfigurationRollback(probes, () => Infinity),
   "a leaving target gets nothing new": ({ runs }) => checkDraining(runs, "p1", drainedAt),
--- a/packages/process-soak/src/tests/invariant-checks.ts
+++ b/packages/process-soak/src/tests/invariant-checks.ts
@@ -1,4 +1,5 @@
 /** Invariants that a soak test checks, as pure functions of what callers and targets recorded. */
+import type { Disruption } from "./planned-stop-checks.js";
 
 /** The result of a request as its caller observed it. Times are in milliseconds. */
 export interface Outcome {
@@ -170,6 +171,71 @@
   });
 }
 
+/** When boxes were not in touch: not running undisturbed, or without the store. */
+export interface ContactRecord {
+  /** Disruptions of a box, or of all boxes if the subject is `all`. */
+  readonly disruptions: readonly Disruption[];
+  /** Time after a disruption until a box counts as in touch again. */
+  readonly contactMs: number;
+}
+
+/** A record on who holds the order lease. */
+export interface LeaseRecord {
+  /** Name of the box; absent if the lease was released. */
+  readonly holder?: string;
+  readonly at: number;
+}
+
+function isInTouch({ disruptions, contactMs }: ContactRecord, box: string, time: number): boolean {
+  return !disruptions.some(
+    ({ subject, from, until }) =>
+      (subject === box || subject === "all") && time >= from && time <= until + contactMs,
+  );
+}
+
+/** Checks that no other box claims the lease of a holder that is in touch, unless the holder has released it. */
+export function checkHoldersKeepLease(
+  records: readonly LeaseRecord[],
+  contact: ContactRecord,
+): readonly Finding[] {
+  return records.flatMap(({ holder, at }, index) => {
+    const former = records[index - 1]?.holder;
+    const isTaken = former !== undefined && holder !== undefined && holder !== former;
+    if (!isTaken || !isInTouch(contact, former, at)) return [];
+    return [
+      {
+        promise: "a holder in touch keeps the lease",
+        detail: `${holder} claimed it from ${former}`,
+      },
+    ];
+  });
+}
+
+/** Checks that no box sends an engine orders again within the lease time after which another box did, while both are in touch. */
+export function checkNoTurns(
+  orders: readonly ReceivedOrder[],
+  contact: ContactRecord,
+  leaseMs: number,
+): readonly Finding[] {
+  const counted = orders
+    .filter(({ holder, at }) => isInTouch(contact, holder, at))
+    .sort((left, right) => left.at - right.at);
+  return counted.flatMap((order, index) => {
+    const before = counted
+      .slice(0, index)
+      .filter(({ engine, at }) => engine === order.engine && order.at - at <= leaseMs);
+    const own = before.findIndex(({ holder }) => holder === order.holder);
+    const other = before.findLast(({ holder }) => holder !== order.holder);
+    if (own < 0 || !other || before.indexOf(other) < own) return [];
+    return [
+      {
+        promise: "no turns of order givers",
+        detail: `${order.engine} received orders from ${order.holder}, ${other.holder} and ${order.holder} within ${Math.round(order.at - before[own].at)} ms`,
+      },
+    ];
+  });
+}
+
 /** Checks that an incarnation of a box does not lose a configuration version before it is replaced. */
 export function checkNoConfigurationRollback(
   probes: readonly RouteProbe[],
