Ask for the lease again immediately before an order is written

An engine could receive an order of a box that no longer held the lease, after or between orders of its successor. runCycle takes the epoch once, and the engine client queued the bytes at once: they went out whenever the connection was established, up to the call's time limit of 700 ms later, although a successor may order 300 ms after its claim. The same held for the rest of a cycle and a busy event loop.

The port's `order` now takes `isPermitted`, which the client asks on the established connection, in the same turn as the write; requests are written no earlier. An order that is refused this way was not written: its result is `withheld`, and the last order of the move, the count of store loads and the unconfirmed adapter order are restored. It is counted (linkfall_orders_withheld_total) and logged (orderWithheld, 4022). orderAnswered tells leaseLeftMs and waitedMs.

Without restoring the state the scenarios on orders sent again fail, without taking back the load the one on the store load limit.

--- a/packages/explain-request/src/index.ts
+++ b/packages/explain-request/src/index.ts
@@ -33,6 +33,7 @@
   "moveBegun",
   "moveEnded",
   "orderAnswered",
+  "orderWithheld",
 ]);
 
 /** Event of a box that enforces a fallback limit because no box that grants the quota responds. */
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -200,6 +200,11 @@
   ),
   targetGone: event(4014, "info", "A target is considered gone."),
   orderAnswered: event(4015, "info", "An engine replied to an order, or the order timed out."),
+  orderWithheld: event(
+    4022,
+    "info",
+    "An order was not sent to its engine, as the lease under which it was decided had ended.",
+  ),
   moveBegun: event(4016, "info", "A swap of models on an engine has started."),
   moveEnded: event(4017, "info", "A swap of models on an engine has ended."),
   targetStartedAgain: event(
--- a/packages/ports/src/routed-ports.ts
+++ b/packages/ports/src/routed-ports.ts
@@ -73,5 +73,9 @@
 /** Polls the state of engines and sends them orders. */
 export interface RoutedEnginePort {
   readState(target: ListedTarget): Promise<Either<TargetUnreachable, EngineState>>;
-  order(target: ListedTarget, order: FencedOrder): Promise<OrderResult>;
+  /**
+   * Sends the order. `isPermitted` is asked on the established connection, immediately before the order is written; if it
+   * returns false, nothing is written.
+   */
+  order(target: ListedTarget, order: FencedOrder, isPermitted: () => boolean): Promise<OrderResult>;
 }
--- a/packages/weight-orders/src/send-order.ts
+++ b/packages/weight-orders/src/send-order.ts
@@ -74,11 +74,42 @@
   context.notifyPeers();
 }
 
+/** When an order was handed to the engine client, and when it was written. */
+interface OrderTiming {
+  readonly handedOverAt: Milliseconds;
+  /** Lease time that was left at `handedOverAt`. */
+  readonly leaseLeftMs: Milliseconds;
+  /** When the client asked whether it may write the order; undefined if no connection was established. */
+  writableAt?: Milliseconds;
+}
+
+/** Describes how much lease time was left for an order, and how long it waited for its connection. */
+function describeTiming({ handedOverAt, leaseLeftMs, writableAt }: OrderTiming) {
+  const waitedMs = writableAt === undefined ? undefined : Math.round(writableAt - handedOverAt);
+  return { leaseLeftMs, waitedMs };
+}
+
+function recordWithheld(
+  { logger, metrics }: DispatcherContext,
+  id: string,
+  { action, model, adapter, epoch }: FencedOrder,
+  timing: OrderTiming,
+): void {
+  metrics.count(
+    "linkfall_orders_withheld_total",
+    "Orders that were not sent as the lease had ended.",
+    { action },
+  );
+  const detail = { target: id, action, model, adapter, epoch, ...describeTiming(timing) };
+  logger.event("orderWithheld", detail);
+}
+
 function recordAnswer(
   { logger, metrics }: DispatcherContext,
   id: string,
   order: FencedOrder,
   answer: string,
+  timing: OrderTiming,
 ) {
   metrics.count("linkfall_orders_total", "Orders sent to engines, by answer.", {
     action: order.action,
@@ -92,6 +123,7 @@
     expected: order.expectedSequence,
     epoch: order.epoch,
     answer,
+    ...describeTiming(timing),
   });
 }
 
@@ -123,24 +155,51 @@
   endMove(context, id, answer);
 }
 
-/** Records an order before it is sent, which prevents conflicting orders while it is pending. */
-function recordSentOrder(context: DispatcherContext, id: string, order: FencedOrder): void {
-  const { state, clock, rules } = context;
-  const now = clock.now();
-  if (order.adapter !== undefined) {
-    const key = `${order.model}/${order.adapter}`;
-    const sequenceBefore = order.expectedSequence;
-    state.unconfirmedAdapterOrders.set(id, {
-      key,
-      sequenceBefore,
-      expiresAt: now + rules.resendAfterMs,
-    });
-    return;
-  }
+/**
+ * Records an adapter order before it is sent. Returns a function that restores the state if the order
+ * was not sent.
+ */
+function recordAdapterOrder(
+  { state, clock, rules }: DispatcherContext,
+  id: string,
+  order: FencedOrder,
+): () => void {
+  const previous = state.unconfirmedAdapterOrders.get(id);
+  const unconfirmed = {
+    key: `${order.model}/${order.adapter}`,
+    sequenceBefore: order.expectedSequence,
+    expiresAt: clock.now() + rules.resendAfterMs,
+  };
+  state.unconfirmedAdapterOrders.set(id, unconfirmed);
+  return () => {
+    if (state.unconfirmedAdapterOrders.get(id) !== unconfirmed) return;
+    if (previous) state.unconfirmedAdapterOrders.set(id, previous);
+    else state.unconfirmedAdapterOrders.delete(id);
+  };
+}
+
+/**
+ * Records the order of a move before it is sent. Returns a function that restores the state if the
+ * order was not sent.
+ */
+function recordMoveOrder(
+  { state, clock }: DispatcherContext,
+  id: string,
+  order: FencedOrder,
+): () => void {
   const activeMove = state.activeMoves.get(id);
-  if (!activeMove) return;
+  if (!activeMove) return () => undefined;
+  const { lastOrder: previousOrder } = activeMove;
+  const now = clock.now();
+  const isStoreLoad = activeMove.move.source === "store" && order.action === "load";
   activeMove.lastOrder = { order, sentAt: now, accepted: false };
-  if (activeMove.move.source === "store" && order.action === "load") state.storeLoads.record(now);
+  if (isStoreLoad) state.storeLoads.record(now);
+  return () => {
+    // The move and its loads no longer count after a change of the lease term.
+    if (state.activeMoves.get(id) !== activeMove || activeMove.lastOrder?.order !== order) return;
+    activeMove.lastOrder = previousOrder;
+    if (isStoreLoad) state.storeLoads.removeLast();
+  };
 }
 
 /** Predicts the engine state after an accepted order. */
@@ -197,14 +256,17 @@
   });
 }
 
-/** Sends the order with the given epoch; the engine is polled if it does not accept the order. */
+/**
+ * Sends the order with the given epoch, unless the lease ends before it can be written; the engine is
+ * polled if it does not accept the order.
+ */
 export async function sendOrder(
   context: DispatcherContext,
   target: TargetView,
   plannedOrder: PlannedOrder,
   epoch: Epoch,
 ): Promise<void> {
-  const { state, engines, self } = context;
+  const { state, engines, self, lease, clock } = context;
   const { id } = target.listed;
   const { order: weightOrder, expectedSequence } = plannedOrder;
   const engineShape = engineShapeOf(context, target);
@@ -216,12 +278,28 @@
   );
   const order: FencedOrder = { ...weightOrder, expectedSequence, epoch, holder: self };
   const previousOrder = state.activeMoves.get(id)?.lastOrder;
-  recordSentOrder(context, id, order);
+  // Orders that conflict with this one are not sent while it is pending.
+  const restoreState =
+    order.adapter === undefined
+      ? recordMoveOrder(context, id, order)
+      : recordAdapterOrder(context, id, order);
   state.pendingOrders.add(id);
-  const answer = await engines.order(target.listed, order);
+  const timing: OrderTiming = {
+    handedOverAt: clock.now(),
+    leaseLeftMs: lease.remainingLeaseMs(),
+  };
+  const isPermitted = () => {
+    timing.writableAt = clock.now();
+    return lease.epoch() === epoch;
+  };
+  const answer = await engines.order(target.listed, order, isPermitted);
   state.pendingOrders.delete(id);
-  recordAnswer(context, id, order, answer);
-  if (answer === "fenced") context.lease.recordRefusal(order.epoch);
+  if (answer === "withheld") {
+    restoreState();
+    return recordWithheld(context, id, order, timing);
+  }
+  recordAnswer(context, id, order, answer, timing);
+  if (answer === "fenced") lease.recordRefusal(order.epoch);
   if (context.fleet.find(id) !== target) return;
   const activeMove = state.activeMoves.get(id);
   const wasPredicted = expectedSequence > target.holdings.sequence;
--- a/packages/weight-orders/src/weight-orders.feature
+++ b/packages/weight-orders/src/weight-orders.feature
@@ -37,6 +37,58 @@
     And the dispatcher runs for 3000 ms
     Then no order was sent
 
+  # Guards against orders of two lease holders that take turns at an engine.
+  Scenario: An order whose connection is established only after the lease has ended does not reach its engine
+    Given connections for orders take 400 ms to establish
+    When requests wait for "b"
+    And the dispatcher runs for 300 ms
+    Then 1 order has been handed over
+    When the dispatcher loses the lease
+    And the dispatcher runs for 2000 ms
+    Then no order reached an engine
+    And 1 order is recorded as withheld
+
+  Scenario: An order whose connection is established in a later lease term does not reach its engine
+    Given connections for orders take 400 ms to establish
+    When requests wait for "b"
+    And the dispatcher runs for 300 ms
+    And the dispatcher loses the lease
+    And the dispatcher runs for 200 ms
+    And the dispatcher holds the lease again with epoch 6
+    And the dispatcher runs for 2000 ms
+    Then no order of epoch 4 reached an engine
+    And one engine holds "b" and one holds "a"
+
+  # Guards against waiting for the outcome of an order that was never written.
+  Scenario: An order that was withheld is sent again as soon as the lease allows it
+    Given the next 2 orders are withheld
+    When requests wait for "b"
+    And the dispatcher runs for 600 ms
+    Then an order reached an engine
+
+  Scenario: An adapter order that was withheld is sent again as soon as the lease allows it
+    Given the next 2 orders are withheld
+    When the dispatcher runs for 500 ms
+    And a request waits for adapter "a/x"
+    And the dispatcher runs for 300 ms
+    Then one engine is assumed to hold adapter "a/x"
+
+  Scenario: Loads that were withheld do not count towards the store load limit
+    Given 2 engines "x" of 150 MB that hold no model, and a store limit of 1 loads per second
+    And the next 4 orders are withheld
+    When the dispatcher runs for 6000 ms
+    And requests wait for "a"
+    And the dispatcher runs for 1000 ms
+    And requests wait for "b"
+    And the dispatcher runs for 1500 ms
+    Then one engine holds "a" and one holds "b"
+
+  Scenario: The log tells how much lease time was left for an order and how long it waited
+    Given connections for orders take 400 ms to establish
+    When requests wait for "b"
+    And the dispatcher runs for 1000 ms
+    Then the first answered order had 1000 ms of the lease left and waited 400 ms
+
   Scenario: An order that an engine refuses as fenced ends the lease term
     Given the engines have seen epoch 9
     When requests wait for "b"
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -10,8 +10,8 @@
   seededRandom,
   type VirtualClock,
 } from "@linkfall/kernel";
-import { loggerName, recordingLogger } from "@linkfall/logger";
-import { createMetrics, metricsName } from "@linkfall/metrics";
+import { type EventDetail, type EventName, loggerName, recordingLogger } from "@linkfall/logger";
+import { createMetrics, type Metrics, metricsName } from "@linkfall/metrics";
 import type { ModelDemand } from "@linkfall/model-demand";
 import type { OrderLease } from "@linkfall/order-lease";
 import type { RoutedEnginePort } from "@linkfall/ports";
@@ -30,7 +30,12 @@
 const defaultResponseMs = 5;
 const defaultLoadMs = 200;
 
-type OrderOutcome = "accepted" | "lost" | { readonly lateMs: number };
+type OrderOutcome = "accepted" | "lost" | "withheld" | { readonly lateMs: number };
+
+interface LoggedEvent {
+  readonly name: EventName;
+  readonly detail: EventDetail;
+}
 
 /** A simulated engine: accepts one order at a time, with a matching sequence. */
 interface FakeEngine {
@@ -54,7 +59,12 @@
   readonly clock: VirtualClock;
   readonly engines: FakeEngine[];
   readonly fleet: Fleet;
+  /** Orders handed to the port. */
   readonly orders: { readonly at: number; readonly order: FencedOrder }[];
+  /** Orders that an engine has received. */
+  readonly arrivedOrders: FencedOrder[];
+  readonly logged: LoggedEvent[];
+  readonly metrics: Metrics;
   readonly outcomes: OrderOutcome[];
   readonly refusedEpochs: number[];
   readonly storeLoadTimes: number[];
@@ -68,6 +78,8 @@
   reportAgeMs: number;
   /** Response time of engines. */
   responseMs: number;
+  /** Time to establish a connection for an order. */
+  connectMs: number;
   modelNames: readonly string[];
   /** Models cached on the disk of every engine. */
   onDisk: readonly string[];
@@ -113,6 +125,7 @@
 /** Executes an order, unless the engine refuses it. */
 function executeOrder(scene: Scene, engine: FakeEngine, order: FencedOrder): OrderResult {
   const now = scene.clock.now();
+  scene.arrivedOrders.push(order);
   if (order.epoch < engine.lastSeenEpoch) return "fenced";
   engine.lastSeenEpoch = order.epoch;
   if (now < engine.busyUntil || order.expectedSequence !== engine.sequence) return "conflict";
@@ -183,9 +196,11 @@
         leaving: false,
       });
     },
-    async order({ id }, order) {
+    async order({ id }, order, isPermitted) {
       scene.orders.push({ at: clock.now(), order });
       const outcome = scene.outcomes.shift() ?? "accepted";
+      if (scene.connectMs > 0) await after(scene.connectMs);
+      if (!isPermitted() || outcome === "withheld") return "withheld";
       await after(scene.responseMs);
       const engine = find(id);
       if (!engine) return "gone";
@@ -225,12 +240,14 @@
 ): Scene {
   const clock = createVirtualClock();
   const kernel = createKernel();
+  const logged: LoggedEvent[] = [];
   kernel.provide(clockName, clock);
   kernel.provide(randomName, seededRandom(1));
-  kernel.provide(metricsName, createMetrics());
+  const metrics = createMetrics();
+  kernel.provide(metricsName, metrics);
   kernel.provide(
     loggerName,
-    recordingLogger(() => undefined),
+    recordingLogger((name, detail) => logged.push({ name, detail })),
   );
   const fleet = createFleet(kernel, {
     lapse: { graceMs: 1_600, minShare: 0.3, returnMs: 2_200 },
@@ -254,6 +271,9 @@
       exceededMemory: false,
     })),
     orders: [],
+    arrivedOrders: [],
+    logged,
+    metrics,
     outcomes: [],
     refusedEpochs: [],
     storeLoadTimes: [],
@@ -263,6 +283,7 @@
     loadMs: defaultLoadMs,
     reportAgeMs: 0,
     responseMs: defaultResponseMs,
+    connectMs: 0,
     modelNames,
     onDisk: modelNames,
   };
@@ -321,6 +342,17 @@
   },
 );
 
+Given("the next {int} orders are withheld", function (this: object, count: number) {
+  for (let index = 0; index < count; index++) sceneOf(this).outcomes.push("withheld");
+});
+
+Given(
+  "connections for orders take {int} ms to establish",
+  function (this: object, connectMs: number) {
+    sceneOf(this).connectMs = connectMs;
+  },
+);
+
 Given("the dispatcher loses the lease", function (this: object) {
   sceneOf(this).epoch = undefined;
 });
@@ -481,6 +513,43 @@
   assert.equal(sceneOf(this).orders.length, 0);
 });
 
+Then("{int} order has been handed over", function (this: object, count: number) {
+  assert.equal(sceneOf(this).orders.length, count);
+});
+
+Then("no order reached an engine", function (this: object) {
+  assert.deepEqual(sceneOf(this).arrivedOrders, []);
+});
+
+Then("an order reached an engine", function (this: object) {
+  assert.ok(sceneOf(this).arrivedOrders.length > 0);
+});
+
+Then("no order of epoch {int} reached an engine", function (this: object, epoch: number) {
+  const ofEpoch = sceneOf(this).arrivedOrders.filter((order) => order.epoch === epoch);
+  assert.deepEqual(ofEpoch, []);
+});
+
+const loggedAs = ({ logged }: Scene, name: EventName) =>
+  logged.filter((entry) => entry.name === name);
+
+Then("{int} order is recorded as withheld", function (this: object, count: number) {
+  const scene = sceneOf(this);
+  assert.equal(loggedAs(scene, "orderWithheld").length, count);
+  assert.equal(loggedAs(scene, "orderAnswered").length, 0);
+  const labels = { action: "unload" };
+  assert.equal(scene.metrics.counterValue("linkfall_orders_withheld_total", labels), count);
+});
+
+Then(
+  "the first answered order had {int} ms of the lease left and waited {int} ms",
+  function (this: object, leaseLeftMs: number, waitedMs: number) {
+    const [answered] = loggedAs(sceneOf(this), "orderAnswered");
+    assert.equal(answered.detail.leaseLeftMs, leaseLeftMs);
+    assert.equal(answered.detail.waitedMs, waitedMs);
+  },
+);
+
 Then("the lease is notified that epoch {int} was refused", function (this: object, epoch: number) {
   assert.ok(sceneOf(this).refusedEpochs.includes(epoch));
 });
