Take no answer whose head ends at a carriage return alone

Callers would get a signed 200 whose body is the rest of the head: "Linkfall-Response- Stamp: s", CR LF, CR, "Content-Length: 2" was read as a whole head with neither length nor chunks, and its other lines, the empty line and the body were passed on as the body, framed as whole. Reports and the answers of the store were read so, too.

The check of responses that all HTTP clients share follows the lines of the heads, before the parser gets the bytes of a read, up to the end of the final head, and reports such an end as no response: the target counts as faulty, a repeatable request goes on at another one, any other gets 502. Bodies are not looked at.

--- a/packages/http-client/src/http-client.feature
+++ b/packages/http-client/src/http-client.feature
@@ -62,3 +62,14 @@
     Given a server that answers with the head "HTTP/1.1 200 OK\r\nX A: a\r\nContent-Length: 11\r\n\r\n"
     When the HTTP client reads its response 2 times
     Then each response is truncated
+
+  # Guards against header sections that Node's parser ends too early, so that a part of the head counts as body.
+  Scenario Outline: A response whose header section ends with a lone carriage return is none, <which>
+    Given a server that answers with the head "<head>"
+    When the HTTP client reads its response 2 times
+    Then each response is truncated
+
+    Examples:
+      | which                | head                                                                                              |
+      | the final one        | HTTP/1.1 200 OK\\r\\nContent-Length: 10\\r\\n\\r                                                    |
+      | an informational one | HTTP/1.1 103 E\\r\\n\\rLink: a\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\nContent-Length: 11\\r\\n\\r\\n |
--- a/packages/http-client/src/http-client.steps.ts
+++ b/packages/http-client/src/http-client.steps.ts
@@ -63,7 +63,7 @@
 });
 
 Given(/^a server that answers with the head "(.*)"$/, async function (this: object, head: string) {
-  const unescaped = head.replaceAll("\\r\\n", "\r\n");
+  const unescaped = head.replaceAll("\\r", "\r").replaceAll("\\n", "\n");
   scenarioState(this).set("address", await listenWithHead(unescaped));
 });
 
--- a/packages/raw-exchange/src/cut-heads.feature
+++ b/packages/raw-exchange/src/cut-heads.feature
@@ -28,7 +28,12 @@
 
     Examples:
       | fault                                       | reads            |
+      | a lone CR before its length                 | in one read      |
+      | a lone CR before its length                 | byte by byte     |
+      | a lone CR before its body                   | in one read      |
+      | a lone CR before its body                   | byte by byte     |
       | a lone CR in an informational head          | in one read      |
+      | a lone CR after an informational head       | in one read      |
       | a lone CR in a header line                  | in one read      |
       | line feeds only                             | in one read      |
       | a length that goes on in the next line      | in one read      |
--- a/packages/response-bounds/src/index.ts
+++ b/packages/response-bounds/src/index.ts
@@ -1,6 +1,7 @@
 /** Checks that what Node's parser accepts is a response: a status that HTTP knows, and bounds on the bytes beside its body. */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { followHeadLines } from "./head-lines.js";
 
 /** Maximum size of a response head, with all informational responses before it. */
 export const maxHeadBytes = 65_536;
@@ -31,8 +32,9 @@
 }
 
 /**
- * Calls `onInvalid` once if the head or the framing of the response exceeds its bound, or if the request ends without any. The
- * check of bounds runs once for each read from the connection, so that one is exceeded by at most one read.
+ * Calls `onInvalid` once if the head or the framing of the response exceeds its bound, if the head does not end with an empty
+ * line, or if the request ends without any. The check of bounds runs once for each read from the connection, so that one is
+ * exceeded by at most one read.
  */
 export function boundResponse(
   request: ClientRequest,
@@ -67,12 +69,23 @@
     if (excess !== undefined) report(excess);
   };
 
+  const headLines = followHeadLines();
+  const checkHead = (bytes: Buffer) => {
+    if (response || reported || !headLines.read(bytes)) return;
+    report("the head ends at a carriage return without a line feed");
+  };
+
   request.once("response", (incoming) => (response = incoming));
   request.once("socket", (socket: Socket) => {
+    // Runs before the parser's listener, which would deliver the response.
+    socket.prependListener("data", checkHead);
     // Runs after the parser's listener, which has delivered the body bytes of the read by then.
     socket.on("data", countRead);
     // The connection may be used for further requests.
-    request.once("close", () => void socket.removeListener("data", countRead));
+    request.once("close", () => {
+      socket.removeListener("data", checkHead);
+      socket.removeListener("data", countRead);
+    });
   });
   // Node closes the connection of a response that switches the protocol, without an error.
   request.once("close", () => {
