Take no answer with a transfer coding other than chunks

Callers would get a signed 200 with the bytes of the coding as its body: with "Transfer-Encoding: chun", as a head that was damaged in its middle has it, the sizes of the chunks stood in the body, and gzip would be passed on without its name. The store took the end of such a connection for a marked end of the answer.

Cause: without chunks as the last coding Node reads to the end of the connection and leaves the coding to the reader (RFC 9112, section 6.3), and the header concerns one connection only, so that it is not passed on. No request names another coding in TE, so no server may use one.

The check of responses that all HTTP clients share reports such a response as none, as its head arrives.

--- a/packages/http-client/src/http-client.feature
+++ b/packages/http-client/src/http-client.feature
@@ -73,3 +73,9 @@
       | which                | head                                                                                              |
       | the final one        | HTTP/1.1 200 OK\\r\\nContent-Length: 10\\r\\n\\r                                                    |
       | an informational one | HTTP/1.1 103 E\\r\\n\\rLink: a\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\nContent-Length: 11\\r\\n\\r\\n |
+
+  # Guards against a body whose end only the coding tells, and which is passed on without the name of the coding.
+  Scenario: A response with a part of a transfer coding is none
+    Given a server that answers with the head "HTTP/1.1 200 OK\r\nTransfer-Encoding: chun\r\n\r\n"
+    When the HTTP client reads its response 2 times
+    Then each response is truncated
--- a/packages/raw-exchange/src/cut-heads.feature
+++ b/packages/raw-exchange/src/cut-heads.feature
@@ -43,6 +43,10 @@
       | two lengths                                 | in one read      |
       | a length and chunks                         | in one read      |
       | no head                                     | in one read      |
+      | a part of the transfer coding               | in one read      |
+      | an empty transfer coding                    | in one read      |
+      | a transfer coding that nobody asked for     | in one read      |
+      | chunks within another transfer coding       | in one read      |
 
   # Guards against checks of the head that take a part of the body for it.
   Scenario Outline: An answer with <bytes> is whole, <reads>
--- a/packages/response-bounds/src/index.ts
+++ b/packages/response-bounds/src/index.ts
@@ -26,6 +26,14 @@
   return maxFramingBytes + (1 + framingBytesPerBodyByte) * bodyBytes;
 }
 
+/** The only transfer coding that a response may have: no request lists others, whose bytes would count as the body. */
+const chunkedCoding = "chunked";
+
+function hasUnknownCoding({ headers }: IncomingMessage): boolean {
+  const coding = headers["transfer-encoding"];
+  return coding !== undefined && coding.toLowerCase() !== chunkedCoding;
+}
+
 export interface ResponseBounds {
   /** Counts bytes of the body that were read from the response. */
   countBody(bytes: number): void;
@@ -33,8 +41,8 @@
 
 /**
  * Calls `onInvalid` once if the head or the framing of the response exceeds its bound, if the head does not end with an empty
- * line, or if the request ends without any. The check of bounds runs once for each read from the connection, so that one is
- * exceeded by at most one read.
+ * line or names a transfer coding other than chunks, or if the request ends without any. The check of bounds runs once for each
+ * read from the connection, so that one is exceeded by at most one read.
  */
 export function boundResponse(
   request: ClientRequest,
@@ -75,7 +83,10 @@
     report("the head ends at a carriage return without a line feed");
   };
 
-  request.once("response", (incoming) => (response = incoming));
+  request.once("response", (incoming) => {
+    response = incoming;
+    if (!reported && hasUnknownCoding(incoming)) report("unknown transfer coding");
+  });
   request.once("socket", (socket: Socket) => {
     // Runs before the parser's listener, which would deliver the response.
     socket.prependListener("data", checkHead);
