Count a stream without an event or a mark of its end as broken off

Cause: the end of a connection is the end of such an answer, and what an event left unfinished is asked for only where there are bytes. An answer on a streaming route is a series of events, so that without any of them nothing speaks for its end.

Such an end is a lost answer: a stream that may be resumed goes on at another target, any other gets 502, or is cut if it has begun, by a reset for callers of HTTP/1.0. An empty stream with a length or a last chunk, 204, 205 and HEAD remain whole.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -9,7 +9,7 @@
 import type { AttemptInput, AttemptResult, StreamPosition } from "./attempt-types.js";
 import { bodyBoundsOf, type BodyBounds } from "./body-bounds.js";
 import { findHeadProblem } from "./response-check.js";
-import { isDeclaredEventStream, isForwardedByEvents } from "./response-content.js";
+import { isDeclaredEventStream, isEndUnmarked, isForwardedByEvents } from "./response-content.js";
 import type { ResponseSink } from "./response-sink.js";
 
 export type * from "./attempt-types.js";
@@ -53,6 +53,7 @@
   let facts: ResponseMetadata | undefined;
   let forwarding = false;
   let hasForwardedEvent = false;
+  let hasReceivedEvent = false;
   let lastBytesAt: Milliseconds | undefined;
   let settled = false;
   let waitingForCaller = false;
@@ -127,6 +128,7 @@
   };
   const splitEvents = (bytes: Buffer) => {
     const events = splitter.push(bytes);
+    hasReceivedEvent ||= events.length > 0;
     countKept();
     if (settled) return [];
     if (splitter.restBytes() <= maxEventBytes) return events;
@@ -232,6 +234,12 @@
           reason: "the stream ended inside an event",
           responseStarted: responseStarted(),
         });
+      if (!hasReceivedEvent && isEndUnmarked(head, input.request.method))
+        return settle({
+          kind: "lost",
+          reason: "the stream ended without an event or a mark of its end",
+          responseStarted: responseStarted(),
+        });
     }
     if (isStream()) {
       if (position.isEventUnfinished)
--- a/packages/forwarding/src/broken-off-answers.feature
+++ b/packages/forwarding/src/broken-off-answers.feature
@@ -54,3 +54,51 @@
     Given a streaming route whose target sends "200 cut stream"
     When a caller asks by HTTP/1.0
     Then the answer is not complete for the caller
+
+  # Guards against a server that ends behind its head: neither an event nor a mark of the end tells that this was all.
+  Scenario Outline: A stream without an event whose end is not marked is broken off, <what>, HTTP/<version>
+    Given a <route> route whose target sends "<answer>"
+    When a caller asks by HTTP/<version>
+    Then the answer is not complete for the caller
+
+    Examples:
+      | what                       | route     | answer                             | version |
+      | nothing behind the head    | streaming | 200 empty stream                   | 1.1     |
+      | nothing behind the head    | streaming | 200 empty stream                   | 1.0     |
+      | no content type            | streaming | 200 nothing without a content type | 1.1     |
+      | a byte order mark          | streaming | 200 stream with a byte order mark  | 1.1     |
+      | status 201                 | streaming | 201 empty stream                   | 1.1     |
+      | on a plain route           | plain     | 200 empty stream                   | 1.1     |
+
+  Scenario Outline: A stream that has begun is not completed by one without an event whose end is not marked, HTTP/<version>
+    Given a streaming route whose target sends "200 stream cut between events"
+    And another target that sends "200 empty stream"
+    When a caller asks by HTTP/<version>
+    Then the answer is not complete for the caller
+
+    Examples:
+      | version |
+      | 1.1     |
+      | 1.0     |
+
+  # Guards against answers being refused that say themselves that nothing follows.
+  Scenario Outline: An answer without an event whose end is known is complete, <answer>, HTTP/<version>
+    Given a <route> route whose target sends "<answer>"
+    When a caller <sends> by HTTP/<version>
+    Then the answer is complete for the caller
+
+    Examples:
+      | route     | answer                          | sends      | version |
+      | streaming | 200 empty chunked stream        | asks       | 1.1     |
+      | streaming | 200 empty chunked stream        | asks       | 1.0     |
+      | streaming | 200 empty stream of length 0    | asks       | 1.1     |
+      | streaming | 204 without content             | asks       | 1.1     |
+      | streaming | 200 empty stream                | sends HEAD | 1.1     |
+      | plain     | 200 nothing up to its end       | asks       | 1.1     |
+      | plain     | 200 nothing up to its end       | asks       | 1.0     |
+
+  Scenario: A stream that has begun is completed by one without an event that ends with a last chunk
+    Given a streaming route whose target sends "200 stream cut between events"
+    And another target that sends "200 empty chunked stream"
+    When a caller asks by HTTP/1.1
+    Then the answer is complete for the caller
--- a/packages/forwarding/src/broken-off-answers.steps.ts
+++ b/packages/forwarding/src/broken-off-answers.steps.ts
@@ -25,6 +25,20 @@
   "200 cut stream": Buffer.from(`${head(200, "text/event-stream")}${stream}id: 3\nda`),
   "201 cut stream": Buffer.from(`${head(201, "text/event-stream")}${stream}id: 3\nda`),
   "200 empty stream": Buffer.from(head(200, "text/event-stream")),
+  "201 empty stream": Buffer.from(head(201, "text/event-stream")),
+  "200 nothing without a content type": Buffer.from("HTTP/1.1 200 x\r\n\r\n"),
+  "200 stream with a byte order mark": Buffer.from(`${head(200, "text/event-stream")}\ufeff`),
+  "200 empty chunked stream": Buffer.from(
+    `${head(200, "text/event-stream", "Transfer-Encoding: chunked\r\n")}0\r\n\r\n`,
+  ),
+  "200 empty stream of length 0": Buffer.from(
+    head(200, "text/event-stream", "Content-Length: 0\r\n"),
+  ),
+  "204 without content": Buffer.from("HTTP/1.1 204 x\r\n\r\n"),
+  "200 nothing up to its end": Buffer.from(head(200, "application/json")),
+  "200 stream cut between events": Buffer.from(
+    `${head(200, "text/event-stream", "Transfer-Encoding: chunked\r\n")}${stream.length.toString(16)}\r\n${stream}\r\n`,
+  ),
   "200 shorter stream": Buffer.from(`${head(200, "text/event-stream")}id: 1\ndata: 1\n\n`),
   "200 cut stream without ids": Buffer.from(
     `${head(200, "text/event-stream")}data: 1\n\ndata: 2\n\nda`,
@@ -102,7 +116,12 @@
 });
 
 /** Tries the targets in turn as long as an attempt is lost, and ends the answer as `forward.ts` does. */
-async function forwardTo(response: ServerResponse, targets: readonly string[], streaming: boolean) {
+async function forwardTo(
+  method: string,
+  response: ServerResponse,
+  targets: readonly string[],
+  streaming: boolean,
+) {
   const sink = createResponseSink(response, () => false);
   const clock = systemClock();
   const position: StreamPosition = {};
@@ -114,7 +133,7 @@
       openExchange: createExchangeOpener(clock, tcpConnector),
       request: {
         address,
-        method: "GET",
+        method,
         path: "/",
         headers: ["Host", "example"],
         body: Buffer.alloc(0),
@@ -141,33 +160,43 @@
   else sink.send(502, [], Buffer.from("{}"));
 }
 
-When(/^a caller asks by HTTP\/(1\.[01])$/, async function (this: object, version: string) {
-  const targets = scenarioState(this).get<string[]>("targets");
-  const streaming = scenarioState(this).get<boolean>("streaming");
-  const server = createServer((_, response) => void forwardTo(response, targets, streaming));
-  closers.push(() => server.close());
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  const chunks: Buffer[] = [];
-  const wasReset = await new Promise<boolean>((resolve) => {
-    const socket = connect(port, "127.0.0.1");
-    socket.write(`GET / HTTP/${version}\r\nHost: x\r\nConnection: close\r\n\r\n`);
-    socket.on("data", (chunk) => chunks.push(chunk));
-    socket.once("error", () => resolve(true));
-    socket.once("end", () => resolve(false));
-  });
-  const text = Buffer.concat(chunks).toString("latin1");
-  const headEnd = text.indexOf("\r\n\r\n") + 2;
-  const isChunked = /transfer-encoding: chunked/i.test(text.slice(0, headEnd));
-  const length = /content-length: (\d+)/i.exec(text.slice(0, headEnd))?.[1];
-  const bodyBytes = text.length - headEnd - 2;
-  const endsByFraming = isChunked
-    ? text.endsWith("\r\n0\r\n\r\n")
-    : length === undefined || bodyBytes === Number(length);
-  const status = Number(text.split(" ")[1]);
-  scenarioState(this).set("complete", !wasReset && endsByFraming && status < 300);
-  scenarioState(this).set("seen", `status ${status}, ${bodyBytes} bytes, reset ${wasReset}`);
-});
+When(
+  /^a caller (asks|sends HEAD) by HTTP\/(1\.[01])$/,
+  async function (this: object, verb: string, version: string) {
+    const isHead = verb === "sends HEAD";
+    const targets = scenarioState(this).get<string[]>("targets");
+    const streaming = scenarioState(this).get<boolean>("streaming");
+    const server = createServer(
+      ({ method = "" }, response) => void forwardTo(method, response, targets, streaming),
+    );
+    closers.push(() => server.close());
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    const chunks: Buffer[] = [];
+    const wasReset = await new Promise<boolean>((resolve) => {
+      const socket = connect(port, "127.0.0.1");
+      socket.write(
+        `${isHead ? "HEAD" : "GET"} / HTTP/${version}\r\nHost: x\r\nConnection: close\r\n\r\n`,
+      );
+      socket.on("data", (chunk) => chunks.push(chunk));
+      socket.once("error", () => resolve(true));
+      socket.once("end", () => resolve(false));
+    });
+    const text = Buffer.concat(chunks).toString("latin1");
+    const headEnd = text.indexOf("\r\n\r\n") + 2;
+    const isChunked = /transfer-encoding: chunked/i.test(text.slice(0, headEnd));
+    const length = /content-length: (\d+)/i.exec(text.slice(0, headEnd))?.[1];
+    const bodyBytes = text.length - headEnd - 2;
+    const endsByFraming = isHead
+      ? bodyBytes === 0
+      : isChunked
+        ? text.endsWith("\r\n0\r\n\r\n")
+        : length === undefined || bodyBytes === Number(length);
+    const status = Number(text.split(" ")[1]);
+    scenarioState(this).set("complete", !wasReset && endsByFraming && status < 300);
+    scenarioState(this).set("seen", `status ${status}, ${bodyBytes} bytes, reset ${wasReset}`);
+  },
+);
 
 Then(/^the answer is (not )?complete for the caller$/, function (this: object, not: string | null) {
   const state = scenarioState(this);
--- a/packages/forwarding/src/response-content.ts
+++ b/packages/forwarding/src/response-content.ts
@@ -4,6 +4,8 @@
 const eventStreamType = "text/event-stream";
 const minSuccess = 200;
 const maxSuccess = 299;
+/** Successes that have no body, whatever their headers. */
+const bodylessStatuses = new Set([204, 205]);
 
 function findHeader({ headers }: ResponseHead, wanted: string): string | undefined {
   const index = headers.findIndex(
@@ -23,9 +25,16 @@
   return type !== undefined && type.startsWith(eventStreamType) && !isEncoded(head);
 }
 
+const isSuccess = ({ status }: ResponseHead) => status >= minSuccess && status <= maxSuccess;
+
+/** Whether the body of a success ends with its connection, so that nothing in the head tells an empty one from one cut off. */
+export function isEndUnmarked(head: ResponseHead, method: string): boolean {
+  const hasBody = method !== "HEAD" && !bodylessStatuses.has(head.status);
+  return hasBody && isSuccess(head) && head.framing === "close";
+}
+
 /** Whether a successful response on a streaming route is forwarded event by event, which it is without a content type too. */
 export function isForwardedByEvents(head: ResponseHead): boolean {
-  const isSuccess = head.status >= minSuccess && head.status <= maxSuccess;
-  if (!isSuccess || isEncoded(head)) return false;
+  if (!isSuccess(head) || isEncoded(head)) return false;
   return findHeader(head, "content-type") === undefined || isDeclaredEventStream(head);
 }
