--- a/packages/forwarding/src/broken-off-answers.feature
+++ b/packages/forwarding/src/broken-off-answers.feature
@@ -102,3 +102,46 @@
     And another target that sends "200 empty chunked stream"
     When a caller asks by HTTP/1.1
     Then the answer is complete for the caller
+
+  # Each answer ends inside its head, so that it says nothing of the stream.
+  Scenario Outline: A stream that has begun is not completed by an answer that ends inside its head, <answer>, HTTP/<version>
+    Given a streaming route whose target sends "<first>"
+    And another target that sends "<answer>"
+    When a caller asks by HTTP/<version>
+    Then the answer is not complete for the caller
+
+    Examples:
+      | first                         | answer                          | version |
+      | 200 stream cut between events | cut behind its status line      | 1.1     |
+      | 200 stream cut between events | cut inside its length           | 1.1     |
+      | 200 stream cut between events | cut inside its length           | 1.0     |
+      | 200 stream cut between events | cut inside its transfer coding  | 1.1     |
+      | 200 stream cut between events | cut before its empty line       | 1.1     |
+      | 200 stream cut between events | cut inside its empty line       | 1.0     |
+      | 200 cut stream                | cut behind early hints          | 1.1     |
+      | 200 cut stream                | cut before its empty line       | 1.0     |
+
+  Scenario Outline: An answer that ends inside its head is not complete, <answer>, HTTP/<version>
+    Given a <route> route whose target sends "<answer>"
+    When a caller asks by HTTP/<version>
+    Then the answer is not complete for the caller
+
+    Examples:
+      | route     | answer                          | version |
+      | plain     | cut inside its length           | 1.1     |
+      | plain     | cut inside its length           | 1.0     |
+      | plain     | cut before its empty line       | 1.1     |
+      | streaming | cut inside its transfer coding  | 1.1     |
+      | streaming | cut before its empty line       | 1.0     |
+
+  # Guards against what is kept of an earlier attempt counting for the next one.
+  Scenario Outline: A request whose first answer ends inside its head is served by another target, <answer>
+    Given a <route> route whose target sends "<answer>"
+    And another target that sends "<whole>"
+    When a caller asks by HTTP/1.1
+    Then the answer is complete for the caller
+
+    Examples:
+      | route     | answer                    | whole                     |
+      | plain     | cut inside its length     | 200 nothing up to its end |
+      | streaming | cut before its empty line | 200 gzip stream           |
--- a/packages/forwarding/src/broken-off-answers.steps.ts
+++ b/packages/forwarding/src/broken-off-answers.steps.ts
@@ -39,6 +39,16 @@
   "200 stream cut between events": Buffer.from(
     `${head(200, "text/event-stream", "Transfer-Encoding: chunked\r\n")}${stream.length.toString(16)}\r\n${stream}\r\n`,
   ),
+  "cut behind its status line": Buffer.from("HTTP/1.1 200 OK\r\n"),
+  "cut inside its length": Buffer.from("HTTP/1.1 200 OK\r\nContent-Length: 5"),
+  "cut inside its transfer coding": Buffer.from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chun"),
+  "cut before its empty line": Buffer.from(
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
+  ),
+  "cut inside its empty line": Buffer.from("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r"),
+  "cut behind early hints": Buffer.from(
+    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nConte",
+  ),
   "200 shorter stream": Buffer.from(`${head(200, "text/event-stream")}id: 1\ndata: 1\n\n`),
   "200 cut stream without ids": Buffer.from(
     `${head(200, "text/event-stream")}data: 1\n\ndata: 2\n\nda`,
--- a/packages/http-client/src/http-client.feature
+++ b/packages/http-client/src/http-client.feature
@@ -79,3 +79,16 @@
     Given a server that answers with the head "HTTP/1.1 200 OK\r\nTransfer-Encoding: chun\r\n\r\n"
     When the HTTP client reads its response 2 times
     Then each response is truncated
+
+  # Guards against what is left of a connection's earlier response counting for the next one.
+  Scenario Outline: The second response of a kept connection is none if <second>
+    Given a server that answers twice on a connection, where <second>
+    When the HTTP client reads two responses
+    Then the first response is complete and the second is none
+
+    Examples:
+      | second                                                  |
+      | it ends inside its head                                 |
+      | it is reset inside its head                             |
+      | it ends behind an informational head                    |
+      | it is the rest of an answer that began behind the first |
--- a/packages/http-client/src/http-client.steps.ts
+++ b/packages/http-client/src/http-client.steps.ts
@@ -141,3 +141,77 @@
   const outcomes = scenarioState(this).get<string[]>("outcomes");
   assert.deepEqual(new Set(outcomes), new Set([expected]));
 });
+
+const wholeAnswer = `HTTP/1.1 200 OK\r\nContent-Length: ${content.length}\r\n\r\n${content.toString()}`;
+const headPart = wholeAnswer.slice(0, 30);
+
+/** Internal handle of a socket, whose reset is sent directly after the written bytes. */
+interface SocketWithHandle {
+  readonly _handle: { reset(done: () => void): number };
+}
+
+/** Bytes of the first answer, and how the server answers the second request. */
+const secondAnswers: Readonly<Record<string, readonly [string, (socket: Socket) => void]>> = {
+  "it ends inside its head": [wholeAnswer, (socket) => void socket.end(headPart)],
+  "it is reset inside its head": [
+    wholeAnswer,
+    (socket) => {
+      socket.write(headPart);
+      (socket as unknown as SocketWithHandle)._handle.reset(() => undefined);
+    },
+  ],
+  "it ends behind an informational head": [
+    wholeAnswer,
+    (socket) => void socket.end(`HTTP/1.1 103 Early Hints\r\n\r\n${headPart}`),
+  ],
+  "it is the rest of an answer that began behind the first": [
+    `${wholeAnswer}${headPart}`,
+    (socket) => void socket.end(wholeAnswer.slice(headPart.length)),
+  ],
+};
+
+Given(
+  /^a server that answers twice on a connection, where (.*)$/,
+  async function (this: object, second: string) {
+    const [first, answerSecond] = secondAnswers[second];
+    const connections: Socket[] = [];
+    const server = createServer((socket) => {
+      connections.push(socket);
+      socket.on("error", () => undefined);
+      socket.once("data", () => {
+        socket.once("data", () => answerSecond(socket));
+        socket.write(first);
+      });
+    });
+    scenarioState(this).set("address", await listen(server));
+    scenarioState(this).set("connections", connections);
+  },
+);
+
+When("the HTTP client reads two responses", async function (this: object) {
+  const address = scenarioState(this).get<string>("address");
+  const client = createHttpClient();
+  const request = { address, method: "GET", path: "/", headers: {}, freshConnection: false };
+  const outcomes: string[] = [];
+  for (let index = 0; index < 2; index++) {
+    const sent = await client.send(
+      { ...request, body: Buffer.alloc(0) },
+      new AbortController().signal,
+    );
+    outcomes.push(
+      await sent.caseOf({
+        Left: async () => "none",
+        Right: async ({ body }) =>
+          (await readText(body)).caseOf({ Left: () => "cut", Right: String }),
+      }),
+    );
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  client.close();
+  scenarioState(this).set("outcomes", outcomes);
+});
+
+Then("the first response is complete and the second is none", function (this: object) {
+  assert.deepEqual(scenarioState(this).get<string[]>("outcomes"), [content.toString(), "none"]);
+  assert.equal(scenarioState(this).get<Socket[]>("connections").length, 1);
+});
