--- a/packages/http-client/src/http-client.feature
+++ b/packages/http-client/src/http-client.feature
@@ -62,3 +62,33 @@
     Given a server that answers with the head "HTTP/1.1 200 OK\r\nX A: a\r\nContent-Length: 11\r\n\r\n"
     When the HTTP client reads its response 2 times
     Then each response is truncated
+
+  # Guards against header sections that Node's parser ends too early, so that a part of the head counts as body.
+  Scenario Outline: A response whose header section ends with a lone carriage return is none, <which>
+    Given a server that answers with the head "<head>"
+    When the HTTP client reads its response 2 times
+    Then each response is truncated
+
+    Examples:
+      | which                | head                                                                                              |
+      | the final one        | HTTP/1.1 200 OK\\r\\nContent-Length: 10\\r\\n\\r                                                    |
+      | an informational one | HTTP/1.1 103 E\\r\\n\\rLink: a\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\nContent-Length: 11\\r\\n\\r\\n |
+
+  # Guards against a body whose end only the coding tells, and which is passed on without the name of the coding.
+  Scenario: A response with a part of a transfer coding is none
+    Given a server that answers with the head "HTTP/1.1 200 OK\r\nTransfer-Encoding: chun\r\n\r\n"
+    When the HTTP client reads its response 2 times
+    Then each response is truncated
+
+  # Guards against what is left of a connection's earlier response counting for the next one.
+  Scenario Outline: The second response of a kept connection is none if <second>
+    Given a server that answers twice on a connection, where <second>
+    When the HTTP client reads two responses
+    Then the first response is complete and the second is none
+
+    Examples:
+      | second                                                  |
+      | it ends inside its head                                 |
+      | it is reset inside its head                             |
+      | it ends behind an informational head                    |
+      | it is the rest of an answer that began behind the first |
--- a/packages/response-bounds/src/index.ts
+++ b/packages/response-bounds/src/index.ts
@@ -1,6 +1,7 @@
 /** Checks that what Node's parser accepts is a response: a status that HTTP knows, and bounds on the bytes beside its body. */
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { followHeadLines } from "./head-lines.js";
 
 /** Maximum size of a response head, with all informational responses before it. */
 export const maxHeadBytes = 65_536;
@@ -25,14 +26,23 @@
   return maxFramingBytes + (1 + framingBytesPerBodyByte) * bodyBytes;
 }
 
+/** The only transfer coding that a response may have: no request lists others, whose bytes would count as the body. */
+const chunkedCoding = "chunked";
+
+function hasUnknownCoding({ headers }: IncomingMessage): boolean {
+  const coding = headers["transfer-encoding"];
+  return coding !== undefined && coding.toLowerCase() !== chunkedCoding;
+}
+
 export interface ResponseBounds {
   /** Counts bytes of the body that were read from the response. */
   countBody(bytes: number): void;
 }
 
 /**
- * Calls `onInvalid` once if the head or the framing of the response exceeds its bound, or if the request ends without any. The
- * check of bounds runs once for each read from the connection, so that one is exceeded by at most one read.
+ * Calls `onInvalid` once if the head or the framing of the response exceeds its bound, if the head does not end with an empty
+ * line or names a transfer coding other than chunks, or if the request ends without any. The check of bounds runs once for each
+ * read from the connection, so that one is exceeded by at most one read.
  */
 export function boundResponse(
   request: ClientRequest,
@@ -67,12 +77,26 @@
     if (excess !== undefined) report(excess);
   };
 
-  request.once("response", (incoming) => (response = incoming));
+  const headLines = followHeadLines();
+  const checkHead = (bytes: Buffer) => {
+    if (response || reported || !headLines.read(bytes)) return;
+    report("the head ends at a carriage return without a line feed");
+  };
+
+  request.once("response", (incoming) => {
+    response = incoming;
+    if (!reported && hasUnknownCoding(incoming)) report("unknown transfer coding");
+  });
   request.once("socket", (socket: Socket) => {
+    // Runs before the parser's listener, which would deliver the response.
+    socket.prependListener("data", checkHead);
     // Runs after the parser's listener, which has delivered the body bytes of the read by then.
     socket.on("data", countRead);
     // The connection may be used for further requests.
-    request.once("close", () => void socket.removeListener("data", countRead));
+    request.once("close", () => {
+      socket.removeListener("data", checkHead);
+      socket.removeListener("data", countRead);
+    });
   });
   // Node closes the connection of a response that switches the protocol, without an error.
   request.once("close", () => {
