Keep no unfenced lease in an outage that an unheard box need not share

Two boxes could order at a time at engines that do not fence: the holder kept its proof valid because all boxes that it heard were without the store, while a box that was cut off from these reached the store, probed, and claimed after a lease time.

Cause: more than half of the boxes were enough to take the store for down for all. A box that is not heard may reach it, and a probe gets no answer from a holder that does not.

Change: without fences a proof is kept valid only while every known box has been heard within the time after which boxes take a holder for silent. A cut box then starts its probe no earlier than the last time at which the holder keeps its proof. A holder that knows of boxes which have ended stops in an outage when its proof expires. With fences nothing changes, as engines reject the former holder.

--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -38,6 +38,7 @@
   return {
     sinceLastMessageMs: peers.sinceHeartbeatMs,
     countHeardWithin: peers.countHeardWithin,
+    maxKnownBoxes: peers.maxKnownBoxes,
     isOwnEarlierIncarnation: (holder) =>
       holder !== incarnation && boxOf(holder) === settings.box.name,
     remainingLeaseMs: (holder) => peers.findStatus(holder)?.ordersForMs ?? 0,
--- a/packages/order-lease/src/contract.ts
+++ b/packages/order-lease/src/contract.ts
@@ -28,6 +28,8 @@
   sinceLastMessageMs(incarnation: Incarnation): Milliseconds | undefined;
   /** Number of other boxes of which a message was received within `ms`. */
   countHeardWithin(ms: Milliseconds): number;
+  /** Highest number of boxes known at the same time, including this one. */
+  maxKnownBoxes(): number;
   /**
    * Whether it is an earlier incarnation of this box. The platform starts a box only after its previous process has ended, so
    * an earlier incarnation sends no more orders.
--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -216,3 +216,14 @@
     When "a" is connected to the other boxes again
     And 1 s go by
     Then only "d" may send orders
+
+  # Guards against two boxes that send orders at once, as one of them can't hear that the other one reaches the store.
+  Scenario: A holder does not keep the lease in an outage of the store that a box out of sight does not share
+    Given boxes "a b c d" that are connected to each other and to the store
+    And "a" holds the lease
+    When "d" is cut off from the other boxes
+    And the store refuses "a"
+    And the store refuses "b"
+    And the store refuses "c"
+    And 8 s go by
+    Then only "d" may send orders
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -90,6 +90,7 @@
       boxes.filter(
         (other) => other !== box && (peers.sinceLastMessageMs(other.name) ?? Infinity) <= ms,
       ).length,
+    maxKnownBoxes: () => boxes.length,
     isOwnEarlierIncarnation: (other) =>
       other !== name && firstIncarnation(other) === firstIncarnation(name),
     isLeaving: (other) => find(other)?.leaving ?? false,
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -197,10 +197,16 @@
     return options.enginesFence && peers.isStoreDownForAll();
   };
 
+  /** Whether a box that this one does not hear could claim the lease. Engines that fence then reject this box's orders. */
+  const canBeClaimedUnheard = (): boolean => {
+    if (options.enginesFence) return false;
+    return peers.countHeardWithin(options.holderTimeoutMs) + 1 < peers.maxKnownBoxes();
+  };
+
   /** Keeps a valid proof valid while no box reaches the store. An expired one stays expired, as others may have claimed since. */
   const keepProofInOutage = () => {
     const isValid = clock.elapsed() < state.provenUntil;
-    if (isHeld() && isValid && peers.isStoreDownForAll())
+    if (isHeld() && isValid && peers.isStoreDownForAll() && !canBeClaimedUnheard())
       state.provenUntil = clock.elapsed() + proofValidMs;
   };
 
@@ -446,7 +452,7 @@
     },
     remainingLeaseMs() {
       if (!isHeld() || stopping) return 0;
-      if (isProven() && peers.isStoreDownForAll()) return proofValidMs;
+      if (isProven() && peers.isStoreDownForAll() && !canBeClaimedUnheard()) return proofValidMs;
       return Math.max(0, Math.round(state.provenUntil - clock.elapsed()));
     },
     async release() {
