Probe and claim only the epoch that the reason was found for

After a holder had ended, each box that was about to ask it probed its successor as well, although it heard that one: a probe and a renewal more for each change of the lease, and a successor that was late to answer lost the lease again.

Cause: the check finds its reason, then reads the stream, and went on with the claim that this read showed as if the reason concerned it.

Change: a check that reads another epoch ends; the next one judges that epoch by itself.

Evidence: the new scenario failed before (a probe and a renewal after the claim) and holds now, as do the 70 scenarios that name orders, leases or holders.

--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -227,3 +227,12 @@
     And the store refuses "c"
     And 8 s go by
     Then only "d" may send orders
+
+  # Guards against a probe, and a claim, for a reason that concerned the former holder.
+  Scenario: A box that learns of a new holder while it asks the former one does not ask the new one
+    Given boxes "a b c d" that are connected to each other and to the store
+    And "a" holds the lease
+    When "a" falls silent
+    Then within 8 s another box may give orders under a higher epoch
+    When 2 s go by
+    Then no box has probed the new holder
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -541,6 +541,12 @@
   },
 );
 
+Then("no box has probed the new holder", function (this: object) {
+  const { store } = sceneOf(this);
+  const claimedAt = store.records().findLastIndex(({ key }) => key === "orders");
+  assert.deepEqual(store.records().slice(claimedAt + 1), []);
+});
+
 Then("the store has a claim again", async function (this: object) {
   const { store } = sceneOf(this);
   assert.ok(store.records().length > 0);
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -308,9 +308,8 @@
 
   /** Reads whether the holder has answered a pending probe; appends one if there is none. */
   const probeHolder = async () => {
-    if (!(await follow())) return;
     const { holder, epoch } = state.claim;
-    if (!mayStillOrder(holder)) return;
+    if (!(await follow()) || state.claim.epoch !== epoch) return;
     if (probes.findPending(epoch)) return;
     const record = encodeProbe(epoch, peers.countHeardWithin(options.holderTimeoutMs));
     const offset = await appendNext(record.key, record.value);
@@ -433,8 +432,10 @@
       state.lostAt + options.leaseMs,
     );
     if (clock.now() < claimFrom) return;
+    const { epoch } = state.claim;
     if (!mayClaim()) await probeHolder();
-    if (mayClaim()) await claim(reason);
+    // The reason is one to claim from the holder of that epoch.
+    if (state.claim.epoch === epoch && mayClaim()) await claim(reason);
   };
 
   const loop = repeatEvery(clock, kernel.find(randomName), options.checkMs, check);
