Let better connected boxes claim a lease that was released to them

After a cut, a holder on the smaller side released the lease to boxes of the larger side, but a neighbour that the release reached first claimed it, sent orders, and released it again 2 s later: orders of one box more, and engines that change holders twice.

Cause: a released lease was free to all by rank, and each side ranks only the boxes that it hears.

Change: where the release directly follows a probe, a box that hears less than half as many boxes as the probe's sender waits for a lease time before it claims.

--- a/packages/order-lease/src/holder-probes.ts
+++ b/packages/order-lease/src/holder-probes.ts
@@ -28,6 +28,8 @@
 export interface HolderProbes {
   /** Applies a record of the stream; those with other keys are ignored. */
   apply(record: KeyedRecord): void;
+  /** The probe at this offset, if it is the newest one. */
+  findAt(offset: Offset): HolderProbe | undefined;
   /** The newest probe of this epoch that the holder has not answered. */
   findPending(epoch: Epoch): HolderProbe | undefined;
   /** When this box learned that the holder had answered a probe that this box knew of; -Infinity if it never did. */
@@ -80,6 +82,7 @@
       if (key === probeKey) applyProbe(value, offset);
       if (key === renewalKey) applyRenewal(value, offset);
     },
+    findAt: (offset) => (probe?.offset === offset ? probe : undefined),
     findPending,
     answeredAt: (epoch) => (answer?.epoch === epoch ? answer.at : -Infinity),
     clear() {
--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -236,3 +236,12 @@
     Then within 8 s another box may give orders under a higher epoch
     When 2 s go by
     Then no box has probed the new holder
+
+  # Guards against a lease that is handed round among boxes that each release it to better connected ones.
+  Scenario Outline: A holder on the smaller side of a cut hands the lease over to the larger side once<engines>
+    Then for 20 seeds a holder on the smaller side of a cut hands the lease over once<engines>
+
+    Examples:
+      | engines                   |
+      |                           |
+      | , with engines that fence |
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -23,6 +23,8 @@
   checkMs: 150,
 };
 const stepMs = 50;
+/** Time for which boxes that are not heard any more are still ranked. */
+const rankedForMs = 2_000;
 /** Interval at which a box reports its lease to the others. */
 const reportIntervalMs = 400;
 
@@ -32,6 +34,8 @@
   silent: boolean;
   /** Since when it has received no messages of other boxes; undefined if it receives them. */
   deafSince: number | undefined;
+  /** Boxes with other names of sides exchange no messages with it. */
+  side: string;
   leaving: boolean;
   /** Whether it reaches no engine; it is cut off if another box does. */
   reachesNoEngine: boolean;
@@ -49,6 +53,8 @@
   readonly options: LeaseOptions;
   /** Epoch of the holder at the start of the scenario. */
   initialEpoch: number;
+  /** Since when boxes of different sides exchange no messages. */
+  splitSince: number;
 }
 
 const scenes = new WeakMap<object, Scene>();
@@ -84,7 +90,9 @@
     sinceLastMessageMs: (other) => {
       const sender = find(other);
       if (other === name) return 0;
-      return sender && clock.now() - Math.min(sender.lastMessageAt, box.deafSince ?? Infinity);
+      if (!sender) return undefined;
+      const cutSince = sender.side === box.side ? Infinity : scene.splitSince;
+      return clock.now() - Math.min(sender.lastMessageAt, box.deafSince ?? Infinity, cutSince);
     },
     countHeardWithin: (ms) =>
       boxes.filter(
@@ -95,8 +103,13 @@
       other !== name && firstIncarnation(other) === firstIncarnation(name),
     isLeaving: (other) => find(other)?.leaving ?? false,
     remainingLeaseMs: (other) => find(other)?.reported.remainingLeaseMs ?? 0,
-    rank: () => rank,
-    announceClaim: () => undefined,
+    // Each side ranks the boxes that it hears.
+    rank: () =>
+      boxes
+        .slice(0, rank)
+        .filter((other) => other.side === box.side || clock.now() - scene.splitSince < rankedForMs)
+        .length,
+    announceClaim: () => reportLease(scene, box),
     isCutOffFromEngines: () =>
       box.reachesNoEngine && boxes.some((other) => !other.silent && !other.reachesNoEngine),
     isStoreDownForAll: () =>
@@ -108,6 +121,7 @@
     name,
     silent: false,
     deafSince: undefined,
+    side: "",
     leaving: false,
     reachesNoEngine: false,
     lastMessageAt: 0,
@@ -133,11 +147,31 @@
   const clock = createVirtualClock();
   const store = createKeyedStore(clock);
   const access = new Map<string, StoreAccess>();
-  const scene: Scene = { clock, store, boxes: [], access, options: leaseOptions, initialEpoch: 0 };
+  const scene: Scene = {
+    clock,
+    store,
+    boxes: [],
+    access,
+    options: leaseOptions,
+    initialEpoch: 0,
+    splitSince: Infinity,
+  };
   for (const name of names) addBox(scene, name, seed);
   return scene;
 }
 
+/** Sends a box's lease to the boxes that hear it. */
+function reportLease({ clock, boxes }: Scene, box: LeaseBox): void {
+  if (box.silent) return;
+  box.lastMessageAt = clock.now();
+  box.reported = { remainingLeaseMs: box.lease.remainingLeaseMs() };
+  const observed = box.lease.observedLease();
+  const receivers = boxes.filter(
+    (other) => !other.silent && other.deafSince === undefined && other.side === box.side,
+  );
+  if (observed) for (const other of receivers) other.lease.observe(observed);
+}
+
 /** Lets time pass, while boxes that are not silent report their leases to each other. */
 async function passTime(
   scene: Scene,
@@ -150,11 +184,7 @@
     await clock.runUntil(clock.now() + stepMs);
     for (const box of boxes) {
       if (box.silent || clock.now() - box.lastMessageAt < reportIntervalMs) continue;
-      box.lastMessageAt = clock.now();
-      box.reported = { remainingLeaseMs: box.lease.remainingLeaseMs() };
-      const observed = box.lease.observedLease();
-      const receivers = boxes.filter((other) => !other.silent && other.deafSince === undefined);
-      if (observed) for (const other of receivers) other.lease.observe(observed);
+      reportLease(scene, box);
     }
     onStep();
   }
@@ -585,3 +615,36 @@
       await checkOneHolder(seed, allDisturbances, leaseOptions);
   },
 );
+
+/** Fails if the lease goes to more than one further box after a cut that leaves its holder on the smaller side. */
+async function checkCutSmallSide(seed: number, leaseOptions: LeaseOptions): Promise<void> {
+  const scene = createScene([..."abcdefghijklmnop"], seed, leaseOptions);
+  const { clock, boxes } = scene;
+  const names: string[] = [];
+  const recordHolder = () => {
+    const name = holders(scene)[0]?.name;
+    if (name !== undefined && name !== names.at(-1)) names.push(name);
+  };
+  for (const box of boxes) await box.lease.start();
+  // A box other than the first in rank holds the lease.
+  boxes[0].reachesNoEngine = true;
+  await passTime(scene, 5_000);
+  boxes[0].reachesNoEngine = false;
+  await passTime(scene, 5_000, recordHolder);
+  const [holder] = holders(scene);
+  scene.splitSince = clock.now();
+  for (const box of new Set([...boxes.slice(0, 4), holder])) box.side = "smaller";
+  await passTime(scene, 40_000, recordHolder);
+  assert.ok(names.length <= 2, `seed ${seed}: the lease went from box to box: ${names.join(" ")}`);
+  assert.equal(holders(scene)[0]?.side, "", `seed ${seed}: the holder is on the smaller side`);
+  for (const box of boxes) await box.lease.stop();
+}
+
+Then(
+  /^for (\d+) seeds a holder on the smaller side of a cut hands the lease over once(, with engines that fence)?$/,
+  manySeedsOptions,
+  async (seeds: string, fence: string | undefined) => {
+    const leaseOptions = { ...options, enginesFence: fence !== undefined };
+    for (let seed = 1; seed <= Number(seeds); seed++) await checkCutSmallSide(seed, leaseOptions);
+  },
+);
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -299,8 +299,18 @@
   const claimableAt = (probe: HolderProbe): Milliseconds =>
     probe.seenAt + proofValidMs - claimNoticeMs;
 
+  /** Whether the lease was released to boxes that are better connected than this one, and they have had the time to claim it. */
+  const isReleasedToOthers = (): boolean => {
+    const { holder, epoch } = state.claim;
+    if (holder !== releasedHolder) return false;
+    const probe = probes.findAt(epoch - epochOf(state.generation, firstOffset) - 1);
+    if (!probe || !isBetterConnected(probe)) return false;
+    return clock.now() - probe.seenAt < options.leaseMs;
+  };
+
   /** Whether the holder, as far as the stream has been read, has ended or has left a probe unanswered for long enough. */
   const mayClaim = (): boolean => {
+    if (isReleasedToOthers()) return false;
     if (!mayStillOrder(state.claim.holder)) return true;
     const probe = probes.findPending(state.claim.epoch);
     return probe !== undefined && clock.now() >= claimableAt(probe);
@@ -310,6 +320,7 @@
   const probeHolder = async () => {
     const { holder, epoch } = state.claim;
     if (!(await follow()) || state.claim.epoch !== epoch) return;
+    if (!mayStillOrder(holder)) return;
     if (probes.findPending(epoch)) return;
     const record = encodeProbe(epoch, peers.countHeardWithin(options.holderTimeoutMs));
     const offset = await appendNext(record.key, record.value);
