--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -223,3 +223,32 @@
     And "a" falls silent
     Then within 8 s another box may give orders under a higher epoch
     And the store has no probe of that holder
+
+  # Guards against two boxes that send orders at once, as one of them can't hear that the other one reaches the store.
+  Scenario: A holder does not keep the lease in an outage of the store that a box out of sight does not share
+    Given boxes "a b c d" that are connected to each other and to the store
+    And "a" holds the lease
+    When "d" is cut off from the other boxes
+    And the store refuses "a"
+    And the store refuses "b"
+    And the store refuses "c"
+    And 8 s go by
+    Then only "d" may send orders
+
+  # Guards against a probe, and a claim, for a reason that concerned the former holder.
+  Scenario: A box that learns of a new holder while it asks the former one does not ask the new one
+    Given boxes "a b c d" that are connected to each other and to the store
+    And "a" holds the lease
+    When "a" falls silent
+    Then within 8 s another box may give orders under a higher epoch
+    When 2 s go by
+    Then no box has probed the new holder
+
+  # Guards against a lease that is handed round among boxes that each release it to better connected ones.
+  Scenario Outline: A holder on the smaller side of a cut hands the lease over to the larger side once<engines>
+    Then for 20 seeds a holder on the smaller side of a cut hands the lease over once<engines>
+
+    Examples:
+      | engines                   |
+      |                           |
+      | , with engines that fence |
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -197,10 +197,16 @@
     return options.enginesFence && peers.isStoreDownForAll();
   };
 
+  /** Whether a box that this one does not hear could claim the lease. Engines that fence then reject this box's orders. */
+  const canBeClaimedUnheard = (): boolean => {
+    if (options.enginesFence) return false;
+    return peers.countHeardWithin(options.holderTimeoutMs) + 1 < peers.maxKnownBoxes();
+  };
+
   /** Keeps a valid proof valid while no box reaches the store. An expired one stays expired, as others may have claimed since. */
   const keepProofInOutage = () => {
     const isValid = clock.elapsed() < state.provenUntil;
-    if (isHeld() && isValid && peers.isStoreDownForAll())
+    if (isHeld() && isValid && peers.isStoreDownForAll() && !canBeClaimedUnheard())
       state.provenUntil = clock.elapsed() + proofValidMs;
   };
 
@@ -293,8 +299,18 @@
   const claimableAt = (probe: HolderProbe): Milliseconds =>
     probe.seenAt + proofValidMs - claimNoticeMs;
 
+  /** Whether the lease was released to boxes that are better connected than this one, and they have had the time to claim it. */
+  const isReleasedToOthers = (): boolean => {
+    const { holder, epoch } = state.claim;
+    if (holder !== releasedHolder) return false;
+    const probe = probes.findAt(epoch - epochOf(state.generation, firstOffset) - 1);
+    if (!probe || !isBetterConnected(probe)) return false;
+    return clock.now() - probe.seenAt < options.leaseMs;
+  };
+
   /** Whether the holder, as far as the stream has been read, has ended or has left a probe unanswered for long enough. */
   const mayClaim = (): boolean => {
+    if (isReleasedToOthers()) return false;
     if (!mayStillOrder(state.claim.holder)) return true;
     const probe = probes.findPending(state.claim.epoch);
     return probe !== undefined && clock.now() >= claimableAt(probe);
@@ -304,6 +320,7 @@
   const probeHolder = async () => {
     const { holder, epoch } = state.claim;
     if (!(await follow()) || state.claim.epoch !== epoch) return;
+    if (!mayStillOrder(holder)) return;
     if (probes.findPending(epoch)) return;
     const record = encodeProbe(epoch, peers.countHeardWithin(options.holderTimeoutMs));
     const offset = await appendNext(record.key, record.value);
@@ -447,7 +464,7 @@
     },
     remainingLeaseMs() {
       if (!isHeld() || stopping) return 0;
-      if (isProven() && peers.isStoreDownForAll()) return proofValidMs;
+      if (isProven() && peers.isStoreDownForAll() && !canBeClaimedUnheard()) return proofValidMs;
       return Math.max(0, Math.round(state.provenUntil - clock.elapsed()));
     },
     async release() {
