Ask for the connection again before granting for all boxes

Boxes could hand out a limit twice: one that lost the connection to the majority while it waited for another allocator granted from the limit of all boxes instead of its own share, and likewise answered a request of another box that it had forwarded. `acquire` and `allocate` asked whether the box is connected before the call, of up to 240 ms, and granted after it without asking again.

Both ask again after a call without a grant. A box that is cut off by then grants from its own share, and declines to others.

The two new scenarios failed before: 20 of 20 requests admitted where the own share allows up to 5, and 10 units granted for another box where it must decline. They pass now.

--- a/packages/account-quota/src/account-quota.feature
+++ b/packages/account-quota/src/account-quota.feature
@@ -40,6 +40,16 @@
     Then the box admits between 1 and 5 requests
     And the box declines to allocate for others
 
+  # Guards against a grant for all boxes by one that has lost the others since it was last asked whether it may.
+  Scenario: A box that is isolated while it waits for another allocator grants only from its own share
+    Given a box that is isolated after 50 ms, while its preferred allocator does not respond
+    When an account limited to 10000 units per second sends 20 requests of 100 units to the box at the same time
+    Then the box admits between 1 and 5 requests
+
+  Scenario: A box that is isolated while it forwards a request declines to allocate
+    Given a box that is isolated after 50 ms, while its preferred allocator does not respond
+    Then the box declines to allocate for others
+
   Scenario Outline: The share of <silent> silent boxes in 100 is not allocated to the others
     Given an allocating box while <silent> of 100 boxes are silent
     When for 10 s an account limited to 10000 units per second sends a request of 100 units every 5 ms
--- a/packages/account-quota/src/account-quota.steps.ts
+++ b/packages/account-quota/src/account-quota.steps.ts
@@ -221,14 +221,29 @@
   createBoxContext(this, { ...peers, ownShare: () => 0.1 }, createVirtualClock());
 });
 
+Given(
+  "a box that is isolated after {int} ms, while its preferred allocator does not respond",
+  function (this: object, ms: number) {
+    const clock = createVirtualClock();
+    const isolatedAt = clock.now() + ms;
+    const peers = {
+      ...connectedPeers,
+      allocators: () => ["x", "self"],
+      sendRequest: async (): Promise<never> => new Promise(() => undefined),
+      connected: () => clock.now() < isolatedAt,
+      ownShare: () => 0.1,
+    };
+    createBoxContext(this, peers, clock);
+  },
+);
+
 Then("the box declines to allocate for others", async function (this: object) {
+  const { clock, quota } = boxContextOf(this);
   const rate = { perSecond: 1000, burst: 1000 };
   const request = { account: "a", rate, version: 1, needed: 10, ahead: 0 };
-  assert.deepEqual(await boxContextOf(this).quota.allocate(request), {
-    granted: 0,
-    waitMs: 0,
-    declined: true,
-  });
+  const grant = quota.allocate(request);
+  await clock.runUntil(clock.now() + 1000);
+  assert.deepEqual(await grant, { granted: 0, waitMs: 0, declined: true });
 });
 
 Given(
@@ -270,6 +285,13 @@
   },
 );
 
+When(
+  "an account limited to {int} units per second sends {int} requests of {int} units to the box at the same time",
+  async function (this: object, perSecond: number, count: number, units: number) {
+    await Promise.all(Array.from({ length: count }, () => send(this, perSecond, units)));
+  },
+);
+
 When(
   "an account limited to {int} units per second exhausts its units at the box",
   async function (this: object, perSecond: number) {
--- a/packages/allocation/src/index.ts
+++ b/packages/allocation/src/index.ts
@@ -172,6 +172,8 @@
       const timeoutMs = address === preferred ? requestTimeoutMs : fallbackTimeoutMs;
       const grant = await requestFrom(address, request, timeoutMs);
       if (grant) return grant;
+      // The connection may have been lost during the wait.
+      if (!checkConnected()) break;
     }
     return local.grantIsolated(request);
   };
@@ -190,7 +192,8 @@
     if (first === undefined || first === peers.self || request.passedOn)
       return grantForAll(request);
     const grant = await requestFrom(first, { ...request, passedOn: true }, requestTimeoutMs);
-    return grant ?? grantForAll(request);
+    if (grant) return grant;
+    return checkConnected() ? grantForAll(request) : local.declinedGrant;
   };
 
   return { acquire, allocate };
