Reject odd messages of other boxes before they are applied

A box ended with code 70 after one message on the port for other boxes that it could not handle: null as content, a heartbeat without status or sightings, a request for a quota, permit or place without its fields. A heartbeat nested some ten thousand levels deep was taken up, and its sender's profile passed on: encoding it exhausted the stack, so this box answered no heartbeat any more while it knew that sender. Heartbeats with ports out of range, numbers beyond the range of integers or "loads": null were taken up likewise, and callers were given the address.

Cause: messages were taken for what their type says. An exception in a handler was a rejected promise that nobody handled, and nothing bounded the nesting.

Change: a message is decoded up to 64 levels deep and only if it is an object; heartbeats and configurations are checked by a schema on both sides, in which unknown fields are passed over and quantities may be null, as infinity arrives; of the other messages and answers the receiver's part has to be an object. A handler that fails leaves its message without an answer, as a message of an unknown kind. Each is logged (badPeerMessage, 3009).

--- a/packages/box-peers/src/box-peers.steps.ts
+++ b/packages/box-peers/src/box-peers.steps.ts
@@ -300,7 +300,7 @@
 const callTimeoutMs = 1_000;
 
 Given("a client of other boxes that was closed", function (this: object) {
-  const client = createPeerClient(systemClock(), callTimeoutMs);
+  const client = createPeerClient(systemClock(), callTimeoutMs, () => undefined);
   client.close();
   closedClients.set(this, client);
 });
--- /dev/null
+++ b/packages/box-peers/src/message-schemas.ts
@@ -0,0 +1,206 @@
+/** Validates messages of other boxes. Fields that are not named here belong to later versions and are passed over. */
+import { isEndpoint } from "@linkfall/types";
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import type { ConfigurationCopy, Heartbeat } from "./messages.js";
+
+/** A computed quantity: JSON has no infinity, which arrives as null. */
+const quantity = z.number().nullable();
+const position = z.int();
+const endpoint = z.string().refine(isEndpoint, "not an IP address and port");
+const texts = z.array(z.string());
+
+const profileFields = {
+  box: z.string(),
+  incarnation: z.string(),
+  frontAddress: endpoint,
+  peerAddress: endpoint,
+  domain: z.string(),
+  capacity: quantity,
+  ready: z.boolean(),
+  leaving: z.boolean(),
+  strained: z.boolean(),
+  takesRequests: z.boolean(),
+  reading: z.boolean(),
+  relays: z.boolean().optional(),
+  keepsStreams: z.boolean().optional(),
+  dispatches: z.boolean().optional(),
+};
+const sightings = z.array(z.object({ ...profileFields, ageMs: quantity, silent: z.boolean() }));
+
+const loads = z.record(z.string(), z.object({ inFlight: quantity, promptTokens: quantity }));
+const followed = z.object({
+  holder: z.string(),
+  engines: position,
+  members: position,
+  speeds: position.optional(),
+});
+const demand = z.object({
+  service: z.string(),
+  model: z.string(),
+  inFlight: quantity,
+  reading: quantity,
+  rate: quantity,
+  earlierRate: quantity,
+  objectiveMs: quantity,
+  waiting: quantity,
+  waitingAdapters: z.record(z.string(), quantity),
+  refused: quantity.optional(),
+  confinedWaits: z
+    .array(
+      z.object({
+        softwareVersion: z.string(),
+        adapter: z.string().optional(),
+        waiting: quantity,
+      }),
+    )
+    .optional(),
+  idleMs: quantity,
+});
+const interval = z.object({
+  target: z.string(),
+  kind: z.string(),
+  concurrency: quantity,
+  intervalMs: quantity,
+});
+const status = z.object({
+  ...profileFields,
+  beat: position,
+  reachesStore: z.boolean(),
+  configurationVersion: z.number(),
+  targetsEnd: position,
+  targetsGeneration: position.optional(),
+  loads,
+  demand: z.array(demand),
+  lease: z.object({ epoch: position, holder: z.string() }).optional(),
+  ordersForMs: quantity.optional(),
+  followed: followed.optional(),
+  intervals: z.array(interval).optional(),
+  blameFollowed: position.optional(),
+  limitsFollowed: position.optional(),
+  fragileFollowed: position.optional(),
+  leavingFollowed: position.optional(),
+  departuresFollowed: position.optional(),
+});
+
+const models = z.array(z.object({ name: z.string(), version: quantity, adapters: texts }));
+const born = z.number().optional();
+const capacities = z.object({
+  sequence: position,
+  targets: z.array(z.object({ target: z.string(), speed: quantity, useful: quantity.optional() })),
+  kinds: z.array(
+    z.object({
+      service: z.string(),
+      kind: z.string(),
+      fixedMs: quantity,
+      perUnitMs: quantity,
+    }),
+  ),
+});
+const report = z.object({
+  engines: z.array(
+    z.object({ id: z.string(), holdings: z.object({ born, sequence: quantity, models }) }),
+  ),
+  members: sightings.optional(),
+  followed,
+  hearsMost: z.boolean(),
+  withheld: z.record(z.string(), texts),
+  expected: z.record(z.string(), quantity),
+  plannedBeat: position.optional(),
+  speeds: capacities.optional(),
+  othersLoads: loads.optional(),
+});
+const listedTarget = z.object({
+  id: z.string(),
+  born,
+  service: z.string(),
+  address: endpoint,
+  domain: z.string(),
+  softwareVersion: z.string().optional(),
+  slots: z.number(),
+  leaving: z.boolean(),
+  heartbeats: z.number().optional(),
+  models: models.optional(),
+});
+const targets = z.object({
+  end: position,
+  generation: position.optional(),
+  whole: z.boolean(),
+  changed: z.array(listedTarget),
+  gone: texts,
+  unreadable: texts.optional(),
+});
+
+const heldRequest = z.object({
+  request: z.string(),
+  revision: z.number(),
+  held: z.boolean(),
+  service: z.string(),
+  route: z.string(),
+  targets: texts,
+  since: z.string(),
+});
+/** Records of other kinds belong to later versions. */
+const blameRecord = z.union([
+  z.object({
+    kind: z.literal("end"),
+    target: z.string(),
+    service: z.string(),
+    ageMs: quantity,
+    requests: texts,
+    shared: z.array(z.tuple([z.string(), z.string(), quantity])).optional(),
+    targetsInUse: quantity.optional(),
+  }),
+  z.object({
+    kind: z.literal("served"),
+    request: z.string(),
+    ageMs: quantity,
+    by: z.string().optional(),
+    count: quantity.optional(),
+  }),
+  z.object({ kind: z.literal("held"), word: heldRequest }),
+  z.object({ kind: z.string().refine((kind) => !["end", "served", "held"].includes(kind)) }),
+]);
+const limits = z.object({
+  number: position,
+  records: z.array(
+    z.object({ target: z.string(), born, perSecond: z.number().optional(), ageMs: quantity }),
+  ),
+});
+const leavingNotice = { target: z.string(), born };
+const departure = z.object({
+  ...leavingNotice,
+  position: z.object({ end: position, generation: position }),
+  heartbeats: z.number().optional(),
+});
+
+const heartbeat = z.object({
+  status,
+  sightings,
+  report: report.optional(),
+  targets: targets.optional(),
+  blame: z.object({ number: position, records: z.array(blameRecord) }).optional(),
+  limits: limits.optional(),
+  fragile: limits.optional(),
+  leaving: z.object({ number: position, notices: z.array(z.object(leavingNotice)) }).optional(),
+  departures: z.object({ number: position, departures: z.array(departure) }).optional(),
+});
+const configurationCopy = z.object({ version: z.number(), text: z.string().optional() });
+const anyObject = z.looseObject({});
+
+/** Longest reason; paths contain keys that the sender has chosen. */
+const maxReasonLength = 300;
+
+/** Returns the value unchanged if it matches, or where it does not. */
+function check<T>(schema: z.ZodType, value: unknown): Either<string, T> {
+  const checked = schema.safeParse(value);
+  if (checked.success) return Right(value as T);
+  const [{ path, message }] = checked.error.issues;
+  return Left(`${path.map(String).join(".")}: ${message}`.slice(0, maxReasonLength));
+}
+
+export const checkHeartbeat = (value: unknown) => check<Heartbeat>(heartbeat, value);
+export const checkConfigurationCopy = (value: unknown) =>
+  check<ConfigurationCopy>(configurationCopy, value);
+/** Checks a part of a message whose fields are judged by its receiver. */
+export const checkObject = <T extends object>(value: T) => check<T>(anyObject, value);
--- a/packages/box-peers/src/stopped-box.steps.ts
+++ b/packages/box-peers/src/stopped-box.steps.ts
@@ -43,7 +43,7 @@
     const program = fileURLToPath(new URL("./unanswering-box.test.js", import.meta.url));
     const child = fork(program, [address]);
     const clock = systemClock();
-    const client = createPeerClient(clock, callTimeoutMs);
+    const client = createPeerClient(clock, callTimeoutMs, () => undefined);
     const dialler = createRelayDialler(clock);
     closers.push(() => child.kill("SIGKILL"), client.close, dialler.close);
 
--- a/packages/box-peers/src/transport.ts
+++ b/packages/box-peers/src/transport.ts
@@ -27,6 +27,7 @@
 import type { Milliseconds } from "@linkfall/types";
 import { type Either, Left, Right } from "purify-ts";
 import { channelOptions } from "./channel-options.js";
+import { checkConfigurationCopy, checkHeartbeat, checkObject } from "./message-schemas.js";
 import type { ConfigurationCopy, Heartbeat } from "./messages.js";
 import { relayMethod, serveRelayCall } from "./relay-transport.js";
 import { decodeMessage, encodeMessage } from "./wire-format.js";
@@ -117,11 +118,15 @@
   };
 }
 
-function unexpectedAnswer(answer: Answer): PeerUnreachable {
-  const reason = `answered with ${answer.kind}`;
+/** Called with the reason for which a message or an answer of another box was not applied. */
+export type InvalidMessageListener = (problem: string) => void;
+
+function invalidAnswer(reason: string): PeerUnreachable {
   return { kind: "peer_unreachable", reason, mayHaveArrived: true };
 }
 
+type AnswerOf<Kind extends Answer["kind"]> = Extract<Answer, { readonly kind: Kind }>;
+
 /** Stands for the streams of a client that was closed. */
 const closedStream: RequestStream<Ask, Answer> = {
   request: async () =>
@@ -130,7 +135,11 @@
 };
 
 /** Creates a client that keeps one stream per box. */
-export function createPeerClient(clock: Clock, callTimeoutMs: Milliseconds): PeerClient {
+export function createPeerClient(
+  clock: Clock,
+  callTimeoutMs: Milliseconds,
+  onInvalid: InvalidMessageListener,
+): PeerClient {
   const streams = new Map<string, OpenStream>();
   let closed = false;
 
@@ -156,49 +165,37 @@
     return stream;
   };
 
+  /** Sends the message; Left unless the answer is of the same kind and its part is valid. */
+  const send = async <Kind extends Answer["kind"], Part>(
+    address: string,
+    ask: Extract<Ask, { readonly kind: Kind }>,
+    checkPart: (answer: AnswerOf<Kind>) => Either<string, Part>,
+  ): Promise<Either<PeerUnreachable, Part>> => {
+    const reply = await streamTo(address).request(ask);
+    return reply.chain((answer) => {
+      const part =
+        answer?.kind === ask.kind
+          ? checkPart(answer as AnswerOf<Kind>)
+          : Left(`answered with ${answer?.kind}`);
+      return part.ifLeft(onInvalid).mapLeft(invalidAnswer);
+    });
+  };
+
   return {
-    async exchange(address, heartbeat) {
-      const reply = await streamTo(address).request({ kind: "heartbeat", heartbeat });
-      return reply.chain((answer) =>
-        answer.kind === "heartbeat" ? Right(answer.heartbeat) : Left(unexpectedAnswer(answer)),
-      );
-    },
-    async configuration(address) {
-      const reply = await streamTo(address).request({ kind: "configuration" });
-      return reply.chain((answer) =>
-        answer.kind === "configuration" ? Right(answer.copy) : Left(unexpectedAnswer(answer)),
-      );
-    },
-    async quota(address, ask) {
-      const reply = await streamTo(address).request({ kind: "quota", ask });
-      return reply.chain((answer) =>
-        answer.kind === "quota" ? Right(answer.grant) : Left(unexpectedAnswer(answer)),
-      );
-    },
-    async permit(address, ask) {
-      const reply = await streamTo(address).request({ kind: "permit", ask });
-      return reply.chain((answer) =>
-        answer.kind === "permit" ? Right(answer.grant) : Left(unexpectedAnswer(answer)),
-      );
-    },
-    async place(address, ask) {
-      const reply = await streamTo(address).request({ kind: "place", ask });
-      return reply.chain((answer) =>
-        answer.kind === "place" ? Right(answer.grant) : Left(unexpectedAnswer(answer)),
-      );
-    },
-    async streams(address, message) {
-      const reply = await streamTo(address).request({ kind: "streams", message });
-      return reply.chain((answer) =>
-        answer.kind === "streams" ? Right(answer.reply) : Left(unexpectedAnswer(answer)),
-      );
-    },
-    async dispatch(address, message) {
-      const reply = await streamTo(address).request({ kind: "dispatch", message });
-      return reply.chain((answer) =>
-        answer.kind === "dispatch" ? Right(answer.reply) : Left(unexpectedAnswer(answer)),
-      );
-    },
+    exchange: (address, heartbeat) =>
+      send(address, { kind: "heartbeat", heartbeat }, (answer) => checkHeartbeat(answer.heartbeat)),
+    configuration: (address) =>
+      send(address, { kind: "configuration" }, ({ copy }) => checkConfigurationCopy(copy)),
+    quota: (address, ask) =>
+      send(address, { kind: "quota", ask }, ({ grant }) => checkObject(grant)),
+    permit: (address, ask) =>
+      send(address, { kind: "permit", ask }, ({ grant }) => checkObject(grant)),
+    place: (address, ask) =>
+      send(address, { kind: "place", ask }, ({ grant }) => checkObject(grant)),
+    streams: (address, message) =>
+      send(address, { kind: "streams", message }, ({ reply }) => checkObject(reply)),
+    dispatch: (address, message) =>
+      send(address, { kind: "dispatch", message }, ({ reply }) => checkObject(reply)),
     close() {
       closed = true;
       for (const { stream } of streams.values()) stream.close();
@@ -207,6 +204,27 @@
   };
 }
 
+/** Returns the message if its handler may be called with it. */
+function checkAsk(body: Ask): Either<string, Ask> {
+  return checkObject(body).chain(checkPart);
+}
+
+function checkPart(ask: Ask): Either<string, Ask> {
+  switch (ask.kind) {
+    case "heartbeat":
+      return checkHeartbeat(ask.heartbeat).map(() => ask);
+    case "quota":
+    case "permit":
+    case "place":
+      return checkObject(ask.ask).map(() => ask);
+    case "streams":
+    case "dispatch":
+      return checkObject(ask.message).map(() => ask);
+    default:
+      return Right(ask);
+  }
+}
+
 async function handleAsk(handler: PeerHandler, ask: Ask): Promise<Answer> {
   switch (ask.kind) {
     case "configuration":
@@ -227,13 +245,26 @@
 }
 
 /** Creates a server for messages from other boxes. */
-export function createPeerServer(handler: PeerHandler): PeerServer {
+export function createPeerServer(
+  handler: PeerHandler,
+  onInvalid: InvalidMessageListener,
+): PeerServer {
   const server = new Server(channelOptions);
+  /** Undefined for a message that is invalid, of an unknown kind, or whose handling fails; these have no answer. */
+  const answerTo = async (body: Ask): Promise<Answer | undefined> => {
+    try {
+      const ask = checkAsk(body).ifLeft(onInvalid).toMaybe().extract();
+      return ask && (await handleAsk(handler, ask));
+    } catch (defect) {
+      onInvalid(defect instanceof Error ? (defect.stack ?? defect.message) : String(defect));
+      return undefined;
+    }
+  };
   const implementation: UntypedServiceImplementation = {
     exchange: ((call: ServerDuplexStream<NumberedMessage<Ask>, NumberedMessage<Answer>>) => {
       call.on("data", ({ number, body }: NumberedMessage<Ask>) => {
         if (body === undefined) return;
-        void handleAsk(handler, body).then((answer) => {
+        void answerTo(body).then((answer) => {
           if (call.writable) call.write({ number, body: answer });
         });
       });
--- a/packages/box-peers/src/unanswering-box.test.ts
+++ b/packages/box-peers/src/unanswering-box.test.ts
@@ -1,8 +1,8 @@
 /** A process that listens for other boxes at its first argument and answers nothing; SIGTERM closes its server and ends it. */
-import { createPeerServer } from "./index.js";
+import { createPeerServer, type PeerHandler } from "./index.js";
 
 const unexpected = () => Promise.reject(new Error("not called"));
-const server = createPeerServer({
+const handler: PeerHandler = {
   exchange: () => {
     throw new Error("not called");
   },
@@ -20,7 +20,8 @@
   relay(stream) {
     stream.listen({ onFrame: () => process.send?.("relay"), onClosed: () => undefined });
   },
-});
+};
+const server = createPeerServer(handler, () => undefined);
 process.on("SIGTERM", () => {
   server.close();
   process.exit(0);
--- a/packages/box-peers/src/wire-format.feature
+++ b/packages/box-peers/src/wire-format.feature
@@ -12,3 +12,27 @@
 
   Scenario: Malformed bytes are rejected
     Then malformed bytes are not decoded
+
+  Scenario Outline: A message that is no object is rejected: <text>
+    Then the text "<text>" is not decoded as a message
+
+    Examples:
+      | text |
+      | null |
+      | 5    |
+      | true |
+
+  # Guards against values that can be decoded, but not encoded again for other boxes without exhausting the stack.
+  Scenario Outline: A message of <levels> nested <kind> is <verdict>
+    Then a message of <levels> nested <kind> is <verdict>
+
+    Examples:
+      | levels | kind    | verdict  |
+      | 64     | arrays  | decoded  |
+      | 64     | objects | decoded  |
+      | 65     | arrays  | rejected |
+      | 65     | objects | rejected |
+      | 100000 | arrays  | rejected |
+
+  Scenario: Texts in messages may contain any number of brackets
+    Then brackets, quotes and backslashes in a text count as no nesting
--- a/packages/box-peers/src/wire-format.steps.ts
+++ b/packages/box-peers/src/wire-format.steps.ts
@@ -55,3 +55,26 @@
     assert.throws(() => decodeMessage(bytes));
   }
 });
+
+const encodeText = (text: string) => Buffer.concat([Buffer.of(0), Buffer.from(text)]);
+
+Then("the text {string} is not decoded as a message", (text: string) => {
+  assert.throws(() => decodeMessage(encodeText(text)));
+});
+
+Then(
+  /^a message of (\d+) nested (arrays|objects) is (decoded|rejected)$/,
+  (levels: string, kind: string, verdict: "decoded" | "rejected") => {
+    const [opening, closing] = kind === "arrays" ? ["[", "]"] : ['{"a":', "}"];
+    const inner = kind === "arrays" ? "" : "1";
+    const text = opening.repeat(Number(levels)) + inner + closing.repeat(Number(levels));
+    const decode = () => decodeMessage(encodeText(text));
+    if (verdict === "decoded") assert.doesNotThrow(decode);
+    else assert.throws(decode, /nested too deep/);
+  },
+);
+
+Then("brackets, quotes and backslashes in a text count as no nesting", () => {
+  const message = { text: `${"[{".repeat(100)}\\"\\`, other: '"]'.repeat(100) };
+  assert.deepEqual(decodeMessage(encodeMessage(message)), message);
+});
--- a/packages/box-peers/src/wire-format.ts
+++ b/packages/box-peers/src/wire-format.ts
@@ -19,6 +19,42 @@
 /** Maximum uncompressed size of a message; fits a complete configuration with many routes. */
 export const maxMessageBytes = 16 * 1024 * 1024;
 
+/** Deepest nesting of a message; deeper values exhaust the stack when they are encoded for other boxes. */
+const maxNesting = 64;
+
+/** Character codes of JSON. */
+const quote = 0x22;
+const backslash = 0x5c;
+const openArray = 0x5b;
+const closeArray = 0x5d;
+const openObject = 0x7b;
+const closeObject = 0x7d;
+
+/** Returns the index after the string that begins at `start`, a quote. */
+function skipString(text: Buffer, start: number): number {
+  let index = start + 1;
+  while (index < text.length && text[index] !== quote) index += text[index] === backslash ? 2 : 1;
+  return index + 1;
+}
+
+/** Whether the JSON text nests arrays and objects deeper than messages do. */
+function isNestedTooDeep(text: Buffer): boolean {
+  let depth = 0;
+  let index = 0;
+  while (index < text.length) {
+    const byte = text[index];
+    if (byte === quote) {
+      index = skipString(text, index);
+      continue;
+    }
+    if (byte === openArray || byte === openObject) depth += 1;
+    else if (byte === closeArray || byte === closeObject) depth -= 1;
+    if (depth > maxNesting) return true;
+    index += 1;
+  }
+  return false;
+}
+
 /** Encodes a message. */
 export function encodeMessage(message: unknown): Buffer {
   const text = Buffer.from(JSON.stringify(message));
@@ -27,10 +63,13 @@
   return Buffer.concat([Buffer.of(compress ? compressedFormat : plainFormat), body]);
 }
 
-/** Decodes a message; throws on malformed bytes, which closes the stream they arrived on. */
+/** Decodes a message; throws on bytes that are no message, which closes the stream they arrived on. */
 export function decodeMessage(bytes: Buffer): never {
   const body = bytes.subarray(1);
   const compressed = bytes[0] === compressedFormat;
   const text = compressed ? inflateRawSync(body, { maxOutputLength: maxMessageBytes }) : body;
-  return JSON.parse(text.toString("utf8")) as never;
+  if (isNestedTooDeep(text)) throw new Error("the message is nested too deep");
+  const message: unknown = JSON.parse(text.toString("utf8"));
+  if (typeof message !== "object" || message === null) throw new Error("not an object");
+  return message as never;
 }
--- a/packages/entry-box/src/box-runtime.ts
+++ b/packages/entry-box/src/box-runtime.ts
@@ -38,6 +38,8 @@
     shutdown: createGracefulShutdown(clock, settings),
     demand: createModelDemandMeter(clock),
     activity: kernel.provide({ name: "activity" }, activity, activity),
-    peerClient: createPeerClient(clock, settings.peers.call_ms),
+    peerClient: createPeerClient(clock, settings.peers.call_ms, (problem) =>
+      logger.event("badPeerMessage", { problem }),
+    ),
   };
 }
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -1,5 +1,5 @@
 /** Assembles the services of a box that forwards opaque requests. */
-import { createPeerServer, peersName } from "@linkfall/box-peers";
+import { createPeerServer, type PeerHandler, peersName } from "@linkfall/box-peers";
 import { crashBlameName } from "@linkfall/crash-blame";
 import { type DesiredFeed, desiredFeedName } from "@linkfall/desired-feed";
 import type { EntrySettings } from "@linkfall/entry-settings";
@@ -192,7 +192,7 @@
   const relay = createOwnRelay(runtime);
   const streamVersions = kernel.find(streamVersionsName);
   const dispatch = kernel.find(requestDispatchName);
-  const peerServer = createPeerServer({
+  const handler: PeerHandler = {
     exchange: peers.receive,
     configuration: feed.configurationCopy,
     quota: kernel.find(accountQuotaName).allocate,
@@ -201,7 +201,10 @@
     place: kernel.find(fragileTargetsName).allocate,
     streams: streamVersions.receive,
     dispatch: dispatch.receive,
-  });
+  };
+  const peerServer = createPeerServer(handler, (problem) =>
+    logger.event("badPeerMessage", { problem }),
+  );
   registerGauges(runtime, front);
   const blame = kernel.find(crashBlameName);
   const heldStore = kernel.find(heldStoreName);
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -161,6 +161,12 @@
     "This box regained or lost contact with the majority of boxes.",
     "While a box is cut off, check its network; it enforces only its part of each account's limit.",
   ),
+  badPeerMessage: event(
+    3009,
+    "warn",
+    "A message of another box was invalid or could not be handled; it was not applied and has no answer.",
+    "Check the build of that box; with a stack in this line, report a bug.",
+  ),
   leaseTaken: event(4001, "info", "This box acquired the lease of a pool."),
   leaseLost: event(4002, "warn", "This box lost the lease of a pool."),
   leaseReleased: event(4003, "info", "This box released the lease of a pool."),
