Reject relayed requests that Node can't send

A box that relays exchanges ended with code 70 when the first frame of a relayed exchange held a method, path or header with a line end or a blank: Node throws while it creates the request, in a listener of the stream.

Cause: the frame's schema asked for texts only. The box's own callers are checked before, so only a frame of another writer, or of a box with a defect, holds such a request.

Change: the schema asks for a token as the method, a path of printable characters and headers that can be written; such an exchange is cancelled before it is begun, as with any malformed frame.

--- a/packages/relayed-exchange/src/frames.ts
+++ b/packages/relayed-exchange/src/frames.ts
@@ -1,5 +1,6 @@
 /** Frames of a relayed exchange: one byte for the kind, then JSON or raw bytes. */
 import type { TargetUnreachable } from "@linkfall/errors";
+import { findUnwritableHeader } from "@linkfall/header-syntax";
 import type { RawHeaders } from "@linkfall/ports";
 import type { ResponseHead } from "@linkfall/raw-exchange";
 import type { Milliseconds } from "@linkfall/types";
@@ -55,9 +56,12 @@
 const openSchema = z.object({
   target: z.string(),
   born: z.number().optional(),
-  method: z.string(),
-  path: z.string(),
-  headers: headersSchema,
+  method: z.string().regex(/^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/),
+  path: z.string().regex(/^[\x21-\xff]*$/),
+  headers: headersSchema.refine(
+    (headers) => findUnwritableHeader(headers) === undefined,
+    "a header that can't be written",
+  ),
   bodyBytes: z.number(),
   connectTimeoutMs: z.number(),
 });
