Report requests that Node can't send as not sent

Cause: Node's http.request throws for a port out of range and for a path or header with a line end. In the client's promise that is a rejection, which callers that expect a value don't handle.

Change: what Node throws on creating a request is a Left of the client, "not sent", as for a target that can't be reached.

--- a/packages/http-client/src/http-client.feature
+++ b/packages/http-client/src/http-client.feature
@@ -62,3 +62,17 @@
     Given a server that answers with the head "HTTP/1.1 200 OK\r\nX A: a\r\nContent-Length: 11\r\n\r\n"
     When the HTTP client reads its response 2 times
     Then each response is truncated
+
+  # Guards against a declared address or name that Node throws on: the exception would end the process.
+  Scenario Outline: A request <what> fails as not sent
+    Then a request to "<address>" with the path "<path>" and the header value "<value>" fails as not sent
+
+    Examples:
+      | what                             | address                 | path   | value  |
+      | to a port beyond the last one    | 127.0.0.1:70000         | /      | a      |
+      | to a port below the first one    | 127.0.0.1:-1            | /      | a      |
+      | to a port with a fraction        | 127.0.0.1:80.5          | /      | a      |
+      | to a port of many digits         | 127.0.0.1:99999999999999999999999 | / | a |
+      | to a port that is no number      | 127.0.0.1:x             | /      | a      |
+      | with a line end in its path      | 127.0.0.1:9             | /\\r\\n | a      |
+      | with a line end in a header      | 127.0.0.1:9             | /      | \\r\\n |
--- a/packages/http-client/src/http-client.steps.ts
+++ b/packages/http-client/src/http-client.steps.ts
@@ -141,3 +141,25 @@
   const outcomes = scenarioState(this).get<string[]>("outcomes");
   assert.deepEqual(new Set(outcomes), new Set([expected]));
 });
+
+Then(
+  "a request to {string} with the path {string} and the header value {string} fails as not sent",
+  async (address: string, path: string, value: string) => {
+    const unescape = (text: string) => text.replaceAll("\\r\\n", "\r\n");
+    const client = createHttpClient();
+    const result = await client.send(
+      {
+        address,
+        method: "GET",
+        path: unescape(path),
+        headers: { "x-value": unescape(value) },
+        body: Buffer.alloc(0),
+        freshConnection: false,
+      },
+      new AbortController().signal,
+    );
+    client.close();
+    const failure = result.swap().toMaybe().extract();
+    assert.equal(failure?.mayHaveArrived, false);
+  },
+);
--- a/packages/http-client/src/index.ts
+++ b/packages/http-client/src/index.ts
@@ -11,7 +11,7 @@
   maxHeadBytes,
   type ResponseBounds,
 } from "@linkfall/response-bounds";
-import { type Either, Left, Right } from "purify-ts";
+import { Either, Left, Right } from "purify-ts";
 
 /** Shorter than the keep-alive timeout of common servers, so that idle connections are closed by the client. */
 const idleConnectionTimeoutMs = 4_000;
@@ -70,6 +70,28 @@
   return () => connected;
 }
 
+/** Node throws on a request that it can't send, such as one to a port out of range. */
+function createRequest(
+  { address, method, path, headers, body }: TargetRequest,
+  agent: Agent | false,
+  signal: AbortSignal,
+): Either<TargetUnreachable, ClientRequest> {
+  const portSeparator = address.lastIndexOf(":");
+  const options = {
+    host: address.slice(0, portSeparator).replace(/^\[|\]$/g, ""),
+    port: Number(address.slice(portSeparator + 1)),
+    method,
+    path,
+    headers: { ...headers, "content-length": body.length },
+    agent,
+    maxHeaderSize: maxHeadBytes,
+    signal,
+  };
+  return Either.encase(() => httpRequest(options)).mapLeft(({ message }) =>
+    unreachable(message, false),
+  );
+}
+
 /** Creates a client that reuses connections. */
 export function createHttpClient(): HttpClient {
   const keepAliveAgent = new Agent({ keepAlive: true, timeout: idleConnectionTimeoutMs });
@@ -77,17 +99,10 @@
     send: (request, signal) =>
       new Promise((resolve) => {
         if (signal.aborted) return resolve(Left(unreachable("aborted before it was sent", false)));
-        const portSeparator = request.address.lastIndexOf(":");
-        const outgoing = httpRequest({
-          host: request.address.slice(0, portSeparator).replace(/^\[|\]$/g, ""),
-          port: Number(request.address.slice(portSeparator + 1)),
-          method: request.method,
-          path: request.path,
-          headers: { ...request.headers, "content-length": request.body.length },
-          agent: request.freshConnection ? false : keepAliveAgent,
-          maxHeaderSize: maxHeadBytes,
-          signal,
-        });
+        const agent = request.freshConnection ? false : keepAliveAgent;
+        const created = createRequest(request, agent, signal);
+        if (created.isLeft()) return resolve(created as Either<TargetUnreachable, never>);
+        const outgoing = created.unsafeCoerce();
         const mayHaveArrived = trackConnection(outgoing);
         let answer: IncomingMessage | undefined;
         const isComplete = watchCompleteness(outgoing);
