Let timers run for longer than Node's longest delay

Under a configuration whose route has a time limit of more than 2,147,483,647 ms (24.8 days), callers that name no deadline got 504 for every request that took its target more than 1 ms.

Cause: Node sets a timer with a longer delay to 1 ms.

Change: the clock's timers are set again until their time has come.

--- a/packages/kernel/src/clock.steps.ts
+++ b/packages/kernel/src/clock.steps.ts
@@ -79,6 +79,15 @@
   },
 );
 
+When(
+  /^a timer of (\S+) ms runs for (\d+) ms and is cancelled$/,
+  async function (this: object, delayMs: string, runMs: string) {
+    const cancel = systemClock().after(Number(delayMs), () => fired.set(this, true));
+    await new Promise((resolve) => setTimeout(resolve, Number(runMs)));
+    cancel();
+  },
+);
+
 Then("the timer has not fired", function (this: object) {
   assert.ok(!fired.get(this));
 });
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -45,6 +45,9 @@
 /** A timer that fires later than this indicates a delayed event loop. */
 const maxTimerLagMs: Milliseconds = 20;
 
+/** Longest delay of Node's timers; those set to more fire at once. */
+const maxTimerMs: Milliseconds = 2 ** 31 - 1;
+
 /**
  * Creates the clock of the running process. After a long iteration the event loop runs expired timers before it polls its
  * sockets. A late timer therefore defers its action until the sockets were polled; otherwise requests would time out
@@ -58,10 +61,15 @@
     after(delay, action) {
       const dueAt = performance.now() + delay;
       let deferred: NodeJS.Immediate | undefined;
-      const timer = setTimeout(() => {
+      const expire = () => {
         if (performance.now() - dueAt <= maxTimerLagMs) return action();
         deferred = setImmediate(action);
-      }, delay);
+      };
+      const start = (remainingMs: Milliseconds): NodeJS.Timeout =>
+        remainingMs > maxTimerMs
+          ? setTimeout(() => (timer = start(dueAt - performance.now())), maxTimerMs)
+          : setTimeout(expire, remainingMs);
+      let timer = start(delay);
       return () => {
         clearTimeout(timer);
         clearImmediate(deferred);
