Report peer addresses that gRPC can't parse as unreachable

Cause: creating the gRPC client throws, and the heartbeat to that address is a promise that nobody waits for.

Change: the peer client returns such an address as unreachable, not sent, for each kind of call.

--- a/packages/peer-grpc/src/peer-client.ts
+++ b/packages/peer-grpc/src/peer-client.ts
@@ -175,31 +175,48 @@
     return peer;
   };
 
+  /** gRPC throws on an address that it can't parse. */
+  const findPeer = (address: string): Either<PeerUnreachable, PeerConnection> =>
+    Either.encase(() => peerAt(address)).mapLeft((problem) => unreachable(problem, false));
+
+  const ask = async (
+    address: string,
+    body: AskBody,
+  ): Promise<Either<PeerUnreachable, AnswerBody>> => {
+    const peer = findPeer(address);
+    if (peer.isLeft()) return peer as Either<PeerUnreachable, never>;
+    return peer.unsafeCoerce().stream.request(body);
+  };
+
   return {
     async heartbeat(address, message) {
       const body = { $case: "beat", value: toBeatRequest(message) } as const;
-      return expectAnswer(await peerAt(address).stream.request(body), "beat", fromBeatReply);
+      return expectAnswer(await ask(address, body), "beat", fromBeatReply);
     },
     async reportUsage(address, report) {
       const body = { $case: "usage", value: toUsageMessage(report) } as const;
-      const answer = await peerAt(address).stream.request(body);
+      const answer = await ask(address, body);
       return expectAnswer(answer, "usage", ({ accounts }) => accounts);
     },
     async readReports(address, request) {
       const body = { $case: "reports", value: toReportsMessage(request) } as const;
-      return expectAnswer(await peerAt(address).stream.request(body), "reports", fromReportsReply);
+      return expectAnswer(await ask(address, body), "reports", fromReportsReply);
     },
     async fetchState(address) {
-      const stream = peerAt(address).client.fetchState({});
+      const peer = findPeer(address);
+      if (peer.isLeft()) return peer as Either<PeerUnreachable, never>;
+      const stream = peer.unsafeCoerce().client.fetchState({});
       const cancelTimeout = clock.after(timeoutMs, () => stream.cancel());
       const state = await readState(stream);
       cancelTimeout();
       return state;
     },
-    forward(address, request: CallerRequest) {
+    async forward(address, request: CallerRequest) {
+      const peer = findPeer(address);
+      if (peer.isLeft()) return peer as Either<PeerUnreachable, never>;
       const { method, path, headers, body } = request;
       const message = { method, path, headers: { ...headers }, body: Buffer.from(body) };
-      const stream = peerAt(address).client.forward(message, new Metadata());
+      const stream = peer.unsafeCoerce().client.forward(message, new Metadata());
       request.signal.addEventListener("abort", () => stream.cancel(), { once: true });
       return readForwarded(stream);
     },
