Skip odd entries of the list of boxes, not the list

Cause: the answer was checked as a whole, and one entry that did not match made it count as no answer.

Change: entries are checked one by one; those that don't match are skipped and logged (badBoxEntry, 3010).

--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -62,7 +62,9 @@
     random: systemRandom(),
     logger,
     log: createLogHttp(platformCaller, hostAndPort(settings.platform.log_url)),
-    boxList: createBoxListHttp(platformCaller, hostAndPort(settings.platform.list_url)),
+    boxList: createBoxListHttp(platformCaller, hostAndPort(settings.platform.list_url), (problem) =>
+      logger.event("badBoxEntry", { problem }),
+    ),
     peers: peerClient,
     engines: createEngineHttp(engineCaller),
     targets: {
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -167,6 +167,12 @@
     "A message of another box was invalid or could not be handled; it was not applied and has no answer.",
     "Check the build of that box; with a stack in this line, report a bug.",
   ),
+  badBoxEntry: event(
+    3010,
+    "warn",
+    "An entry of the platform's list of boxes or leaving targets is invalid and was skipped.",
+    "Find the process that writes the entry.",
+  ),
   leaseTaken: event(4001, "info", "This box acquired the lease of a pool."),
   leaseLost: event(4002, "warn", "This box lost the lease of a pool."),
   leaseReleased: event(4003, "info", "This box released the lease of a pool."),
