Reject records of crashes that are none between boxes of the older line

A daemon of the older line ended when another box's heartbeat held records of crashes that are no JSON, or JSON without their fields.

Cause: the text was parsed and used unchecked; only a missing field counted as an error of the message, any other exception as a defect of this box.

Change: the text is parsed by a schema, and a heartbeat whose records don't match is rejected as an invalid argument, as one without other fields is.

--- a/packages/peer-grpc/src/convert.ts
+++ b/packages/peer-grpc/src/convert.ts
@@ -15,6 +15,7 @@
   type ReportPlacement,
   residentStates,
 } from "@linkfall/types";
+import { z } from "zod";
 import type {
   BeatReply,
   BeatRequest,
@@ -56,8 +57,24 @@
   };
 }
 
+const blameSchema = z.object({
+  word: z
+    .object({ number: z.number(), records: z.array(z.looseObject({ kind: z.string() })) })
+    .optional(),
+  of: z.string(),
+  followed: z.number(),
+});
+
+function parseBlame(text: string): BlameExchange | undefined {
+  try {
+    return blameSchema.safeParse(JSON.parse(text)).data as BlameExchange | undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 function toBlame(text: string): BlameExchange | undefined {
-  return text === "" ? undefined : (JSON.parse(text) as BlameExchange);
+  return text === "" ? undefined : requireField(parseBlame(text), "blame");
 }
 
 export function toUsageMessage(report: UsageReport): UsageMessage {
--- a/packages/peer-grpc/src/odd-peers.steps.ts
+++ b/packages/peer-grpc/src/odd-peers.steps.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
-import { Then } from "@cucumber/cucumber";
+import { Then, When } from "@cucumber/cucumber";
+import { credentials, type ServiceError, status } from "@grpc/grpc-js";
 import { systemClock } from "@linkfall/kernel";
 import type { Heartbeat } from "@linkfall/ports";
+import { scenarioState } from "@linkfall/test-support";
+import { toBeatRequest } from "./convert.js";
+import { PeerClient } from "./generated/peer.js";
 import { createPeerClient } from "./peer-client.js";
 
 const timeoutMs = 500;
@@ -45,3 +49,30 @@
     client.close();
   },
 );
+
+const levels = 100_000;
+const deepText = "[".repeat(levels) + "]".repeat(levels);
+
+When(
+  /^another writer sends it a heartbeat whose records of crashes are (.*)$/,
+  longTimeout,
+  async function (this: object, text: string) {
+    const { address } = scenarioState(this).get<{ readonly address: string }>("pair");
+    const client = new PeerClient(address, credentials.createInsecure());
+    const call = client.exchange();
+    const blame = text === "deep nesting" ? deepText : text;
+    const code = await new Promise<number>((resolve) => {
+      call.on("error", (problem: ServiceError) => resolve(problem.code));
+      call.on("data", () => resolve(status.OK));
+      const value = { ...toBeatRequest(heartbeat), blame };
+      call.write({ number: 1, body: { $case: "beat", value } });
+    });
+    call.cancel();
+    client.close();
+    scenarioState(this).set("code", code);
+  },
+);
+
+Then("that call has failed as an invalid argument", function (this: object) {
+  assert.equal(scenarioState(this).get<number>("code"), status.INVALID_ARGUMENT);
+});
