Wait for a whole lease after claiming from a holder that answers no probes

Two boxes could order at a time while a release is under way: a holder of the version before does not know probes, goes on proving its lease by reads, and a new box that did not hear it ordered 0.3 s after its claim, with up to a lease time left to the holder.

Cause: the claimant counts the validity of earlier proofs from its probe, which holds only for a holder that stops, or answers, when it reads the probe.

Change: a holder appends one renewal with its first proof, which shows that it answers probes (one write for each change of the lease).

Evidence: the new scenario failed before (2 boxes).

--- a/packages/order-lease/src/holder-probes.ts
+++ b/packages/order-lease/src/holder-probes.ts
@@ -32,6 +32,8 @@
   findAt(offset: Offset): HolderProbe | undefined;
   /** The newest probe of this epoch that the holder has not answered. */
   findPending(epoch: Epoch): HolderProbe | undefined;
+  /** Whether the holder of this epoch has appended a renewal, so that it answers probes. */
+  hasRenewed(epoch: Epoch): boolean;
   /** When this box learned that the holder had answered a probe that this box knew of; -Infinity if it never did. */
   answeredAt(epoch: Epoch): Milliseconds;
   /** Forgets all records, whose offsets a store that goes back assigns again. */
@@ -84,6 +86,7 @@
     },
     findAt: (offset) => (probe?.offset === offset ? probe : undefined),
     findPending,
+    hasRenewed: (epoch) => renewal?.epoch === epoch,
     answeredAt: (epoch) => (answer?.epoch === epoch ? answer.at : -Infinity),
     clear() {
       probe = undefined;
--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -245,3 +245,12 @@
       | engines                   |
       |                           |
       | , with engines that fence |
+
+  # Guards against two boxes that send orders at once during a change of versions.
+  Scenario: A holder of a version that does not answer probes stops before another box may send orders
+    Given boxes "a b c" of which "a" has a version that does not answer probes
+    And "a" holds the lease
+    When "b" is cut off from the other boxes
+    And 4.8 s go by
+    And the store loses the responses to "a"
+    Then no other box may send orders before the lease of "a" has expired
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -253,15 +253,20 @@
     if (await appendRelease(reason)) peers.announceClaim();
   };
 
-  /** Answers a probe, which proves the lease as reading does. */
-  const answerProbe = async (probe: HolderProbe) => {
-    if (isBetterConnected(probe)) return yieldLease("another box hears more boxes");
+  /** Appends a renewal, which proves the lease as reading does. */
+  const appendRenewal = async (epoch: Epoch): Promise<boolean> => {
     const sentAt = clock.elapsed();
-    const record = encodeRenewal(probe.epoch);
+    const record = encodeRenewal(epoch);
     const offset = await appendNext(record.key, record.value);
-    if (offset === undefined) return;
+    if (offset === undefined) return false;
     probes.apply({ ...record, offset });
     recordProof(sentAt);
+    return true;
+  };
+
+  const answerProbe = async (probe: HolderProbe) => {
+    if (isBetterConnected(probe)) return yieldLease("another box hears more boxes");
+    if (!(await appendRenewal(probe.epoch))) return;
     logger.event("leaseRenewed", { pool: leaseKey, epoch: probe.epoch });
   };
 
@@ -271,8 +276,10 @@
     if (!(await follow())) return;
     const probe = probes.findPending(state.claim.epoch);
     // The sender of a probe waits only for proofs from before it, so that later ones have to be visible to it.
-    if (probe && isHeld()) await answerProbe(probe);
-    else recordProof(sentAt);
+    if (probe && isHeld()) return answerProbe(probe);
+    recordProof(sentAt);
+    // The first renewal tells the others that this holder answers probes.
+    if (isHeld() && !probes.hasRenewed(state.claim.epoch)) await appendRenewal(state.claim.epoch);
   };
 
   /** Whether a holder has said that it sends no more orders. */
@@ -291,6 +298,8 @@
     // The store may have lost a claim, and its holder sends orders until it reads the store again.
     const lostUntil = generation > 0 ? generationSeenAt + proofValidMs : -Infinity;
     if (!mayStillOrder(claim.holder)) return lostUntil;
+    // A holder of a version that does not answer probes sends orders until its reads show the new claim.
+    if (!probes.hasRenewed(claim.epoch)) return clock.now() + options.leaseMs;
     const probedAt = probes.findPending(claim.epoch)?.seenAt ?? clock.now();
     return Math.max(lostUntil, probedAt + proofValidMs);
   };
