--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -626,8 +626,8 @@
 Then(
   /^for (\d+) seeds with boxes that hear no others no two boxes take turns at sending orders(, with engines that fence)?$/,
   manySeedsOptions,
-  async (seeds: string, fence: string | undefined) => {
-    const leaseOptions = { ...options, enginesFence: fence !== undefined };
+  async (seeds: string, fence: string | null) => {
+    const leaseOptions = { ...options, enginesFence: Boolean(fence) };
     for (let seed = 1; seed <= Number(seeds); seed++)
       await checkOneHolder(seed, disturbancesOfMessages, leaseOptions);
   },
@@ -676,8 +676,8 @@
 Then(
   /^for (\d+) seeds a holder on the smaller side of a cut hands the lease over once(, with engines that fence)?$/,
   manySeedsOptions,
-  async (seeds: string, fence: string | undefined) => {
-    const leaseOptions = { ...options, enginesFence: fence !== undefined };
+  async (seeds: string, fence: string | null) => {
+    const leaseOptions = { ...options, enginesFence: Boolean(fence) };
     for (let seed = 1; seed <= Number(seeds); seed++) await checkCutSmallSide(seed, leaseOptions);
   },
 );
