Show that a slow store costs the holder its lease where engines fence

Engines get no orders for more than half of the time, and no box notices, where the store answers each call after 900 ms: the holder is kept by all, and its proofs expire between two reads.

Cause: a proof is valid for half of the lease time, counted from when its read is sent, and one read is under way at a time. Two calls and a check exceed that from 675 ms on.

Proposed: the validity of a whole lease with fences too, which replaces a holder that has ended 1.5 s later, or a second read while the first is unanswered.

--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -254,3 +254,14 @@
     And 4.8 s go by
     And the store loses the responses to "a"
     Then no other box may send orders before the lease of "a" has expired
+
+  # Guards against proofs that expire before the next one is answered.
+  Scenario Outline: A slow store leaves the holder its lease<engines>
+    Given boxes "a b c" whose store answers after 900 ms<engines>
+    When 8 s go by
+    Then in 30 s some box may send orders for at least 27 s
+
+    Examples:
+      | engines                   |
+      |                           |
+      | , with engines that fence |
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -276,6 +276,47 @@
   },
 );
 
+/** A port whose calls are answered late. */
+function slowPort(port: KeyedStreamPort, clock: VirtualClock, delayMs: number): KeyedStreamPort {
+  const wait = () => new Promise<void>((resolve) => void clock.after(delayMs / 2, resolve));
+  const delayed = async <T>(call: () => Promise<T>): Promise<T> => {
+    await wait();
+    const result = await call();
+    await wait();
+    return result;
+  };
+  return {
+    ...port,
+    readNewest: () => delayed(() => port.readNewest()),
+    readChanges: (from, waitMs) => delayed(() => port.readChanges(from, waitMs)),
+    put: (key, value, at) => delayed(() => port.put(key, value, at)),
+  };
+}
+
+Given(
+  /^boxes "([^"]*)" whose store answers after (\d+) ms(, with engines that fence)?$/,
+  async function (this: object, names: string, delayMs: string, fence: string | null) {
+    const scene = createScene([], 1, { ...options, enginesFence: Boolean(fence) });
+    scenes.set(this, scene);
+    for (const name of names.split(" ")) {
+      const port = slowPort(scene.store.portFor(name), scene.clock, Number(delayMs));
+      await addBox(scene, name, 1, port).lease.start();
+    }
+  },
+);
+
+Then(
+  "in {int} s some box may send orders for at least {int} s",
+  async function (this: object, seconds: number, minSeconds: number) {
+    const scene = sceneOf(this);
+    let heldMs = 0;
+    await passTime(scene, seconds * 1_000, () => {
+      if (holders(scene).length > 0) heldMs += stepMs;
+    });
+    assert.ok(heldMs >= minSeconds * 1_000, `${heldMs} ms`);
+  },
+);
+
 Given("{string} holds the lease", async function (this: object, name: string) {
   const scene = sceneOf(this);
   await passTime(scene, 2_000);
