Move the reading and appending of claims out of the order lease

The lease's file had grown to some 500 lines with the stream's position, its generations and the judgement of holders in one closure. claim-stream.ts follows the stream and appends behind what it has read; order-lease.ts decides.

--- a/packages/order-lease/src/holder-probes.ts
+++ b/packages/order-lease/src/holder-probes.ts
@@ -20,7 +20,7 @@
 }
 
 /** A record to append. */
-interface NewRecord {
+export interface NewRecord {
   readonly key: string;
   readonly value: string;
 }
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -4,20 +4,20 @@
  * the stream. A box that doesn't hear the holder appends a probe, and claims only if the holder does not answer it in the time
  * for which earlier proofs are valid.
  */
-import type { LogFailure } from "@linkfall/errors";
 import { clockName, type Kernel, randomName, repeatEvery } from "@linkfall/kernel";
 import { loggerName } from "@linkfall/logger";
 import { metricsName } from "@linkfall/metrics";
-import type { KeyedBatch, KeyedStreamPort, StoreGeneration } from "@linkfall/ports";
-import type { Epoch, Incarnation, Milliseconds, Offset } from "@linkfall/types";
-import type { Either } from "purify-ts";
+import type { KeyedStreamPort } from "@linkfall/ports";
+import type { Epoch, Incarnation, Milliseconds } from "@linkfall/types";
 import { type Claim, epochOf, firstOffset, noClaimEpoch } from "./claim.js";
+import { createClaimStream } from "./claim-stream.js";
 import type { LeaseOptions, LeasePeers, OrderLease } from "./contract.js";
 import {
   createHolderProbes,
   encodeProbe,
   encodeRenewal,
   type HolderProbe,
+  type NewRecord,
 } from "./holder-probes.js";
 
 const leaseKey = "orders";
@@ -25,10 +25,7 @@
 const releasedHolder = "-";
 /** Proof reads per lease time. They don't wait for changes, so an idle stream is answered at once. */
 const proofsPerLease = 6;
-/**
- * Share of the lease time for which a proof is valid if engines fence. A shorter validity lets another box replace a holder that
- * has failed sooner, and more time without orders in an outage of the store does not matter to engines that keep serving.
- */
+/** Share of the lease time for which a proof is valid if engines fence, so that a holder that has failed is replaced sooner. */
 const fencedProofShare = 0.5;
 /** A holder with a smaller share of its proof's validity left is presumed to have lost the store. */
 const minRemainingShare = 0.35;
@@ -49,16 +46,10 @@
 interface LeaseState {
   /** Newest observed claim. */
   claim: Claim;
-  /** Generation of the store that was last read. */
-  generation: StoreGeneration;
-  /** When this box first read that generation. */
-  generationSeenAt: Milliseconds;
   /** Whether the store has come back from a copy without the observed claim. */
   isClaimLost: boolean;
   /** When this box observed that claim. */
   claimObservedAt: Milliseconds;
-  /** Offset at which the next read starts; undefined if it reads the newest records. */
-  nextOffset: Offset | undefined;
   /**
    * When the current proof expires. This and `provenAt` use `elapsed`, which includes suspensions of the machine, as leases
    * expire during them. Times of other boxes use `now`, to never end early because of a clock step.
@@ -92,11 +83,8 @@
   const startedAt = clock.now();
   const state: LeaseState = {
     claim: { holder: releasedHolder, epoch: noClaimEpoch },
-    generation: 0,
-    generationSeenAt: startedAt,
     isClaimLost: false,
     claimObservedAt: startedAt,
-    nextOffset: undefined,
     provenUntil: -Infinity,
     provenAt: -Infinity,
     ordersFrom: Infinity,
@@ -109,7 +97,6 @@
   /** Time for which a proof permits to send orders. */
   const proofValidMs = options.enginesFence ? options.leaseMs * fencedProofShare : options.leaseMs;
   let stopping = false;
-  let reading = false;
   let checkedAt = startedAt;
   /** Time by which the newest check was late, which delays the messages of other boxes as well. */
   let checkLateMs: Milliseconds = 0;
@@ -133,60 +120,20 @@
     logger.event("leaseLost", { pool: leaseKey, epoch, holder });
   };
 
-  /** Starts to read a store that has come back from an older copy, which need not have the observed claim. */
-  const startGeneration = (generation: StoreGeneration) => {
-    state.generation = generation;
-    state.generationSeenAt = clock.now();
-    state.nextOffset = undefined;
-    state.provenUntil = -Infinity;
-    probes.clear();
-    // Another box may have told of a claim in this generation already.
-    if (state.claim.epoch >= epochOf(generation, firstOffset)) return;
-    state.isClaimLost = true;
-  };
-
-  const applyBatch = ({ records, end, generation }: KeyedBatch) => {
-    for (const record of records) {
+  const claims = createClaimStream(clock, stream, {
+    onNewGeneration(generation) {
+      state.provenUntil = -Infinity;
+      probes.clear();
+      // Another box may have told of a claim in this generation already.
+      if (state.claim.epoch < epochOf(generation, firstOffset)) state.isClaimLost = true;
+    },
+    onRecord(record, generation) {
       probes.apply(record);
-      if (record.key !== leaseKey) continue;
+      if (record.key !== leaseKey) return;
       const epoch = epochOf(generation, record.offset);
       applyClaim({ holder: record.value ?? releasedHolder, epoch });
-    }
-    state.nextOffset = end;
-  };
-
-  const handleReadFailure = (failure: LogFailure) => {
-    if (failure.kind === "log_truncated") state.nextOffset = undefined;
-  };
-
-  /** Reads the records after those already read; all newest records if the store has come back from an older copy. */
-  const readStream = async (): Promise<Either<LogFailure, KeyedBatch>> => {
-    const from = state.nextOffset;
-    if (from === undefined) return stream.readNewest();
-    const read = await stream.readChanges(from, 0);
-    const isOtherHistory = read
-      .map(({ generation }) => generation !== state.generation)
-      .orDefault(false);
-    return isOtherHistory ? stream.readNewest() : read;
-  };
-
-  /** Reads and applies the stream; resolves to false unless all records up to its end have been applied. */
-  const follow = async (): Promise<boolean> => {
-    if (reading) return false;
-    reading = true;
-    const read = await readStream();
-    reading = false;
-    return read.ifLeft(handleReadFailure).caseOf({
-      Left: () => false,
-      Right(batch) {
-        // An answer of an earlier generation proves nothing.
-        if (batch.generation < state.generation) return false;
-        if (batch.generation > state.generation) startGeneration(batch.generation);
-        applyBatch(batch);
-        return batch.isPartial !== true;
-      },
-    });
-  };
+    },
+  });
 
   /**
    * Whether this box's proof is valid. In an outage of the store, engines that fence reject its orders if another box has claimed
@@ -216,32 +163,23 @@
     if (isHeld()) state.provenUntil = sentAt + proofValidMs;
   };
 
-  /** Appends a record directly after those that this box has read; resolves to its offset, or undefined if it was not appended. */
-  const appendNext = async (key: string, value: string): Promise<Offset | undefined> => {
-    const { generation, nextOffset } = state;
-    if (nextOffset === undefined) return undefined;
-    const appended = await stream.put(key, value, nextOffset);
-    return appended.caseOf({
-      Left: () => undefined,
-      Right(position) {
-        // The store has come back from an older copy meanwhile: the record is found by reading.
-        if (position.generation !== generation || state.generation !== generation) return undefined;
-        state.nextOffset = position.offset + 1;
-        return position.offset;
-      },
-    });
-  };
-
   /** Appends that no box holds the lease. */
   const appendRelease = async (reason: string): Promise<boolean> => {
-    const { generation } = state;
-    const offset = await appendNext(leaseKey, releasedHolder);
-    if (offset === undefined) return false;
-    applyClaim({ holder: releasedHolder, epoch: epochOf(generation, offset) });
+    const position = await claims.append(leaseKey, releasedHolder);
+    if (!position) return false;
+    const epoch = epochOf(position.generation, position.offset);
+    applyClaim({ holder: releasedHolder, epoch });
     logger.event("leaseReleased", { pool: leaseKey, reason });
     return true;
   };
 
+  /** Appends a probe or a renewal and applies it; resolves to false if it was not appended. */
+  const appendProbeRecord = async ({ key, value }: NewRecord): Promise<boolean> => {
+    const position = await claims.append(key, value);
+    if (position) probes.apply({ key, value, offset: position.offset });
+    return position !== undefined;
+  };
+
   /** Whether the sender of the probe receives the demand of many more boxes than this one. */
   const isBetterConnected = ({ boxesHeard }: HolderProbe): boolean =>
     boxesHeard > peers.countHeardWithin(options.holderTimeoutMs) * betterConnectedFactor;
@@ -256,10 +194,7 @@
   /** Appends a renewal, which proves the lease as reading does. */
   const appendRenewal = async (epoch: Epoch): Promise<boolean> => {
     const sentAt = clock.elapsed();
-    const record = encodeRenewal(epoch);
-    const offset = await appendNext(record.key, record.value);
-    if (offset === undefined) return false;
-    probes.apply({ ...record, offset });
+    if (!(await appendProbeRecord(encodeRenewal(epoch)))) return false;
     recordProof(sentAt);
     return true;
   };
@@ -273,7 +208,7 @@
   /** Reads the stream, which either shows a newer claim or proves that there is none. */
   const prove = async () => {
     const sentAt = clock.elapsed();
-    if (!(await follow())) return;
+    if (!(await claims.follow())) return;
     const probe = probes.findPending(state.claim.epoch);
     // The sender of a probe waits only for proofs from before it, so that later ones have to be visible to it.
     if (probe && isHeld()) return answerProbe(probe);
@@ -294,9 +229,10 @@
 
   /** Returns the time until which any earlier holder may send orders. */
   const earlierHoldersOrderUntil = (): Milliseconds => {
-    const { claim, generation, generationSeenAt } = state;
+    const { claim } = state;
     // The store may have lost a claim, and its holder sends orders until it reads the store again.
-    const lostUntil = generation > 0 ? generationSeenAt + proofValidMs : -Infinity;
+    const lostUntil =
+      claims.generation() > 0 ? claims.generationSeenAt() + proofValidMs : -Infinity;
     if (!mayStillOrder(claim.holder)) return lostUntil;
     // A holder of a version that does not answer probes sends orders until its reads show the new claim.
     if (!probes.hasRenewed(claim.epoch)) return clock.now() + options.leaseMs;
@@ -312,7 +248,7 @@
   const isReleasedToOthers = (): boolean => {
     const { holder, epoch } = state.claim;
     if (holder !== releasedHolder) return false;
-    const probe = probes.findAt(epoch - epochOf(state.generation, firstOffset) - 1);
+    const probe = probes.findAt(epoch - epochOf(claims.generation(), firstOffset) - 1);
     if (!probe || !isBetterConnected(probe)) return false;
     return clock.now() - probe.seenAt < options.leaseMs;
   };
@@ -328,13 +264,11 @@
   /** Reads whether the holder has answered a pending probe; appends one if there is none. */
   const probeHolder = async () => {
     const { holder, epoch } = state.claim;
-    if (!(await follow()) || state.claim.epoch !== epoch) return;
+    if (!(await claims.follow()) || state.claim.epoch !== epoch) return;
     if (!mayStillOrder(holder)) return;
     if (probes.findPending(epoch)) return;
-    const record = encodeProbe(epoch, peers.countHeardWithin(options.holderTimeoutMs));
-    const offset = await appendNext(record.key, record.value);
-    if (offset === undefined) return;
-    probes.apply({ ...record, offset });
+    const boxesHeard = peers.countHeardWithin(options.holderTimeoutMs);
+    if (!(await appendProbeRecord(encodeProbe(epoch, boxesHeard)))) return;
     logger.event("leaseProbed", { pool: leaseKey, epoch, holder });
   };
 
@@ -358,24 +292,18 @@
 
   const claim = async (reason: ClaimReason) => {
     const epochBefore = state.claim.epoch;
-    const read = await stream.readNewest();
-    if (read.isLeft()) return;
-    read.ifRight((batch) => {
-      if (batch.generation > state.generation) startGeneration(batch.generation);
-      if (batch.generation === state.generation) applyBatch(batch);
-    });
+    if (!(await claims.readNewest())) return;
     // An own claim whose response was lost is found by this read.
     if (state.claim.epoch !== epochBefore && state.claim.holder === self) return;
     // Another box has claimed the lease since, or the holder has renewed it.
     if (!mayClaim()) return;
-    const { generation } = state;
     const previousHolder = state.claim.holder;
-    const isFirst = state.claim.epoch === noClaimEpoch && generation === 0;
+    const isFirst = state.claim.epoch === noClaimEpoch && claims.generation() === 0;
     const sentAt = clock.elapsed();
     const previousHoldersOrderUntil = earlierHoldersOrderUntil();
-    const offset = await appendNext(leaseKey, self);
-    if (offset === undefined) return;
-    applyClaim({ holder: self, epoch: epochOf(generation, offset) });
+    const position = await claims.append(leaseKey, self);
+    if (!position) return;
+    applyClaim({ holder: self, epoch: epochOf(position.generation, position.offset) });
     state.provenUntil = sentAt + proofValidMs;
     state.ordersFrom = isFirst
       ? clock.now()
@@ -391,7 +319,7 @@
   const giveUp = async () => {
     if (state.claim.holder !== self) return;
     state.endedEpoch = Math.max(state.endedEpoch, state.claim.epoch);
-    await follow();
+    await claims.follow();
     if (state.claim.holder === self) await yieldLease("cut off from all targets");
   };
 
@@ -480,7 +408,7 @@
       const wasHeld = isHeld();
       stopping = true;
       if (!wasHeld || (await appendRelease("the box is stopping"))) return;
-      await follow();
+      await claims.follow();
       if (state.claim.holder === self) await appendRelease("the box is stopping");
     },
     start: loop.start,
