Claim no order lease while the box stops

A box that got SIGTERM while it read the stream could still append its claim. It sends no orders any more, so that others find a holder that leaves and claim after it: a change of the lease more, and a time without orders.

Cause: whether the box stops was asked before the read, and not again before the append (found by the review of what is done under a permission).

Evidence: the new scenario failed without the second question and holds with it; 58 scenarios on leases hold.

--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -272,3 +272,12 @@
       | engines                   |
       |                           |
       | , with engines that fence |
+
+  # Guards against a claim by a box that sends no orders any more.
+  Scenario: A box that begins to stop while it reads does not claim the lease
+    When the store refuses "a"
+    And the store refuses "b"
+    And the store refuses "c"
+    And box "d" starts and begins to stop while it reads
+    And 5 s go by
+    Then the store has no claim of "d"
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -412,6 +412,29 @@
   },
 );
 
+When(
+  "box {string} starts and begins to stop while it reads",
+  async function (this: object, name: string) {
+    const scene = sceneOf(this);
+    const port = scene.store.portFor(name);
+    const box: LeaseBox = addBox(scene, name, 1, {
+      ...port,
+      async readNewest() {
+        void box.lease.release();
+        return port.readNewest();
+      },
+    });
+    await box.lease.start();
+  },
+);
+
+Then("the store has no claim of {string}", function (this: object, name: string) {
+  const claims = sceneOf(this)
+    .store.records()
+    .filter(({ value }) => value === name);
+  assert.deepEqual(claims, []);
+});
+
 Then("the epoch is unchanged", function (this: object) {
   const scene = sceneOf(this);
   assert.equal(boxOf(scene, "a").lease.epoch(), scene.initialEpoch);
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -295,8 +295,8 @@
     if (!(await claims.readNewest())) return;
     // An own claim whose response was lost is found by this read.
     if (state.claim.epoch !== epochBefore && state.claim.holder === self) return;
-    // Another box has claimed the lease since, or the holder has renewed it.
-    if (!mayClaim()) return;
+    // Another box has claimed the lease since, or the holder has renewed it, or this box has begun to stop.
+    if (stopping || !mayClaim()) return;
     const previousHolder = state.claim.holder;
     const isFirst = state.claim.epoch === noClaimEpoch && claims.generation() === 0;
     const sentAt = clock.elapsed();
