--- a/packages/raw-exchange/src/cut-heads.steps.ts
+++ b/packages/raw-exchange/src/cut-heads.steps.ts
@@ -18,7 +18,7 @@
 
 const openExchange = createExchangeOpener(systemClock(), tcpConnector);
 const laterMs = 20;
-const start = "HTTP/1.1 200 OK\r\nLinkfall-Request-Id: r\r\nLinkfall-Response-Stamp: s\r\n";
+const start = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nSignature: s\r\n";
 const lengthHead = `${start}Content-Length: 5\r\n\r\n`;
 
 const heads: Readonly<Record<string, string>> = {
