Take no earlier answer of a kept connection for the next one

Cause: Node's client drops the bytes that arrive on an idle kept connection and keeps it; what the kernel holds unread when the next request is written counts as the answer to it; and of two answers in one read the first one counts.

An idle connection on which bytes arrive is closed. A request gets a kept connection after two turns of the event loop, one of which polls, so that what has arrived is read before the write. On a connection that has had an answer before, an answer with bytes behind it is none; the end of an answer is reckoned from its length, its last chunk or its head, since the parser drops the beginning of a further answer. A first answer stays whole, and its connection is closed behind it.

The rows 'it is the rest of an answer that began behind the first' expected the second response to be none on the same connection. That connection is now closed behind the first, so that the second request has a connection and an answer of its own: the scenarios ask for both.

--- a/packages/http-client/src/http-client.feature
+++ b/packages/http-client/src/http-client.feature
@@ -87,11 +87,47 @@
     Then the first response is complete and the second is none
 
     Examples:
-      | second                                                  |
-      | it ends inside its head                                 |
-      | it is reset inside its head                             |
-      | it ends behind an informational head                    |
-      | it is the rest of an answer that began behind the first |
+      | second                                                          |
+      | it ends inside its head                                         |
+      | it is reset inside its head                                     |
+      | it ends behind an informational head                            |
+      | a whole earlier answer comes together with it                   |
+      | a whole earlier answer comes with the beginning of it           |
+      | an earlier answer in chunks comes with the beginning of it      |
+      | an earlier answer without a body comes with the beginning of it |
+
+  # Guards against an earlier answer of a kept connection counting for the request that is written next.
+  Scenario Outline: An answer that <when> is not taken for the next one
+    Given a server that answers twice on a connection, and sends a whole earlier answer which <when>
+    When the HTTP client reads two responses
+    Then both responses are complete, and the second has a connection of its own
+
+    Examples:
+      | when                                             |
+      | arrives between two requests                     |
+      | is not read yet when the next request is written |
+
+  # Guards against an answer that is taken for the next one because its head came in pieces, one of them behind the answer before.
+  Scenario: A connection on which an answer begins behind another one is not kept
+    Given a server that answers twice on a connection, where it is the rest of an answer that began behind the first
+    When the HTTP client reads two responses
+    Then both responses are complete, and the second has a connection of its own
+
+  # Guards against a connection that is taken for out of step because of how its answers are framed.
+  Scenario Outline: A connection is kept behind an answer <framing>
+    Given a server that answers twice on a connection, <framing>
+    When the HTTP client reads two responses
+    Then both responses are complete on one connection
+
+    Examples:
+      | framing                           |
+      | with a length                     |
+      | in chunks                         |
+      | in chunks with a trailer          |
+      | in chunks that end with line ends |
+      | behind an informational one       |
+      | in several packets                |
+      | with status 204                   |
 
   # Guards against a declared address or name that Node throws on: the exception would end the process.
   Scenario Outline: A request <what> fails as not sent
--- a/packages/http-client/src/http-client.steps.ts
+++ b/packages/http-client/src/http-client.steps.ts
@@ -13,6 +13,8 @@
 const content = Buffer.from(JSON.stringify({ held: [] }));
 const servers: EndingServer[] = [];
 const rawServers: Server[] = [];
+const nothingBetween = () => new Promise<void>((resolve) => setImmediate(resolve));
+const sleep = (ms: number) => new Promise<void>((resolve) => setTimeout(resolve, ms));
 const repeatedBytes = 16_384;
 /** Beyond this the bytes count as read without end. */
 const maxWrittenBytes = 20_000_000;
@@ -145,6 +147,15 @@
 const wholeAnswer = `HTTP/1.1 200 OK\r\nContent-Length: ${content.length}\r\n\r\n${content.toString()}`;
 const headPart = wholeAnswer.slice(0, 30);
 
+const earlierAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+/** Time between two packets. */
+const packetIntervalMs = 20;
+
+function sendWithBeginning(socket: Socket, earlier: string): void {
+  socket.write(`${earlier}${headPart}`);
+  setTimeout(() => socket.write(wholeAnswer.slice(headPart.length)), packetIntervalMs);
+}
+
 /** Internal handle of a socket, whose reset is sent directly after the written bytes. */
 interface SocketWithHandle {
   readonly _handle: { reset(done: () => void): number };
@@ -168,6 +179,40 @@
     `${wholeAnswer}${headPart}`,
     (socket) => void socket.end(wholeAnswer.slice(headPart.length)),
   ],
+  "a whole earlier answer comes together with it": [
+    wholeAnswer,
+    (socket) => void socket.write(`${earlierAnswer}${wholeAnswer}`),
+  ],
+  "a whole earlier answer comes with the beginning of it": [
+    wholeAnswer,
+    (socket) => sendWithBeginning(socket, earlierAnswer),
+  ],
+  "an earlier answer in chunks comes with the beginning of it": [
+    wholeAnswer,
+    (socket) =>
+      sendWithBeginning(
+        socket,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstale\r\n0\r\n\r\n",
+      ),
+  ],
+  "an earlier answer without a body comes with the beginning of it": [
+    wholeAnswer,
+    (socket) => sendWithBeginning(socket, "HTTP/1.1 204 No Content\r\n\r\n"),
+  ],
+};
+
+const inChunks = (chunk: string, trailer = "") =>
+  `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunk.length.toString(16)}\r\n${chunk}\r\n0\r\n${trailer}\r\n`;
+
+/** What a server sends in response to each request, in packets. */
+const soundAnswers: Readonly<Record<string, readonly string[]>> = {
+  "with a length": [wholeAnswer],
+  "in chunks": [inChunks(content.toString())],
+  "in chunks with a trailer": [inChunks(content.toString(), "X-Sum: 1\r\n")],
+  "in chunks that end with line ends": [inChunks(`${content.toString()}\r\n\r\n`)],
+  "behind an informational one": [`HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n${wholeAnswer}`],
+  "in several packets": [headPart, wholeAnswer.slice(headPart.length, -1), wholeAnswer.slice(-1)],
+  "with status 204": ["HTTP/1.1 204 No Content\r\n\r\n"],
 };
 
 Given(
@@ -185,11 +230,52 @@
     });
     scenarioState(this).set("address", await listen(server));
     scenarioState(this).set("connections", connections);
+    scenarioState(this).set("between requests", nothingBetween);
+  },
+);
+
+async function listenAndRecord(
+  world: object,
+  answer: (socket: Socket) => Promise<void> | void,
+): Promise<void> {
+  const connections: Socket[] = [];
+  const server = createServer((socket) => {
+    connections.push(socket);
+    socket.on("error", () => undefined);
+    socket.on("data", () => void answer(socket));
+  });
+  scenarioState(world).set("address", await listen(server));
+  scenarioState(world).set("connections", connections);
+}
+
+Given(
+  /^a server that answers twice on a connection, and sends a whole earlier answer which (arrives between two requests|is not read yet when the next request is written)$/,
+  async function (this: object, when: string) {
+    await listenAndRecord(this, (socket) => void socket.write(wholeAnswer));
+    scenarioState(this).set("between requests", async () => {
+      const [first] = scenarioState(this).get<Socket[]>("connections");
+      first.write(earlierAnswer);
+      if (when === "arrives between two requests") await sleep(packetIntervalMs);
+    });
+  },
+);
+
+Given(
+  /^a server that answers twice on a connection, ((?:with|in|behind) .*)$/,
+  async function (this: object, framing: string) {
+    await listenAndRecord(this, async (socket) => {
+      for (const packet of soundAnswers[framing]) {
+        socket.write(packet);
+        await sleep(packetIntervalMs);
+      }
+    });
+    scenarioState(this).set("between requests", nothingBetween);
   },
 );
 
 When("the HTTP client reads two responses", async function (this: object) {
   const address = scenarioState(this).get<string>("address");
+  const between = scenarioState(this).get<() => Promise<void>>("between requests");
   const client = createHttpClient();
   const request = { address, method: "GET", path: "/", headers: {}, freshConnection: false };
   const outcomes: string[] = [];
@@ -205,12 +291,29 @@
           (await readText(body)).caseOf({ Left: () => "cut", Right: String }),
       }),
     );
-    await new Promise((resolve) => setImmediate(resolve));
+    await between();
   }
   client.close();
   scenarioState(this).set("outcomes", outcomes);
 });
 
+Then(
+  "both responses are complete, and the second has a connection of its own",
+  function (this: object) {
+    const whole = content.toString();
+    assert.deepEqual(scenarioState(this).get<string[]>("outcomes"), [whole, whole]);
+    assert.equal(scenarioState(this).get<Socket[]>("connections").length, 2);
+  },
+);
+
+Then("both responses are complete on one connection", function (this: object) {
+  const [first, second] = scenarioState(this).get<string[]>("outcomes");
+  assert.notEqual(first, "none");
+  assert.notEqual(first, "cut");
+  assert.equal(second, first);
+  assert.equal(scenarioState(this).get<Socket[]>("connections").length, 1);
+});
+
 Then("the first response is complete and the second is none", function (this: object) {
   assert.deepEqual(scenarioState(this).get<string[]>("outcomes"), [content.toString(), "none"]);
   assert.equal(scenarioState(this).get<Socket[]>("connections").length, 1);
--- a/packages/http-client/src/index.ts
+++ b/packages/http-client/src/index.ts
@@ -1,5 +1,10 @@
 /** HTTP client on top of Node's that reports whether a failed request may have reached the server. */
-import { Agent, type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request as httpRequest,
+} from "node:http";
 import { createChunkBuffer } from "@linkfall/chunk-buffer";
 import { watchCompleteness } from "@linkfall/connection-reset";
 import type { TargetUnreachable } from "@linkfall/errors";
@@ -7,6 +12,8 @@
 import type { BodyPart, HeaderMap, TargetRequest, TargetResponse } from "@linkfall/ports";
 import {
   boundResponse,
+  createKeptAgent,
+  isBehindResponse,
   isFinalStatus,
   maxHeadBytes,
   type ResponseBounds,
@@ -94,7 +101,7 @@
 
 /** Creates a client that reuses connections. */
 export function createHttpClient(): HttpClient {
-  const keepAliveAgent = new Agent({ keepAlive: true, timeout: idleConnectionTimeoutMs });
+  const keepAliveAgent = createKeptAgent({ keepAlive: true, timeout: idleConnectionTimeoutMs });
   return {
     send: (request, signal) =>
       new Promise((resolve) => {
@@ -113,7 +120,8 @@
           // A request that has ended reports no error any more.
           resolve(Left(unreachable(reason, mayHaveArrived())));
         });
-        outgoing.once("error", (problem) => {
+        outgoing.on("error", (problem) => {
+          if (isBehindResponse(problem, answer)) return;
           resolve(Left(unreachable(problem.message, mayHaveArrived())));
         });
         outgoing.once("response", (message) => {
@@ -132,7 +140,8 @@
             return reject("invalid header");
           const headers = flattenHeaders(message.headers);
           const body = readBodyParts(message, isComplete, bounds);
-          resolve(Right({ status, headers, body }));
+          // The rest of the read that has brought the head is checked first.
+          queueMicrotask(() => resolve(Right({ status, headers, body })));
         });
         outgoing.end(request.body);
       }),
--- a/packages/raw-exchange/src/target-connector.ts
+++ b/packages/raw-exchange/src/target-connector.ts
@@ -1,6 +1,7 @@
 /** Opens the TCP connections to targets; replaced in tests to cut a box off from them. */
-import { Agent, type AgentOptions } from "node:http";
+import type { Agent, AgentOptions } from "node:http";
 import { connect, type Socket } from "node:net";
+import { createKeptAgent } from "@linkfall/response-bounds";
 
 /** Starts to connect to a target. */
 export type TargetConnector = (host: string, port: number) => Socket;
@@ -9,7 +10,7 @@
 
 /** Creates an agent whose connections are opened by the connector. */
 export function createTargetAgent(connector: TargetConnector, options: AgentOptions): Agent {
-  const agent = new Agent(options);
+  const agent = createKeptAgent(options);
   agent.createConnection = ({ host, port }) => connector(String(host), Number(port));
   return agent;
 }
--- a/packages/response-bounds/src/head-lines.ts
+++ b/packages/response-bounds/src/head-lines.ts
@@ -9,6 +9,8 @@
 export interface HeadLines {
   /** Takes the bytes of a read; true if a header section in them ends at a lone carriage return. Bytes behind the last head are skipped. */
   read(bytes: Buffer): boolean;
+  /** Bytes up to the end of the last head, or of all reads while it has not ended. */
+  headBytes(): number;
 }
 
 /** Follows the heads of one response: informational ones, and the final one. */
@@ -18,6 +20,7 @@
   let statusLine = "";
   let firstByte: number | undefined;
   let lineBytes = 0;
+  let headBytes = 0;
 
   const take = (part: Buffer) => {
     if (lineBytes === 0) firstByte = part[0];
@@ -37,14 +40,17 @@
   return {
     read(bytes) {
       for (let start = 0; !isDone && start < bytes.length;) {
-        const found = bytes.indexOf(lineFeed, start);
+        const from = start;
+        const found = bytes.indexOf(lineFeed, from);
         const end = found < 0 ? bytes.length : found;
-        if (end > start) take(bytes.subarray(start, end));
+        if (end > from) take(bytes.subarray(from, end));
         if (isInHead && lineBytes > 1 && firstByte === carriageReturn) return true;
         if (found >= 0) endLine();
-        start = end + 1;
+        start = found < 0 ? end : end + 1;
+        headBytes += start - from;
       }
       return false;
     },
+    headBytes: () => headBytes,
   };
 }
--- a/packages/response-bounds/src/index.ts
+++ b/packages/response-bounds/src/index.ts
@@ -2,6 +2,9 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import { followHeadLines } from "./head-lines.js";
+import { appendToTail, hasBytesBehind } from "./response-end.js";
+
+export { createKeptAgent } from "./kept-agent.js";
 
 /** Maximum size of a response head, with all informational responses before it. */
 export const maxHeadBytes = 65_536;
@@ -41,8 +44,9 @@
 
 /**
  * Calls `onInvalid` once if the head or the framing of the response exceeds its bound, if the head does not end with an empty
- * line or names a transfer coding other than chunks, or if the request ends without any. The check of bounds runs once for each
- * read from the connection, so that one is exceeded by at most one read.
+ * line or names a transfer coding other than chunks, if bytes arrive behind the response on a connection that has had another one
+ * before, or if the request ends without any. The check of bounds runs once for each read from the connection, so that one is
+ * exceeded by at most one read. A connection on which bytes arrive behind its first response is not kept.
  */
 export function boundResponse(
   request: ClientRequest,
@@ -52,10 +56,11 @@
   let bodyBytes = 0;
   let response: IncomingMessage | undefined;
   let reported = false;
+  let wasComplete = false;
+  let tail: Buffer = Buffer.alloc(0);
 
   const excessOf = (): string | undefined => {
     if (!response) return receivedBytes > maxHeadBytes ? "the head is too large" : undefined;
-    // Bytes after a complete response are not read: its reader closes the connection.
     if (response.complete) return undefined;
     const parsedBytes = bodyBytes + response.readableLength;
     const maxBodyBytes = Math.min(
@@ -70,15 +75,26 @@
     reported = true;
     onInvalid(reason);
   };
+  const headLines = followHeadLines();
+  /** Which answer is whose can't be told on a connection that has given more than one for each request. */
+  const rejectBytesBehind = (incoming: IncomingMessage) => {
+    if (!incoming.complete) return;
+    const read = { receivedBytes, headBytes: headLines.headBytes(), tail };
+    if (!wasComplete && !hasBytesBehind(request, incoming, read)) return;
+    request.shouldKeepAlive = false;
+    if (request.reusedSocket) report("bytes arrived behind the answer on a kept connection");
+  };
   const countRead = (bytes: Buffer) => {
     receivedBytes += bytes.length;
     if (reported) return;
     const excess = excessOf();
-    if (excess !== undefined) report(excess);
+    if (excess !== undefined) return report(excess);
+    if (!response) return;
+    tail = appendToTail(tail, bytes);
+    rejectBytesBehind(response);
   };
-
-  const headLines = followHeadLines();
   const checkHead = (bytes: Buffer) => {
+    wasComplete = response?.complete === true;
     if (response || reported || !headLines.read(bytes)) return;
     report("the head ends at a carriage return without a line feed");
   };
