Wait for the holder's proofs by the holder's own settings

While a change of lease_ms or engines_fence reaches one box after the other, a box with the shorter time claimed the lease and sent orders while the former holder's proof was still valid: two boxes could order at once.

Cause: a claimant waited for as long as its own proofs are valid, and nothing in the stream told how long the holder's are.

Evidence: both rows of the new scenario (lease time of 1000 ms beside 3000 ms, engines that fence beside engines that don't) failed with two boxes that may send orders, and hold now.

Change: a renewal carries the validity of the holder's proofs, and a claimant waits for the longer one of that and its own.

--- a/packages/order-lease/src/holder-probes.ts
+++ b/packages/order-lease/src/holder-probes.ts
@@ -19,6 +19,13 @@
   readonly seenAt: Milliseconds;
 }
 
+/** The answer of the holder of an epoch. */
+interface HolderRenewal {
+  readonly epoch: Epoch;
+  readonly proofValidMs: Milliseconds;
+  readonly offset: Offset;
+}
+
 /** A record to append. */
 export interface NewRecord {
   readonly key: string;
@@ -32,8 +39,11 @@
   findAt(offset: Offset): HolderProbe | undefined;
   /** The newest probe of this epoch that the holder has not answered. */
   findPending(epoch: Epoch): HolderProbe | undefined;
-  /** Whether the holder of this epoch has appended a renewal, so that it answers probes. */
-  hasRenewed(epoch: Epoch): boolean;
+  /**
+   * Time for which a proof of the holder of this epoch is valid by its own settings, as its renewal says; undefined if it has
+   * appended none, so that it need not answer probes.
+   */
+  proofValidMs(epoch: Epoch): Milliseconds | undefined;
   /** When this box learned that the holder had answered a probe that this box knew of; -Infinity if it never did. */
   answeredAt(epoch: Epoch): Milliseconds;
   /** Forgets all records, whose offsets a store that goes back assigns again. */
@@ -44,8 +54,8 @@
   return { key: probeKey, value: `${epoch} ${boxesHeard}` };
 }
 
-export function encodeRenewal(epoch: Epoch): NewRecord {
-  return { key: renewalKey, value: String(epoch) };
+export function encodeRenewal(epoch: Epoch, proofValidMs: Milliseconds): NewRecord {
+  return { key: renewalKey, value: `${epoch} ${Math.ceil(proofValidMs)}` };
 }
 
 /** Parses numbers that are separated by spaces; undefined unless there are exactly `count` that are safe integers. */
@@ -56,7 +66,7 @@
 
 export function createHolderProbes(clock: Clock): HolderProbes {
   let probe: HolderProbe | undefined;
-  let renewal: { readonly epoch: Epoch; readonly offset: Offset } | undefined;
+  let renewal: HolderRenewal | undefined;
   let answer: { readonly epoch: Epoch; readonly at: Milliseconds } | undefined;
 
   const findPending = (epoch: Epoch) => {
@@ -72,10 +82,10 @@
   };
 
   const applyRenewal = (value: string, offset: Offset) => {
-    const [epoch] = parseIntegers(value, 1) ?? [];
+    const [epoch, proofValidMs] = parseIntegers(value, 2) ?? [];
     if (epoch === undefined || offset <= (renewal?.offset ?? -1)) return;
     const wasPending = findPending(epoch) !== undefined;
-    renewal = { epoch, offset };
+    renewal = { epoch, proofValidMs, offset };
     if (wasPending && findPending(epoch) === undefined) answer = { epoch, at: clock.now() };
   };
 
@@ -86,7 +96,7 @@
     },
     findAt: (offset) => (probe?.offset === offset ? probe : undefined),
     findPending,
-    hasRenewed: (epoch) => renewal?.epoch === epoch,
+    proofValidMs: (epoch) => (renewal?.epoch === epoch ? renewal.proofValidMs : undefined),
     answeredAt: (epoch) => (answer?.epoch === epoch ? answer.at : -Infinity),
     clear() {
       probe = undefined;
--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -281,3 +281,18 @@
     And box "d" starts and begins to stop while it reads
     And 5 s go by
     Then the store has no claim of "d"
+
+  # Guards against two boxes that send orders at once while a change of the settings reaches one box after the other.
+  Scenario Outline: A box with <setting> waits for the proofs of a holder that has other settings
+    Given boxes "a b c" of which "b" has <setting>
+    And "a" holds the lease
+    When "b" is cut off from the other boxes
+    And 1.6 s go by
+    And the store loses the responses to "a"
+    Then no other box may send orders before the lease of "a" has expired
+    And within 8 s another box may give orders under a higher epoch
+
+    Examples:
+      | setting                 |
+      | a lease time of 1000 ms |
+      | engines that fence      |
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -75,6 +75,7 @@
   name: string,
   seed: number,
   port: KeyedStreamPort = scene.store.portFor(name),
+  leaseOptions: LeaseOptions = scene.options,
 ): LeaseBox {
   const { clock, boxes, access } = scene;
   const rank = boxes.length;
@@ -135,7 +136,7 @@
       return lease;
     },
   };
-  const lease = createOrderLease(kernel, name, port, peers, scene.options);
+  const lease = createOrderLease(kernel, name, port, peers, leaseOptions);
   boxes.push(box);
   return box;
 }
@@ -276,6 +277,23 @@
   },
 );
 
+Given(
+  /^boxes "([^"]*)" of which "([^"]*)" has (a lease time of 1000 ms|engines that fence)$/,
+  async function (this: object, names: string, changed: string, setting: string) {
+    const scene = createScene([], 1);
+    scenes.set(this, scene);
+    const changedOptions =
+      setting === "engines that fence"
+        ? { ...options, enginesFence: true }
+        : { ...options, leaseMs: 1_000 };
+    for (const name of names.split(" ")) {
+      const leaseOptions = name === changed ? changedOptions : options;
+      const port = scene.store.portFor(name);
+      await addBox(scene, name, 1, port, leaseOptions).lease.start();
+    }
+  },
+);
+
 /** A port whose calls are answered late. */
 function slowPort(port: KeyedStreamPort, clock: VirtualClock, delayMs: number): KeyedStreamPort {
   const wait = () => new Promise<void>((resolve) => void clock.after(delayMs / 2, resolve));
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -194,7 +194,7 @@
   /** Appends a renewal, which proves the lease as reading does. */
   const appendRenewal = async (epoch: Epoch): Promise<boolean> => {
     const sentAt = clock.elapsed();
-    if (!(await appendProbeRecord(encodeRenewal(epoch)))) return false;
+    if (!(await appendProbeRecord(encodeRenewal(epoch, proofValidMs)))) return false;
     recordProof(sentAt);
     return true;
   };
@@ -214,7 +214,8 @@
     if (probe && isHeld()) return answerProbe(probe);
     recordProof(sentAt);
     // The first renewal tells the others that this holder answers probes.
-    if (isHeld() && !probes.hasRenewed(state.claim.epoch)) await appendRenewal(state.claim.epoch);
+    if (isHeld() && probes.proofValidMs(state.claim.epoch) === undefined)
+      await appendRenewal(state.claim.epoch);
   };
 
   /** Whether a holder has said that it sends no more orders. */
@@ -227,6 +228,10 @@
     return !peers.isOwnEarlierIncarnation(holder) && !hasStopped(holder);
   };
 
+  /** Time for which a proof of the holder is valid; its settings may differ from those of this box. */
+  const holderProofValidMs = (epoch: Epoch): Milliseconds =>
+    Math.max(proofValidMs, probes.proofValidMs(epoch) ?? 0);
+
   /** Returns the time until which any earlier holder may send orders. */
   const earlierHoldersOrderUntil = (): Milliseconds => {
     const { claim } = state;
@@ -235,14 +240,14 @@
       claims.generation() > 0 ? claims.generationSeenAt() + proofValidMs : -Infinity;
     if (!mayStillOrder(claim.holder)) return lostUntil;
     // A holder of a version that does not answer probes sends orders until its reads show the new claim.
-    if (!probes.hasRenewed(claim.epoch)) return clock.now() + options.leaseMs;
+    if (probes.proofValidMs(claim.epoch) === undefined) return clock.now() + options.leaseMs;
     const probedAt = probes.findPending(claim.epoch)?.seenAt ?? clock.now();
-    return Math.max(lostUntil, probedAt + proofValidMs);
+    return Math.max(lostUntil, probedAt + holderProofValidMs(claim.epoch));
   };
 
   /** When this box may claim the lease of a holder that does not answer the probe. Orders follow only later. */
   const claimableAt = (probe: HolderProbe): Milliseconds =>
-    probe.seenAt + proofValidMs - claimNoticeMs;
+    probe.seenAt + holderProofValidMs(probe.epoch) - claimNoticeMs;
 
   /** Whether the lease was released to boxes that are better connected than this one, and they have had the time to claim it. */
   const isReleasedToOthers = (): boolean => {
