Reject requests that hide behind a header section that ends at a lone CR

Callers saw: a request whose header section ends at CR LF CR and any byte got 502, and what followed ran as a request of its own: request smuggling behind a proxy that takes the whole for one head.

Cause: Node's parser (20.19.0) takes any byte behind a carriage return at the beginning of a line for the line feed of the empty line.

A request that the parser begins anywhere else is answered like other malformed ones; nothing more of its connection is parsed. Bodies are skipped by their length or chunk sizes, so that lone CRs in them make no further slices. Where follower and parser disagree about a body, a request is rejected, not run.

--- a/packages/connection-bounds/src/bound-connections.ts
+++ b/packages/connection-bounds/src/bound-connections.ts
@@ -7,6 +7,8 @@
 import { type ConnectionState, createConnectionTable } from "./connection-table.js";
 import { trackHandshakes } from "./handshakes.js";
 import type { ReadTurns, TurnReader } from "./read-turns.js";
+import { parseInStep, rejectHiddenRequests } from "./reject-hidden-requests.js";
+import { followRequests } from "./request-frames.js";
 import { beginInOrder } from "./request-order.js";
 
 /** Why a connection was closed before its client closed it. */
@@ -126,15 +128,17 @@
     if (connection.bytesOutside > maxBytesOutside)
       close(connection.socket, "bytes outside of requests");
   };
-  const addReader = (socket: Socket): TurnReader | undefined => {
-    const parse = takeParser(socket);
-    if (!parse) return undefined;
+  const addReader = (connection: Connection): TurnReader | undefined => {
+    const { socket, frames } = connection;
+    const parser = takeParser(socket);
+    if (!parser) return undefined;
+    const parse = parseInStep(server, connection, parser);
     const countAndParse = (bytes: Buffer) => {
-      const connection = connections.get(socket);
-      if (connection) countBytes(connection, bytes.length);
+      countBytes(connection, bytes.length);
       if (!socket.destroyed) parse(bytes);
     };
     return options.turns.add(socket, countAndParse, {
+      cut: frames.cut,
       hold: options.held?.holdBody(),
       onNoRoom: () => close(socket, "no room for its bytes"),
       onDefect(defect) {
@@ -144,7 +148,9 @@
     });
   };
 
-  beginInOrder(server, { table, find: (socket) => connections.get(socket), ...options });
+  const find = (socket: Socket) => connections.get(socket);
+  beginInOrder(server, { table, find, ...options });
+  rejectHiddenRequests(server, find);
   const findBusy = (socket: Socket) =>
     isBusy(table.stateOf(socket)) ? connections.get(socket) : undefined;
   if (options.onMalformed) rejectMalformed(server, findBusy, options.onMalformed);
@@ -154,7 +160,10 @@
   const isTls = server instanceof TlsServer;
   server.on(isTls ? "secureConnection" : "connection", (socket: Socket) => {
     endHandshake(socket);
-    connections.set(socket, { socket, reader: addReader(socket), early: [], bytesOutside: 0 });
+    const frames = followRequests();
+    const connection: Connection = { socket, frames, early: [], bytesOutside: 0 };
+    connection.reader = addReader(connection);
+    connections.set(socket, connection);
     table.add(socket);
     socket.once("close", () => {
       table.remove(socket);
--- a/packages/connection-bounds/src/connection.ts
+++ b/packages/connection-bounds/src/connection.ts
@@ -4,6 +4,7 @@
 import { match } from "ts-pattern";
 import type { ConnectionState } from "./connection-table.js";
 import type { TurnReader } from "./read-turns.js";
+import type { RequestFrames } from "./request-frames.js";
 
 /** A request that its client has sent before it had the response to the one before. */
 export interface EarlyRequest {
@@ -13,7 +14,7 @@
 
 export interface Connection {
   readonly socket: Socket;
-  readonly reader: TurnReader | undefined;
+  reader?: TurnReader;
   readonly early: EarlyRequest[];
   /** Bytes read since the last request, its body not counted. */
   bytesOutside: number;
@@ -21,6 +22,11 @@
   response?: ServerResponse;
   /** Whether bytes behind the last request are no request. */
   isMalformed?: boolean;
+  readonly frames: RequestFrames;
+  /** Request that the parser has begun last. */
+  message?: IncomingMessage;
+  /** Whether the parser has ended a head or trailers that do not end with an empty line; what follows is not parsed. */
+  isOutOfStep?: boolean;
 }
 
 /** Whether a client in the state waits for a response, or sends the request for it. */
--- a/packages/connection-bounds/src/read-turns.ts
+++ b/packages/connection-bounds/src/read-turns.ts
@@ -36,6 +36,8 @@
   onNoRoom(): void;
   /** Called with an exception that `parse` threw. */
   onDefect(defect: unknown): void;
+  /** Returns where the slice ends that begins at `from` and ends at `to` at the latest; `to` if absent. */
+  cut?(bytes: Buffer, from: number, to: number): number;
 }
 
 export interface TurnReader {
@@ -106,7 +108,7 @@
 
   return {
     hasWaiting: () => waiting.size + waitingToRead.size > 0,
-    add(socket, parse, { hold, onNoRoom, onDefect }) {
+    add(socket, parse, { hold, onNoRoom, onDefect, cut = (_bytes, _from, to) => to }) {
       /** Reads that are not passed on completely; of the first one, the bytes before `offset` have been. */
       const reads: Buffer[] = [];
       let offset = 0;
@@ -153,7 +155,7 @@
       };
       const passSlice = () => {
         const [first] = reads;
-        const end = Math.min(first.length, offset + sliceBytes);
+        const end = cut(first, offset, Math.min(first.length, offset + sliceBytes));
         const slice = first.subarray(offset, end);
         offset = end;
         if (end === first.length) {
--- a/packages/http-front/src/http-front.feature
+++ b/packages/http-front/src/http-front.feature
@@ -15,6 +15,7 @@
       | "no HTTP"                  | 400    | bad_request    |
       | "half a body for 5 s"      | 400    | bad_request    |
       | "a blank in a header name" | 400    | bad_request    |
+      | "a lone CR before a line"  | 400    | bad_request    |
 
   # Guards against one request's exception ending the box with all of its other requests.
   Scenario: A request whose handling fails costs its caller only
--- a/packages/http-front/src/http-front.steps.ts
+++ b/packages/http-front/src/http-front.steps.ts
@@ -86,6 +86,7 @@
   "a body of 101 bytes": `${head}content-length: 101\r\n\r\n${"x".repeat(101)}`,
   "a head of 2000 bytes": `${head}long: ${"x".repeat(2_000)}\r\n\r\n`,
   "a blank in a header name": `${head}X A: a\r\ncontent-length: 0\r\n\r\n`,
+  "a lone CR before a line": `${head}\rcontent-length: 0\r\n\r\n`,
   "no HTTP": "what is this\r\n\r\n",
   "half a body for 5 s": `${head}content-length: 10\r\n\r\nhalf`,
 };
