Report bytes that are no request once

Of a read with a malformed head and 10 requests behind it the front was told twice (the scenario, before: 2 rejections where 1 is asked for). At the second report the fronts close the connection, whether or not their 400 has been sent; a lost 400 was not seen.

Nothing more of a connection is parsed once its parser has met bytes that are no request: the parser would only repeat its error.

--- a/packages/connection-bounds/src/bound-connections.ts
+++ b/packages/connection-bounds/src/bound-connections.ts
@@ -77,15 +77,20 @@
 function rejectMalformed(
   server: Server | TlsServer,
   find: (socket: Socket) => Connection | undefined,
+  stateOf: (socket: Socket) => ConnectionState | undefined,
   reject: NonNullable<ConnectionBoundsOptions["onMalformed"]>,
 ): void {
   server.on("clientError", (problem: NodeJS.ErrnoException, socket: Socket) => {
     const { code = "" } = problem;
     const connection = find(socket);
-    const isRequestComplete = connection?.response?.req.complete === true;
+    const isMalformed = code.startsWith(malformedCodePrefix);
+    // The parser would report the same problem for each further slice.
+    if (connection && isMalformed) connection.isOutOfStep = true;
+    const isRequestComplete =
+      isBusy(stateOf(socket)) && connection?.response?.req.complete === true;
     if (!connection || !isRequestComplete) return reject(problem, socket);
     if (code === lateHeadCode) return;
-    if (!code.startsWith(malformedCodePrefix)) return reject(problem, socket);
+    if (!isMalformed) return reject(problem, socket);
     connection.isMalformed = true;
     const { response, early } = connection;
     if (response && !response.headersSent && early.length === 0) response.shouldKeepAlive = false;
@@ -151,9 +156,7 @@
   const find = (socket: Socket) => connections.get(socket);
   beginInOrder(server, { table, find, ...options });
   rejectHiddenRequests(server, find);
-  const findBusy = (socket: Socket) =>
-    isBusy(table.stateOf(socket)) ? connections.get(socket) : undefined;
-  if (options.onMalformed) rejectMalformed(server, findBusy, options.onMalformed);
+  if (options.onMalformed) rejectMalformed(server, find, table.stateOf, options.onMalformed);
   const endHandshake = trackHandshakes(server, table, makeRoom);
   let accepted = 0;
   server.on("connection", () => void (accepted += 1));
--- a/packages/connection-bounds/src/connection.ts
+++ b/packages/connection-bounds/src/connection.ts
@@ -25,7 +25,7 @@
   readonly frames: RequestFrames;
   /** Request that the parser has begun last. */
   message?: IncomingMessage;
-  /** Whether the parser has ended a head or trailers that do not end with an empty line; what follows is not parsed. */
+  /** Whether the parser has met bytes that are no request, or taken them for one; what follows is not parsed. */
   isOutOfStep?: boolean;
 }
 
--- a/packages/connection-bounds/src/lone-returns.feature
+++ b/packages/connection-bounds/src/lone-returns.feature
@@ -22,6 +22,12 @@
       | a last chunk                        | at once               | 200      | /1    |
       | a last chunk                        | in packets of 1 byte  | 200      | /1    |
 
+  # Guards against a second report of the same bytes, at which fronts close the connection, whether or not the rejection is sent.
+  Scenario: Bytes that are no request are rejected once, whatever is read behind them
+    Given a server that answers each request with its path and body
+    When a client sends a head that is none, and 10 requests behind it
+    Then its connection was rejected once, and no request was begun
+
   # Guards against connections that stay open for good since the parser waits for nothing on them.
   Scenario: A connection whose client does not close it is closed behind the rejection
     Given a server that answers each request with its path and body
--- a/packages/connection-bounds/src/lone-returns.steps.ts
+++ b/packages/connection-bounds/src/lone-returns.steps.ts
@@ -14,6 +14,8 @@
   readonly server: Server;
   readonly port: number;
   readonly clients: Socket[];
+  /** Times that bytes were reported as malformed. */
+  rejections: number;
   /** Path and body of the requests that were begun, in order. */
   readonly begun: { readonly path: string; readonly body: string }[];
 }
@@ -51,11 +53,14 @@
     onNotBegun: () => undefined,
     onClosed: () => undefined,
     onDefect: (defect) => assert.fail(String(defect)),
-    onMalformed: (_problem, socket) => void socket.end(badRequest),
+    onMalformed(_problem, socket) {
+      scene.rejections += 1;
+      socket.end(badRequest);
+    },
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
-  const scene: Scene = { server, port, clients: [], begun: [] };
+  const scene: Scene = { server, port, clients: [], rejections: 0, begun: [] };
   scenes.push(scene);
   scenarioState(this).set("lone returns", scene);
 });
@@ -124,6 +129,22 @@
   );
 });
 
+When(
+  "a client sends a head that is none, and {int} requests behind it",
+  async function (this: object, count: number) {
+    const socket = await connectClient(sceneOf(this));
+    socket.resume();
+    const closed = once(socket, "close");
+    socket.write(`${head("/0", "no header\r\n\r\n")}${hidden.repeat(count)}`);
+    await Promise.race([closed, sleep(closedWithinMs)]);
+  },
+);
+
+Then("its connection was rejected once, and no request was begun", function (this: object) {
+  const { rejections, begun } = sceneOf(this);
+  assert.deepEqual({ rejections, begun }, { rejections: 1, begun: [] });
+});
+
 When("a client sends a hidden request and goes on reading", async function (this: object) {
   const { port, clients } = sceneOf(this);
   const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
