--- a/packages/connection-bounds/src/bound-connections.ts
+++ b/packages/connection-bounds/src/bound-connections.ts
@@ -7,6 +7,8 @@
 import { type ConnectionState, createConnectionTable } from "./connection-table.js";
 import { trackHandshakes } from "./handshakes.js";
 import type { ReadTurns, TurnReader } from "./read-turns.js";
+import { parseInStep, rejectHiddenRequests } from "./reject-hidden-requests.js";
+import { followRequests } from "./request-frames.js";
 import { beginInOrder } from "./request-order.js";
 
 /** Why a connection was closed before its client closed it. */
@@ -75,15 +77,20 @@
 function rejectMalformed(
   server: Server | TlsServer,
   find: (socket: Socket) => Connection | undefined,
+  stateOf: (socket: Socket) => ConnectionState | undefined,
   reject: NonNullable<ConnectionBoundsOptions["onMalformed"]>,
 ): void {
   server.on("clientError", (problem: NodeJS.ErrnoException, socket: Socket) => {
     const { code = "" } = problem;
     const connection = find(socket);
-    const isRequestComplete = connection?.response?.req.complete === true;
+    const isMalformed = code.startsWith(malformedCodePrefix);
+    // The parser would report the same problem for each further slice.
+    if (connection && isMalformed) connection.isOutOfStep = true;
+    const isRequestComplete =
+      isBusy(stateOf(socket)) && connection?.response?.req.complete === true;
     if (!connection || !isRequestComplete) return reject(problem, socket);
     if (code === lateHeadCode) return;
-    if (!code.startsWith(malformedCodePrefix)) return reject(problem, socket);
+    if (!isMalformed) return reject(problem, socket);
     connection.isMalformed = true;
     const { response, early } = connection;
     if (response && !response.headersSent && early.length === 0) response.shouldKeepAlive = false;
@@ -126,15 +133,17 @@
     if (connection.bytesOutside > maxBytesOutside)
       close(connection.socket, "bytes outside of requests");
   };
-  const addReader = (socket: Socket): TurnReader | undefined => {
-    const parse = takeParser(socket);
-    if (!parse) return undefined;
+  const addReader = (connection: Connection): TurnReader | undefined => {
+    const { socket, frames } = connection;
+    const parser = takeParser(socket);
+    if (!parser) return undefined;
+    const parse = parseInStep(server, connection, parser);
     const countAndParse = (bytes: Buffer) => {
-      const connection = connections.get(socket);
-      if (connection) countBytes(connection, bytes.length);
+      countBytes(connection, bytes.length);
       if (!socket.destroyed) parse(bytes);
     };
     return options.turns.add(socket, countAndParse, {
+      cut: frames.cut,
       hold: options.held?.holdBody(),
       onNoRoom: () => close(socket, "no room for its bytes"),
       onDefect(defect) {
@@ -144,17 +153,20 @@
     });
   };
 
-  beginInOrder(server, { table, find: (socket) => connections.get(socket), ...options });
-  const findBusy = (socket: Socket) =>
-    isBusy(table.stateOf(socket)) ? connections.get(socket) : undefined;
-  if (options.onMalformed) rejectMalformed(server, findBusy, options.onMalformed);
+  const find = (socket: Socket) => connections.get(socket);
+  beginInOrder(server, { table, find, ...options });
+  rejectHiddenRequests(server, find);
+  if (options.onMalformed) rejectMalformed(server, find, table.stateOf, options.onMalformed);
   const endHandshake = trackHandshakes(server, table, makeRoom);
   let accepted = 0;
   server.on("connection", () => void (accepted += 1));
   const isTls = server instanceof TlsServer;
   server.on(isTls ? "secureConnection" : "connection", (socket: Socket) => {
     endHandshake(socket);
-    connections.set(socket, { socket, reader: addReader(socket), early: [], bytesOutside: 0 });
+    const frames = followRequests();
+    const connection: Connection = { socket, frames, early: [], bytesOutside: 0 };
+    connection.reader = addReader(connection);
+    connections.set(socket, connection);
     table.add(socket);
     socket.once("close", () => {
       table.remove(socket);
