Ask again whether a box may dispatch before it grants a place

A box that lost the majority of the others went on granting places to requests that waited at it, while the others asked the next dispatcher: two boxes granted the places of the same targets. Callers of the box that was cut off waited in its queue up to their deadline instead of being served by a target that it chooses alone, and a box that was cut off while another dispatcher declined its request granted itself a place.

Cause: whether the box may dispatch was asked when a request came in and not again after the waits: in its own queue, in a held poll, and at another dispatcher. Only a box that stops was asked again.

Evidence: four scenarios, one for each wait and one for callers without a free place, failed before (granted by "A", "A" and "B" that were cut off; no answer after 100 ms) and hold now.

Change: after each of these waits the box asks again; if it may not decide, it gives the place back, declines all requests that wait at it as a box that stops does, and its own requests choose alone within the hold time.

--- a/packages/request-dispatch/src/dispatcher.ts
+++ b/packages/request-dispatch/src/dispatcher.ts
@@ -110,6 +110,8 @@
   let stopped = false;
   let sweptAt = clock.now();
 
+  const mayDecide = (): boolean => !stopped && ports.mayDispatch();
+
   /** Runs with messages, since a timer would wake an idle process. */
   const sweep = () => {
     const now = clock.now();
@@ -194,16 +196,29 @@
     return { w: waiting.asks.size };
   };
 
-  /** Replies with decisions as soon as there is one, or that the requests still wait. */
-  const poll = (message: DispatchMessage): Promise<DispatchReply> =>
+  /** Withdraws all requests of other boxes that wait here, and gives back the places that they have not learned of. */
+  const dropWaiting = () => {
+    const dropped = [...waitingBoxes.values()];
+    waitingBoxes.clear();
+    for (const waiting of dropped) {
+      for (const ticket of [...waiting.asks.keys()]) abandon(waiting, ticket);
+      waiting.answerPoll?.();
+    }
+  };
+
+  const decline = (): DispatchReply => {
+    dropWaiting();
+    return declined;
+  };
+
+  /** Waits until a request of the box is decided, at most for the hold time. */
+  const awaitDecision = (waiting: WaitingBox): Promise<void> =>
     new Promise((resolve) => {
-      const waiting = waitingOf(message);
-      const settle = (reply: DispatchReply) => {
+      const answer = () => {
         cancelTimer();
         if (waiting.answerPoll === answer) waiting.answerPoll = undefined;
-        resolve(reply);
+        resolve();
       };
-      const answer = () => settle(stopped ? declined : takeDecisions(waiting));
       const cancelTimer = clock.after(holdMs, answer);
       // A box has one poll at a time; an earlier one is that of a connection that it has lost.
       waiting.answerPoll = answer;
@@ -211,6 +226,14 @@
       if (isDecided || waiting.asks.size === 0) answer();
     });
 
+  /** Replies with decisions as soon as there is one, or that the requests still wait. */
+  const poll = async (message: DispatchMessage): Promise<DispatchReply> => {
+    const waiting = waitingOf(message);
+    await awaitDecision(waiting);
+    // Another box dispatches meanwhile if this one has stopped or was cut off during the wait.
+    return mayDecide() ? takeDecisions(waiting) : decline();
+  };
+
   const applyReports = (message: DispatchMessage) => {
     const { s, w = [], f = [], e = [] } = message;
     for (const ticket of w) abandon(waitingOf(message), ticket);
@@ -247,16 +270,12 @@
       sweep();
       lastMessageAt.set(message.b, clock.now());
       applyReports(message);
-      if (stopped || !ports.mayDispatch()) return declined;
+      if (!mayDecide()) return decline();
       return withCapacities(await handle(message), message.y);
     },
     stop() {
       stopped = true;
-      for (const waiting of waitingBoxes.values()) {
-        for (const ticket of [...waiting.asks.keys()]) abandon(waiting, ticket);
-        waiting.answerPoll?.();
-      }
-      waitingBoxes.clear();
+      dropWaiting();
     },
     summaries: () => new Map([...services].map(([name, { queue }]) => [name, queue.summary()])),
   };
--- a/packages/request-dispatch/src/request-dispatch.feature
+++ b/packages/request-dispatch/src/request-dispatch.feature
@@ -86,6 +86,42 @@
     When "A" and "C" each ask for a place
     Then "A" chooses alone, and "C" has a place from "B"
 
+  # Guards against two dispatchers, as one that was cut off while its own requests waited grants them places later.
+  Scenario: A box that is cut off while its requests wait at itself grants them nothing
+    Given all places are in use
+    When "A" waits for a place
+    And "A" is cut off from the majority after 30 ms
+    And a place becomes free at "A" after 10 ms
+    Then the request of "A" has ended as "unavailable"
+    And "A" has 0 places in use
+
+  # Guards against callers that wait until their deadline for places that others grant.
+  Scenario: Requests that wait at a box that is cut off choose alone without a free place
+    Given all places are in use
+    When "A" waits for a place
+    And "A" is cut off from the majority after 30 ms
+    And further 70 ms pass
+    Then the request of "A" has ended as "unavailable"
+    And no request waits at "A" after 100 ms
+
+  # Guards against two dispatchers, as one that was cut off while requests of other boxes waited grants them places later.
+  Scenario: A box that is cut off while requests of others wait at it grants them nothing, and the next one does
+    Given all places are in use
+    When "C" waits for a place
+    And "A" is cut off from the majority after 30 ms
+    And a place becomes free at "A" after 10 ms
+    Then the request of "C" has ended as "B"
+    And "A" has 0 places in use
+
+  # Guards against a dispatcher that was not cut off when its own request was sent to another one.
+  Scenario: A box that is cut off while its request waits at another one grants nothing itself
+    Given all places are in use
+    When "B" waits for a place
+    And "B" is cut off from the majority after 30 ms
+    And "A" stops after 10 ms
+    Then the request of "B" has ended as "unavailable"
+    And "B" has 0 places in use
+
   # Guards against a new dispatcher that overloads targets with the grants of the lost one still running.
   Scenario: A new dispatcher counts the loads that heartbeats have told it of
     Given heartbeats tell that 2 of 2 places are in use
--- a/packages/request-dispatch/src/request-dispatch.steps.ts
+++ b/packages/request-dispatch/src/request-dispatch.steps.ts
@@ -493,6 +493,48 @@
   },
 );
 
+When("{string} waits for a place", async function (this: object, name: string) {
+  ask(this, name);
+  await settle();
+  assert.equal(sceneOf(this).results.length, 0);
+});
+
+When(
+  "{string} is cut off from the majority after {int} ms",
+  async function (this: object, name: string, ms: number) {
+    await advance(sceneOf(this).clock, ms);
+    boxOf(this, name).cutOff = true;
+  },
+);
+
+When(
+  "a place becomes free at {string} after {int} ms",
+  async function (this: object, name: string, ms: number) {
+    await advance(sceneOf(this).clock, ms);
+    const { queue } = boxOf(this, name);
+    queue.capacity = 1;
+    queue.end({ place: "", result: "served", ms });
+    await settle();
+  },
+);
+
+When("{string} stops after {int} ms", async function (this: object, name: string, ms: number) {
+  await advance(sceneOf(this).clock, ms);
+  boxOf(this, name).dispatch.stop();
+  await settle();
+});
+
+When("further {int} ms pass", async function (this: object, ms: number) {
+  await advance(sceneOf(this).clock, ms);
+});
+
+Then(
+  "the request of {string} has ended as {string}",
+  function (this: object, name: string, dispatcher: string) {
+    assert.deepEqual(sceneOf(this).byBox.get(name)?.map(dispatcherOf), [dispatcher]);
+  },
+);
+
 Given(
   "heartbeats tell that {int} of {int} places are in use",
   function (this: object, inFlight: number, places: number) {
--- a/packages/request-dispatch/src/request-dispatch.ts
+++ b/packages/request-dispatch/src/request-dispatch.ts
@@ -144,8 +144,7 @@
     return link;
   };
 
-  /** Waits for a decision of this box itself. */
-  const acquireHere = (request: DispatchRequest, waiter: Waiter): Promise<DispatchOutcome> =>
+  const awaitOwnDecision = (request: DispatchRequest, waiter: Waiter): Promise<DispatchOutcome> =>
     new Promise((resolve) => {
       const { service } = request;
       const dueAt = clock.now() + request.timeLeftMs;
@@ -171,7 +170,7 @@
       });
       if (settled) return;
       const check = () => {
-        if (stopped) return leave(unavailable);
+        if (stopped || !isConnected()) return leave(unavailable);
         if (waiter.isGone() || clock.now() >= dueAt) return leave(left);
         const ms = Math.min(options.holdMs, dueAt - clock.now());
         cancelTimer = clock.after(Math.max(1, ms), check);
@@ -180,6 +179,17 @@
       check();
     });
 
+  /** Waits for a decision of this box, which counts only if this box may still decide. */
+  const acquireHere = async (
+    request: DispatchRequest,
+    waiter: Waiter,
+  ): Promise<DispatchOutcome> => {
+    const outcome = await awaitOwnDecision(request, waiter);
+    if (outcome.kind !== "granted" || isConnected()) return outcome;
+    dispatcher.end(request.service, { place: outcome.grant.place, result: "unused", ms: 0 });
+    return unavailable;
+  };
+
   const acquireAnywhere = async (
     request: DispatchRequest,
     waiter: Waiter,
@@ -187,7 +197,8 @@
     if (!isConnected()) return unavailable;
     for (const address of dispatchersOf(request.service)) {
       if (address === peers.selfAddress) {
-        if (stopped) continue;
+        // This box may have been cut off while it waited for another dispatcher.
+        if (stopped || !isConnected()) continue;
         return acquireHere(request, waiter);
       }
       const link = linkTo(address);
