Ask again whether an order to a pool's engine may be sent when it is written

An order of the older line was written after a wait for its connection although the lease had expired or gone to another box, its intent had become void, or the only other copy of the model was no longer heard. An engine without fences carries it out: an unload then removes the last copy that callers are served by.

Cause: the order sender asked before it handed the order to the engine client, and the client writes once it has a connection, up to its time limit later.

Change: the engine client asks the sender on the established connection, in the same turn as the write; what is withheld is logged and counted, and the order stays open. Orders count as sent when they are written.

--- a/packages/engine-http/src/index.ts
+++ b/packages/engine-http/src/index.ts
@@ -56,8 +56,8 @@
       const result = await caller.call(call);
       return result.chain((response) => parseOkResponse(response, reportSchema));
     },
-    async order(address, order) {
-      const call = { address, method: "POST", path: "/orders", body: order } as const;
+    async order(address, order, isPermitted) {
+      const call = { address, method: "POST", path: "/orders", body: order, isPermitted } as const;
       const result = await caller.call(call);
       return result.chain((response) => parseOkResponse(response, replySchema));
     },
--- a/packages/http-client/src/http-client.feature
+++ b/packages/http-client/src/http-client.feature
@@ -93,6 +93,18 @@
       | it ends behind an informational head                    |
       | it is the rest of an answer that began behind the first |
 
+  # Guards against an order that is written after the permission to send it has ended.
+  Scenario Outline: A request is not written <connection> if it is no longer permitted once connected
+    Given a server that counts requests
+    When the HTTP client sends a request <connection> that is no longer permitted once connected
+    Then the request fails as not sent, and the server has received none
+    And a request that is permitted gets its response
+
+    Examples:
+      | connection           |
+      | on a new connection  |
+      | on a kept connection |
+
   # Guards against a declared address or name that Node throws on: the exception would end the process.
   Scenario Outline: A request <what> fails as not sent
     Then a request to "<address>" with the path "<path>" and the header value "<value>" fails as not sent
--- a/packages/http-client/src/http-client.steps.ts
+++ b/packages/http-client/src/http-client.steps.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { createServer as createHttpServer } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import {
@@ -8,7 +9,7 @@
   scenarioState,
   startEndingServer,
 } from "@linkfall/test-support";
-import { createHttpClient, readText } from "./index.js";
+import { createHttpClient, type HttpClient, readText } from "./index.js";
 
 const content = Buffer.from(JSON.stringify({ held: [] }));
 const servers: EndingServer[] = [];
@@ -237,3 +238,66 @@
     assert.equal(failure?.mayHaveArrived, false);
   },
 );
+
+interface PermissionScene {
+  readonly address: string;
+  received: number;
+  failure: unknown;
+}
+
+const permissionSceneOf = (world: object) =>
+  scenarioState(world).get<PermissionScene>("permission");
+
+const closesNothing = new AbortController().signal;
+
+async function sendIfPermitted(
+  client: HttpClient,
+  { address }: PermissionScene,
+  isPermitted: () => boolean,
+) {
+  const request = { address, method: "POST", path: "/", headers: {}, freshConnection: false };
+  const result = await client.send({ ...request, body: content }, closesNothing, isPermitted);
+  await result.map(({ body }) => readText(body)).extract();
+  return result;
+}
+
+Given("a server that counts requests", async function (this: object) {
+  const server = createHttpServer((request, response) => {
+    scene.received += 1;
+    request.resume().once("end", () => response.end(content));
+  });
+  const scene: PermissionScene = { address: await listen(server), received: 0, failure: undefined };
+  scenarioState(this).set("permission", scene);
+});
+
+When(
+  /^the HTTP client sends a request on a (new|kept) connection that is no longer permitted once connected$/,
+  async function (this: object, connection: string) {
+    const scene = permissionSceneOf(this);
+    const client = createHttpClient();
+    if (connection === "kept") await sendIfPermitted(client, scene, () => true);
+    scene.received = 0;
+    let isPermitted = true;
+    const sent = sendIfPermitted(client, scene, () => isPermitted);
+    isPermitted = false;
+    scene.failure = (await sent).swap().toMaybe().extract();
+    client.close();
+  },
+);
+
+Then("the request fails as not sent, and the server has received none", function (this: object) {
+  const { failure, received } = permissionSceneOf(this);
+  assert.deepEqual(failure, {
+    kind: "target_unreachable",
+    reason: "no longer permitted",
+    mayHaveArrived: false,
+  });
+  assert.equal(received, 0);
+});
+
+Then("a request that is permitted gets its response", async function (this: object) {
+  const client = createHttpClient();
+  const result = await sendIfPermitted(client, permissionSceneOf(this), () => true);
+  client.close();
+  assert.ok(result.isRight());
+});
--- a/packages/http-client/src/index.ts
+++ b/packages/http-client/src/index.ts
@@ -17,9 +17,11 @@
 const idleConnectionTimeoutMs = 4_000;
 
 export interface HttpClient {
+  /** Sends the request. `isPermitted` is asked on the established connection; if it returns false, nothing is written. */
   send(
     request: TargetRequest,
     signal: AbortSignal,
+    isPermitted?: () => boolean,
   ): Promise<Either<TargetUnreachable, TargetResponse>>;
   /** Closes idle connections. */
   close(): void;
@@ -70,6 +72,14 @@
   return () => connected;
 }
 
+/** Calls `write` once the request has an established connection. */
+function onceConnected(request: ClientRequest, write: () => void): void {
+  request.once("socket", (socket) => {
+    if (socket.pending) socket.once("connect", write);
+    else write();
+  });
+}
+
 /** Node throws on a request that it can't send, such as one to a port out of range. */
 function createRequest(
   { address, method, path, headers, body }: TargetRequest,
@@ -96,7 +106,7 @@
 export function createHttpClient(): HttpClient {
   const keepAliveAgent = new Agent({ keepAlive: true, timeout: idleConnectionTimeoutMs });
   return {
-    send: (request, signal) =>
+    send: (request, signal, isPermitted) =>
       new Promise((resolve) => {
         if (signal.aborted) return resolve(Left(unreachable("aborted before it was sent", false)));
         const agent = request.freshConnection ? false : keepAliveAgent;
@@ -134,7 +144,12 @@
           const body = readBodyParts(message, isComplete, bounds);
           resolve(Right({ status, headers, body }));
         });
-        outgoing.end(request.body);
+        if (!isPermitted) return outgoing.end(request.body);
+        onceConnected(outgoing, () => {
+          if (isPermitted()) return outgoing.end(request.body);
+          resolve(Left(unreachable("no longer permitted", false)));
+          outgoing.destroy();
+        });
       }),
     close: () => keepAliveAgent.destroy(),
   };
--- a/packages/json-call/src/index.ts
+++ b/packages/json-call/src/index.ts
@@ -13,6 +13,8 @@
   readonly body?: unknown;
   /** Extra headers, such as a token. */
   readonly headers?: Readonly<Record<string, string>>;
+  /** Asked on the established connection, immediately before the call is written; if it returns false, nothing is written. */
+  isPermitted?(): boolean;
 }
 
 /** A response with a parsed body. */
@@ -47,6 +49,7 @@
           freshConnection: false,
         },
         timeout.signal,
+        call.isPermitted,
       );
       if (sent.isLeft()) {
         cancel();
--- a/packages/pool-control/src/order-sender.ts
+++ b/packages/pool-control/src/order-sender.ts
@@ -65,13 +65,32 @@
       )
       .exhaustive();
 
-  const send = async (engine: Engine, order: Order) => {
-    if (!maySend(engine, order)) return;
-    const { id, kind, cause } = order;
+  const recordSent = (engine: Engine, { id, kind, cause }: Order) => {
     logger.event("orderSent", { order: id, kind, engine: engine.name, cause });
     metrics.count("linkfall_orders_sent_total", "Orders sent to engines.", { kind });
+  };
+
+  const recordWithheld = (engine: Engine, { id, kind, cause }: Order) => {
+    logger.event("orderWithheld", { order: id, kind, engine: engine.name, cause });
+    metrics.count(
+      "linkfall_orders_withheld_total",
+      "Orders that were not sent, as they were no longer permitted.",
+      { action: kind },
+    );
+  };
+
+  const send = async (engine: Engine, order: Order) => {
+    if (!maySend(engine, order)) return;
+    /** The lease, the intent or the other copies may be lost while the order waits for its connection. */
+    const isPermitted = () => {
+      const isStillPermitted = maySend(engine, order);
+      if (isStillPermitted) recordSent(engine, order);
+      else recordWithheld(engine, order);
+      return isStillPermitted;
+    };
     // An order of an earlier lease holder is sent with this session's epoch.
-    const response = await port.order(engine.address, { ...order, epoch: lease.epoch });
+    const currentOrder = { ...order, epoch: lease.epoch };
+    const response = await port.order(engine.address, currentOrder, isPermitted);
     response.ifRight((reply) => handleReply(engine, order, reply));
   };
 
--- a/packages/ports/src/engine-port.ts
+++ b/packages/ports/src/engine-port.ts
@@ -14,7 +14,15 @@
   report(address: string): Promise<Either<TargetUnreachable, EngineReport>>;
   /** Makes the engine reject every order with an epoch below `epoch`; returns its report afterwards. */
   raiseFence(address: string, epoch: Epoch): Promise<Either<TargetUnreachable, EngineReport>>;
-  order(address: string, order: Order): Promise<Either<TargetUnreachable, OrderReply>>;
+  /**
+   * Sends the order. `isPermitted` is asked on the established connection, immediately before the order is written; if it
+   * returns false, nothing is written.
+   */
+  order(
+    address: string,
+    order: Order,
+    isPermitted: () => boolean,
+  ): Promise<Either<TargetUnreachable, OrderReply>>;
   /** Reads the cache events with a sequence above `after`. */
   cacheEvents(address: string, after: number): Promise<Either<TargetUnreachable, CacheEventBatch>>;
 }
--- a/packages/soak/src/scenarios/world-ports.ts
+++ b/packages/soak/src/scenarios/world-ports.ts
@@ -96,7 +96,8 @@
   return {
     report: (address) => call(address, (core) => core.report()),
     raiseFence: (address, epoch) => call(address, (core) => core.raiseFence(epoch)),
-    order(address, order) {
+    order(address, order, isPermitted) {
+      if (!isPermitted()) return process.deliver(Promise.resolve(Left(targetLost(false))));
       const deliverOrder = () => {
         const engine = engineAt(world, address);
         if (engine && !engine.down) engine.core.order(order);
