Tell boxes of earlier versions what is left of the lease time

During a rolling upgrade with engines that fence, a box of the build before took the order lease from a holder of this build that it heard and that reached the store. No box sends orders then for 0.9 s with the default settings, and requests for models that have to be loaded wait for that (the wait is inferred, not measured).

Cause: a proof is valid for half of `lease_ms` here and for all of it there. Boxes of that build presume that a holder has lost the store when it tells that less than 35 % of `lease_ms` is left (`ordersForMs`). A holder of this build proves its lease every sixth of `lease_ms` and up to a check interval later, and tells less than that shortly before.

A holder now tells what is left of `lease_ms` since its last proof, as that build understands it, and the validity of its proof in `provenForMs`, by which boxes of this build judge as before. It is never less than the validity, so that a box of an earlier version that claims waits at least until the holder stops.

The scenarios fail where `ordersForMs` is the validity of the proof.

--- a/packages/box-peers/src/message-schemas.ts
+++ b/packages/box-peers/src/message-schemas.ts
@@ -99,6 +99,7 @@
   demand,
   lease: z.object({ epoch: position, holder: z.string() }).optional(),
   ordersForMs: quantity.optional(),
+  provenForMs: quantity.optional(),
   followed: followed.optional(),
   intervals: z.array(interval).optional(),
   blameFollowed: position.optional(),
--- a/packages/box-peers/src/messages.ts
+++ b/packages/box-peers/src/messages.ts
@@ -66,8 +66,13 @@
   readonly loads: Readonly<Record<string, TargetLoad>>;
   readonly demand: readonly ModelDemand[];
   readonly lease?: ObservedLease;
-  /** Remaining time for which the sender may issue orders, if it holds the lease. */
+  /**
+   * What is left of the lease time since the sender's last proof, if it holds the lease. Earlier versions, whose proofs are valid for
+   * the whole lease time, may issue orders for as long.
+   */
   readonly ordersForMs?: Milliseconds;
+  /** Remaining time for which the sender may issue orders; absent if it is `ordersForMs`. */
+  readonly provenForMs?: Milliseconds;
   readonly followed?: ReportPosition;
   /** Event intervals of streams since the last heartbeat to the lease holder; absent if there are none. */
   readonly intervals?: readonly IntervalObservation[];
--- a/packages/entry-box/src/heartbeat-source.ts
+++ b/packages/entry-box/src/heartbeat-source.ts
@@ -101,6 +101,8 @@
     beat += 1;
     if (toHolder) plannedDemand.recordHeartbeat(beat);
     const position = feed.targetsPosition();
+    const ordersForMs = lease.remainingLeaseTimeMs();
+    const provenForMs = lease.remainingLeaseMs();
     // Spreading the profile into a literal of this size took ten times as long.
     return Object.assign(ownProfile(runtime), {
       beat,
@@ -112,7 +114,8 @@
       demand: toHolder ? recentDemand(demand.read()) : [],
       intervals: toHolder ? takeIntervals(runtime) : undefined,
       lease: known,
-      ordersForMs: lease.remainingLeaseMs(),
+      ordersForMs,
+      provenForMs: provenForMs === ordersForMs ? undefined : provenForMs,
       followed: followed(),
       limitsFollowed:
         recipient && kernel.find(targetLimitsName).appliedSequence(recipient.incarnation),
--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -41,7 +41,10 @@
     maxKnownBoxes: peers.maxKnownBoxes,
     isOwnEarlierIncarnation: (holder) =>
       holder !== incarnation && boxOf(holder) === settings.box.name,
-    remainingLeaseMs: (holder) => peers.findStatus(holder)?.ordersForMs ?? 0,
+    remainingLeaseMs(holder) {
+      const status = peers.findStatus(holder);
+      return status?.provenForMs ?? status?.ordersForMs ?? 0;
+    },
     announceClaim: () => peers.sendHeartbeats(() => true),
     isLeaving: (holder) => peers.findStatus(holder)?.leaving ?? false,
     rank() {
--- a/packages/order-lease/src/contract.ts
+++ b/packages/order-lease/src/contract.ts
@@ -61,6 +61,11 @@
   recordRefusal(epoch: Epoch): void;
   /** Returns the time for which this box may continue to send orders; 0 if it may not. */
   remainingLeaseMs(): Milliseconds;
+  /**
+   * Returns what is left of the lease time since this box's last proof; 0 if the lease is not held. Boxes of earlier versions take it
+   * for the time for which this box may continue to send orders, which is never longer.
+   */
+  remainingLeaseTimeMs(): Milliseconds;
   /** Stops claiming, and releases the lease if this box holds it. */
   release(): Promise<void>;
 }
--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -262,6 +262,26 @@
     And the store loses the responses to "a"
     Then no other box may send orders before the lease of "a" has expired
 
+  # Guards against a box of an earlier version that takes the lease from a holder that lives, as proofs are valid for a shorter time than there.
+  Scenario: Boxes of an earlier version do not find that a holder with engines that fence has lost the store
+    Given boxes "a b c" that are connected to each other and to the store, with engines that fence
+    And "a" holds the lease
+    Then for 20 s boxes of an earlier version find that "a" reaches the store
+    When the store refuses "a"
+    Then within 4 s boxes of an earlier version find that "a" has lost the store
+
+  # Guards against two boxes that send orders at once during a change of versions.
+  Scenario Outline: Boxes of an earlier version do not order while the former holder may<engines>
+    Given boxes "a b c" that are connected to each other and to the store<engines>
+    And "a" holds the lease
+    When the store refuses "a"
+    Then for 4 s boxes of an earlier version wait until "a" may not send orders
+
+    Examples:
+      | engines                   |
+      |                           |
+      | , with engines that fence |
+
   # Guards against proofs that expire before the next one is answered.
   Scenario Outline: A slow store leaves the holder its lease<engines>
     Given boxes "a b c" whose store answers after 900 ms<engines>
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -43,7 +43,7 @@
   lastMessageAt: number;
   /** Total time for which its machine was suspended. */
   suspendedMs: number;
-  reported: { remainingLeaseMs: number };
+  reported: { remainingLeaseMs: number; remainingLeaseTimeMs: number };
 }
 
 interface Scene {
@@ -117,7 +117,7 @@
       boxes.every((box) => box.silent || access.get(box.name) === "refuses") &&
       boxes.filter((box) => !box.silent).length * 2 > boxes.length,
   };
-  const reported = { remainingLeaseMs: 0 };
+  const reported = { remainingLeaseMs: 0, remainingLeaseTimeMs: 0 };
   const state = {
     name,
     silent: false,
@@ -165,7 +165,10 @@
 function reportLease({ clock, boxes }: Scene, box: LeaseBox): void {
   if (box.silent) return;
   box.lastMessageAt = clock.now();
-  box.reported = { remainingLeaseMs: box.lease.remainingLeaseMs() };
+  box.reported = {
+    remainingLeaseMs: box.lease.remainingLeaseMs(),
+    remainingLeaseTimeMs: box.lease.remainingLeaseTimeMs(),
+  };
   const observed = box.lease.observedLease();
   const receivers = boxes.filter(
     (other) => !other.silent && other.deafSince === undefined && other.side === box.side,
@@ -276,6 +279,49 @@
   },
 );
 
+/** Share of the lease time below which boxes of earlier versions presume that a holder that they hear has lost the store. */
+const earlierMinRemainingShare = 0.35;
+
+/** Whether boxes of an earlier version claim the lease from the box, which they hear. */
+const hasLostStoreToEarlier = ({ reported }: LeaseBox) =>
+  reported.remainingLeaseTimeMs < options.leaseMs * earlierMinRemainingShare;
+
+Then(
+  "for {int} s boxes of an earlier version find that {string} reaches the store",
+  async function (this: object, seconds: number, name: string) {
+    const scene = sceneOf(this);
+    const box = boxOf(scene, name);
+    await passTime(scene, seconds * 1_000, () => assert.ok(!hasLostStoreToEarlier(box)));
+  },
+);
+
+Then(
+  "within {int} s boxes of an earlier version find that {string} has lost the store",
+  async function (this: object, seconds: number, name: string) {
+    const scene = sceneOf(this);
+    const box = boxOf(scene, name);
+    const end = scene.clock.now() + seconds * 1_000;
+    while (!hasLostStoreToEarlier(box)) {
+      assert.ok(scene.clock.now() < end);
+      await passTime(scene, stepMs);
+    }
+  },
+);
+
+Then(
+  "for {int} s boxes of an earlier version wait until {string} may not send orders",
+  async function (this: object, seconds: number, name: string) {
+    const scene = sceneOf(this);
+    const { lease } = boxOf(scene, name);
+    await passTime(scene, seconds * 1_000, () => {
+      if (lease.epoch() === undefined) return;
+      assert.ok(lease.remainingLeaseMs() > 0);
+      assert.ok(lease.remainingLeaseTimeMs() >= lease.remainingLeaseMs());
+    });
+    assert.equal(lease.epoch(), undefined);
+  },
+);
+
 /** A port whose calls are answered late. */
 function slowPort(port: KeyedStreamPort, clock: VirtualClock, delayMs: number): KeyedStreamPort {
   const wait = () => new Promise<void>((resolve) => void clock.after(delayMs / 2, resolve));
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -386,6 +386,14 @@
     if (state.claim.epoch === epoch && mayClaim()) await claim(reason);
   };
 
+  /** Returns what is left of a proof that is valid for `validMs`. */
+  const remainingProofMs = (validMs: Milliseconds): Milliseconds => {
+    if (!isHeld() || stopping) return 0;
+    if (isProven() && peers.isStoreDownForAll() && !canBeClaimedUnheard()) return validMs;
+    const sinceProofMs = clock.elapsed() - (state.provenUntil - proofValidMs);
+    return Math.max(0, Math.round(validMs - sinceProofMs));
+  };
+
   const loop = repeatEvery(clock, kernel.find(randomName), options.checkMs, check);
   return {
     epoch() {
@@ -399,11 +407,8 @@
       state.endedEpoch = Math.max(state.endedEpoch, epoch);
       logger.event("fenceRefused", { pool: leaseKey, epoch });
     },
-    remainingLeaseMs() {
-      if (!isHeld() || stopping) return 0;
-      if (isProven() && peers.isStoreDownForAll() && !canBeClaimedUnheard()) return proofValidMs;
-      return Math.max(0, Math.round(state.provenUntil - clock.elapsed()));
-    },
+    remainingLeaseMs: () => remainingProofMs(proofValidMs),
+    remainingLeaseTimeMs: () => remainingProofMs(options.leaseMs),
     async release() {
       const wasHeld = isHeld();
       stopping = true;
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -227,6 +227,7 @@
       scene.epoch = undefined;
     },
     remainingLeaseMs: () => 1_000,
+    remainingLeaseTimeMs: () => 1_000,
     release: async () => undefined,
     start: async () => undefined,
     stop: async () => undefined,
