Test that no connection is kept behind an answer that ends at a lone carriage return

The answer is whole by its last chunk; its connection is closed since the end of answers is reckoned from what was read. With that closing taken out the two scenarios fail: the connection goes on.

--- a/packages/http-client/src/http-client.feature
+++ b/packages/http-client/src/http-client.feature
@@ -113,6 +113,17 @@
     When the HTTP client reads two responses
     Then both responses are complete, and the second has a connection of its own
 
+  # Guards against trailers that Node's parser ends at a carriage return and any byte, which may be the first one of an answer.
+  Scenario Outline: A connection whose answer ends at a lone carriage return in <part> is not kept
+    Given a server that answers twice on a connection, with <part> that end at a lone CR
+    When the HTTP client reads two responses
+    Then both responses are complete, and the second has a connection of its own
+
+    Examples:
+      | part        |
+      | trailers    |
+      | no trailers |
+
   # Guards against a connection that is taken for out of step because of how its answers are framed.
   Scenario Outline: A connection is kept behind an answer <framing>
     Given a server that answers twice on a connection, <framing>
--- a/packages/http-client/src/http-client.steps.ts
+++ b/packages/http-client/src/http-client.steps.ts
@@ -204,6 +204,8 @@
 const inChunks = (chunk: string, trailer = "") =>
   `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunk.length.toString(16)}\r\n${chunk}\r\n0\r\n${trailer}\r\n`;
 
+const endAtLoneReturn = (answer: string) => `${answer.slice(0, -1)}X`;
+
 /** What a server sends in response to each request, in packets. */
 const soundAnswers: Readonly<Record<string, readonly string[]>> = {
   "with a length": [wholeAnswer],
@@ -212,6 +214,10 @@
   "in chunks that end with line ends": [inChunks(`${content.toString()}\r\n\r\n`)],
   "behind an informational one": [`HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n${wholeAnswer}`],
   "in several packets": [headPart, wholeAnswer.slice(headPart.length, -1), wholeAnswer.slice(-1)],
+  "with trailers that end at a lone CR": [
+    endAtLoneReturn(inChunks(content.toString(), "X: 1\r\n")),
+  ],
+  "with no trailers that end at a lone CR": [endAtLoneReturn(inChunks(content.toString()))],
   "with status 204": ["HTTP/1.1 204 No Content\r\n\r\n"],
 };
 
