Check profiles and sightings of heartbeats with plain loops

Boxes check every heartbeat, and the lease holder hears all boxes.

Change: profiles and sightings are checked by loops as loads and demand are, and the check of an endpoint allocates no list. The reason of a rejected profile still names its field.

--- a/packages/box-peers/src/message-schemas.ts
+++ b/packages/box-peers/src/message-schemas.ts
@@ -10,25 +10,7 @@
 const endpoint = z.string().refine(isEndpoint, "not an IP address and port");
 const texts = z.array(z.string());
 
-const profileFields = {
-  box: z.string(),
-  incarnation: z.string(),
-  frontAddress: endpoint,
-  peerAddress: endpoint,
-  domain: z.string(),
-  capacity: quantity,
-  ready: z.boolean(),
-  leaving: z.boolean(),
-  strained: z.boolean(),
-  takesRequests: z.boolean(),
-  reading: z.boolean(),
-  relays: z.boolean().optional(),
-  keepsStreams: z.boolean().optional(),
-  dispatches: z.boolean().optional(),
-};
-const sightings = z.array(z.object({ ...profileFields, ageMs: quantity, silent: z.boolean() }));
-
-// Loads and demand make up most of a heartbeat; plain loops check them in a fraction of the time of a schema.
+// Profiles, loads and demand make up most of a heartbeat; plain loops check them in a fraction of the time of a schema.
 type JsonObject = Readonly<Record<string, unknown>>;
 
 function isObject(value: unknown): value is JsonObject {
@@ -40,6 +22,49 @@
 const hasQuantities = (value: JsonObject, names: readonly string[]): boolean =>
   names.every((name) => isQuantity(value[name]));
 
+type FieldChecks = readonly (readonly [name: string, isValid: (value: unknown) => boolean])[];
+
+/** Returns what is wrong with the fields of a value; undefined if nothing is. */
+function findDefect(value: unknown, checks: FieldChecks): string | undefined {
+  if (!isObject(value)) return "not an object";
+  const invalid = checks.find(([name, isValid]) => !isValid(value[name]));
+  return invalid && `invalid ${invalid[0]}`;
+}
+
+const fieldsOf = (checks: FieldChecks) =>
+  z.custom((value) => findDefect(value, checks) === undefined, {
+    error: ({ input }) => findDefect(input, checks),
+  });
+
+const isText = (value: unknown): boolean => typeof value === "string";
+const isAddress = (value: unknown): boolean => typeof value === "string" && isEndpoint(value);
+const isBoolean = (value: unknown): boolean => typeof value === "boolean";
+const isOptionalBoolean = (value: unknown): boolean => value === undefined || isBoolean(value);
+
+const profileChecks: FieldChecks = Object.entries({
+  box: isText,
+  incarnation: isText,
+  frontAddress: isAddress,
+  peerAddress: isAddress,
+  domain: isText,
+  capacity: isQuantity,
+  ready: isBoolean,
+  leaving: isBoolean,
+  strained: isBoolean,
+  takesRequests: isBoolean,
+  reading: isBoolean,
+  relays: isOptionalBoolean,
+  keepsStreams: isOptionalBoolean,
+  dispatches: isOptionalBoolean,
+});
+const sightingChecks: FieldChecks = [
+  ...profileChecks,
+  ["ageMs", isQuantity],
+  ["silent", isBoolean],
+];
+
+const sightings = z.array(fieldsOf(sightingChecks));
+
 const loadQuantities = ["inFlight", "promptTokens"];
 const loads = z.custom(
   (value) =>
@@ -88,8 +113,7 @@
   concurrency: quantity,
   intervalMs: quantity,
 });
-const status = z.object({
-  ...profileFields,
+const ownStatus = z.object({
   beat: position,
   reachesStore: z.boolean(),
   configurationVersion: z.number(),
@@ -107,6 +131,7 @@
   leavingFollowed: position.optional(),
   departuresFollowed: position.optional(),
 });
+const status = fieldsOf(profileChecks).pipe(ownStatus);
 
 const models = z.array(z.object({ name: z.string(), version: quantity, adapters: texts }));
 const born = z.number().optional();
