Keep a lease in an outage only as long as the others' messages allow

Without fences, two boxes could order at once after an outage of the store: the former holder kept its lease for a whole validity from each check, though a box that it no longer heard reached the store again; and a box whose probe was from before the outage claimed as soon as the store was back, though the holder could not have read the probe.

Cause: old statements. That no box reaches the store was taken as true now and not as of the oldest message that says so; and the wait for an answer to a probe counted the time in which nobody could answer.

Change: a proof is kept valid from the oldest message on, and a claimant without fences counts its wait from when it last said that it does not reach the store.

--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -50,6 +50,12 @@
       return [...rankBoxes(relaying), ...rankBoxes(others)].indexOf(settings.box.name);
     },
     isCutOffFromEngines: kernel.find(targetReachName).isCutOff,
+    reachesStore: feed.reachesStore,
+    oldestMessageAgeMs: () =>
+      Math.max(
+        0,
+        ...peers.statuses().map((status) => peers.sinceHeartbeatMs(status.incarnation) ?? Infinity),
+      ),
     isStoreDownForAll() {
       const statuses = peers.statuses();
       if (feed.reachesStore() || statuses.length * 2 < peers.maxKnownBoxes()) return false;
--- a/packages/order-lease/src/contract.ts
+++ b/packages/order-lease/src/contract.ts
@@ -45,8 +45,12 @@
   announceClaim(): void;
   /** Whether this box reaches no engine while another live box does. */
   isCutOffFromEngines(): boolean;
+  /** Whether this box reaches the store, as it tells the others. */
+  reachesStore(): boolean;
   /** Whether this box is in contact with most boxes, and none of them reaches the store. */
   isStoreDownForAll(): boolean;
+  /** Age of the oldest message that `isStoreDownForAll` depends on. */
+  oldestMessageAgeMs(): Milliseconds;
 }
 
 /** The lease as held or observed by one box. */
--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -296,3 +296,32 @@
       | setting                 |
       | a lease time of 1000 ms |
       | engines that fence      |
+
+  # Guards against two boxes that send orders at once, as one of them keeps its lease for what the other one said long before.
+  Scenario: A holder does not keep the lease in an outage of the store by what a box said before it was cut off
+    Given boxes "a b c d" that are connected to each other and to the store
+    And "a" holds the lease
+    When "d" hears no other box
+    And the store refuses "a"
+    And the store refuses "b"
+    And the store refuses "c"
+    And the store refuses "d"
+    And 8 s go by
+    Then only "a" may send orders
+    When "d" is not heard any more either
+    And the store serves "d"
+    Then no other box may send orders before the lease of "a" has expired
+    And within 8 s another box may give orders under a higher epoch
+
+  # Guards against a claim after a wait in which the holder could not read the probe and kept the lease, as no box reached the store.
+  Scenario: A box whose probe is from before an outage of the store waits again after it
+    Given boxes "a b c d" that are connected to each other and to the store
+    And "a" holds the lease
+    When "d" hears no other box
+    And the store refuses every box as soon as it has a probe
+    And 8 s go by
+    Then only "a" may send orders
+    When "d" is not heard any more either
+    And the store serves "d"
+    Then no other box may send orders before the lease of "a" has expired
+    And within 8 s another box may give orders under a higher epoch
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -43,7 +43,14 @@
   lastMessageAt: number;
   /** Total time for which its machine was suspended. */
   suspendedMs: number;
-  reported: { remainingLeaseMs: number };
+  /** What it last heard of each other box. */
+  readonly heard: Map<string, BoxReport>;
+}
+
+/** What a box says of itself. */
+interface BoxReport {
+  readonly remainingLeaseMs: number;
+  readonly reachesStore: boolean;
 }
 
 interface Scene {
@@ -88,6 +95,10 @@
   );
   kernel.provide(metricsName, createMetrics());
   const find = (other: string) => boxes.find((box) => box.name === other);
+  const findKnown = () =>
+    boxes.filter(
+      (other) => other !== box && (peers.sinceLastMessageMs(other.name) ?? Infinity) < rankedForMs,
+    );
   const peers: LeasePeers = {
     sinceLastMessageMs: (other) => {
       const sender = find(other);
@@ -104,7 +115,7 @@
     isOwnEarlierIncarnation: (other) =>
       other !== name && firstIncarnation(other) === firstIncarnation(name),
     isLeaving: (other) => find(other)?.leaving ?? false,
-    remainingLeaseMs: (other) => find(other)?.reported.remainingLeaseMs ?? 0,
+    remainingLeaseMs: (other) => box.heard.get(other)?.remainingLeaseMs ?? 0,
     // Each side ranks the boxes that it hears.
     rank: () =>
       boxes
@@ -114,11 +125,15 @@
     announceClaim: () => reportLease(scene, box),
     isCutOffFromEngines: () =>
       box.reachesNoEngine && boxes.some((other) => !other.silent && !other.reachesNoEngine),
-    isStoreDownForAll: () =>
-      boxes.every((box) => box.silent || access.get(box.name) === "refuses") &&
-      boxes.filter((box) => !box.silent).length * 2 > boxes.length,
+    reachesStore: () => access.get(name) !== "refuses",
+    oldestMessageAgeMs: () =>
+      Math.max(0, ...findKnown().map((other) => peers.sinceLastMessageMs(other.name) ?? Infinity)),
+    isStoreDownForAll: () => {
+      const known = findKnown();
+      if (access.get(name) !== "refuses" || known.length * 2 < boxes.length) return false;
+      return known.every((other) => box.heard.get(other.name)?.reachesStore === false);
+    },
   };
-  const reported = { remainingLeaseMs: 0 };
   const state = {
     name,
     silent: false,
@@ -128,7 +143,7 @@
     reachesNoEngine: false,
     lastMessageAt: 0,
     suspendedMs: 0,
-    reported,
+    heard: new Map<string, BoxReport>(),
   };
   const box: LeaseBox = {
     ...state,
@@ -163,15 +178,21 @@
 }
 
 /** Sends a box's lease to the boxes that hear it. */
-function reportLease({ clock, boxes }: Scene, box: LeaseBox): void {
+function reportLease({ clock, boxes, access }: Scene, box: LeaseBox): void {
   if (box.silent) return;
   box.lastMessageAt = clock.now();
-  box.reported = { remainingLeaseMs: box.lease.remainingLeaseMs() };
+  const report = {
+    remainingLeaseMs: box.lease.remainingLeaseMs(),
+    reachesStore: access.get(box.name) !== "refuses",
+  };
   const observed = box.lease.observedLease();
   const receivers = boxes.filter(
     (other) => !other.silent && other.deafSince === undefined && other.side === box.side,
   );
-  if (observed) for (const other of receivers) other.lease.observe(observed);
+  for (const other of receivers) {
+    other.heard.set(box.name, report);
+    if (observed) other.lease.observe(observed);
+  }
 }
 
 /** Lets time pass, while boxes that are not silent report their leases to each other. */
@@ -364,6 +385,10 @@
   boxOf(sceneOf(this), name).deafSince = undefined;
 });
 
+When("{string} is not heard any more either", function (this: object, name: string) {
+  boxOf(sceneOf(this), name).silent = true;
+});
+
 When("{string} is cut off from the other boxes", function (this: object, name: string) {
   const scene = sceneOf(this);
   const box = boxOf(scene, name);
@@ -385,6 +410,13 @@
   boxOf(sceneOf(this), name).reachesNoEngine = false;
 });
 
+When("the store refuses every box as soon as it has a probe", async function (this: object) {
+  const scene = sceneOf(this);
+  const hasProbe = () => scene.store.records().some(({ key }) => key === "probe");
+  while (!hasProbe()) await passTime(scene, stepMs);
+  for (const { name } of scene.boxes) setAccess(scene, name, "refuses");
+});
+
 When("the store refuses {string}", function (this: object, name: string) {
   setAccess(sceneOf(this), name, "refuses");
 });
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -65,6 +65,8 @@
   holderLastSeenAt: Milliseconds;
   /** Highest epoch that was rejected by an engine or given up by this box; it is never used again. */
   endedEpoch: Epoch;
+  /** When this box last told the others, or may have told them, that it did not reach the store. */
+  withoutStoreAt: Milliseconds;
   /** When this box last gave up the lease, or learned that another box had claimed it. */
   lostAt: Milliseconds;
 }
@@ -91,12 +93,14 @@
     holderGoneSince: undefined,
     holderLastSeenAt: startedAt,
     endedEpoch: -1,
+    withoutStoreAt: -Infinity,
     lostAt: -Infinity,
   };
   const probes = createHolderProbes(clock);
   /** Time for which a proof permits to send orders. */
   const proofValidMs = options.enginesFence ? options.leaseMs * fencedProofShare : options.leaseMs;
   let stopping = false;
+  let reachedStore = true;
   let checkedAt = startedAt;
   /** Time by which the newest check was late, which delays the messages of other boxes as well. */
   let checkLateMs: Milliseconds = 0;
@@ -153,8 +157,17 @@
   /** Keeps a valid proof valid while no box reaches the store. An expired one stays expired, as others may have claimed since. */
   const keepProofInOutage = () => {
     const isValid = clock.elapsed() < state.provenUntil;
-    if (isHeld() && isValid && peers.isStoreDownForAll() && !canBeClaimedUnheard())
-      state.provenUntil = clock.elapsed() + proofValidMs;
+    if (!isHeld() || !isValid || !peers.isStoreDownForAll() || canBeClaimedUnheard()) return;
+    // A box may reach the store again since its last message.
+    const confirmedAt = clock.elapsed() - peers.oldestMessageAgeMs();
+    state.provenUntil = Math.max(state.provenUntil, confirmedAt + proofValidMs);
+  };
+
+  /** Records until when the holder may keep its lease for what this box tells of the store. */
+  const recordReach = () => {
+    const reachesStore = peers.reachesStore();
+    if (!reachesStore || !reachedStore) state.withoutStoreAt = clock.now();
+    reachedStore = reachesStore;
   };
 
   /** Records that the stream had no newer claim at `sentAt`. */
@@ -232,6 +245,13 @@
   const holderProofValidMs = (epoch: Epoch): Milliseconds =>
     Math.max(proofValidMs, probes.proofValidMs(epoch) ?? 0);
 
+  /**
+   * When the holder's proofs from before the probe begin to expire. Without fences, that is not before this box reaches the
+   * store, as the holder keeps its lease while no box does.
+   */
+  const probeWaitFrom = ({ seenAt }: HolderProbe): Milliseconds =>
+    options.enginesFence ? seenAt : Math.max(seenAt, state.withoutStoreAt);
+
   /** Returns the time until which any earlier holder may send orders. */
   const earlierHoldersOrderUntil = (): Milliseconds => {
     const { claim } = state;
@@ -241,13 +261,14 @@
     if (!mayStillOrder(claim.holder)) return lostUntil;
     // A holder of a version that does not answer probes sends orders until its reads show the new claim.
     if (probes.proofValidMs(claim.epoch) === undefined) return clock.now() + options.leaseMs;
-    const probedAt = probes.findPending(claim.epoch)?.seenAt ?? clock.now();
-    return Math.max(lostUntil, probedAt + holderProofValidMs(claim.epoch));
+    const probe = probes.findPending(claim.epoch);
+    const waitedFrom = probe ? probeWaitFrom(probe) : clock.now();
+    return Math.max(lostUntil, waitedFrom + holderProofValidMs(claim.epoch));
   };
 
   /** When this box may claim the lease of a holder that does not answer the probe. Orders follow only later. */
   const claimableAt = (probe: HolderProbe): Milliseconds =>
-    probe.seenAt + holderProofValidMs(probe.epoch) - claimNoticeMs;
+    probeWaitFrom(probe) + holderProofValidMs(probe.epoch) - claimNoticeMs;
 
   /** Whether the lease was released to boxes that are better connected than this one, and they have had the time to claim it. */
   const isReleasedToOthers = (): boolean => {
@@ -366,6 +387,7 @@
     checkLateMs = Math.max(0, clock.now() - checkedAt - options.checkMs);
     checkedAt = clock.now();
     if (stopping) return;
+    recordReach();
     if (peers.isCutOffFromEngines()) return giveUp();
     keepProofInOutage();
     if (state.claim.holder === self) return renew();
