--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -45,6 +45,8 @@
       const status = peers.findStatus(holder);
       return status?.provenForMs ?? status?.ordersForMs ?? 0;
     },
+    reachesStore: (box) =>
+      box === incarnation ? feed.reachesStore() : (peers.findStatus(box)?.reachesStore ?? true),
     announceClaim: () => peers.sendHeartbeats(() => true),
     isLeaving: (holder) => peers.findStatus(holder)?.leaving ?? false,
     rank() {
@@ -53,7 +55,6 @@
       return [...rankBoxes(relaying), ...rankBoxes(others)].indexOf(settings.box.name);
     },
     isCutOffFromEngines: kernel.find(targetReachName).isCutOff,
-    reachesStore: feed.reachesStore,
     oldestMessageAgeMs: () =>
       Math.max(
         0,
--- a/packages/order-lease/src/contract.ts
+++ b/packages/order-lease/src/contract.ts
@@ -39,14 +39,14 @@
   isLeaving(incarnation: Incarnation): boolean;
   /** Time for which the box may continue to send orders, as it last reported; 0 if it may not. */
   remainingLeaseMs(incarnation: Incarnation): Milliseconds;
+  /** Whether this box reaches the store, or another one did when it last reported; true for a box that has reported nothing. */
+  reachesStore(incarnation: Incarnation): boolean;
   /** Position of this box in the order in which boxes claim, from 0. */
   rank(): number;
   /** Notifies all boxes of a claim made by this box. */
   announceClaim(): void;
   /** Whether this box reaches no engine while another live box does. */
   isCutOffFromEngines(): boolean;
-  /** Whether this box reaches the store, as it tells the others. */
-  reachesStore(): boolean;
   /** Whether this box is in contact with most boxes, and none of them reaches the store. */
   isStoreDownForAll(): boolean;
   /** Age of the oldest message that `isStoreDownForAll` depends on. */
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -62,6 +62,12 @@
   readonly boxes: LeaseBox[];
   readonly access: Map<string, StoreAccess>;
   readonly options: LeaseOptions;
+  /** Time by which the store's answers reach a box late, though its calls arrive at once. */
+  readonly lateAnswersMs: Map<string, number>;
+  /** Time by which the appends of a box reach the store late. */
+  readonly lateAppendsMs: Map<string, number>;
+  /** Longest delay of the store's answers; delays vary, so that answers can overtake each other. */
+  readonly maxDelayMs: number;
   /** Epoch of the holder at the start of the scenario. */
   initialEpoch: number;
   /** Since when boxes of different sides exchange no messages. */
@@ -80,11 +86,41 @@
 const nextIncarnation = (name: string) => `${name}'`;
 const firstIncarnation = (name: string) => name.replaceAll("'", "");
 
+/** A port with the delays that the scene has for the box. */
+function latePort(scene: Scene, name: string, port: KeyedStreamPort): KeyedStreamPort {
+  const wait = async (ms = 0) => {
+    if (ms > 0) await new Promise<void>((resolve) => void scene.clock.after(ms, resolve));
+  };
+  const answered = async <T>(call: Promise<T>): Promise<T> => {
+    const result = await call;
+    await wait(scene.lateAnswersMs.get(name));
+    return result;
+  };
+  return {
+    ...port,
+    readNewest: () => answered(port.readNewest()),
+    readChanges: (from, waitMs) => answered(port.readChanges(from, waitMs)),
+    async put(key, value, at) {
+      await wait(scene.lateAppendsMs.get(name));
+      return answered(port.put(key, value, at));
+    },
+  };
+}
+
+/** The port of a box, whose answers are as late as the scene says. */
+function portOf(scene: Scene, name: string, seed: number): KeyedStreamPort {
+  const { clock, maxDelayMs } = scene;
+  const port = latePort(scene, name, scene.store.portFor(name));
+  if (maxDelayMs === 0) return port;
+  const random = seededRandom(seed + name.charCodeAt(0));
+  return slowPort(port, clock, () => random.nextFloat() * maxDelayMs);
+}
+
 function addBox(
   scene: Scene,
   name: string,
   seed: number,
-  port: KeyedStreamPort = scene.store.portFor(name),
+  port: KeyedStreamPort = portOf(scene, name, seed),
   leaseOptions: LeaseOptions = scene.options,
 ): LeaseBox {
   const { clock, boxes, access } = scene;
@@ -119,6 +155,10 @@
       other !== name && firstIncarnation(other) === firstIncarnation(name),
     isLeaving: (other) => find(other)?.leaving ?? false,
     remainingLeaseMs: (other) => box.heard.get(other)?.remainingLeaseMs ?? 0,
+    reachesStore: (other) =>
+      other === name
+        ? access.get(name) !== "refuses"
+        : (box.heard.get(other)?.reachesStore ?? true),
     // Each side ranks the boxes that it hears.
     rank: () =>
       boxes
@@ -128,7 +168,6 @@
     announceClaim: () => reportLease(scene, box),
     isCutOffFromEngines: () =>
       box.reachesNoEngine && boxes.some((other) => !other.silent && !other.reachesNoEngine),
-    reachesStore: () => access.get(name) !== "refuses",
     oldestMessageAgeMs: () =>
       Math.max(0, ...findKnown().map((other) => peers.sinceLastMessageMs(other.name) ?? Infinity)),
     isStoreDownForAll: () => {
@@ -164,6 +203,7 @@
   names: readonly string[],
   seed: number,
   leaseOptions: LeaseOptions = options,
+  maxDelayMs = 0,
 ): Scene {
   const clock = createVirtualClock();
   const store = createKeyedStore(clock);
@@ -174,6 +214,9 @@
     boxes: [],
     access,
     options: leaseOptions,
+    lateAnswersMs: new Map(),
+    lateAppendsMs: new Map(),
+    maxDelayMs,
     initialEpoch: 0,
     splitSince: Infinity,
   };
@@ -364,9 +407,13 @@
   },
 );
 
-/** A port whose calls are answered late. */
-function slowPort(port: KeyedStreamPort, clock: VirtualClock, delayMs: number): KeyedStreamPort {
-  const wait = () => new Promise<void>((resolve) => void clock.after(delayMs / 2, resolve));
+/** A port whose calls are answered late; each way of a call takes half of a delay. */
+function slowPort(
+  port: KeyedStreamPort,
+  clock: VirtualClock,
+  delayOfCall: () => number,
+): KeyedStreamPort {
+  const wait = () => new Promise<void>((resolve) => void clock.after(delayOfCall() / 2, resolve));
   const delayed = async <T>(call: () => Promise<T>): Promise<T> => {
     await wait();
     const result = await call();
@@ -387,7 +434,7 @@
     const scene = createScene([], 1, { ...options, enginesFence: Boolean(fence) });
     scenes.set(this, scene);
     for (const name of names.split(" ")) {
-      const port = slowPort(scene.store.portFor(name), scene.clock, Number(delayMs));
+      const port = slowPort(scene.store.portFor(name), scene.clock, () => Number(delayMs));
       await addBox(scene, name, 1, port).lease.start();
     }
   },
@@ -405,6 +452,17 @@
   },
 );
 
+Then(
+  "in {int} s the boxes read the store at most {int} times",
+  async function (this: object, seconds: number, maxReads: number) {
+    const scene = sceneOf(this);
+    const before = scene.store.reads();
+    await passTime(scene, seconds * 1_000);
+    const reads = scene.store.reads() - before;
+    assert.ok(reads <= maxReads, `${reads} reads`);
+  },
+);
+
 Given("{string} holds the lease", async function (this: object, name: string) {
   const scene = sceneOf(this);
   await passTime(scene, 2_000);
@@ -470,6 +528,34 @@
   setAccess(sceneOf(this), name, "refuses");
 });
 
+When(
+  "the store's answers reach {string} {int} ms late",
+  function (this: object, name: string, ms: number) {
+    sceneOf(this).lateAnswersMs.set(name, ms);
+  },
+);
+
+When(
+  "the appends of {string} reach the store {int} ms late",
+  function (this: object, name: string, ms: number) {
+    sceneOf(this).lateAppendsMs.set(name, ms);
+  },
+);
+
+Then(
+  "in {int} s another box may send orders, and never two at once",
+  async function (this: object, seconds: number) {
+    const scene = sceneOf(this);
+    const names = new Set<string>();
+    await passTime(scene, seconds * 1_000, () => {
+      const current = holders(scene);
+      assert.ok(current.length <= 1, `two boxes at ${scene.clock.now()} ms`);
+      for (const { name } of current) names.add(name);
+    });
+    assert.ok(names.size > 1, [...names].join(" "));
+  },
+);
+
 When("the store loses the responses to {string}", function (this: object, name: string) {
   setAccess(sceneOf(this), name, "loses_answers");
 });
@@ -688,9 +774,10 @@
   seed: number,
   allowed: readonly Disturbance[],
   leaseOptions: LeaseOptions = options,
+  maxDelayMs = 0,
 ): Promise<void> {
   const random = seededRandom(seed);
-  const scene = createScene(["a", "b", "c", "d"], seed, leaseOptions);
+  const scene = createScene(["a", "b", "c", "d"], seed, leaseOptions, maxDelayMs);
   const checkTurns =
     allowed === disturbancesOfMessages ? createTurnCheck(scene, seed) : () => undefined;
   for (const box of scene.boxes) await box.lease.start();
@@ -807,6 +894,9 @@
   },
 );
 
+/** Longest delay of a slow store's answers. */
+const slowAnswerMs = 900;
+
 const allDisturbances: readonly Disturbance[] = [
   ...disturbancesWithLosses,
   ...disturbancesWithCuts,
@@ -823,6 +913,26 @@
   },
 );
 
+Then(
+  /^for (\d+) seeds with a slow store and all disturbances no two boxes may send orders at once(, with engines that fence)?$/,
+  manySeedsOptions,
+  async (seeds: string, fence: string | null) => {
+    const leaseOptions = { ...options, enginesFence: Boolean(fence) };
+    for (let seed = 1; seed <= Number(seeds); seed++)
+      await checkOneHolder(seed, allDisturbances, leaseOptions, slowAnswerMs);
+  },
+);
+
+Then(
+  /^for (\d+) seeds with a slow store and boxes that hear no others no two boxes take turns at sending orders(, with engines that fence)?$/,
+  manySeedsOptions,
+  async (seeds: string, fence: string | null) => {
+    const leaseOptions = { ...options, enginesFence: Boolean(fence) };
+    for (let seed = 1; seed <= Number(seeds); seed++)
+      await checkOneHolder(seed, disturbancesOfMessages, leaseOptions, slowAnswerMs);
+  },
+);
+
 /** Fails if the lease goes to more than one further box after a cut that leaves its holder on the smaller side. */
 async function checkCutSmallSide(seed: number, leaseOptions: LeaseOptions): Promise<void> {
   const scene = createScene([..."abcdefghijklmnop"], seed, leaseOptions);
