Take a leaving holder for stopped only by what it said after its claim

A box that begins to stop during its own start tells the others that it leaves and may send no orders, and may still claim the lease before it begins to release it. Another box that had heard only the earlier message claimed at once and ordered 300 ms later, while the former proof was valid: two boxes could order at once.

Cause: an old statement. That a holder has stopped was judged by its newest message, although that was from before its claim.

Change: the message counts only if it was received after this box learned of the claim; else the holder is probed as a silent one.

--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -325,3 +325,21 @@
     And the store serves "d"
     Then no other box may send orders before the lease of "a" has expired
     And within 8 s another box may give orders under a higher epoch
+
+  # Guards against two boxes that send orders at once, as one of them said that it may send none before it claimed.
+  Scenario: A box that said that it leaves before it claimed is not replaced before its lease has expired
+    Given boxes "a b c" that are connected to each other and to the store
+    When the store refuses "a"
+    And the store refuses "b"
+    And the store refuses "c"
+    And "a" says that it leaves, and has not begun to release the lease
+    And 2 s go by
+    And "a" is not heard any more either
+    And the store serves "a"
+    And 0.5 s go by
+    And the store loses the responses to "a"
+    And the store serves "b"
+    And the store serves "c"
+    Then only "a" may send orders
+    And no other box may send orders before the lease of "a" has expired
+    And within 8 s another box may give orders under a higher epoch
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -385,6 +385,13 @@
   boxOf(sceneOf(this), name).deafSince = undefined;
 });
 
+When(
+  "{string} says that it leaves, and has not begun to release the lease",
+  function (this: object, name: string) {
+    boxOf(sceneOf(this), name).leaving = true;
+  },
+);
+
 When("{string} is not heard any more either", function (this: object, name: string) {
   boxOf(sceneOf(this), name).silent = true;
 });
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -231,9 +231,12 @@
       await appendRenewal(state.claim.epoch);
   };
 
-  /** Whether a holder has said that it sends no more orders. */
-  const hasStopped = (holder: Incarnation): boolean =>
-    peers.isLeaving(holder) && peers.remainingLeaseMs(holder) === 0;
+  /** Whether a holder has said since its claim that it sends no more orders. */
+  const hasStopped = (holder: Incarnation): boolean => {
+    const heardAt = clock.now() - (peers.sinceLastMessageMs(holder) ?? Infinity);
+    const isCurrent = heardAt >= state.claimObservedAt;
+    return isCurrent && peers.isLeaving(holder) && peers.remainingLeaseMs(holder) === 0;
+  };
 
   /** Whether a box may still send orders as the holder, so that its earlier proofs have to expire first. */
   const mayStillOrder = (holder: Incarnation): boolean => {
