Take failed orders as signs against the links of the lease holder

Callers of a model that no engine held got 503 "weights will not be there in time" for as long as the holder was cut off: polls went on over kept connections, which were still alive, while orders needed new ones and were refused. Only failed polls counted as signs that a box reaches no target, so that the holder neither judged its links nor released the lease.

The engine port returns why an order got no answer and whether it may have arrived, and the box handles that as for polls.

--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -96,7 +96,7 @@
     relativeSpeed: kernel.find(engineSpeedsName).relativeSpeed,
     onLimitReported: (target, notice) =>
       targetLimits.recordAnswer({ target, notice, sentMsAgo: 0, served: false }),
-    onPollFailed(target, { reason, mayHaveArrived }) {
+    onEngineUnreachable(target, { reason, mayHaveArrived }) {
       if (!mayHaveArrived) reach.recordConnectFailure(target, reason);
       // An open connection that is lost or silent says nothing about new ones.
       else void reach.verify(verifiedForMs);
--- a/packages/ports/src/routed-ports.ts
+++ b/packages/ports/src/routed-ports.ts
@@ -75,7 +75,11 @@
   readState(target: ListedTarget): Promise<Either<TargetUnreachable, EngineState>>;
   /**
    * Sends the order. `isPermitted` is asked on the established connection, immediately before the order is written; if it
-   * returns false, nothing is written.
+   * returns false, nothing is written. Left without an answer; an order that may have arrived may still be carried out.
    */
-  order(target: ListedTarget, order: FencedOrder, isPermitted: () => boolean): Promise<OrderResult>;
+  order(
+    target: ListedTarget,
+    order: FencedOrder,
+    isPermitted: () => boolean,
+  ): Promise<Either<TargetUnreachable, OrderResult>>;
 }
--- a/packages/types/src/routed-targets.ts
+++ b/packages/types/src/routed-targets.ts
@@ -87,11 +87,11 @@
 }
 
 /**
- * Result of sending an order to an engine. `unanswered`: the order may still be carried out; `gone`:
- * another incarnation uses the address; `withheld`: no byte of the order was written, as it was no longer permitted.
+ * Result of an order to an engine that was reached. `gone`: another incarnation uses the address; `withheld`: no byte of the
+ * order was written, as it was no longer permitted.
  */
 export type OrderResult =
-  "under_way" | "in_force" | "conflict" | "fenced" | "refused" | "gone" | "unanswered" | "withheld";
+  "under_way" | "in_force" | "conflict" | "fenced" | "refused" | "gone" | "withheld";
 
 /** A part of a prompt that several requests may have in common. */
 export interface PromptPart {
--- a/packages/weight-orders/src/dispatcher-context.ts
+++ b/packages/weight-orders/src/dispatcher-context.ts
@@ -47,8 +47,8 @@
   relativeSpeed(target: string): number;
   /** Called when an engine reports a limit. */
   onLimitReported(target: string, limit: AdvertisedLimit): void;
-  /** Called when an engine could not be polled. */
-  onPollFailed(target: string, failure: TargetUnreachable): void;
+  /** Called when an engine did not answer a poll or an order. */
+  onEngineUnreachable(target: string, failure: TargetUnreachable): void;
   /** Called when other boxes should be notified of a change immediately. */
   notifyPeers(): void;
 }
--- a/packages/weight-orders/src/poll-engines.ts
+++ b/packages/weight-orders/src/poll-engines.ts
@@ -19,7 +19,7 @@
   const result = await context.engines.readState(target.listed);
   state.pendingPolls.delete(id);
   if (sentAt >= state.termStartedAt) state.polledInTerm.add(id);
-  result.ifLeft((failure) => context.onPollFailed(id, failure));
+  result.ifLeft((failure) => context.onEngineUnreachable(id, failure));
   // Ignores the response of an earlier incarnation of the target.
   if (fleet.find(id) !== target) return;
   result.ifRight((engineState) => {
--- a/packages/weight-orders/src/send-order.ts
+++ b/packages/weight-orders/src/send-order.ts
@@ -27,6 +27,9 @@
 /** Pause after an order based on a prediction was sent too early. */
 const predictionRetryMs: Milliseconds = 60;
 
+/** Outcome of an order; `unanswered`: the order may still be carried out. */
+type OrderAnswer = OrderResult | "unanswered";
+
 /** An order with the engine state that it expects. */
 export interface PlannedOrder {
   readonly order: WeightOrder;
@@ -145,7 +148,7 @@
   context: DispatcherContext,
   id: string,
   order: FencedOrder,
-  answer: OrderResult,
+  answer: OrderAnswer,
 ) {
   const { fleet, state } = context;
   if (answer === "gone")
@@ -292,7 +295,11 @@
     timing.writableAt = clock.now();
     return lease.epoch() === epoch;
   };
-  const answer = await engines.order(target.listed, order, isPermitted);
+  const result = await engines.order(target.listed, order, isPermitted);
+  const answer: OrderAnswer = result
+    .ifLeft((failure) => context.onEngineUnreachable(id, failure))
+    .map<OrderAnswer>((received) => received)
+    .orDefault("unanswered");
   state.pendingOrders.delete(id);
   if (answer === "withheld") {
     restoreState();
--- a/packages/weight-orders/src/weight-orders.feature
+++ b/packages/weight-orders/src/weight-orders.feature
@@ -17,6 +17,21 @@
     Then one engine holds "b" and one holds "a"
     And no engine exceeded its memory
 
+  # Guards against a lease holder that reads reports on kept connections and whose new connections for orders all fail.
+  Scenario: An order whose connection is not established tells of an engine that this box does not reach
+    Given the connection for the next order is not established
+    When requests wait for "b"
+    And the dispatcher runs for 3000 ms
+    Then one engine is reported as unreachable by an order that has not arrived
+    And one engine holds "b" and one holds "a"
+
+  Scenario: An order without an answer tells of an engine that this box may not reach
+    Given the next 1 orders are lost
+    When requests wait for "b"
+    And the dispatcher runs for 3000 ms
+    Then one engine is reported as unreachable by an order that may have arrived
+    And one engine holds "b" and one holds "a"
+
   Scenario: A long load that an engine has accepted is not ordered again while it runs
     Given loads take 5000 ms and reports of engines are 200 ms old
     When requests wait for "b"
--- a/packages/weight-orders/src/weight-orders.steps.ts
+++ b/packages/weight-orders/src/weight-orders.steps.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import type { TargetUnreachable } from "@linkfall/errors";
 import { createFleet, type Fleet, hasModelLoaded } from "@linkfall/fleet";
 import {
   clockName,
@@ -30,7 +31,8 @@
 const defaultResponseMs = 5;
 const defaultLoadMs = 200;
 
-type OrderOutcome = "accepted" | "lost" | "withheld" | { readonly lateMs: number };
+type OrderOutcome =
+  "accepted" | "lost" | "not connected" | "withheld" | { readonly lateMs: number };
 
 interface LoggedEvent {
   readonly name: EventName;
@@ -66,6 +68,8 @@
   readonly logged: LoggedEvent[];
   readonly metrics: Metrics;
   readonly outcomes: OrderOutcome[];
+  /** Engines that were reported as unreachable, and whether the call may have arrived. */
+  readonly unreachable: { readonly id: string; readonly mayHaveArrived: boolean }[];
   readonly refusedEpochs: number[];
   readonly storeLoadTimes: number[];
   dispatcher?: OrderDispatcher;
@@ -154,6 +158,10 @@
   return "under_way";
 }
 
+function noAnswer(reason: string, mayHaveArrived: boolean): TargetUnreachable {
+  return { kind: "target_unreachable", reason, mayHaveArrived };
+}
+
 function createPort(scene: Scene): RoutedEnginePort {
   const { clock } = scene;
   const after = (ms: number) =>
@@ -165,9 +173,7 @@
     async readState({ id }) {
       await after(scene.responseMs);
       const engine = find(id);
-      if (!engine) {
-        return Left({ kind: "target_unreachable", reason: "gone", mayHaveArrived: false });
-      }
+      if (!engine) return Left(noAnswer("gone", false));
       const reportedAt = clock.now() - scene.reportAgeMs;
       const { previous } = engine;
       const reported = previous && reportedAt < previous.replacedAt ? previous : engine;
@@ -200,15 +206,16 @@
       scene.orders.push({ at: clock.now(), order });
       const outcome = scene.outcomes.shift() ?? "accepted";
       if (scene.connectMs > 0) await after(scene.connectMs);
-      if (!isPermitted() || outcome === "withheld") return "withheld";
+      if (outcome === "not connected") return Left(noAnswer("connection refused", false));
+      if (!isPermitted() || outcome === "withheld") return Right("withheld");
       await after(scene.responseMs);
       const engine = find(id);
-      if (!engine) return "gone";
-      if (outcome === "accepted") return executeOrder(scene, engine, order);
+      if (!engine) return Right("gone");
+      if (outcome === "accepted") return Right(executeOrder(scene, engine, order));
       if (outcome !== "lost")
         clock.after(outcome.lateMs, () => void executeOrder(scene, engine, order));
       await after(300);
-      return "unanswered";
+      return Left(noAnswer("request timed out", true));
     },
   };
 }
@@ -275,6 +282,7 @@
     logged,
     metrics,
     outcomes: [],
+    unreachable: [],
     refusedEpochs: [],
     storeLoadTimes: [],
     epoch: 4,
@@ -294,7 +302,8 @@
     maxRequestsPerSecond: () => undefined,
     relativeSpeed: () => 1,
     onLimitReported: () => undefined,
-    onPollFailed: () => undefined,
+    onEngineUnreachable: (id, { mayHaveArrived }) =>
+      void scene.unreachable.push({ id, mayHaveArrived }),
     lease: createLease(scene),
     configuration: () => configurationOf(scene),
     demand: () => scene.demand,
@@ -346,6 +355,18 @@
   for (let index = 0; index < count; index++) sceneOf(this).outcomes.push("withheld");
 });
 
+Given("the connection for the next order is not established", function (this: object) {
+  sceneOf(this).outcomes.push("not connected");
+});
+
+Then(
+  /^one engine is reported as unreachable by an order that (may have|has not) arrived$/,
+  function (this: object, arrived: string) {
+    const reported = sceneOf(this).unreachable.map(({ mayHaveArrived }) => mayHaveArrived);
+    assert.deepEqual(reported, [arrived === "may have"]);
+  },
+);
+
 Given(
   "connections for orders take {int} ms to establish",
   function (this: object, connectMs: number) {
