Overlap slow reads of the order lease

With a store that answers after 675 ms or later and engines that fence, no box could order for about half of the time: callers of models that no engine held waited or were refused for as long as the store was slow. A proof is valid for half of lease_ms from when its read is sent, and the next read was sent only after the answer and a check, so that a call, a check and a call took longer than the validity. And since the proofs of such a holder are never young, the others took it for one that has lost the store, and probed it again and again; a holder does not order between a read that shows a probe and its renewal.

The next read starts once the newest has been under way for a quarter of the validity, with at most two under way. Each proof still counts from its own read, whatever the order of the answers, so that the holder stops by its own clock before a claimant, which waits for the validity from when it learned of its probe. A holder has lost the store if it may not order any more, or if it says that it does not reach the store and has little left.

--- a/packages/entry-box/src/provide-orders.ts
+++ b/packages/entry-box/src/provide-orders.ts
@@ -42,6 +42,7 @@
     isOwnEarlierIncarnation: (holder) =>
       holder !== incarnation && boxOf(holder) === settings.box.name,
     remainingLeaseMs: (holder) => peers.findStatus(holder)?.ordersForMs ?? 0,
+    reachesStore: (holder) => peers.findStatus(holder)?.reachesStore ?? true,
     announceClaim: () => peers.sendHeartbeats(() => true),
     isLeaving: (holder) => peers.findStatus(holder)?.leaving ?? false,
     rank() {
--- a/packages/order-lease/src/claim-stream.ts
+++ b/packages/order-lease/src/claim-stream.ts
@@ -22,14 +22,22 @@
   generation(): StoreGeneration;
   /** When this box first read that generation. */
   generationSeenAt(): Milliseconds;
-  /** Reads what is new; resolves to false unless all records up to the end of the stream have been applied. */
+  /**
+   * Reads what is new; resolves to false unless all records up to the end of the stream have been applied. Reads may overlap
+   * and answers overtake each other; a read beyond the bound on those under way is not sent.
+   */
   follow(): Promise<boolean>;
+  /** Number of these reads that are not answered yet. */
+  readsUnderWay(): number;
   /** Reads the newest record of each key; resolves to false if the store does not answer. */
   readNewest(): Promise<boolean>;
   /** Appends a record directly behind those that this box has read; resolves to undefined if it was not appended. */
   append(key: string, value: string): Promise<RecordPosition | undefined>;
 }
 
+/** Maximum number of reads at the same time. */
+const maxReadsUnderWay = 2;
+
 export function createClaimStream(
   clock: Clock,
   stream: KeyedStreamPort,
@@ -39,7 +47,7 @@
   let generationSeenAt = clock.now();
   /** Offset at which the next read starts; undefined if it reads the newest records. */
   let nextOffset: Offset | undefined;
-  let reading = false;
+  let readsUnderWay = 0;
 
   const startGeneration = (newer: StoreGeneration) => {
     generation = newer;
@@ -48,13 +56,18 @@
     listener.onNewGeneration(newer);
   };
 
+  /** Later answers to earlier reads don't move the position back. */
+  const advanceTo = (offset: Offset) => {
+    nextOffset = Math.max(nextOffset ?? offset, offset);
+  };
+
   /** Returns whether the records are those up to the end of the stream. */
   const applyBatch = (batch: KeyedBatch): boolean => {
     // An answer of an earlier generation proves nothing.
     if (batch.generation < generation) return false;
     if (batch.generation > generation) startGeneration(batch.generation);
     for (const record of batch.records) listener.onRecord(record, generation);
-    nextOffset = batch.end;
+    advanceTo(batch.end);
     return batch.isPartial !== true;
   };
 
@@ -74,12 +87,13 @@
     generation: () => generation,
     generationSeenAt: () => generationSeenAt,
     async follow() {
-      if (reading) return false;
-      reading = true;
+      if (readsUnderWay >= maxReadsUnderWay) return false;
+      readsUnderWay += 1;
       const read = await readNext();
-      reading = false;
+      readsUnderWay -= 1;
       return read.ifLeft(handleReadFailure).map(applyBatch).orDefault(false);
     },
+    readsUnderWay: () => readsUnderWay,
     async readNewest() {
       const read = await stream.readNewest();
       read.ifRight(applyBatch);
@@ -95,7 +109,7 @@
           // The store has come back from an older copy meanwhile: the record is found by reading.
           if (position.generation !== sentGeneration || generation !== sentGeneration)
             return undefined;
-          nextOffset = position.offset + 1;
+          advanceTo(position.offset + 1);
           return { offset: position.offset, generation };
         },
       });
--- a/packages/order-lease/src/contract.ts
+++ b/packages/order-lease/src/contract.ts
@@ -39,6 +39,8 @@
   isLeaving(incarnation: Incarnation): boolean;
   /** Time for which the box may continue to send orders, as it last reported; 0 if it may not. */
   remainingLeaseMs(incarnation: Incarnation): Milliseconds;
+  /** Whether the box reached the store, as it last reported; true for a box that has reported nothing. */
+  reachesStore(incarnation: Incarnation): boolean;
   /** Position of this box in the order in which boxes claim, from 0. */
   rank(): number;
   /** Notifies all boxes of a claim made by this box. */
--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -273,6 +273,69 @@
       |                           |
       | , with engines that fence |
 
+  # Guards against reads that overlap although the store is well; each read is priced.
+  Scenario Outline: A store that answers promptly gets no overlapping reads, <ms> ms<engines>
+    Given boxes "a b c" whose store answers after <ms> ms<engines>
+    When 8 s go by
+    Then in 60 s the boxes read the store at most <reads> times
+
+    Examples:
+      | ms  | reads | engines                   |
+      | 2   | 100   |                           |
+      | 2   | 100   | , with engines that fence |
+      | 50  | 103   |                           |
+      | 50  | 103   | , with engines that fence |
+      | 150 | 100   |                           |
+      | 150 | 100   | , with engines that fence |
+      | 300 | 100   |                           |
+      | 300 | 100   | , with engines that fence |
+
+  # Guards against proofs that count from the answer, as a claimant waits from its probe.
+  Scenario Outline: A holder whose reads are answered late stops before another box may send orders, <ms> ms<engines>
+    Given boxes "a b c" that are connected to each other and to the store<engines>
+    And "a" holds the lease
+    When "a" is cut off from the other boxes
+    And the store's answers reach "a" <ms> ms late
+    Then in 12 s another box may send orders, and never two at once
+
+    Examples:
+      | ms   | engines                   |
+      | 2800 |                           |
+      | 4400 |                           |
+      | 1400 | , with engines that fence |
+      | 2400 | , with engines that fence |
+
+  # Guards against proofs by reads that show a probe; the probe's sender does not wait for them.
+  Scenario Outline: A holder whose answer to a probe is late stops before another box may send orders<engines>
+    Given boxes "a b c" that are connected to each other and to the store<engines>
+    And "a" holds the lease
+    When "b" is cut off from the other boxes
+    And "c" is cut off from the other boxes
+    And the appends of "a" reach the store 5000 ms late
+    Then in 12 s another box may send orders, and never two at once
+
+    Examples:
+      | engines                   |
+      |                           |
+      | , with engines that fence |
+
+  # Guards against proofs by answers that overtake each other.
+  Scenario Outline: No two boxes may send orders at once, with a slow store<engines>
+    Then for 40 seeds with a slow store and all disturbances no two boxes may send orders at once<engines>
+
+    Examples:
+      | engines                   |
+      |                           |
+      | , with engines that fence |
+
+  Scenario Outline: Boxes do not take turns at sending orders, with a slow store<engines>
+    Then for 40 seeds with a slow store and boxes that hear no others no two boxes take turns at sending orders<engines>
+
+    Examples:
+      | engines                   |
+      |                           |
+      | , with engines that fence |
+
   # Guards against a claim by a box that sends no orders any more.
   Scenario: A box that begins to stop while it reads does not claim the lease
     When the store refuses "a"
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -43,7 +43,7 @@
   lastMessageAt: number;
   /** Total time for which its machine was suspended. */
   suspendedMs: number;
-  reported: { remainingLeaseMs: number };
+  reported: { remainingLeaseMs: number; reachesStore: boolean };
 }
 
 interface Scene {
@@ -52,6 +52,12 @@
   readonly boxes: LeaseBox[];
   readonly access: Map<string, StoreAccess>;
   readonly options: LeaseOptions;
+  /** Time by which the store's answers reach a box late, though its calls arrive at once. */
+  readonly lateAnswersMs: Map<string, number>;
+  /** Time by which the appends of a box reach the store late. */
+  readonly lateAppendsMs: Map<string, number>;
+  /** Longest delay of the store's answers; delays vary, so that answers can overtake each other. */
+  readonly maxDelayMs: number;
   /** Epoch of the holder at the start of the scenario. */
   initialEpoch: number;
   /** Since when boxes of different sides exchange no messages. */
@@ -70,11 +76,41 @@
 const nextIncarnation = (name: string) => `${name}'`;
 const firstIncarnation = (name: string) => name.replaceAll("'", "");
 
+/** A port with the delays that the scene has for the box. */
+function latePort(scene: Scene, name: string, port: KeyedStreamPort): KeyedStreamPort {
+  const wait = async (ms = 0) => {
+    if (ms > 0) await new Promise<void>((resolve) => void scene.clock.after(ms, resolve));
+  };
+  const answered = async <T>(call: Promise<T>): Promise<T> => {
+    const result = await call;
+    await wait(scene.lateAnswersMs.get(name));
+    return result;
+  };
+  return {
+    ...port,
+    readNewest: () => answered(port.readNewest()),
+    readChanges: (from, waitMs) => answered(port.readChanges(from, waitMs)),
+    async put(key, value, at) {
+      await wait(scene.lateAppendsMs.get(name));
+      return answered(port.put(key, value, at));
+    },
+  };
+}
+
+/** The port of a box, whose answers are as late as the scene says. */
+function portOf(scene: Scene, name: string, seed: number): KeyedStreamPort {
+  const { clock, maxDelayMs } = scene;
+  const port = latePort(scene, name, scene.store.portFor(name));
+  if (maxDelayMs === 0) return port;
+  const random = seededRandom(seed + name.charCodeAt(0));
+  return slowPort(port, clock, () => random.nextFloat() * maxDelayMs);
+}
+
 function addBox(
   scene: Scene,
   name: string,
   seed: number,
-  port: KeyedStreamPort = scene.store.portFor(name),
+  port: KeyedStreamPort = portOf(scene, name, seed),
 ): LeaseBox {
   const { clock, boxes, access } = scene;
   const rank = boxes.length;
@@ -104,6 +140,7 @@
       other !== name && firstIncarnation(other) === firstIncarnation(name),
     isLeaving: (other) => find(other)?.leaving ?? false,
     remainingLeaseMs: (other) => find(other)?.reported.remainingLeaseMs ?? 0,
+    reachesStore: (other) => find(other)?.reported.reachesStore ?? true,
     // Each side ranks the boxes that it hears.
     rank: () =>
       boxes
@@ -117,7 +154,7 @@
       boxes.every((box) => box.silent || access.get(box.name) === "refuses") &&
       boxes.filter((box) => !box.silent).length * 2 > boxes.length,
   };
-  const reported = { remainingLeaseMs: 0 };
+  const reported = { remainingLeaseMs: 0, reachesStore: true };
   const state = {
     name,
     silent: false,
@@ -144,6 +181,7 @@
   names: readonly string[],
   seed: number,
   leaseOptions: LeaseOptions = options,
+  maxDelayMs = 0,
 ): Scene {
   const clock = createVirtualClock();
   const store = createKeyedStore(clock);
@@ -154,6 +192,9 @@
     boxes: [],
     access,
     options: leaseOptions,
+    lateAnswersMs: new Map(),
+    lateAppendsMs: new Map(),
+    maxDelayMs,
     initialEpoch: 0,
     splitSince: Infinity,
   };
@@ -162,10 +203,13 @@
 }
 
 /** Sends a box's lease to the boxes that hear it. */
-function reportLease({ clock, boxes }: Scene, box: LeaseBox): void {
+function reportLease({ clock, boxes, access }: Scene, box: LeaseBox): void {
   if (box.silent) return;
   box.lastMessageAt = clock.now();
-  box.reported = { remainingLeaseMs: box.lease.remainingLeaseMs() };
+  box.reported = {
+    remainingLeaseMs: box.lease.remainingLeaseMs(),
+    reachesStore: access.get(box.name) !== "refuses",
+  };
   const observed = box.lease.observedLease();
   const receivers = boxes.filter(
     (other) => !other.silent && other.deafSince === undefined && other.side === box.side,
@@ -276,9 +320,13 @@
   },
 );
 
-/** A port whose calls are answered late. */
-function slowPort(port: KeyedStreamPort, clock: VirtualClock, delayMs: number): KeyedStreamPort {
-  const wait = () => new Promise<void>((resolve) => void clock.after(delayMs / 2, resolve));
+/** A port whose calls are answered late; each way of a call takes half of a delay. */
+function slowPort(
+  port: KeyedStreamPort,
+  clock: VirtualClock,
+  delayOfCall: () => number,
+): KeyedStreamPort {
+  const wait = () => new Promise<void>((resolve) => void clock.after(delayOfCall() / 2, resolve));
   const delayed = async <T>(call: () => Promise<T>): Promise<T> => {
     await wait();
     const result = await call();
@@ -299,7 +347,7 @@
     const scene = createScene([], 1, { ...options, enginesFence: Boolean(fence) });
     scenes.set(this, scene);
     for (const name of names.split(" ")) {
-      const port = slowPort(scene.store.portFor(name), scene.clock, Number(delayMs));
+      const port = slowPort(scene.store.portFor(name), scene.clock, () => Number(delayMs));
       await addBox(scene, name, 1, port).lease.start();
     }
   },
@@ -317,6 +365,17 @@
   },
 );
 
+Then(
+  "in {int} s the boxes read the store at most {int} times",
+  async function (this: object, seconds: number, maxReads: number) {
+    const scene = sceneOf(this);
+    const before = scene.store.reads();
+    await passTime(scene, seconds * 1_000);
+    const reads = scene.store.reads() - before;
+    assert.ok(reads <= maxReads, `${reads} reads`);
+  },
+);
+
 Given("{string} holds the lease", async function (this: object, name: string) {
   const scene = sceneOf(this);
   await passTime(scene, 2_000);
@@ -371,6 +430,34 @@
   setAccess(sceneOf(this), name, "refuses");
 });
 
+When(
+  "the store's answers reach {string} {int} ms late",
+  function (this: object, name: string, ms: number) {
+    sceneOf(this).lateAnswersMs.set(name, ms);
+  },
+);
+
+When(
+  "the appends of {string} reach the store {int} ms late",
+  function (this: object, name: string, ms: number) {
+    sceneOf(this).lateAppendsMs.set(name, ms);
+  },
+);
+
+Then(
+  "in {int} s another box may send orders, and never two at once",
+  async function (this: object, seconds: number) {
+    const scene = sceneOf(this);
+    const names = new Set<string>();
+    await passTime(scene, seconds * 1_000, () => {
+      const current = holders(scene);
+      assert.ok(current.length <= 1, `two boxes at ${scene.clock.now()} ms`);
+      for (const { name } of current) names.add(name);
+    });
+    assert.ok(names.size > 1, [...names].join(" "));
+  },
+);
+
 When("the store loses the responses to {string}", function (this: object, name: string) {
   setAccess(sceneOf(this), name, "loses_answers");
 });
@@ -589,9 +676,10 @@
   seed: number,
   allowed: readonly Disturbance[],
   leaseOptions: LeaseOptions = options,
+  maxDelayMs = 0,
 ): Promise<void> {
   const random = seededRandom(seed);
-  const scene = createScene(["a", "b", "c", "d"], seed, leaseOptions);
+  const scene = createScene(["a", "b", "c", "d"], seed, leaseOptions, maxDelayMs);
   const checkTurns =
     allowed === disturbancesOfMessages ? createTurnCheck(scene, seed) : () => undefined;
   for (const box of scene.boxes) await box.lease.start();
@@ -708,6 +796,9 @@
   },
 );
 
+/** Longest delay of a slow store's answers. */
+const slowAnswerMs = 900;
+
 const allDisturbances: readonly Disturbance[] = [
   ...disturbancesWithLosses,
   ...disturbancesWithCuts,
@@ -724,6 +815,26 @@
   },
 );
 
+Then(
+  /^for (\d+) seeds with a slow store and all disturbances no two boxes may send orders at once(, with engines that fence)?$/,
+  manySeedsOptions,
+  async (seeds: string, fence: string | null) => {
+    const leaseOptions = { ...options, enginesFence: Boolean(fence) };
+    for (let seed = 1; seed <= Number(seeds); seed++)
+      await checkOneHolder(seed, allDisturbances, leaseOptions, slowAnswerMs);
+  },
+);
+
+Then(
+  /^for (\d+) seeds with a slow store and boxes that hear no others no two boxes take turns at sending orders(, with engines that fence)?$/,
+  manySeedsOptions,
+  async (seeds: string, fence: string | null) => {
+    const leaseOptions = { ...options, enginesFence: Boolean(fence) };
+    for (let seed = 1; seed <= Number(seeds); seed++)
+      await checkOneHolder(seed, disturbancesOfMessages, leaseOptions, slowAnswerMs);
+  },
+);
+
 /** Fails if the lease goes to more than one further box after a cut that leaves its holder on the smaller side. */
 async function checkCutSmallSide(seed: number, leaseOptions: LeaseOptions): Promise<void> {
   const scene = createScene([..."abcdefghijklmnop"], seed, leaseOptions);
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -27,7 +27,9 @@
 const proofsPerLease = 6;
 /** Share of the lease time for which a proof is valid if engines fence, so that a holder that has failed is replaced sooner. */
 const fencedProofShare = 0.5;
-/** A holder with a smaller share of its proof's validity left is presumed to have lost the store. */
+/** A read that takes longer than this share of the proof's validity does not delay the next one. */
+const slowReadShare = 0.25;
+/** A holder that says that it has lost the store is presumed to stay without it once its proof has less than this share left. */
 const minRemainingShare = 0.35;
 /** A holder releases the lease to a box that hears more than this many times as many boxes. */
 const betterConnectedFactor = 2;
@@ -55,8 +57,12 @@
    * expire during them. Times of other boxes use `now`, to never end early because of a clock step.
    */
   provenUntil: Milliseconds;
-  /** When the newest successful read was sent. */
+  /** When the newest read that was answered was sent. */
   provenAt: Milliseconds;
+  /** When the newest read was sent. */
+  readSentAt: Milliseconds;
+  /** Whether what the holder's reads have shown has not been acted upon yet. */
+  hasUnhandledRead: boolean;
   /** When this box may start to send orders. */
   ordersFrom: Milliseconds;
   /** When this box found the holder gone. */
@@ -87,6 +93,8 @@
     claimObservedAt: startedAt,
     provenUntil: -Infinity,
     provenAt: -Infinity,
+    readSentAt: -Infinity,
+    hasUnhandledRead: false,
     ordersFrom: Infinity,
     holderGoneSince: undefined,
     holderLastSeenAt: startedAt,
@@ -96,6 +104,7 @@
   const probes = createHolderProbes(clock);
   /** Time for which a proof permits to send orders. */
   const proofValidMs = options.enginesFence ? options.leaseMs * fencedProofShare : options.leaseMs;
+  const slowReadMs = proofValidMs * slowReadShare;
   let stopping = false;
   let checkedAt = startedAt;
   /** Time by which the newest check was late, which delays the messages of other boxes as well. */
@@ -157,8 +166,9 @@
       state.provenUntil = clock.elapsed() + proofValidMs;
   };
 
-  /** Records that the stream had no newer claim at `sentAt`. */
+  /** Records that the stream had no newer claim at `sentAt`; the answer to a later read may have been first. */
   const recordProof = (sentAt: Milliseconds) => {
+    if (sentAt < state.provenAt) return;
     state.provenAt = sentAt;
     if (isHeld()) state.provenUntil = sentAt + proofValidMs;
   };
@@ -208,13 +218,37 @@
   /** Reads the stream, which either shows a newer claim or proves that there is none. */
   const prove = async () => {
     const sentAt = clock.elapsed();
+    state.readSentAt = sentAt;
     if (!(await claims.follow())) return;
-    const probe = probes.findPending(state.claim.epoch);
+    state.hasUnhandledRead = true;
     // The sender of a probe waits only for proofs from before it, so that later ones have to be visible to it.
-    if (probe && isHeld()) return answerProbe(probe);
-    recordProof(sentAt);
+    if (!isHeld() || !probes.findPending(state.claim.epoch)) recordProof(sentAt);
+  };
+
+  /** Resolves when the read has ended, or is slow. */
+  const endOrDelayOf = (read: Promise<void>) =>
+    new Promise<void>((resolve) => {
+      const cancel = clock.after(slowReadMs, resolve);
+      void read.then(() => {
+        cancel();
+        resolve();
+      });
+    });
+
+  /** Whether the holder has to read again. A slow read is overlapped by the next one, so that a proof is in time. */
+  const isProofDue = (): boolean => {
+    if (claims.readsUnderWay() > 0) return clock.elapsed() - state.readSentAt >= slowReadMs;
+    return clock.elapsed() - state.provenAt >= options.leaseMs / proofsPerLease;
+  };
+
+  /** Answers a probe that the holder's reads have shown. */
+  const handleReads = async () => {
+    if (!state.hasUnhandledRead) return;
+    state.hasUnhandledRead = false;
+    const probe = probes.findPending(state.claim.epoch);
+    if (probe) return answerProbe(probe);
     // The first renewal tells the others that this holder answers probes.
-    if (isHeld() && !probes.hasRenewed(state.claim.epoch)) await appendRenewal(state.claim.epoch);
+    if (!probes.hasRenewed(state.claim.epoch)) await appendRenewal(state.claim.epoch);
   };
 
   /** Whether a holder has said that it sends no more orders. */
@@ -325,9 +359,11 @@
 
   /** Proves the lease when due; after a rejected order, claims it again unless another box holds it. */
   const renew = async () => {
-    if (isHeld() && clock.elapsed() - state.provenAt < options.leaseMs / proofsPerLease) return;
-    await prove();
-    if (state.claim.holder !== self || isHeld()) return;
+    if (isHeld()) {
+      if (isProofDue()) await endOrDelayOf(prove());
+    } else await prove();
+    if (isHeld()) return handleReads();
+    if (state.claim.holder !== self) return;
     const probe = probes.findPending(state.claim.epoch);
     if (probe && isBetterConnected(probe)) return yieldLease("another box hears more boxes");
     await claim("own claim has ended");
@@ -337,7 +373,10 @@
   const hasLostStore = (holder: Incarnation): boolean => {
     const confirmedAt = Math.max(state.claimObservedAt, probes.answeredAt(state.claim.epoch));
     if (clock.now() - confirmedAt < options.leaseMs) return false;
-    return peers.remainingLeaseMs(holder) < proofValidMs * minRemainingShare;
+    const remainingMs = peers.remainingLeaseMs(holder);
+    if (remainingMs === 0) return true;
+    // The proofs of a holder whose store answers slowly are never young.
+    return !peers.reachesStore(holder) && remainingMs < proofValidMs * minRemainingShare;
   };
 
   /** Why the lease can be claimed; undefined while the holder is presumed to keep it. */
