Check heads that arrive whole by a search for their end

Nearly all heads arrive in one read: two searches of the runtime find their end, or that the lines have to be followed. Responses and requests share the search.

--- a/packages/connection-bounds/src/request-frames.ts
+++ b/packages/connection-bounds/src/request-frames.ts
@@ -4,6 +4,7 @@
  * head, so that a request that the parser begins anywhere else is seen.
  */
 import type { IncomingMessage } from "node:http";
+import { findHeadEnd } from "@linkfall/header-syntax";
 
 const carriageReturn = 0x0d;
 const lineFeed = 0x0a;
@@ -108,8 +109,15 @@
     endLine();
     return from + found + 1;
   };
+  /** Most heads arrive whole, so that their lines need not be followed. */
+  const readHead = (bytes: Buffer, from: number, to: number): number => {
+    const end = hasLine || lineBytes > 0 ? undefined : findHeadEnd(bytes, from, to);
+    if (end === undefined) return readLine(bytes, from, to);
+    sliceEnd = "empty line";
+    return end;
+  };
   const readers: Readonly<Record<Section, (bytes: Buffer, from: number, to: number) => number>> = {
-    head: readLine,
+    head: readHead,
     body: (_bytes, from, to) => skip(from, to, "head"),
     "chunk size": readSizeLine,
     chunk: (_bytes, from, to) => skip(from, to, "chunk size"),
--- a/packages/header-syntax/src/header-syntax.feature
+++ b/packages/header-syntax/src/header-syntax.feature
@@ -15,3 +15,18 @@
       | a blank before its colon      | unwritable |
       | a line end in its value       | unwritable |
       | a control byte in its value   | unwritable |
+
+  # Guards against a head that is taken to end where a parser that follows its lines finds no empty line, or another one before.
+  Scenario Outline: The end of a head <kind> is <found>
+    Then the end of a head <kind> is <found>
+
+    Examples:
+      | kind                                        | found     |
+      | that is whole                               | found     |
+      | with a body behind it                       | found     |
+      | with a lone carriage return inside a line   | found     |
+      | that lacks its last byte                    | not found |
+      | that ends at a lone carriage return         | not found |
+      | that ends at a line feed alone              | not found |
+      | that begins with an empty line              | not found |
+      | that ends behind the bytes that may be read | not found |
--- a/packages/header-syntax/src/header-syntax.steps.ts
+++ b/packages/header-syntax/src/header-syntax.steps.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { request } from "node:http";
 import { Then } from "@cucumber/cucumber";
-import { findUnwritableHeader } from "./index.js";
+import { findHeadEnd, findUnwritableHeader } from "./index.js";
 
 const lines: Readonly<Record<string, readonly [name: string, value: string]>> = {
   "a plain name and value": ["X-A", "b"],
@@ -35,3 +35,28 @@
     assert.equal(isRejectedByNode(headers), verdict === "unwritable");
   },
 );
+
+const headLines = "GET / HTTP/1.1\r\nA: b\r\n";
+/** What is read, and how many bytes of it may be. */
+const reads: Readonly<Record<string, readonly [text: string, maxBytes?: number]>> = {
+  "that is whole": [`${headLines}\r\n`],
+  "with a body behind it": [`${headLines}\r\nbody\r\n\r\n`],
+  "with a lone carriage return inside a line": [`GET / HTTP/1.1\r\nA: b\rc\r\n\r\n`],
+  "that lacks its last byte": [`${headLines}\r`],
+  "that ends at a lone carriage return": [`${headLines}\rXGET / HTTP/1.1\r\n\r\n`],
+  "that ends at a line feed alone": [`${headLines}\nA: b\r\n\r\n`],
+  "that begins with an empty line": [`\r\n${headLines}\r\n`],
+  "that ends behind the bytes that may be read": [`${headLines}\r\n`, headLines.length + 1],
+};
+
+Then(
+  /^the end of a head (.*) is (found|not found)$/,
+  function (this: object, kind: string, verdict: string) {
+    const [text, maxBytes = text.length] = reads[kind];
+    const before = "before it";
+    const bytes = Buffer.from(`${before}${text}`, "latin1");
+    const end = findHeadEnd(bytes, before.length, before.length + maxBytes);
+    const expected = before.length + text.indexOf("\r\n\r\n") + "\r\n\r\n".length;
+    assert.equal(end, verdict === "found" ? expected : undefined);
+  },
+);
--- a/packages/header-syntax/src/index.ts
+++ b/packages/header-syntax/src/index.ts
@@ -1,6 +1,8 @@
 /** Tells whether header lines can be written, which is not so for all that Node's parser accepts. */
 import { validateHeaderName, validateHeaderValue } from "node:http";
 
+export { findHeadEnd } from "./head-end.js";
+
 /** Returns what is wrong with the first line that cannot be written, or undefined if all lines can be. */
 export function findUnwritableHeader(rawHeaders: readonly string[]): string | undefined {
   try {
--- a/packages/response-bounds/src/head-lines.ts
+++ b/packages/response-bounds/src/head-lines.ts
@@ -1,4 +1,5 @@
 /** Finds header sections that Node's parser ends at a carriage return which no line feed follows. */
+import { findHeadEnd } from "@linkfall/header-syntax";
 
 const carriageReturn = 0x0d;
 const lineFeed = 0x0a;
@@ -37,10 +38,25 @@
     if (!isInHead) statusLine = "";
   };
 
+  /** Skips a head that is whole; returns its end, or undefined if its lines have to be followed. */
+  const skipWholeHead = (bytes: Buffer, from: number): number | undefined => {
+    if (isInHead || lineBytes > 0) return undefined;
+    const end = findHeadEnd(bytes, from, bytes.length);
+    if (end === undefined) return undefined;
+    isDone = !informational.test(bytes.toString("latin1", from, from + statusLineBytes));
+    headBytes += end - from;
+    return end;
+  };
+
   return {
     read(bytes) {
       for (let start = 0; !isDone && start < bytes.length;) {
         const from = start;
+        const headEnd = skipWholeHead(bytes, from);
+        if (headEnd !== undefined) {
+          start = headEnd;
+          continue;
+        }
         const found = bytes.indexOf(lineFeed, from);
         const end = found < 0 ? bytes.length : found;
         if (end > from) take(bytes.subarray(from, end));
