Read no claims while a probe waits for its answer

A silent holder of the order lease had each other box read the store at each check, from the probe on until the lease could be claimed; calls of the store are priced, and boxes that are short of processor time answer callers later.

Cause: the box read first and asked then whether a probe is pending. An answer matters only when the lease may be claimed, and the claim reads the stream anyway.

The new scenario failed with 11 reads in 1 s of two boxes, where one is enough, and holds now; the scenarios of the lease hold.

--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -310,6 +310,13 @@
       | 300 | 100   |                           |
       | 300 | 100   | , with engines that fence |
 
+  # Guards against a read at each check while a probe waits for its answer; each read is priced.
+  Scenario: Boxes read the store once at most until a probe of the holder may be followed by a claim
+    Given boxes "a b c" that are connected to each other and to the store, with engines that fence
+    And "a" holds the lease
+    When "a" ends, and another box has probed it
+    Then in 1 s the boxes read the store at most 1 times
+
   # Guards against proofs that count from the answer, as a claimant waits from its probe.
   Scenario Outline: A holder whose reads are answered late stops before another box may send orders, <ms> ms<engines>
     Given boxes "a b c" that are connected to each other and to the store<engines>
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -524,10 +524,22 @@
   boxOf(sceneOf(this), name).reachesNoEngine = false;
 });
 
-When("the store refuses every box as soon as it has a probe", async function (this: object) {
-  const scene = sceneOf(this);
+async function awaitProbe(scene: Scene): Promise<void> {
   const hasProbe = () => scene.store.records().some(({ key }) => key === "probe");
   while (!hasProbe()) await passTime(scene, stepMs);
+}
+
+When("{string} ends, and another box has probed it", async function (this: object, name: string) {
+  const scene = sceneOf(this);
+  const box = boxOf(scene, name);
+  box.silent = true;
+  await box.lease.stop();
+  await awaitProbe(scene);
+});
+
+When("the store refuses every box as soon as it has a probe", async function (this: object) {
+  const scene = sceneOf(this);
+  await awaitProbe(scene);
   for (const { name } of scene.boxes) setAccess(scene, name, "refuses");
 });
 
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -327,9 +327,10 @@
   /** Reads whether the holder has answered a pending probe; appends one if there is none. */
   const probeHolder = async () => {
     const { holder, epoch } = state.claim;
-    if (!(await claims.follow()) || state.claim.epoch !== epoch) return;
-    if (!mayStillOrder(holder)) return;
+    // An answer shows when the claim is read for, which is the first time that it matters.
     if (probes.findPending(epoch)) return;
+    if (!(await claims.follow()) || state.claim.epoch !== epoch) return;
+    if (!mayStillOrder(holder) || probes.findPending(epoch)) return;
     const boxesHeard = peers.countHeardWithin(options.holderTimeoutMs);
     if (!(await appendProbeRecord(encodeProbe(epoch, boxesHeard)))) return;
     logger.event("leaseProbed", { pool: leaseKey, epoch, holder });
