Wait by rank once for a holder that leaves

Cause: a box that waits by its rank since the holder said that it leaves learned of the release from its read or from a heartbeat, and began to wait by its rank again.

The new scenario failed before and holds; the 82 scenarios on the lease and on boxes that may send orders hold.

--- a/packages/order-lease/src/order-lease.feature
+++ b/packages/order-lease/src/order-lease.feature
@@ -57,6 +57,13 @@
     When "a" starts to leave
     Then within 2 s another box may give orders under a higher epoch
 
+  # Guards against boxes that wait by their rank a second time when a read shows that the leaving holder has released the lease.
+  Scenario: A released lease is claimed after one wait by rank
+    Given "a" holds the lease
+    When "a" says that it leaves, and has not begun to release the lease
+    And "a" starts to leave
+    Then within 1000 ms another box may give orders under a higher epoch
+
   Scenario: A claim whose response is lost is found by reading the stream
     When the store loses the responses to "a"
     And the store loses the responses to "b"
--- a/packages/order-lease/src/order-lease.steps.ts
+++ b/packages/order-lease/src/order-lease.steps.ts
@@ -701,13 +701,13 @@
 );
 
 Then(
-  /^within (\d+) s (another|a) box may give orders under a higher epoch$/,
-  async function (this: object, seconds: string, which: string) {
+  /^within (\d+) (s|ms) (another|a) box may give orders under a higher epoch$/,
+  async function (this: object, time: string, unit: string, which: string) {
     const scene = sceneOf(this);
     const firstHolder = scene.boxes.find((box) => box.name === "a");
     const holder = await passTimeUntilHolder(
       scene,
-      Number(seconds) * 1_000,
+      Number(time) * (unit === "s" ? 1_000 : 1),
       (box) => which === "a" || box !== firstHolder,
     );
     assert.ok((holder.lease.epoch() ?? 0) > scene.initialEpoch);
--- a/packages/order-lease/src/order-lease.ts
+++ b/packages/order-lease/src/order-lease.ts
@@ -122,7 +122,8 @@
     const wasHeld = isHeld();
     state.claim = { holder, epoch };
     state.isClaimLost = false;
-    state.holderGoneSince = undefined;
+    // A box that waits by its rank for a holder that is gone does not wait again when that holder releases the lease.
+    if (holder !== releasedHolder) state.holderGoneSince = undefined;
     state.claimObservedAt = clock.now();
     state.holderLastSeenAt = clock.now();
     // This box's claim is found by reading if its response was lost. The time until which the previous holder may send orders
@@ -327,7 +328,7 @@
   /** Reads whether the holder has answered a pending probe; appends one if there is none. */
   const probeHolder = async () => {
     const { holder, epoch } = state.claim;
-    // An answer shows when the claim is read for, which is the first time that it matters.
+    // The claim reads the stream again, and an answer does not matter before.
     if (probes.findPending(epoch)) return;
     if (!(await claims.follow()) || state.claim.epoch !== epoch) return;
     if (!mayStillOrder(holder) || probes.findPending(epoch)) return;
@@ -452,8 +453,10 @@
     if (clock.now() < claimFrom) return;
     const { epoch } = state.claim;
     if (!mayClaim()) await probeHolder();
-    // The probe's read may have shown a newer claim, whose holder is judged anew.
-    if (state.claim.epoch === epoch && mayClaim()) await claim(reason);
+    // The probe's read may have shown a newer claim, whose holder is judged anew, or that the holder has released the lease.
+    const isReleased = state.claim.holder === releasedHolder;
+    if (state.claim.epoch !== epoch && !isReleased) return;
+    if (mayClaim()) await claim(isReleased ? "free" : reason);
   };
 
   /** Returns what is left of a proof that is valid for `validMs`. */
