Wait for unread bytes only before orders and appends

Boxes that are short of processor time answered callers later: each request on a kept connection waited for up to two turns of the event loop, which are long there, so that bytes that had arrived on the connection were read before.

Orders and appends change something, so that an earlier answer must not count for them; they are few and wait as before. Reports, reads and calls of the older line, all GET, do not. Bytes on an idle connection still close it, and an answer with bytes behind it is none on a connection that had another one before.

--- a/packages/response-bounds/src/kept-agent.ts
+++ b/packages/response-bounds/src/kept-agent.ts
@@ -7,6 +7,9 @@
   addRequest(request: ClientRequest, options: RequestOptions): void;
 }
 
+/** Method of requests that change nothing. */
+const readMethod = "GET";
+
 /**
  * Calls the function when what had arrived by now has been read: the first callback may run before the event loop polls for
  * bytes, the second runs behind a poll.
@@ -17,8 +20,8 @@
 
 /**
  * Creates an agent that closes an idle connection on which bytes arrive: they may be a part of an answer to an earlier request,
- * and the next request would take what follows for its own. Kept connections are given to a request when bytes that had arrived
- * before it have been read.
+ * and the next request would take what follows for its own. A request that may change something gets a kept connection when bytes
+ * that had arrived before it have been read; on a busy event loop others would be late for that.
  */
 export function createKeptAgent(options: AgentOptions): Agent {
   const agent = new Agent(options);
@@ -41,7 +44,7 @@
   };
   queue.addRequest = (request, requestOptions) => {
     const hasKept = agent.freeSockets[agent.getName(requestOptions)] !== undefined;
-    if (!hasKept) return addRequest(request, requestOptions);
+    if (!hasKept || request.method === readMethod) return addRequest(request, requestOptions);
     afterArrivedBytes(() => addRequest(request, requestOptions));
   };
   return agent;
