Log and count tasks that block the event loop, with what they did

Cause: loopHeldUp says that the loop of a box was blocked, not by what, so that a box which is slow because of the order lease can't be told from one that is slow for another reason.

--- a/packages/desired-feed/src/desired-feed.ts
+++ b/packages/desired-feed/src/desired-feed.ts
@@ -3,6 +3,7 @@
 import type { LogFailure } from "@linkfall/errors";
 import { clockName, type Kernel } from "@linkfall/kernel";
 import { type Logger, loggerName } from "@linkfall/logger";
+import { timeTask } from "@linkfall/long-task";
 import { type Metrics, metricsName } from "@linkfall/metrics";
 import type { KeyedBatch, KeyedRecord } from "@linkfall/ports";
 import {
@@ -219,7 +220,10 @@
     onAnswer: (isWhole: boolean) => reachability.recordAnswer(stream, isWhole),
     onFailure: (failure: LogFailure) => reachability.recordFailure(stream, failure),
   });
-  const applyConfigurations = (batch: KeyedBatch) => applyConfigurationBatch(context, batch);
+  const reporters = { clock, logger: context.logger, metrics: context.metrics };
+  const applyConfigurations = (batch: KeyedBatch) =>
+    timeTask(reporters, "apply configuration", () => applyConfigurationBatch(context, batch));
+  const timeTargets = (apply: () => void) => timeTask(reporters, "apply target list", apply);
   const configurationFollower = createStreamFollower({
     clock,
     port: input.configurationStream,
@@ -235,8 +239,8 @@
     port: input.targetStream,
     times: { ...input.times, coalesceMs: input.coalesceTargetsMs },
     isReader: input.peers.readsStore,
-    onSnapshot: (batch) => applyTargetSnapshot(context, batch),
-    onChanges: (batch) => applyTargetBatch(context, batch),
+    onSnapshot: (batch) => timeTargets(() => applyTargetSnapshot(context, batch)),
+    onChanges: (batch) => timeTargets(() => applyTargetBatch(context, batch)),
     ...recordReadsOf("targets"),
   });
 
@@ -251,7 +255,8 @@
     configurationCopy: configuration.copy,
     applyConfigurationCopy: (copy) => {
       if (copy.text !== undefined && copy.version > configuration.version()) {
-        configuration.apply(copy.text, "box");
+        const { text } = copy;
+        timeTask(reporters, "apply configuration", () => configuration.apply(text, "box"));
       }
     },
     targetChangesSince(position) {
@@ -259,7 +264,8 @@
       const since = position.generation === generation ? position.end : beforeFirstOffset;
       return { ...changeLog.changesSince(since, end), generation };
     },
-    applyTargetChanges: (changes) => applyReceived(context, changes, targetFollower),
+    applyTargetChanges: (changes) =>
+      timeTargets(() => applyReceived(context, changes, targetFollower)),
     async start() {
       configurationFollower.start();
       targetFollower.start();
--- a/packages/entry-box/src/heartbeat-receiver.ts
+++ b/packages/entry-box/src/heartbeat-receiver.ts
@@ -11,6 +11,8 @@
 import { engineSpeedsName } from "@linkfall/engine-speed";
 import { fleetName } from "@linkfall/fleet";
 import type { ChangeWaiter } from "@linkfall/forwarding";
+import { timeTask } from "@linkfall/long-task";
+import { metricsName } from "@linkfall/metrics";
 import type { RequestedWeights } from "@linkfall/model-demand";
 import { orderLeaseName } from "@linkfall/order-lease";
 import type { Milliseconds } from "@linkfall/types";
@@ -123,7 +125,7 @@
   const fleet = kernel.find(fleetName);
   fleet.preferDirectReportsWhile(() => hasCurrentHolderReport(runtime));
 
-  peers.onHeartbeat((heartbeat) => {
+  const applyHeartbeat = (heartbeat: Heartbeat) => {
     const { status, report } = heartbeat;
     if (status.lease) lease.observe(status.lease);
     const holdsLease = lease.epoch() !== undefined;
@@ -142,7 +144,11 @@
       waiter.wakeAll();
     }
     if (holdsLease && hasWaitingRequests(status)) dispatcher.triggerCycle();
-  });
+  };
+  const reporters = { ...ports, metrics: kernel.find(metricsName) };
+  peers.onHeartbeat((heartbeat) =>
+    timeTask(reporters, "apply heartbeat", () => applyHeartbeat(heartbeat)),
+  );
 
   return {
     expectedWeightsMs({ service, model, softwareVersion }) {
--- a/packages/entry-box/src/heartbeat-source.ts
+++ b/packages/entry-box/src/heartbeat-source.ts
@@ -11,6 +11,8 @@
 import { desiredFeedName } from "@linkfall/desired-feed";
 import { engineSpeedsName, type IntervalObservation } from "@linkfall/engine-speed";
 import { fleetName } from "@linkfall/fleet";
+import { timeTask } from "@linkfall/long-task";
+import { metricsName } from "@linkfall/metrics";
 import { orderLeaseName } from "@linkfall/order-lease";
 import {
   type BlameMessage,
@@ -87,7 +89,7 @@
   followed: () => ReportPosition | undefined,
   plannedDemand: PlannedDemand,
 ): HeartbeatSource {
-  const { kernel, demand } = runtime;
+  const { kernel, demand, ports } = runtime;
   const report = createReportBuilder(runtime);
   let beat = 0;
 
@@ -130,23 +132,30 @@
     });
   };
 
+  const createHeartbeat = (
+    recipient: BoxStatus | undefined,
+    sightings: Heartbeat["sightings"],
+  ): Heartbeat => {
+    const holdsLease = kernel.find(orderLeaseName).epoch() !== undefined;
+    return {
+      status: status(recipient),
+      sightings,
+      report: holdsLease ? report(recipient) : undefined,
+      targets: recipient && targetChangesFor(runtime, recipient),
+      blame: blameFor(runtime, recipient),
+      limits: limitsFor(runtime, recipient),
+      fragile: fragileFor(runtime, recipient),
+      leaving: leavingFor(runtime, recipient),
+      departures: departuresFor(runtime, recipient),
+    };
+  };
+  const reporters = { ...ports, metrics: kernel.find(metricsName) };
+
   return {
     isIdle: () =>
       !runtime.activity.takesRequests() && kernel.find(orderLeaseName).epoch() === undefined,
     holder: () => kernel.find(orderLeaseName).observedLease()?.holder,
-    createHeartbeat(recipient, sightings): Heartbeat {
-      const holdsLease = kernel.find(orderLeaseName).epoch() !== undefined;
-      return {
-        status: status(recipient),
-        sightings,
-        report: holdsLease ? report(recipient) : undefined,
-        targets: recipient && targetChangesFor(runtime, recipient),
-        blame: blameFor(runtime, recipient),
-        limits: limitsFor(runtime, recipient),
-        fragile: fragileFor(runtime, recipient),
-        leaving: leavingFor(runtime, recipient),
-        departures: departuresFor(runtime, recipient),
-      };
-    },
+    createHeartbeat: (recipient, sightings) =>
+      timeTask(reporters, "create heartbeat", () => createHeartbeat(recipient, sightings)),
   };
 }
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -91,6 +91,12 @@
     "The settings file cannot be read or is invalid; the box keeps its current settings.",
     "Fix the file; `linkfall check-settings --forwarding FILE` lists all problems.",
   ),
+  longTask: event(
+    1023,
+    "info",
+    "One task blocked the event loop; `task` is what it did.",
+    "See the advice of loopHeldUp.",
+  ),
   loopHeldUp: event(
     1012,
     "info",
--- a/packages/weight-orders/src/order-dispatcher.ts
+++ b/packages/weight-orders/src/order-dispatcher.ts
@@ -7,6 +7,7 @@
   serviceName,
 } from "@linkfall/kernel";
 import { loggerName } from "@linkfall/logger";
+import { timeTask } from "@linkfall/long-task";
 import { metricsName } from "@linkfall/metrics";
 import type { Epoch, Milliseconds } from "@linkfall/types";
 import { advanceMoves } from "./advance-moves.js";
@@ -73,10 +74,12 @@
   const { state, clock } = context;
   const startedAt = clock.now();
   if (epoch !== state.epoch) startTerm(context, epoch);
-  pollDueEngines(context);
-  advanceMoves(context, epoch);
+  timeTask(context, "poll engines", () => pollDueEngines(context));
+  timeTask(context, "advance moves", () => advanceMoves(context, epoch));
   for (const service of context.configuration()?.services.values() ?? []) {
-    if (service.engine) planService(context, service.name, service.engine, epoch);
+    const { engine } = service;
+    if (engine)
+      timeTask(context, "plan moves", () => planService(context, service.name, engine, epoch));
   }
   const allPolled = orderableEngines(context).every(({ listed }) =>
     state.polledInTerm.has(listed.id),
--- a/packages/weight-orders/src/poll-engines.ts
+++ b/packages/weight-orders/src/poll-engines.ts
@@ -1,6 +1,7 @@
 /** Polls engines for their state, more often while a move is in progress. */
 import type { TargetView } from "@linkfall/fleet";
-import type { Milliseconds } from "@linkfall/types";
+import { timeTask } from "@linkfall/long-task";
+import type { EngineState, Milliseconds } from "@linkfall/types";
 import {
   type DispatcherContext,
   orderableEngines,
@@ -22,13 +23,16 @@
   result.ifLeft((failure) => context.onEngineUnreachable(id, failure));
   // Ignores the response of an earlier incarnation of the target.
   if (fleet.find(id) !== target) return;
-  result.ifRight((engineState) => {
+  const applyState = (engineState: EngineState) => {
     const previousSequence = target.holdings.sequence;
     fleet.applyState(id, engineState, clock.now() - sentAt);
     // Passes on the limit immediately; a report without a limit does not clear a known one.
     if (engineState.limit.kind === "limited") context.onLimitReported(id, engineState.limit);
     if (fleet.find(id)?.holdings.sequence !== previousSequence) context.notifyPeers();
-  });
+  };
+  result.ifRight((engineState) =>
+    timeTask(context, "apply engine state", () => applyState(engineState)),
+  );
 }
 
 /**
