Write no request to a target past its time limit

What callers saw: a request reached its first target half a second after its route's limit, and ran for a caller that had nearly gone. Cause: the time left was checked before the wait for the connection and not after it. The timer of the limit ends that wait, but where the event loop was blocked, the event of the connection is handled before the timers that are due. The same step waits for pending disconnects of the caller, for up to three iterations, after the last check. Change: the time left is checked again when the connection is ready, and once more after the last wait before the write. Evidence: "A request whose connection is ready after its time limit is not written" failed on the code before (written at 2,100 ms with a limit of 2,000 ms) and holds now. Why it works: nothing is awaited between the last check and the write.

--- a/packages/forwarding/src/attempt-types.ts
+++ b/packages/forwarding/src/attempt-types.ts
@@ -94,6 +94,8 @@
   onOpened?(unsentBytes: () => number): void;
   /** Called when the request is about to be written; resolves to false if it must not be. */
   mayWrite?(): Promise<boolean>;
+  /** Whether the request may still be sent; asked after the last wait before it is written. */
+  hasTimeLeft?(): boolean;
   /** Whether a begun stream may be abandoned when the idle timeout passes; absent if it always may. */
   mayAbandon?(): boolean;
   /** Called if the head of the response shows that it is no answer to the request. */
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -275,6 +275,8 @@
     const mayWrite = (await input.mayWrite?.()) ?? true;
     if (!mayWrite) return settle({ kind: "not_sent", reason: "no place left", cause: "no_place" });
     await awaitPendingDisconnects(clock.now, sink.isCallerGone, openedAt);
+    if (input.hasTimeLeft?.() === false)
+      return settle({ kind: "not_sent", reason: "no time left", cause: "no_place" });
     // A connection that is not made is no silence of the target; it has time limits of its own.
     if (!settled) restartIdleTimer();
   };
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -64,7 +64,7 @@
   if (!isContinuable(sink, streamPosition)) return false;
   if (route.repeatability !== "repeatable" || request.possibleRuns >= route.maxAttempts)
     return false;
-  return timeLeftMs(context, request) > context.forwardLimits.minTimeLeftMs;
+  return hasTimeLeft(context, request);
 }
 
 /** Whether another target would take up the begun stream at once. */
@@ -213,6 +213,11 @@
   return request.sink.headersSent() || context.acceptsRequest(request);
 }
 
+/** Whether enough time is left to send the request. */
+function hasTimeLeft(context: ForwardContext, request: ForwardedRequest): boolean {
+  return timeLeftMs(context, request) > context.forwardLimits.minTimeLeftMs;
+}
+
 /** Whether the target has not left, and is not leaving, since it was picked. */
 function acceptsRequests({ fleet }: ForwardContext, { listed: { id } }: TargetView): boolean {
   const target = fleet.find(id);
@@ -243,14 +248,16 @@
   context.finalAttempts.start(request, target.listed.id);
   const mayWrite = async () =>
     // The cause of crashes, or that the target or this box leaves, may have become known while the request waited for its
-    // connection.
+    // connection. Where the event loop was blocked, the connection is reported before the timer of the time limit fires.
     !request.sink.isCallerGone() &&
+    hasTimeLeft(context, request) &&
     mayStillFinish(context, request) &&
     !isHeldBack(context, request) &&
     acceptsRequests(context, target) &&
     (await renewPlace(context, request, place));
   const result = await sendToTarget(context, request, picked, {
     mayWrite,
+    hasTimeLeft: () => hasTimeLeft(context, request),
     mayAbandon: () => canBeTakenUpElsewhere(context, request),
     onFirstBytes: dispatched?.recordFirstBytes,
   });
@@ -325,8 +332,7 @@
 
 async function runStep(context: ForwardContext, request: ForwardedRequest): Promise<Step> {
   if (request.sink.isCallerGone()) return endRequest({ outcome: "gone" });
-  if (timeLeftMs(context, request) <= context.forwardLimits.minTimeLeftMs)
-    return refuseTimedOut(request);
+  if (!hasTimeLeft(context, request)) return refuseTimedOut(request);
   // A request that cannot complete before a planned shutdown would be cut off by it.
   if (!mayStillFinish(context, request)) {
     return refuse(request, refusedStatus, "stopping", retryElsewhereMs);
--- a/packages/forwarding/src/forwarding.feature
+++ b/packages/forwarding/src/forwarding.feature
@@ -42,6 +42,13 @@
     Then it is refused with 503 within 300 ms
     And no byte of it was written
 
+  # Guards against requests that a held-up box writes to a target after their time limit.
+  Scenario: A request whose connection is ready after its time limit is not written
+    Given the connection to the engine takes 2100 ms
+    When a request for "m1" arrives
+    Then it is refused with 503 within 2200 ms
+    And no byte of it was written
+
   # Guards against requests that run although their caller was told, as the box has to exit, that they never will.
   Scenario: A request whose work is ended while its connection is made is not written
     Given the connection to the engine takes 200 ms
--- a/packages/forwarding/src/send-to-target.ts
+++ b/packages/forwarding/src/send-to-target.ts
@@ -219,6 +219,8 @@
 export interface SendHooks {
   /** Called when the request is about to be written; resolves to false if it must not be. */
   mayWrite(): Promise<boolean>;
+  /** Whether the request may still be sent; asked after the last wait before it is written. */
+  hasTimeLeft(): boolean;
   /** Whether a begun stream may be abandoned because its target is silent. */
   mayAbandon(): boolean;
   /** Called on the first bytes of the response body. */
@@ -230,7 +232,7 @@
   context: SendContext,
   request: ForwardedRequest,
   picked: PickedTarget,
-  { mayWrite, mayAbandon, onFirstBytes }: SendHooks,
+  { mayWrite, hasTimeLeft, mayAbandon, onFirstBytes }: SendHooks,
 ): Promise<AttemptResult> {
   const { clock, codec, sendLimits } = context;
   const { target } = picked;
@@ -299,6 +301,7 @@
       sendTimes.mayBeRunning = await mayWrite();
       return sendTimes.mayBeRunning;
     },
+    hasTimeLeft,
     mayAbandon,
     onOpened: (unsentBytes) =>
       void (endBody = context.targetBodies.begin(listed.id, request.body.length, unsentBytes)),
