Count requests from when they may have been waiting to be read

Cause: a request counted from the moment in which Node's parser reported it. A box accepts one connection in an iteration of its event loop and reads what it has received in the next one, so that iterations of 100 ms let a request wait for a second before its time limit began; a kept connection's request waits for an iteration. Change: a request counts from the start of the blocked period in which it may have come (timers that fire late show it), the first one of a connection from the time since when the listen queue was not known to be empty. The box connects to itself while that lasts: what is accepted after that connection has waited for less. A box that measures a wait of 100 ms counts as strained. Bodies are given the rest of the time, not all of it again. Why it works: the time limit ends when the caller's does or earlier, however late the box is; only an iteration that goes on at that moment adds to it.

--- a/packages/entry-box/src/accept-queue-monitor.ts
+++ b/packages/entry-box/src/accept-queue-monitor.ts
@@ -1,15 +1,19 @@
 /**
- * Estimates how long connections wait in the listen queue. Node.js accepts one connection per iteration of the event loop, so
- * a connection accepted in consecutive iterations may have waited for the ones before it.
+ * Measures how long connections wait in the listen queue. Node.js accepts one connection per iteration of the event loop, so that
+ * the queue of a busy box grows unseen. While it is not known to be empty, the box connects to itself: as the queue is first in,
+ * first out, all that is accepted before that connection has waited for longer, and all that is accepted after it for less.
  */
+import type { Socket } from "node:net";
 import type { Clock } from "@linkfall/kernel";
 import type { Logger } from "@linkfall/logger";
 import type { Metrics } from "@linkfall/metrics";
 import type { Milliseconds } from "@linkfall/types";
 
 export interface AcceptQueueMonitor {
-  /** Records that a connection was accepted. */
-  connectionAccepted(): void;
+  /** Records that a connection was accepted; a connection of the monitor itself is closed. */
+  connectionAccepted(socket: Socket): void;
+  /** Time since when the connection that was accepted last may have been waiting. */
+  waitingSince(): Milliseconds;
 }
 
 export interface AcceptQueueMonitorOptions {
@@ -18,18 +22,39 @@
   readonly metrics: Metrics;
   /** Iterations of the event loop since the process started. */
   loopIterations(): number;
+  /** Total time for which the event loop had nothing to do. */
+  loopIdleMs(): Milliseconds;
+  /** Start of the blocked period of the event loop whose input is being read; undefined if there is none. */
+  unreadSince(): Milliseconds | undefined;
+  /** Opens a connection to the port that is monitored. */
+  connect(): Socket;
+  /** Called with each measured wait, and with what has passed of one that goes on. */
+  onWait(waitMs: Milliseconds): void;
 }
 
-/** Connections accepted in consecutive iterations of the event loop. */
+/** Time in which the queue is not known to have been empty. */
 interface AcceptBurst {
-  readonly startedAt: Milliseconds;
+  /** Connections that are accepted now have begun to wait after this. */
+  waitingSince: Milliseconds;
   lastAcceptedAt: Milliseconds;
   lastIteration: number;
+  idleMs: Milliseconds;
+}
+
+/** A connection of the monitor that waits in the queue. */
+interface Probe {
+  readonly socket: Socket;
+  readonly openedAt: Milliseconds;
+  /** Connections accepted before it. */
   connections: number;
   /** Shortest wait to log next; doubles with each logged line. */
   logThresholdMs: Milliseconds;
 }
 
+/** An event loop that waits for input has none, so that the listen queue is empty. */
+const minIdleMs: Milliseconds = 1;
+/** A queue that is emptied sooner needs no probe. */
+const minProbedWaitMs: Milliseconds = 20;
 /** Well below one second, after which callers abandon an unread request. */
 const minLoggedWaitMs: Milliseconds = 250;
 
@@ -39,48 +64,94 @@
   logger,
   metrics,
   loopIterations,
+  loopIdleMs,
+  unreadSince,
+  connect,
+  onWait,
 }: AcceptQueueMonitorOptions): AcceptQueueMonitor {
   let burst: AcceptBurst | undefined;
+  let probe: Probe | undefined;
+
+  const endProbe = (ended: Probe) => {
+    ended.socket.destroy();
+    if (probe === ended) probe = undefined;
+  };
+  const startProbe = () => {
+    const started: Probe = {
+      socket: connect(),
+      openedAt: clock.now(),
+      connections: 0,
+      logThresholdMs: minLoggedWaitMs,
+    };
+    probe = started;
+    // A probe fails when the box stops listening, and tells nothing then.
+    started.socket.on("error", () => endProbe(started));
+    started.socket.once("close", () => endProbe(started));
+  };
+  const reportWait = (current: Probe): Milliseconds => {
+    const waitMs = clock.now() - current.openedAt;
+    onWait(waitMs);
+    if (waitMs >= current.logThresholdMs) {
+      current.logThresholdMs = waitMs * 2;
+      logger.event("connectionsWaited", {
+        connections: current.connections,
+        waitedMs: Math.round(waitMs),
+      });
+    }
+    return waitMs;
+  };
+  const isOwn = ({ remoteAddress, remotePort }: Socket, { socket }: Probe) =>
+    remotePort !== undefined &&
+    remotePort === socket.localPort &&
+    remoteAddress === socket.localAddress;
 
-  const logLongWait = (current: AcceptBurst, waitedMs: Milliseconds) => {
-    if (waitedMs < current.logThresholdMs) return;
-    current.logThresholdMs = waitedMs * 2;
-    logger.event("connectionsWaited", {
-      connections: current.connections,
-      waitedMs: Math.round(waitedMs),
-    });
+  /** Continues the burst, or begins a new one if the queue has been empty meanwhile. */
+  const continueBurst = (): AcceptBurst => {
+    const now = clock.now();
+    const iteration = loopIterations();
+    const idleMs = loopIdleMs();
+    const goesOn =
+      burst !== undefined &&
+      iteration <= burst.lastIteration + 1 &&
+      idleMs - burst.idleMs < minIdleMs;
+    if (!burst || !goesOn) {
+      burst = {
+        waitingSince: unreadSince() ?? now,
+        lastAcceptedAt: now,
+        lastIteration: iteration,
+        idleMs,
+      };
+      return burst;
+    }
+    metrics.observe(
+      "linkfall_accept_turn_ms",
+      "Duration of an event loop iteration that accepted a connection right after another one.",
+      Math.round(now - burst.lastAcceptedAt),
+    );
+    burst.lastAcceptedAt = now;
+    burst.lastIteration = iteration;
+    burst.idleMs = idleMs;
+    return burst;
   };
 
   return {
-    connectionAccepted() {
-      const now = clock.now();
-      const iteration = loopIterations();
-      if (burst === undefined || iteration > burst.lastIteration + 1) {
-        burst = {
-          startedAt: now,
-          lastAcceptedAt: now,
-          lastIteration: iteration,
-          connections: 1,
-          logThresholdMs: minLoggedWaitMs,
-        };
-        return;
+    waitingSince: () => burst?.waitingSince ?? clock.now(),
+    connectionAccepted(socket) {
+      const current = continueBurst();
+      if (probe && isOwn(socket, probe)) {
+        metrics.observe(
+          "linkfall_connection_wait_ms",
+          "Time for which a connection of the box to itself waited in the listen queue.",
+          Math.round(reportWait(probe)),
+        );
+        current.waitingSince = Math.max(current.waitingSince, probe.openedAt);
+        endProbe(probe);
+        return void socket.destroy();
       }
-      const iterationMs = now - burst.lastAcceptedAt;
-      const waitedMs = now - burst.startedAt;
-      burst.lastAcceptedAt = now;
-      burst.lastIteration = iteration;
-      burst.connections += 1;
-      metrics.observe(
-        "linkfall_accept_turn_ms",
-        "Duration of an event loop iteration that accepted a connection right after another one.",
-        Math.round(iterationMs),
-      );
-      metrics.observe(
-        "linkfall_connection_wait_ms",
-        "Upper bound of a connection's wait in the listen queue behind earlier connections.",
-        Math.round(waitedMs),
-      );
-      logLongWait(burst, waitedMs);
+      if (probe) {
+        probe.connections += 1;
+        reportWait(probe);
+      } else if (clock.now() - current.waitingSince >= minProbedWaitMs) startProbe();
     },
   };
 }
--- a/packages/entry-box/src/activity-monitor.ts
+++ b/packages/entry-box/src/activity-monitor.ts
@@ -7,7 +7,9 @@
   recordRequest(): void;
   /** Whether a request arrived within the last few seconds. */
   takesRequests(): boolean;
-  /** Whether the processor is close to full utilization. */
+  /** Records that a connection of a caller has waited in the listen queue. */
+  recordConnectionWait(waitMs: Milliseconds): void;
+  /** Whether the processor is close to full utilization, or connections wait before they are accepted. */
   strained(): boolean;
 }
 
@@ -16,6 +18,10 @@
 /** Two thresholds, so that the state does not flap between samples. */
 const strainedThreshold = 0.75;
 const recoveredThreshold = 0.5;
+/** Wait of a connection from which the box counts as strained. */
+const strainedWaitMs: Milliseconds = 100;
+/** Time for which it counts as strained after such a wait, so that callers who were sent elsewhere do not come back at once. */
+const strainedAfterWaitMs: Milliseconds = 1_500;
 
 /**
  * Creates a monitor.
@@ -29,6 +35,7 @@
 ): ActivityMonitor {
   let lastRequestAt = -Infinity;
   let strained = false;
+  let waitedAt = -Infinity;
   const sampling = repeatEvery(clock, random, sampleIntervalMs, () => {
     strained = processorUtilization() > (strained ? recoveredThreshold : strainedThreshold);
   });
@@ -37,7 +44,10 @@
       lastRequestAt = clock.now();
     },
     takesRequests: () => clock.now() - lastRequestAt < recentRequestWindowMs,
-    strained: () => strained,
+    recordConnectionWait(waitMs) {
+      if (waitMs >= strainedWaitMs) waitedAt = clock.now();
+    },
+    strained: () => strained || clock.now() - waitedAt < strainedAfterWaitMs,
     start: sampling.start,
     stop: sampling.stop,
   };
--- a/packages/entry-box/src/box-ports.ts
+++ b/packages/entry-box/src/box-ports.ts
@@ -4,6 +4,7 @@
 import type { Metrics } from "@linkfall/metrics";
 import type { KeyedStreamPort, RecordCodec, RequestCodec, RoutedEnginePort } from "@linkfall/ports";
 import type { TargetConnector } from "@linkfall/raw-exchange";
+import type { Milliseconds } from "@linkfall/types";
 import type { StreamLog } from "@linkfall/stream-versions";
 
 export interface EntryBoxPorts {
@@ -37,6 +38,13 @@
   processorUtilization(): number;
   /** Total time for which the event loop of this process was blocked; absent if it is not measured. */
   heldUpMs?(): number;
+  /**
+   * Start of the blocked period of the event loop whose input is being read; undefined if there is none. Absent if it is not
+   * measured.
+   */
+  unreadSince?(): Milliseconds | undefined;
   /** Iterations of the event loop since the process started. */
   loopIterations(): number;
+  /** Total time for which the event loop had nothing to do. */
+  loopIdleMs(): Milliseconds;
 }
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -6,11 +6,13 @@
 import { reportDefect } from "@linkfall/request-defect";
 import { metricsName } from "@linkfall/metrics";
 import { orderLeaseName } from "@linkfall/order-lease";
+import { connectToAddress } from "@linkfall/raw-exchange";
 import { requestDispatchName } from "@linkfall/request-dispatch";
 import { streamVersionsName } from "@linkfall/stream-versions";
 import { targetReachName } from "@linkfall/target-reach";
 import type { HeldRequest, LimitedTarget, Milliseconds } from "@linkfall/types";
 import { createAcceptQueueMonitor } from "./accept-queue-monitor.js";
+import { createRequestArrivals } from "./request-arrivals.js";
 import { type BoxRuntime, createBoxRuntime } from "./box-runtime.js";
 import { createBoundedLabel } from "./bounded-label.js";
 import type { EntryBoxPorts } from "./box-ports.js";
@@ -120,13 +122,31 @@
   };
   const held = provideHeldBytes(runtime);
   const boundPort = providePortBounds(runtime, held);
+  const { front_address: frontAddress } = settings.box;
+  const unreadSince = ports.unreadSince ?? (() => undefined);
+  const acceptQueue = createAcceptQueueMonitor({
+    ...ports,
+    metrics,
+    unreadSince,
+    connect: () => connectToAddress(ports.connectToTarget, frontAddress),
+    onWait: runtime.activity.recordConnectionWait,
+  });
+  const arrivals = createRequestArrivals({
+    ...ports,
+    unreadSince,
+    connectionWaitingSince: acceptQueue.waitingSince,
+  });
   const front = createFront({
-    address: settings.box.front_address,
+    address: frontAddress,
     maxHeaderBytes: settings.callers.max_header_bytes,
     boundConnections: (server, onMalformed) =>
       boundPort(server, "front", settings.callers.max_header_bytes, onMalformed),
     clock: ports.clock,
-    onConnection: createAcceptQueueMonitor({ ...ports, metrics }).connectionAccepted,
+    onConnection(socket) {
+      acceptQueue.connectionAccepted(socket);
+      arrivals.connectionAccepted(socket);
+    },
+    arrivedAt: arrivals.arrivedAt,
     limits: () => feed.activeConfiguration()?.configuration.limits,
     isClosing: shutdown.hasBegun,
     held,
--- a/packages/entry-box/src/front.ts
+++ b/packages/entry-box/src/front.ts
@@ -39,7 +39,9 @@
     onMalformed: NonNullable<ConnectionBoundsOptions["onMalformed"]>,
   ): BoundedConnections;
   /** Called for each accepted connection. */
-  onConnection(): void;
+  onConnection(socket: Socket): void;
+  /** Time since when the request that is being read on the connection may have been waiting; now if absent. */
+  arrivedAt?(socket: Socket): Milliseconds;
   limits(): CallerLimits | undefined;
   /** Whether connections are closed after their response. */
   isClosing(): boolean;
@@ -126,7 +128,8 @@
 
   const serve = async (message: IncomingMessage, response: ServerResponse, open: OpenRequest) => {
     const { path, sink, arrivedAt } = open;
-    lastRequestAt = arrivedAt;
+    const readAt = clock.now();
+    lastRequestAt = readAt;
     const limits = options.limits() ?? defaultLimits;
     applyLimits(server, limits);
     if (!path.startsWith("/")) return rejectUnread(response, 400);
@@ -135,7 +138,7 @@
     const head = { path, host: message.headers.host ?? "", headers: message.rawHeaders };
     const body = await readBody(clock, message, {
       maxBytes: limits.maxBodyBytes,
-      timeLimitMs: () => options.timeLimitMs(head) ?? limits.idleTimeoutMs,
+      timeLimitMs: () => arrivedAt + (options.timeLimitMs(head) ?? limits.idleTimeoutMs) - readAt,
       hold,
     });
     const rejectBody = (status: number, reason: string) => {
@@ -175,7 +178,11 @@
       // Requests that have been sent ahead are answered before the connection is closed.
       const isLast = () => options.isClosing() && !bounded.hasEarlyRequests(message.socket);
       const sink = createResponseSink(response, isLast, held);
-      const open: OpenRequest = { path, arrivedAt: clock.now(), sink };
+      const open: OpenRequest = {
+        path,
+        arrivedAt: options.arrivedAt?.(message.socket) ?? clock.now(),
+        sink,
+      };
       openRequests.add(open);
       response.once("close", () => void openRequests.delete(open));
       const endWithDefect = (defect: unknown) => {
--- /dev/null
+++ b/packages/entry-box/src/late-reads.steps.ts
@@ -0,0 +1,164 @@
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { Clock } from "@linkfall/kernel";
+import { createMetrics } from "@linkfall/metrics";
+import { scenarioState } from "@linkfall/test-support";
+import { type AcceptQueueMonitor, createAcceptQueueMonitor } from "./accept-queue-monitor.js";
+import { createRequestArrivals, type RequestArrivals } from "./request-arrivals.js";
+
+interface Scene {
+  now: number;
+  iteration: number;
+  idleMs: number;
+  blockedSince?: number;
+  readonly monitor: AcceptQueueMonitor;
+  readonly arrivals: RequestArrivals;
+  readonly waits: number[];
+  ownConnection?: Socket;
+  lastAccepted?: Socket;
+  countsFrom?: number;
+}
+
+const sceneOf = (world: object) => scenarioState(world).get<Scene>("late reads");
+
+const ownAddress = "10.0.0.1";
+let lastPort = 0;
+
+/** A connection as far as the monitor looks at it. */
+function socketOf(ends: Partial<Socket>): Socket {
+  const socket = { ...ends, on: () => socket, once: () => socket, destroy: () => socket };
+  return socket as unknown as Socket;
+}
+
+const connectionOfCaller = () =>
+  socketOf({ remoteAddress: "10.0.0.2", remotePort: (lastPort += 1) });
+
+function accept(scene: Scene, socket: Socket): void {
+  scene.monitor.connectionAccepted(socket);
+  scene.arrivals.connectionAccepted(socket);
+  scene.lastAccepted = socket;
+}
+
+function startIteration(scene: Scene, ms: number): void {
+  scene.iteration += 1;
+  scene.now += ms;
+}
+
+Given("a box at {int} ms", function (this: object, now: number) {
+  const clock: Clock = {
+    now: () => scene.now,
+    elapsed: () => scene.now,
+    wallTime: () => "",
+    after: () => () => undefined,
+  };
+  const unreadSince = () => scene.blockedSince;
+  const loopIterations = () => scene.iteration;
+  const waits: number[] = [];
+  const monitor = createAcceptQueueMonitor({
+    clock,
+    logger: { event: () => undefined },
+    metrics: createMetrics(),
+    loopIterations,
+    loopIdleMs: () => scene.idleMs,
+    unreadSince,
+    connect: () =>
+      (scene.ownConnection = socketOf({ localAddress: ownAddress, localPort: (lastPort += 1) })),
+    onWait: (waitMs) => void waits.push(waitMs),
+  });
+  const arrivals = createRequestArrivals({
+    clock,
+    unreadSince,
+    connectionWaitingSince: monitor.waitingSince,
+    loopIterations,
+  });
+  const scene: Scene = { now, iteration: 0, idleMs: 0, monitor, arrivals, waits };
+  scenarioState(this).set("late reads", scene);
+});
+
+Given("its event loop was blocked since {int} ms", function (this: object, since: number) {
+  sceneOf(this).blockedSince = since;
+});
+
+When("a connection is accepted", function (this: object) {
+  accept(sceneOf(this), connectionOfCaller());
+});
+
+When("a connection is accepted in the next iteration", function (this: object) {
+  startIteration(sceneOf(this), 0);
+  accept(sceneOf(this), connectionOfCaller());
+});
+
+When(
+  "connections are accepted in {int} consecutive iterations of {int} ms",
+  function (this: object, count: number, iterationMs: number) {
+    const scene = sceneOf(this);
+    for (let index = 0; index < count; index++) {
+      accept(scene, connectionOfCaller());
+      startIteration(scene, iterationMs);
+    }
+  },
+);
+
+When("the event loop waits for {int} ms for input", function (this: object, ms: number) {
+  const scene = sceneOf(this);
+  scene.idleMs += ms;
+  scene.now += ms;
+});
+
+When("the box's own connection is accepted", function (this: object) {
+  const scene = sceneOf(this);
+  const { ownConnection } = scene;
+  assert.ok(ownConnection);
+  const { localAddress: remoteAddress, localPort: remotePort } = ownConnection;
+  accept(scene, socketOf({ remoteAddress, remotePort }));
+});
+
+function readRequest(scene: Scene, socket: Socket): void {
+  scene.countsFrom = scene.arrivals.arrivedAt(socket);
+}
+
+When("a request is read on a kept connection", function (this: object) {
+  readRequest(sceneOf(this), connectionOfCaller());
+});
+
+function readFirstRequest(scene: Scene, iterations: number, ms: number): void {
+  scene.blockedSince = undefined;
+  scene.iteration += iterations;
+  scene.now += ms;
+  assert.ok(scene.lastAccepted);
+  readRequest(scene, scene.lastAccepted);
+}
+
+When(
+  "its first request is read in the next iteration, {int} ms later",
+  function (this: object, ms: number) {
+    readFirstRequest(sceneOf(this), 1, ms);
+  },
+);
+
+When(
+  "its first request is read {int} iterations and {int} ms later",
+  function (this: object, iterations: number, ms: number) {
+    readFirstRequest(sceneOf(this), iterations, ms);
+  },
+);
+
+Then("the request counts from {int} ms", function (this: object, at: number) {
+  assert.equal(sceneOf(this).countsFrom, at);
+});
+
+Then(
+  "the last connection may have been waiting since {int} ms",
+  function (this: object, at: number) {
+    assert.equal(sceneOf(this).monitor.waitingSince(), at);
+  },
+);
+
+Then("the box has connected to itself", function (this: object) {
+  assert.ok(sceneOf(this).ownConnection);
+});
+
+Then("a wait of {int} ms was measured", function (this: object, ms: number) {
+  assert.equal(sceneOf(this).waits.at(-1), ms);
+});
--- a/packages/entry-box/src/open-requests.ts
+++ b/packages/entry-box/src/open-requests.ts
@@ -20,7 +20,7 @@
 /** A request without a complete response. */
 export interface OpenRequest {
   readonly path: string;
-  /** Clock reading at which its head had been read. */
+  /** Clock reading since which it may have been waiting to be read. */
   readonly arrivedAt: Milliseconds;
   readonly sink: ResponseSink;
   /** Absent before the request is forwarded: no target has got it. */
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -272,8 +272,8 @@
   connectionsWaited: event(
     5011,
     "warn",
-    "Callers' connections waited in the listen queue: the box accepts one per event loop iteration, and the iterations were long.",
-    "Check linkfall_accept_turn_ms and the other load of the box.",
+    "Callers' connections waited in the listen queue for at least `waitedMs`: the box accepts one per event loop iteration, and the iterations were long.",
+    "Check linkfall_accept_turn_ms, linkfall_connection_wait_ms and the other load of the box.",
   ),
   callerLeft: event(
     5012,
--- a/packages/raw-exchange/src/index.ts
+++ b/packages/raw-exchange/src/index.ts
@@ -16,7 +16,12 @@
 import { createTargetAgent, type TargetConnector } from "./target-connector.js";
 
 export { isListening } from "./is-listening.js";
-export { createTargetAgent, type TargetConnector, tcpConnector } from "./target-connector.js";
+export {
+  connectToAddress,
+  createTargetAgent,
+  type TargetConnector,
+  tcpConnector,
+} from "./target-connector.js";
 
 /** The request of an exchange. */
 export interface ExchangeRequest {
--- a/packages/raw-exchange/src/is-listening.ts
+++ b/packages/raw-exchange/src/is-listening.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "@linkfall/kernel";
 import type { ListenerStatus } from "@linkfall/ports";
 import type { Milliseconds } from "@linkfall/types";
-import { type TargetConnector, tcpConnector } from "./target-connector.js";
+import { connectToAddress, type TargetConnector, tcpConnector } from "./target-connector.js";
 
 /** System error code of a connection to a port without a listener. */
 const connectionRefusedCode = "ECONNREFUSED";
@@ -14,8 +14,7 @@
   timeoutMs: Milliseconds,
   connector: TargetConnector = tcpConnector,
 ): Promise<ListenerStatus> {
-  const colon = address.lastIndexOf(":");
-  const socket = connector(address.slice(0, colon), Number(address.slice(colon + 1)));
+  const socket = connectToAddress(connector, address);
   return new Promise((resolve) => {
     const finish = (listening: ListenerStatus) => {
       cancel();
--- a/packages/raw-exchange/src/target-connector.ts
+++ b/packages/raw-exchange/src/target-connector.ts
@@ -6,6 +6,12 @@
 /** Starts to connect to a target. */
 export type TargetConnector = (host: string, port: number) => Socket;
 
+/** Starts to connect to `host:port`. */
+export function connectToAddress(connector: TargetConnector, address: string): Socket {
+  const separator = address.lastIndexOf(":");
+  return connector(address.slice(0, separator), Number(address.slice(separator + 1)));
+}
+
 export const tcpConnector: TargetConnector = (host, port) => connect(port, host);
 
 /** Creates an agent whose connections are opened by the connector. */
