Recognise the box's own connection before it is reported as connected

Cause: the port of the box's connection to itself was read while it was still being connected, and Node keeps that answer. Change: the port is read once the connection is reported as connected; connections that were accepted before are kept until then. Measured: "Connections behind the box's own one have waited for less" in both orders.

--- a/packages/entry-box/src/accept-queue-monitor.ts
+++ b/packages/entry-box/src/accept-queue-monitor.ts
@@ -45,6 +45,10 @@
 interface Probe {
   readonly socket: Socket;
   readonly openedAt: Milliseconds;
+  /** Connections accepted before the local port of the probe was known, by remote port. */
+  readonly accepted: Map<number | undefined, Socket>;
+  /** Known once it is connected. */
+  localPort?: number;
   /** Connections accepted before it. */
   connections: number;
   /** Shortest wait to log next; doubles with each logged line. */
@@ -80,10 +84,16 @@
     const started: Probe = {
       socket: connect(),
       openedAt: clock.now(),
+      accepted: new Map(),
       connections: 0,
       logThresholdMs: minLoggedWaitMs,
     };
     probe = started;
+    started.socket.once("connect", () => {
+      started.localPort = started.socket.localPort;
+      const own = started.accepted.get(started.localPort);
+      if (own) endWait(started, own);
+    });
     // A probe fails when the box stops listening, and tells nothing then.
     started.socket.on("error", () => endProbe(started));
     started.socket.once("close", () => endProbe(started));
@@ -100,10 +110,17 @@
     }
     return waitMs;
   };
-  const isOwn = ({ remoteAddress, remotePort }: Socket, { socket }: Probe) =>
-    remotePort !== undefined &&
-    remotePort === socket.localPort &&
-    remoteAddress === socket.localAddress;
+  /** Ends the wait of the probe whose other end has been accepted. */
+  const endWait = (ended: Probe, own: Socket) => {
+    metrics.observe(
+      "linkfall_connection_wait_ms",
+      "Time for which a connection of the box to itself waited in the listen queue.",
+      Math.round(reportWait(ended)),
+    );
+    if (burst) burst.waitingSince = Math.max(burst.waitingSince, ended.openedAt);
+    endProbe(ended);
+    own.destroy();
+  };
 
   /** Continues the burst, or begins a new one if the queue has been empty meanwhile. */
   const continueBurst = (): AcceptBurst => {
@@ -138,20 +155,14 @@
     waitingSince: () => burst?.waitingSince ?? clock.now(),
     connectionAccepted(socket) {
       const current = continueBurst();
-      if (probe && isOwn(socket, probe)) {
-        metrics.observe(
-          "linkfall_connection_wait_ms",
-          "Time for which a connection of the box to itself waited in the listen queue.",
-          Math.round(reportWait(probe)),
-        );
-        current.waitingSince = Math.max(current.waitingSince, probe.openedAt);
-        endProbe(probe);
-        return void socket.destroy();
+      if (!probe) {
+        if (clock.now() - current.waitingSince >= minProbedWaitMs) startProbe();
+        return;
       }
-      if (probe) {
-        probe.connections += 1;
-        reportWait(probe);
-      } else if (clock.now() - current.waitingSince >= minProbedWaitMs) startProbe();
+      if (probe.localPort === undefined) probe.accepted.set(socket.remotePort, socket);
+      else if (socket.remotePort === probe.localPort) return endWait(probe, socket);
+      probe.connections += 1;
+      reportWait(probe);
     },
   };
 }
--- a/packages/entry-box/src/late-reads.steps.ts
+++ b/packages/entry-box/src/late-reads.steps.ts
@@ -15,24 +15,38 @@
   readonly monitor: AcceptQueueMonitor;
   readonly arrivals: RequestArrivals;
   readonly waits: number[];
-  ownConnection?: Socket;
+  ownPort?: number;
+  reportConnected?: () => void;
   lastAccepted?: Socket;
   countsFrom?: number;
 }
 
 const sceneOf = (world: object) => scenarioState(world).get<Scene>("late reads");
 
-const ownAddress = "10.0.0.1";
 let lastPort = 0;
 
 /** A connection as far as the monitor looks at it. */
-function socketOf(ends: Partial<Socket>): Socket {
-  const socket = { ...ends, on: () => socket, once: () => socket, destroy: () => socket };
+function socketOf(
+  ends: Partial<Socket>,
+  onListener = (_name: string, _listener: () => void) => {},
+) {
+  const listen = (name: string, listener: () => void) => {
+    onListener(name, listener);
+    return socket;
+  };
+  const socket = { ...ends, on: listen, once: listen, destroy: () => socket };
   return socket as unknown as Socket;
 }
 
-const connectionOfCaller = () =>
-  socketOf({ remoteAddress: "10.0.0.2", remotePort: (lastPort += 1) });
+const connectionOfCaller = () => socketOf({ remotePort: (lastPort += 1) });
+
+/** The box's own end of its connection to itself. */
+function connectToSelf(scene: Scene): Socket {
+  scene.ownPort = lastPort += 1;
+  return socketOf({ localPort: scene.ownPort }, (name, listener) => {
+    if (name === "connect") scene.reportConnected = listener;
+  });
+}
 
 function accept(scene: Scene, socket: Socket): void {
   scene.monitor.connectionAccepted(socket);
@@ -62,8 +76,7 @@
     loopIterations,
     loopIdleMs: () => scene.idleMs,
     unreadSince,
-    connect: () =>
-      (scene.ownConnection = socketOf({ localAddress: ownAddress, localPort: (lastPort += 1) })),
+    connect: () => connectToSelf(scene),
     onWait: (waitMs) => void waits.push(waitMs),
   });
   const arrivals = createRequestArrivals({
@@ -106,13 +119,15 @@
   scene.now += ms;
 });
 
-When("the box's own connection is accepted", function (this: object) {
-  const scene = sceneOf(this);
-  const { ownConnection } = scene;
-  assert.ok(ownConnection);
-  const { localAddress: remoteAddress, localPort: remotePort } = ownConnection;
-  accept(scene, socketOf({ remoteAddress, remotePort }));
-});
+When(
+  "the box's own connection is accepted {word} it is reported as connected",
+  function (this: object, order: string) {
+    const scene = sceneOf(this);
+    if (order === "after") scene.reportConnected?.();
+    accept(scene, socketOf({ remotePort: scene.ownPort }));
+    if (order === "before") scene.reportConnected?.();
+  },
+);
 
 function readRequest(scene: Scene, socket: Socket): void {
   scene.countsFrom = scene.arrivals.arrivedAt(socket);
@@ -156,7 +171,7 @@
 );
 
 Then("the box has connected to itself", function (this: object) {
-  assert.ok(sceneOf(this).ownConnection);
+  assert.ok(sceneOf(this).ownPort);
 });
 
 Then("a wait of {int} ms was measured", function (this: object, ms: number) {
