Take late timers for a sign of unread input before that input is read

Cause: a late timer defers its action until the sockets were polled, so that the start of the blocked period was known only after the requests that had arrived in it had been read; the scenarios saw it since their loop is blocked in every iteration. Change: the system clock reports a late timer before the poll; the time since which input may have been waiting is kept apart from the monitor of the event loop. Measured: "What arrived in a blocked period is read in the iteration in which its timers fire late"; the two scenarios of callers that are read late hold as before.

--- a/packages/entry-box/src/event-loop-monitor.feature
+++ b/packages/entry-box/src/event-loop-monitor.feature
@@ -24,13 +24,6 @@
     And a timer fires 250 ms late
     Then delays of 150 and 250 ms are logged
 
-  # Guards against requests that count from when a blocked box reads them.
-  Scenario: Input that is read after a blocked period may have come since its start
-    Given a monitored event loop
-    When a timer fires 150 ms late
-    Then input may have been waiting for 150 ms
-    And no input is waiting after the iteration
-
   Scenario: A cancelled timer is not logged
     Given a monitored event loop
     When a timer is cancelled and its due time passes by 500 ms
--- a/packages/entry-box/src/event-loop-monitor.steps.ts
+++ b/packages/entry-box/src/event-loop-monitor.steps.ts
@@ -2,7 +2,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import type { Clock } from "@linkfall/kernel";
 import { createMetrics } from "@linkfall/metrics";
-import { type MonitoredClock, monitorEventLoop } from "./event-loop-monitor.js";
+import { monitorEventLoop } from "./event-loop-monitor.js";
 
 interface Timer {
   readonly dueAt: number;
@@ -18,9 +18,7 @@
 
 interface Scene {
   readonly clock: LateClock;
-  readonly monitored: MonitoredClock;
-  /** Actions that wait for the end of the iteration. */
-  readonly afterIteration: (() => void)[];
+  readonly monitored: Clock;
   readonly loggedDelays: number[];
 }
 
@@ -63,14 +61,8 @@
     event: (_name: string, detail?: Readonly<Record<string, unknown>>) =>
       void loggedDelays.push(Number(detail?.delayMs)),
   };
-  const afterIteration: (() => void)[] = [];
-  const monitored = monitorEventLoop({
-    clock,
-    logger,
-    metrics: createMetrics(),
-    afterIteration: (action) => void afterIteration.push(action),
-  });
-  scenes.set(this, { clock, monitored, loggedDelays, afterIteration });
+  const monitored = monitorEventLoop({ clock, logger, metrics: createMetrics() });
+  scenes.set(this, { clock, monitored, loggedDelays });
 });
 
 When("a timer fires {int} ms late", function (this: object, lateMs: number) {
@@ -112,14 +104,3 @@
     assert.deepEqual(sceneOf(this).loggedDelays, [first, second]);
   },
 );
-
-Then("input may have been waiting for {int} ms", function (this: object, ms: number) {
-  const { clock, monitored } = sceneOf(this);
-  assert.equal(clock.now() - (monitored.unreadSince() ?? Infinity), ms);
-});
-
-Then("no input is waiting after the iteration", function (this: object) {
-  const { monitored, afterIteration } = sceneOf(this);
-  for (const action of afterIteration) action();
-  assert.equal(monitored.unreadSince(), undefined);
-});
--- a/packages/entry-box/src/event-loop-monitor.ts
+++ b/packages/entry-box/src/event-loop-monitor.ts
@@ -11,8 +11,6 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Calls the action when the input of the current iteration of the event loop has been read. */
-  readonly afterIteration?: (action: () => void) => void;
 }
 
 /** Shorter delays are normal and not worth the cost of recording. */
@@ -25,11 +23,6 @@
 export interface MonitoredClock extends Clock {
   /** Total time for which the event loop was blocked so far, as far as timers were late. */
   heldUpMs(): Milliseconds;
-  /**
-   * Start of the blocked period whose input is being read, as far as timers were late; undefined if all of it has been read, or
-   * there was none.
-   */
-  unreadSince(): Milliseconds | undefined;
 }
 
 /** Wraps a clock and monitors its timers. Each blocked period is logged once, regardless of how many timers it delays. */
@@ -37,22 +30,17 @@
   clock,
   logger,
   metrics,
-  afterIteration = setImmediate,
 }: EventLoopMonitorOptions): MonitoredClock {
   let lastLoggedAt: Milliseconds = -Infinity;
 
   let heldUpMs: Milliseconds = 0;
   let heldUpUntil: Milliseconds = -Infinity;
-  let unreadSince: Milliseconds | undefined;
 
   /** Counts a blocked period once, regardless of how many timers it delays. */
   const countHeldUp = (dueAt: Milliseconds, now: Milliseconds) => {
     if (now - dueAt < minCountedDelayMs) return;
     heldUpMs += now - Math.max(dueAt, heldUpUntil);
     heldUpUntil = now;
-    // Timers fire before input is read, so that what arrived in the blocked period is read in this iteration.
-    if (unreadSince === undefined) afterIteration(() => (unreadSince = undefined));
-    unreadSince = Math.min(unreadSince ?? dueAt, dueAt);
   };
   const recordDelay = (dueAt: Milliseconds) => {
     const now = clock.now();
@@ -74,7 +62,6 @@
     elapsed: clock.elapsed,
     wallTime: clock.wallTime,
     heldUpMs: () => heldUpMs,
-    unreadSince: () => unreadSince,
     after(delay, action) {
       const dueAt = clock.now() + delay;
       return clock.after(delay, () => {
--- a/packages/entry-box/src/index.ts
+++ b/packages/entry-box/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./event-loop-monitor.js";
 export * from "./planned-stop.js";
 export * from "./provide-connection-bounds.js";
+export * from "./unread-input.js";
--- a/packages/entry-box/src/late-reads.feature
+++ b/packages/entry-box/src/late-reads.feature
@@ -21,6 +21,11 @@
     And its first request is read in the next iteration, 300 ms later
     Then the request counts from 700 ms
 
+  Scenario: What arrived in a blocked period is read in the iteration in which its timers fire late
+    Given input is read in an iteration whose timers were due at 700 and 650 ms
+    Then it may have been waiting since 650 ms
+    And input of the next iteration has not been waiting
+
   Scenario: A request that its caller sent some time after connecting counts from when it is read
     Given a box at 1000 ms
     And its event loop was blocked since 700 ms
--- a/packages/entry-box/src/late-reads.steps.ts
+++ b/packages/entry-box/src/late-reads.steps.ts
@@ -6,6 +6,7 @@
 import { scenarioState } from "@linkfall/test-support";
 import { type AcceptQueueMonitor, createAcceptQueueMonitor } from "./accept-queue-monitor.js";
 import { createRequestArrivals, type RequestArrivals } from "./request-arrivals.js";
+import { createUnreadInput, type UnreadInput } from "./unread-input.js";
 
 interface Scene {
   now: number;
@@ -177,3 +178,30 @@
 Then("a wait of {int} ms was measured", function (this: object, ms: number) {
   assert.equal(sceneOf(this).waits.at(-1), ms);
 });
+
+interface Iteration {
+  readonly unreadInput: UnreadInput;
+  readonly afterIteration: (() => void)[];
+}
+const iterationOf = (world: object) => scenarioState(world).get<Iteration>("iteration");
+
+Given(
+  "input is read in an iteration whose timers were due at {int} and {int} ms",
+  function (this: object, first: number, second: number) {
+    const afterIteration: (() => void)[] = [];
+    const unreadInput = createUnreadInput((action) => void afterIteration.push(action));
+    unreadInput.recordLateTimer(first);
+    unreadInput.recordLateTimer(second);
+    scenarioState(this).set("iteration", { unreadInput, afterIteration });
+  },
+);
+
+Then("it may have been waiting since {int} ms", function (this: object, since: number) {
+  assert.equal(iterationOf(this).unreadInput.since(), since);
+});
+
+Then("input of the next iteration has not been waiting", function (this: object) {
+  const { unreadInput, afterIteration } = iterationOf(this);
+  for (const action of afterIteration) action();
+  assert.equal(unreadInput.since(), undefined);
+});
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -52,8 +52,10 @@
  * Creates the clock of the running process. After a long iteration the event loop runs expired timers before it polls its
  * sockets. A late timer therefore defers its action until the sockets were polled; otherwise requests would time out
  * although their responses have arrived.
+ *
+ * @param onLateTimer called before the sockets are polled when a timer is late, with the time at which it was due
  */
-export function systemClock(): Clock {
+export function systemClock(onLateTimer?: (dueAt: Milliseconds) => void): Clock {
   return {
     now: () => performance.now(),
     elapsed: createElapsedReader(() => performance.now(), Date.now),
@@ -63,6 +65,7 @@
       let deferred: NodeJS.Immediate | undefined;
       const expire = () => {
         if (performance.now() - dueAt <= maxTimerLagMs) return action();
+        onLateTimer?.(dueAt);
         deferred = setImmediate(action);
       };
       const start = (remainingMs: Milliseconds): NodeJS.Timeout =>
