Ask the store before a request is refused for good under a configuration that may be old

Cause: a box that does not read the store hears of a version from another box and fetches it in a call of 400 ms; on boxes whose event loop takes half a second for an iteration those calls time out again and again. Whatever its own delay, a box took its configuration for the newest and refused for good. Change: a request without a route, or with an unknown key, makes the box read what the store has beyond its configuration (checks share one read, an answer counts for 0.5 s) and is looked at again; if the store does not tell in time, the answer is 503 with a time to come back. Evidence: "A route that was added is served by a box that has not heard of the change" (404 before), the same for a key (401 before) and "... while the store does not answer" (404 before). Why it works: the refusal is decided after the store has answered a call that was made after the request had been read, or at most 0.5 s before.

--- a/packages/desired-feed/src/desired-feed.ts
+++ b/packages/desired-feed/src/desired-feed.ts
@@ -1,7 +1,7 @@
 /** Follows the active configuration and the target list, read from the store or received from other boxes. */
 import type { TargetChanges } from "@linkfall/box-peers";
 import type { LogFailure } from "@linkfall/errors";
-import { clockName, type Kernel } from "@linkfall/kernel";
+import { clockName, type Kernel, withTimeout } from "@linkfall/kernel";
 import { type Logger, loggerName } from "@linkfall/logger";
 import { timeTask } from "@linkfall/long-task";
 import { type Metrics, metricsName } from "@linkfall/metrics";
@@ -14,6 +14,7 @@
   type Milliseconds,
   type Offset,
 } from "@linkfall/types";
+import { createConfigurationCheck } from "./configuration-check.js";
 import { type ConfigurationTracker, createConfigurationTracker } from "./configuration-tracker.js";
 import type { DesiredFeed, DesiredFeedInput } from "./feed-types.js";
 import { createStreamFollower, type StreamFollower } from "./stream-follower.js";
@@ -223,6 +224,12 @@
   const reporters = { clock, logger: context.logger, metrics: context.metrics };
   const applyConfigurations = (batch: KeyedBatch) =>
     timeTask(reporters, "apply configuration", () => applyConfigurationBatch(context, batch));
+  const configurationCheck = createConfigurationCheck({
+    clock,
+    stream: input.configurationStream,
+    apply: applyConfigurations,
+    onFailure: ({ kind }) => context.logger.event("configurationUnconfirmed", { kind }),
+  });
   const timeTargets = (apply: () => void) => timeTask(reporters, "apply target list", apply);
   const configurationFollower = createStreamFollower({
     clock,
@@ -246,6 +253,8 @@
 
   return {
     activeConfiguration: configuration.active,
+    confirmConfiguration: async (timeoutMs) =>
+      (await withTimeout(clock, timeoutMs, configurationCheck.isNewest())) === true,
     ready: () => configuration.active() !== undefined && context.targetsKnown,
     readsStore: input.peers.readsStore,
     reachesStore: reachability.isReachable,
--- a/packages/desired-feed/src/feed-types.ts
+++ b/packages/desired-feed/src/feed-types.ts
@@ -35,6 +35,11 @@
 export interface DesiredFeed extends Service {
   /** Returns the active configuration, or undefined before the first. */
   activeConfiguration(): ActiveConfiguration | undefined;
+  /**
+   * Asks the store whether the active configuration is the newest, and applies a newer one; false if the store does not tell within
+   * `timeoutMs`.
+   */
+  confirmConfiguration(timeoutMs: Milliseconds): Promise<boolean>;
   /** Whether both configuration and targets are known. */
   ready(): boolean;
   /** Whether this box currently reads the store itself. */
--- a/packages/entry-box/src/handle-request.ts
+++ b/packages/entry-box/src/handle-request.ts
@@ -35,6 +35,8 @@
 }
 
 const notReadyRetryMs: Milliseconds = 500;
+/** Longest time for which a request waits to learn whether the configuration that does not allow it is the newest. */
+const maxConfirmMs: Milliseconds = 300;
 const overLimitStatus = 429;
 const stoppingReason = "stopping";
 
@@ -133,6 +135,39 @@
   return { outcome: "refused", status, reason: stoppingReason };
 }
 
+/** Whether the configuration in force allows a request. */
+type AllowedRequest =
+  | {
+      readonly kind: "allowed";
+      readonly inForce: ActiveConfiguration;
+      readonly route: Route;
+      /** Absent if the caller needs no account. */
+      readonly caller?: ClientAccount;
+    }
+  | {
+      readonly kind: "refused";
+      readonly status: number;
+      readonly why: string;
+      readonly version?: number;
+      /** Fingerprint of an unknown key. */
+      readonly key?: string;
+    };
+
+function checkAllowed(
+  feed: DesiredFeed,
+  { host, path }: RequestHead,
+  key: string | undefined,
+): AllowedRequest {
+  const inForce = feed.activeConfiguration();
+  const version = inForce?.configuration.version;
+  const route = inForce?.routes.find(host, path);
+  if (!inForce || !route)
+    return { kind: "refused", status: 404, why: `no route in version ${version}` };
+  const caller = identify(inForce.keys, route, key);
+  if (caller.kind === "known") return { kind: "allowed", inForce, route, caller: caller.account };
+  return { kind: "refused", status: 401, why: caller.why, version, key: caller.fingerprint };
+}
+
 /** Handles one request under the configuration in force when it arrives. */
 export async function handleRequest(context: RequestContext, request: FrontRequest): Promise<void> {
   const { feed, codec, forward } = context;
@@ -145,27 +180,35 @@
   const invalid =
     findUnwritableHeader(request.headers) ?? codec.describeInvalidHeaders(request.headers);
   if (invalid !== undefined) return reject(400, invalid);
-  const inForce = feed.activeConfiguration();
-  if (!inForce || !context.ready()) return reject(503, "no configuration yet", notReadyRetryMs);
-  const route = inForce.routes.find(request.host, request.path);
-  if (!route) return reject(404, `no route in version ${inForce.configuration.version}`);
-  const { version } = inForce.configuration;
-  const caller = identify(inForce.keys, route, codec.readApiKey(request.headers));
-  if (caller.kind === "unknown") {
-    return reject(401, caller.why, undefined, { version, key: caller.fingerprint });
+  if (!feed.activeConfiguration() || !context.ready())
+    return reject(503, "no configuration yet", notReadyRetryMs);
+  const key = codec.readApiKey(request.headers);
+  let allowed = checkAllowed(feed, request, key);
+  if (allowed.kind === "refused") {
+    // A route or a key may have been added that this box has not heard of.
+    const timeoutMs = Math.min(terms.deadlineMs ?? Infinity, maxConfirmMs);
+    if (!(await feed.confirmConfiguration(timeoutMs)))
+      return reject(503, "the configuration may be out of date", notReadyRetryMs);
+    allowed = checkAllowed(feed, request, key);
   }
+  if (allowed.kind === "refused") {
+    const { status, why, version, key: fingerprint } = allowed;
+    return reject(status, why, undefined, { version, key: fingerprint });
+  }
+  const { inForce, route, caller } = allowed;
+  const { version } = inForce.configuration;
   const forwarded = toForwardedRequest(
     request,
     terms,
     route,
-    caller.account,
+    caller,
     inForce,
     context.ranksRoutesOfAccounts,
   );
   if (!forwarded) return reject(503, "no such service", notReadyRetryMs);
   // Its account's limit is not charged for what this box can't serve any more.
   if (!forward.acceptsRequest(forwarded)) return reject(refusedStatus, stoppingReason, 0);
-  const admission = await admitToQuota(context.quota, caller.account, terms, version);
+  const admission = await admitToQuota(context.quota, caller, terms, version);
   if (admission.kind === "refused") {
     const details = { account: forwarded.account, version, retryAfterMs: admission.retryAfterMs };
     context.metrics.count(
--- a/packages/logger/src/events.ts
+++ b/packages/logger/src/events.ts
@@ -25,6 +25,12 @@
     "The box is shutting down: it is no longer advertised and drains its requests.",
   ),
   boxStopped: event(1004, "info", "The box has stopped."),
+  configurationUnconfirmed: event(
+    1024,
+    "warn",
+    "The store did not tell whether the configuration is the newest; a request that it does not allow is refused with a time to come back.",
+    "Check the store.",
+  ),
   softwareVersionsUnread: event(
     1016,
     "warn",
