Send a newer configuration at once to the boxes that have an older one

Cause: in a large deployment a box hears of a version in a later heartbeat and then asks for it in a call of 400 ms. Where iterations of the event loop take as long, on either side, the answer comes too late, the connection is closed, and the box asks again. Change: the boxes that read a newer configuration from the store send heartbeats at once to all that have an older one, and each heartbeat and reply to such a box carries the configuration, at most once a second for a version. The call stays for what is lost. Why it works: the message needs no answer of a late box; it is read whenever that box reads.

--- a/packages/box-peers/src/message-schemas.ts
+++ b/packages/box-peers/src/message-schemas.ts
@@ -225,18 +225,20 @@
   heartbeats: z.number().optional(),
 });
 
+const configurationCopy = z.object({ version: z.number(), text: z.string().optional() });
+
 const heartbeat = z.object({
   status,
   sightings,
   report: report.optional(),
   targets: targets.optional(),
+  configuration: configurationCopy.optional(),
   blame: z.object({ number: position, records: z.array(blameRecord) }).optional(),
   limits: limits.optional(),
   fragile: limits.optional(),
   leaving: z.object({ number: position, notices: z.array(z.object(leavingNotice)) }).optional(),
   departures: z.object({ number: position, departures: z.array(departure) }).optional(),
 });
-const configurationCopy = z.object({ version: z.number(), text: z.string().optional() });
 const anyObject = z.looseObject({});
 
 /** Longest reason; paths contain keys that the sender has chosen. */
--- a/packages/box-peers/src/messages.ts
+++ b/packages/box-peers/src/messages.ts
@@ -155,6 +155,8 @@
   readonly report?: LeaseHolderReport;
   /** Present if the sender reads the list from the store and the recipient does not. */
   readonly targets?: TargetChanges;
+  /** Present if the recipient has an older configuration; absent from earlier versions. */
+  readonly configuration?: ConfigurationCopy;
   /** Records of requests that crash targets; absent if the recipient has them all. */
   readonly blame?: BlameMessage;
   /** Records of targets' rate limits; absent if the recipient has them all. */
--- a/packages/desired-feed/src/desired-feed.ts
+++ b/packages/desired-feed/src/desired-feed.ts
@@ -222,8 +222,12 @@
     onFailure: (failure: LogFailure) => reachability.recordFailure(stream, failure),
   });
   const reporters = { clock, logger: context.logger, metrics: context.metrics };
-  const applyConfigurations = (batch: KeyedBatch) =>
+  const readListeners: (() => void)[] = [];
+  const applyConfigurations = (batch: KeyedBatch) => {
+    const version = configuration.version();
     timeTask(reporters, "apply configuration", () => applyConfigurationBatch(context, batch));
+    if (configuration.version() > version) for (const listener of readListeners) listener();
+  };
   const configurationCheck = createConfigurationCheck({
     clock,
     stream: input.configurationStream,
@@ -261,6 +265,7 @@
     isListSettled: reachability.isListSettled,
     catchUpTargets: async () => (await catchUpTargets(context)) && reachability.isListSettled(),
     targetsPosition: () => context.targets,
+    onConfigurationRead: (listener) => void readListeners.push(listener),
     configurationCopy: configuration.copy,
     applyConfigurationCopy: (copy) => {
       if (copy.text !== undefined && copy.version > configuration.version()) {
--- a/packages/desired-feed/src/feed-types.ts
+++ b/packages/desired-feed/src/feed-types.ts
@@ -55,6 +55,8 @@
   catchUpTargets(): Promise<boolean>;
   /** How far the target list is known. */
   targetsPosition(): ListPosition;
+  /** Calls the listener when a newer configuration that this box has read from the store is in force. */
+  onConfigurationRead(listener: () => void): void;
   /** Returns the active configuration for other boxes. */
   configurationCopy(): ConfigurationCopy;
   /** Applies a configuration received from another box, if it is newer. */
--- a/packages/entry-box/src/create-entry-box.ts
+++ b/packages/entry-box/src/create-entry-box.ts
@@ -34,6 +34,7 @@
 import { createOwnRelay, provideRelayDialler } from "./provide-relay.js";
 import { provideEngineSpeeds, provideFeed, provideFleet, providePeers } from "./provide-state.js";
 import { followRegistry } from "./box-registry.js";
+import { passOnConfigurations } from "./configuration-copies.js";
 import { createPlannedDemand } from "./planned-demand.js";
 import { createHeartbeatSource } from "./heartbeat-source.js";
 import { type LeaseHolderView, receiveHeartbeats } from "./heartbeat-receiver.js";
@@ -96,6 +97,7 @@
     runtime,
     createHeartbeatSource(runtime, () => holderView.followed, plannedDemand),
   );
+  passOnConfigurations(runtime);
   followReachOfOthers(runtime);
   provideRelayDialler(runtime);
   provideOrderLease(runtime);
--- a/packages/entry-box/src/heartbeat-receiver.ts
+++ b/packages/entry-box/src/heartbeat-receiver.ts
@@ -120,6 +120,7 @@
   const targetLimits = kernel.find(targetLimitsName);
   const fragileTargets = kernel.find(fragileTargetsName);
   const speeds = kernel.find(engineSpeedsName);
+  const feed = kernel.find(desiredFeedName);
   const fetchConfiguration = createConfigurationFetcher(runtime);
   const sumPeerLoads = createPeerLoadAggregator(runtime);
   const fleet = kernel.find(fleetName);
@@ -132,6 +133,7 @@
     if (peers.isFullMesh() || holdsLease) sumPeerLoads();
     if (holdsLease && status.intervals) speeds.merge(status.box, status.intervals);
     applyTargets(runtime, heartbeat);
+    if (heartbeat.configuration) feed.applyConfigurationCopy(heartbeat.configuration);
     if (heartbeat.blame) blame.applyChanges(status.incarnation, heartbeat.blame);
     if (heartbeat.leaving) fleet.leavingTargets.applyNotices(status.incarnation, heartbeat.leaving);
     if (heartbeat.departures) fleet.applyDepartures(status.incarnation, heartbeat.departures);
--- a/packages/entry-box/src/heartbeat-source.ts
+++ b/packages/entry-box/src/heartbeat-source.ts
@@ -21,6 +21,7 @@
   type LeavingMessage,
   type TargetLimitMessage,
 } from "@linkfall/types";
+import { createConfigurationCopies } from "./configuration-copies.js";
 import type { BoxRuntime } from "./box-runtime.js";
 import { ownLoads, recentDemand } from "./box-loads.js";
 import { ownProfile } from "./own-profile.js";
@@ -132,6 +133,9 @@
     });
   };
 
+  const copies = createConfigurationCopies(ports.clock, () =>
+    kernel.find(desiredFeedName).configurationCopy(),
+  );
   const createHeartbeat = (
     recipient: BoxStatus | undefined,
     sightings: Heartbeat["sightings"],
@@ -142,6 +146,7 @@
       sightings,
       report: holdsLease ? report(recipient) : undefined,
       targets: recipient && targetChangesFor(runtime, recipient),
+      configuration: copies.copyFor(recipient),
       blame: blameFor(runtime, recipient),
       limits: limitsFor(runtime, recipient),
       fragile: fragileFor(runtime, recipient),
