Give callers no address of a strained box while others of its kind have room

What callers saw: connections that waited for seconds at a strong box, the one with the order lease first of all, and requests held past their route's time (CONFIG). Cause: callers get the strong boxes of their failure domain unless more than half of these are strained. With two strong boxes a domain, the one with the lease was handed out however late it was. Node accepts one connection in an iteration of the event loop, so that accepting gets only the processor time that all other work leaves over; at a box that is nearly saturated the queue grows, while requests on kept connections look well. Change: while at most half of the strong boxes are strained, callers get those that are not, of their failure domain if there are two, else of all. More than that, and it is as before. The scenario that asked for both boxes of a domain with one strained is replaced by two that say who is handed out then. Why it works: a box gets no new callers from the moment in which it falls behind, and the ones it has ask the directory again within its time.

--- a/packages/entry-box/src/entries.feature
+++ b/packages/entry-box/src/entries.feature
@@ -13,9 +13,16 @@
   Scenario: Callers receive the high-capacity boxes of their failure domain
     Then callers in "a" receive the addresses of "a1 a2"
 
-  Scenario: With half of the high-capacity boxes strained, callers still receive only these
+  # Guards against connections that wait at a strained box while others of its kind have room.
+  Scenario: With a high-capacity box strained, callers receive those of all failure domains that are not
     Given "a1" is strained
-    Then callers in "a" receive the addresses of "a1 a2"
+    Then callers in "a" receive the addresses of "a2 b1 b2"
+    And callers in "b" receive the addresses of "b1 b2"
+
+  Scenario: With half of the high-capacity boxes of each failure domain strained, callers receive the others
+    Given "a1 b1" are strained
+    Then callers in "a" receive the addresses of "a2 b2"
+    And callers in "b" receive the addresses of "a2 b2"
 
   Scenario: With most high-capacity boxes of a failure domain strained, callers also receive its other boxes
     Given "a1 a2" are strained
--- a/packages/entry-box/src/entries.ts
+++ b/packages/entry-box/src/entries.ts
@@ -24,14 +24,18 @@
   return Math.max(0, ...boxes.map((box) => box.capacity)) * strongCapacityRatio;
 }
 
-/** The strong boxes while few of them are strained, else all: fewer boxes each have a more complete view of the load. */
+/**
+ * The strong boxes that are not strained while few of them are, else all: fewer boxes each have a more complete view of the load,
+ * and a strained one accepts connections late.
+ */
 function preferredBoxes(
   boxes: readonly EntryCandidate[],
   minCapacity: number,
 ): readonly EntryCandidate[] {
   const strong = boxes.filter((box) => box.capacity >= minCapacity);
-  const strained = strong.filter((box) => box.strained);
-  return strained.length > strong.length * maxStrainedFraction ? boxes : strong;
+  const rested = strong.filter((box) => !box.strained);
+  const strainedCount = strong.length - rested.length;
+  return strainedCount > strong.length * maxStrainedFraction ? boxes : rested;
 }
 
 /** Addresses for a caller: preferred boxes of its failure domain if there are enough, else of all domains. */
