Let a message that times out fail alone where its connection brings answers

Change: the connection is closed only if nothing has arrived on it since the message was sent. Evidence: "A message whose answer is late fails alone while its connection brings other answers" failed before; a connection that goes silent is closed at the first message that times out without anything heard, as before ("... brings nothing any more ...", "... times out once"). Why it works: an answer to another message shows that the path and the box are there.

--- a/packages/ask-stream/src/index.ts
+++ b/packages/ask-stream/src/index.ts
@@ -1,7 +1,7 @@
 /**
- * Request-response messages to one other box, multiplexed over one stream and correlated by number. If
- * a request times out, the connection is closed and the next request opens a new one, which avoids
- * waiting for TCP retransmissions after a network failure.
+ * Request-response messages to one other box, multiplexed over one stream and correlated by number. If a request times out and
+ * nothing has arrived on the connection meanwhile, the connection is closed and the next request opens a new one, which avoids
+ * waiting for TCP retransmissions after a network failure. Other answers show that the box is late only.
  */
 import type { ClientDuplexStream } from "@grpc/grpc-js";
 import type { PeerUnreachable } from "@linkfall/errors";
@@ -29,8 +29,15 @@
 
 interface Connection<Request, Response> extends DialledStream<Request, Response> {
   readonly pending: Map<number, (result: Either<PeerUnreachable, Response>) => void>;
+  /** When a message has arrived last. */
+  heardAt: Milliseconds;
 }
 
+const timedOut: PeerUnreachable = {
+  kind: "peer_unreachable",
+  reason: "the request timed out",
+  mayHaveArrived: true,
+};
 const noAnswer: PeerUnreachable = {
   kind: "peer_unreachable",
   reason: "the other box has no answer to such a message",
@@ -62,8 +69,13 @@
   };
 
   const connect = (): Connection<Request, Response> => {
-    const connection: Connection<Request, Response> = { ...dial(), pending: new Map() };
+    const connection: Connection<Request, Response> = {
+      ...dial(),
+      pending: new Map(),
+      heardAt: -Infinity,
+    };
     connection.stream.on("data", ({ number, body }: NumberedMessage<Response>) => {
+      connection.heardAt = clock.now();
       // A box of an earlier version has no answer to a kind of message that it does not know.
       connection.pending.get(number)?.(body === undefined ? Left(noAnswer) : Right(body));
       connection.pending.delete(number);
@@ -78,9 +90,12 @@
       new Promise((resolve) => {
         const connection = (open ??= connect());
         const number = ++lastNumber;
-        const cancel = clock.after(timeoutMs, () =>
-          failConnection(connection, "the request timed out"),
-        );
+        const sentAt = clock.now();
+        const cancel = clock.after(timeoutMs, () => {
+          if (connection.heardAt <= sentAt) return failConnection(connection, timedOut.reason);
+          connection.pending.delete(number);
+          resolve(Left(timedOut));
+        });
         connection.pending.set(number, (result) => {
           cancel();
           resolve(result);
--- a/packages/ask-stream/src/unknown-messages.steps.ts
+++ b/packages/ask-stream/src/unknown-messages.steps.ts
@@ -18,27 +18,66 @@
 
 const pairOf = (world: object) => scenarioState(world).get<Pair>("unknown messages");
 
+type Reply = (message: NumberedMessage<string>, send: (reply: object) => void) => void;
+
+/** Connects to a box that replies as given. */
+function connectTo(world: object, clock: VirtualClock, reply: Reply): void {
+  const closed: string[] = [];
+  const dial = () => {
+    const events = new EventEmitter();
+    const stream = Object.assign(events, {
+      cancel: () => undefined,
+      write: (message: NumberedMessage<string>) =>
+        reply(message, (answer) => void events.emit("data", answer)),
+    });
+    return { stream: stream as never, close: () => void closed.push("closed") };
+  };
+  const stream = createRequestStream<string, string>(clock, timeoutMs, dial);
+  scenarioState(world).set("unknown messages", { clock, stream, closed, replies: new Map() });
+}
+
 Given(
   "a box of an earlier version, which replies to {string} only",
   function (this: object, known: string) {
+    connectTo(this, createVirtualClock(), ({ number, body }, send) => {
+      const reply = body === known ? { number, body } : { number };
+      queueMicrotask(() => send(reply));
+    });
+  },
+);
+
+Given(
+  "a box that replies to {string} after {int} ms and to others after {int} ms",
+  function (this: object, slow: string, slowMs: number, otherMs: number) {
     const clock = createVirtualClock();
-    const closed: string[] = [];
-    const dial = () => {
-      const events = new EventEmitter();
-      const stream = Object.assign(events, {
-        cancel: () => undefined,
-        write({ number, body }: NumberedMessage<string>) {
-          const reply = body === known ? { number, body } : { number };
-          queueMicrotask(() => events.emit("data", reply));
-        },
-      });
-      return { stream: stream as never, close: () => void closed.push("closed") };
-    };
-    const stream = createRequestStream<string, string>(clock, timeoutMs, dial);
-    scenarioState(this).set("unknown messages", { clock, stream, closed, replies: new Map() });
+    connectTo(this, clock, (message, send) => {
+      clock.after(message.body === slow ? slowMs : otherMs, () => send(message));
+    });
+  },
+);
+
+When("{string} is sent {int} ms later", async function (this: object, body: string, ms: number) {
+  const { clock, stream, replies } = pairOf(this);
+  await clock.runUntil(clock.now() + ms);
+  void stream.request(body).then((reply) => replies.set(body, reply));
+});
+
+Then(
+  "after {int} ms {string} has failed, and {string} and {string} have answers",
+  async function (this: object, ms: number, failed: string, one: string, other: string) {
+    const { clock, replies } = pairOf(this);
+    await clock.runUntil(clock.now() + ms);
+    assert.equal(replies.get(failed)?.isLeft(), true);
+    for (const answered of [one, other]) assert.equal(replies.get(answered)?.extract(), answered);
   },
 );
 
+Then("the connection is closed after {int} ms", async function (this: object, ms: number) {
+  const { clock, closed } = pairOf(this);
+  await clock.runUntil(clock.now() + ms);
+  assert.deepEqual(closed, ["closed"]);
+});
+
 When("{string} and {string} are sent", async function (this: object, one: string, other: string) {
   const { clock, stream, replies } = pairOf(this);
   for (const body of [one, other]) {
