Compare the whole address before a connection is taken for the box's own

Cause: the box's connection to itself was recognised by its port number alone. A caller on another machine may use the same number, about once in the number of ephemeral ports, and its connection would have been closed without an answer. Change: host and port are compared, both read once the connection is reported as connected. Evidence: "A caller's connection is not taken for the box's own one"; found by reading.

--- a/packages/entry-box/src/accept-queue-monitor.ts
+++ b/packages/entry-box/src/accept-queue-monitor.ts
@@ -45,16 +45,18 @@
 interface Probe {
   readonly socket: Socket;
   readonly openedAt: Milliseconds;
-  /** Connections accepted before the local port of the probe was known, by remote port. */
-  readonly accepted: Map<number | undefined, Socket>;
-  /** Known once it is connected. */
-  localPort?: number;
+  /** Connections accepted before the probe's own address was known, by the address of their client. */
+  readonly accepted: Map<string, Socket>;
+  /** `host:port` of the probe's end, known once it is connected. */
+  ownAddress?: string;
   /** Connections accepted before it. */
   connections: number;
   /** Shortest wait to log next; doubles with each logged line. */
   logThresholdMs: Milliseconds;
 }
 
+const addressOf = (host?: string, port?: number): string => `${host}:${port}`;
+
 /** An event loop that waits for input has none, so that the listen queue is empty. */
 const minIdleMs: Milliseconds = 1;
 /** A queue that is emptied sooner needs no probe. */
@@ -90,8 +92,9 @@
     };
     probe = started;
     started.socket.once("connect", () => {
-      started.localPort = started.socket.localPort;
-      const own = started.accepted.get(started.localPort);
+      const { localAddress, localPort } = started.socket;
+      started.ownAddress = addressOf(localAddress, localPort);
+      const own = started.accepted.get(started.ownAddress);
       if (own) endWait(started, own);
     });
     // A probe fails when the box stops listening, and tells nothing then.
@@ -159,8 +162,9 @@
         if (clock.now() - current.waitingSince >= minProbedWaitMs) startProbe();
         return;
       }
-      if (probe.localPort === undefined) probe.accepted.set(socket.remotePort, socket);
-      else if (socket.remotePort === probe.localPort) return endWait(probe, socket);
+      const clientAddress = addressOf(socket.remoteAddress, socket.remotePort);
+      if (probe.ownAddress === undefined) probe.accepted.set(clientAddress, socket);
+      else if (probe.ownAddress === clientAddress) return endWait(probe, socket);
       probe.connections += 1;
       reportWait(probe);
     },
--- a/packages/entry-box/src/late-reads.feature
+++ b/packages/entry-box/src/late-reads.feature
@@ -58,3 +58,10 @@
       | order  |
       | after  |
       | before |
+
+  # Guards against a caller's connection that is closed since its port has the number of the box's own one.
+  Scenario: A caller's connection is not taken for the box's own one
+    Given a box at 1000 ms
+    When connections are accepted in 3 consecutive iterations of 100 ms
+    And a caller's connection from the same port number is accepted
+    Then the caller's connection stays open
--- a/packages/entry-box/src/late-reads.steps.ts
+++ b/packages/entry-box/src/late-reads.steps.ts
@@ -35,16 +35,20 @@
     onListener(name, listener);
     return socket;
   };
-  const socket = { ...ends, on: listen, once: listen, destroy: () => socket };
+  const destroy = () => Object.assign(socket, { destroyed: true });
+  const socket: object = { ...ends, on: listen, once: listen, destroyed: false, destroy };
   return socket as unknown as Socket;
 }
 
-const connectionOfCaller = () => socketOf({ remotePort: (lastPort += 1) });
+const ownHost = "10.0.0.1";
+const callerHost = "10.0.0.2";
+const connectionOfCaller = () =>
+  socketOf({ remoteAddress: callerHost, remotePort: (lastPort += 1) });
 
 /** The box's own end of its connection to itself. */
 function connectToSelf(scene: Scene): Socket {
   scene.ownPort = lastPort += 1;
-  return socketOf({ localPort: scene.ownPort }, (name, listener) => {
+  return socketOf({ localAddress: ownHost, localPort: scene.ownPort }, (name, listener) => {
     if (name === "connect") scene.reportConnected = listener;
   });
 }
@@ -125,11 +129,17 @@
   function (this: object, order: string) {
     const scene = sceneOf(this);
     if (order === "after") scene.reportConnected?.();
-    accept(scene, socketOf({ remotePort: scene.ownPort }));
+    accept(scene, socketOf({ remoteAddress: ownHost, remotePort: scene.ownPort }));
     if (order === "before") scene.reportConnected?.();
   },
 );
 
+When("a caller's connection from the same port number is accepted", function (this: object) {
+  const scene = sceneOf(this);
+  scene.reportConnected?.();
+  accept(scene, socketOf({ remoteAddress: callerHost, remotePort: scene.ownPort }));
+});
+
 function readRequest(scene: Scene, socket: Socket): void {
   scene.countsFrom = scene.arrivals.arrivedAt(socket);
 }
@@ -205,3 +215,7 @@
   for (const action of afterIteration) action();
   assert.equal(unreadInput.since(), undefined);
 });
+
+Then("the caller's connection stays open", function (this: object) {
+  assert.equal(sceneOf(this).lastAccepted?.destroyed, false);
+});
