Let the box's connections to itself take one in nine places of the listen queue

Cause, as the lines of a box show (front-hall-spanish-2, wallet grown small twin): a new one was opened as soon as the last was accepted, so that at a box that accepts two connections a second one to four callers came between two of them. Change: the next one is opened after eight other connections. In between, connections are taken to have waited for as long as the last one measured, or as the one that waits now. Evidence: the scenario of the box's own connection asks that the next comes after eight and not before.

--- a/packages/entry-box/src/accept-queue-monitor.ts
+++ b/packages/entry-box/src/accept-queue-monitor.ts
@@ -1,7 +1,7 @@
 /**
  * Measures how long connections wait in the listen queue. Node.js accepts one connection per iteration of the event loop, so that
- * the queue of a busy box grows unseen. While it is not known to be empty, the box connects to itself: as the queue is first in,
- * first out, all that is accepted before that connection has waited for longer, and all that is accepted after it for less.
+ * the queue of a busy box grows unseen. While it is not known to be empty, the box connects to itself now and then: as the queue
+ * is first in, first out, all that is accepted before that connection has waited for longer.
  */
 import type { Socket } from "node:net";
 import type { Clock } from "@linkfall/kernel";
@@ -34,8 +34,12 @@
 
 /** Time in which the queue is not known to have been empty. */
 interface AcceptBurst {
-  /** Connections that are accepted now have begun to wait after this. */
-  waitingSince: Milliseconds;
+  /** Connections of the burst have begun to wait after this. */
+  readonly startedAt: Milliseconds;
+  /** The newest measured wait; undefined before the first. */
+  measuredWaitMs?: Milliseconds;
+  /** Connections accepted since the last measurement. */
+  unmeasured: number;
   lastAcceptedAt: Milliseconds;
   lastIteration: number;
   idleMs: Milliseconds;
@@ -59,6 +63,8 @@
 
 /** An event loop that waits for input has none, so that the listen queue is empty. */
 const minIdleMs: Milliseconds = 1;
+/** Each connection of the box to itself takes the place of a caller's, so that one in so many is enough. */
+const connectionsPerProbe = 8;
 /** A queue that is emptied sooner needs no probe. */
 const minProbedWaitMs: Milliseconds = 20;
 /** Well below one second, after which callers abandon an unread request. */
@@ -78,6 +84,7 @@
   let burst: AcceptBurst | undefined;
   let probe: Probe | undefined;
 
+  const ageOf = ({ openedAt }: Probe): Milliseconds => clock.now() - openedAt;
   const endProbe = (ended: Probe) => {
     ended.socket.destroy();
     if (probe === ended) probe = undefined;
@@ -102,7 +109,7 @@
     started.socket.once("close", () => endProbe(started));
   };
   const reportWait = (current: Probe): Milliseconds => {
-    const waitMs = clock.now() - current.openedAt;
+    const waitMs = ageOf(current);
     onWait(waitMs);
     if (waitMs >= current.logThresholdMs) {
       current.logThresholdMs = waitMs * 2;
@@ -115,12 +122,16 @@
   };
   /** Ends the wait of the probe whose other end has been accepted. */
   const endWait = (ended: Probe, own: Socket) => {
+    const waitMs = reportWait(ended);
     metrics.observe(
       "linkfall_connection_wait_ms",
       "Time for which a connection of the box to itself waited in the listen queue.",
-      Math.round(reportWait(ended)),
+      Math.round(waitMs),
     );
-    if (burst) burst.waitingSince = Math.max(burst.waitingSince, ended.openedAt);
+    if (burst) {
+      burst.measuredWaitMs = waitMs;
+      burst.unmeasured = 0;
+    }
     endProbe(ended);
     own.destroy();
   };
@@ -136,7 +147,8 @@
       idleMs - burst.idleMs < minIdleMs;
     if (!burst || !goesOn) {
       burst = {
-        waitingSince: unreadSince() ?? now,
+        startedAt: unreadSince() ?? now,
+        unmeasured: 0,
         lastAcceptedAt: now,
         lastIteration: iteration,
         idleMs,
@@ -155,11 +167,20 @@
   };
 
   return {
-    waitingSince: () => burst?.waitingSince ?? clock.now(),
+    waitingSince() {
+      const now = clock.now();
+      if (!burst) return now;
+      const { startedAt, measuredWaitMs } = burst;
+      if (measuredWaitMs === undefined) return startedAt;
+      return Math.max(startedAt, now - Math.max(measuredWaitMs, probe ? ageOf(probe) : 0));
+    },
     connectionAccepted(socket) {
       const current = continueBurst();
+      current.unmeasured += 1;
       if (!probe) {
-        if (clock.now() - current.waitingSince >= minProbedWaitMs) startProbe();
+        const isDue =
+          current.measuredWaitMs === undefined || current.unmeasured >= connectionsPerProbe;
+        if (isDue && clock.now() - current.startedAt >= minProbedWaitMs) startProbe();
         return;
       }
       const clientAddress = addressOf(socket.remoteAddress, socket.remotePort);
--- a/packages/entry-box/src/late-reads.feature
+++ b/packages/entry-box/src/late-reads.feature
@@ -46,13 +46,14 @@
     And a connection is accepted
     Then the last connection may have been waiting since 1502 ms
 
-  Scenario Outline: Connections behind the box's own one have waited for less
+  Scenario Outline: Connections behind the box's own one are taken to have waited for as long
     Given a box at 1000 ms
     When connections are accepted in 3 consecutive iterations of 100 ms
     And the box's own connection is accepted <order> it is reported as connected
     And a connection is accepted in the next iteration
     Then the last connection may have been waiting since 1100 ms
     And a wait of 200 ms was measured
+    And the box connects to itself again after 8 connections, not before
 
     Examples:
       | order  |
--- a/packages/entry-box/src/late-reads.steps.ts
+++ b/packages/entry-box/src/late-reads.steps.ts
@@ -219,3 +219,20 @@
 Then("the caller's connection stays open", function (this: object) {
   assert.equal(sceneOf(this).lastAccepted?.destroyed, false);
 });
+
+Then(
+  "the box connects to itself again after {int} connections, not before",
+  function (this: object, count: number) {
+    const scene = sceneOf(this);
+    const { ownPort } = scene;
+    // One has been accepted since the box's own one.
+    for (let accepted = 2; accepted < count; accepted++) {
+      startIteration(scene, 0);
+      accept(scene, connectionOfCaller());
+    }
+    assert.equal(scene.ownPort, ownPort);
+    startIteration(scene, 0);
+    accept(scene, connectionOfCaller());
+    assert.notEqual(scene.ownPort, ownPort);
+  },
+);
