Connect to the box's own port twice a second at most

Cause: each time in which the queue was not known to be empty began with such a connection, however many of those times there were. Change: half a second between two of them, and none before a wait of 100 ms is possible.

--- a/packages/entry-box/src/accept-queue-monitor.ts
+++ b/packages/entry-box/src/accept-queue-monitor.ts
@@ -65,8 +65,10 @@
 const minIdleMs: Milliseconds = 1;
 /** Each connection of the box to itself takes the place of a caller's, so that one in so many is enough. */
 const connectionsPerProbe = 8;
+/** Shortest time between two of them, also where the queue is empty in between. */
+const minProbeIntervalMs: Milliseconds = 500;
 /** A queue that is emptied sooner needs no probe. */
-const minProbedWaitMs: Milliseconds = 20;
+const minProbedWaitMs: Milliseconds = 100;
 /** Well below one second, after which callers abandon an unread request. */
 const minLoggedWaitMs: Milliseconds = 250;
 
@@ -83,6 +85,7 @@
 }: AcceptQueueMonitorOptions): AcceptQueueMonitor {
   let burst: AcceptBurst | undefined;
   let probe: Probe | undefined;
+  let lastProbeAt: Milliseconds = -Infinity;
 
   const ageOf = ({ openedAt }: Probe): Milliseconds => clock.now() - openedAt;
   const endProbe = (ended: Probe) => {
@@ -98,6 +101,7 @@
       logThresholdMs: minLoggedWaitMs,
     };
     probe = started;
+    lastProbeAt = started.openedAt;
     started.socket.once("connect", () => {
       const { localAddress, localPort } = started.socket;
       started.ownAddress = addressOf(localAddress, localPort);
@@ -178,9 +182,11 @@
       const current = continueBurst();
       current.unmeasured += 1;
       if (!probe) {
+        const now = clock.now();
         const isDue =
-          current.measuredWaitMs === undefined || current.unmeasured >= connectionsPerProbe;
-        if (isDue && clock.now() - current.startedAt >= minProbedWaitMs) startProbe();
+          now - lastProbeAt >= minProbeIntervalMs &&
+          (current.measuredWaitMs === undefined || current.unmeasured >= connectionsPerProbe);
+        if (isDue && now - current.startedAt >= minProbedWaitMs) startProbe();
         return;
       }
       const clientAddress = addressOf(socket.remoteAddress, socket.remotePort);
--- a/packages/entry-box/src/late-reads.feature
+++ b/packages/entry-box/src/late-reads.feature
@@ -53,7 +53,7 @@
     And a connection is accepted in the next iteration
     Then the last connection may have been waiting since 1100 ms
     And a wait of 200 ms was measured
-    And the box connects to itself again after 8 connections, not before
+    And the box connects to itself again after 8 connections in iterations of 100 ms, not before
 
     Examples:
       | order  |
@@ -66,3 +66,9 @@
     When connections are accepted in 3 consecutive iterations of 100 ms
     And a caller's connection from the same port number is accepted
     Then the caller's connection stays open
+
+  # Guards against a box that spends its time on connections to itself, as its queue is empty in between.
+  Scenario: The box connects to itself seldom, also where its queue is empty in between
+    Given a box at 1000 ms
+    When 10 times connections are accepted in 3 consecutive iterations of 100 ms, with 2 ms for input in between
+    Then the box has connected to itself at most 6 times
--- a/packages/entry-box/src/late-reads.steps.ts
+++ b/packages/entry-box/src/late-reads.steps.ts
@@ -118,6 +118,26 @@
   },
 );
 
+When(
+  "{int} times connections are accepted in {int} consecutive iterations of {int} ms, with {int} ms for input in between",
+  function (this: object, times: number, count: number, iterationMs: number, idleMs: number) {
+    const scene = sceneOf(this);
+    const ownPorts = new Set<number | undefined>();
+    for (let time = 0; time < times; time++) {
+      for (let index = 0; index < count; index++) {
+        accept(scene, connectionOfCaller());
+        startIteration(scene, iterationMs);
+      }
+      ownPorts.add(scene.ownPort);
+      scene.reportConnected?.();
+      accept(scene, socketOf({ remoteAddress: ownHost, remotePort: scene.ownPort }));
+      scene.idleMs += idleMs;
+      scene.now += idleMs;
+    }
+    scenarioState(this).set("own connections", ownPorts.size);
+  },
+);
+
 When("the event loop waits for {int} ms for input", function (this: object, ms: number) {
   const scene = sceneOf(this);
   scene.idleMs += ms;
@@ -221,18 +241,23 @@
 });
 
 Then(
-  "the box connects to itself again after {int} connections, not before",
-  function (this: object, count: number) {
+  "the box connects to itself again after {int} connections in iterations of {int} ms, not before",
+  function (this: object, count: number, iterationMs: number) {
     const scene = sceneOf(this);
     const { ownPort } = scene;
     // One has been accepted since the box's own one.
     for (let accepted = 2; accepted < count; accepted++) {
-      startIteration(scene, 0);
+      startIteration(scene, iterationMs);
       accept(scene, connectionOfCaller());
     }
     assert.equal(scene.ownPort, ownPort);
-    startIteration(scene, 0);
+    startIteration(scene, iterationMs);
     accept(scene, connectionOfCaller());
     assert.notEqual(scene.ownPort, ownPort);
   },
 );
+
+Then("the box has connected to itself at most {int} times", function (this: object, times: number) {
+  const connections = scenarioState(this).get<number>("own connections");
+  assert.ok(connections > 0 && connections <= times, `${connections} times`);
+});
