--- a/review/stand-ins-2/boxes.mjs
+++ b/review/stand-ins-2/boxes.mjs
@@ -14,6 +14,7 @@
 const command = /^run = "node (.*)"$/m.exec(deploy)[1].split(" ");
 const template = readFileSync(join(root, /^template = "(.*)"$/m.exec(deploy)[1]), "utf8");
 const metricsPort = 9464;
+const maxLogCharacters = 2_000;
 
 const canListen = (host, port) =>
   new Promise((settle) => {
@@ -65,8 +66,12 @@
   for (let index = 0; index < count; index++) {
     const host = await freeHost();
     const listen = {};
-    for (const name of ["front", "ready", "directory", "control"])
-      listen[name] = `${host}:${await canListen(host, 0)}`;
+    for (const name of ["front", "ready", "directory", "control"]) {
+      let address;
+      do address = `${host}:${await canListen(host, 0)}`;
+      while (Object.values(listen).includes(address));
+      listen[name] = address;
+    }
     boxes.push({ name: `front-${index + 1}`, host, listen, zone: zones[index % zones.length] });
   }
   const seeds = boxes.slice(0, 3).map(({ listen }) => listen.control);
@@ -128,7 +133,10 @@
       const deadline = Date.now() + timeoutMs;
       for (const box of boxes)
         while (!(await isReady(box))) {
-          if (Date.now() > deadline) throw new Error(`${box.name} is not ready`);
+          if (Date.now() > deadline)
+            throw new Error(
+              `${box.name} is not ready, its log: ${box.log.slice(-maxLogCharacters)}`,
+            );
           await sleep(50);
         }
     },
